--- /dev/null
+++ b/crates/reedsail_bundle/src/follower.rs
@@ -0,0 +1,142 @@
+//! Follows the bundle stream: checks each record, folds it, keeps the content in force.
+
+use reedsail_core::AcceptFold;
+use reedsail_core::AcceptedVersion;
+use reedsail_core::FoldVerdict;
+use reedsail_core::RolloutRecord;
+
+use crate::BundleRecord;
+use crate::RecordError;
+use crate::SignedHead;
+use crate::TrustedKeys;
+
+/// What a record did.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Followed {
+    /// A new version is in force.
+    InForce(AcceptedVersion),
+    /// The record changes nothing, for the fold's reason.
+    Unchanged(FoldVerdict),
+    /// The record is invalid; every reader skips it alike.
+    Invalid(RecordError),
+}
+
+/// The accepted content as a reader of the log knows it.
+#[derive(Clone, Debug, Default)]
+pub struct BundleFollower {
+    trusted: TrustedKeys,
+    fold: AcceptFold,
+    accepted: Option<(SignedHead, String)>,
+}
+
+impl BundleFollower {
+    /// Makes a follower that knows nothing yet.
+    pub fn new(trusted: TrustedKeys) -> Self {
+        Self {
+            trusted,
+            fold: AcceptFold::default(),
+            accepted: None,
+        }
+    }
+
+    /// Returns the offset from which to read on.
+    pub fn next_offset(&self) -> u64 {
+        self.fold.next_offset()
+    }
+
+    /// Returns the version in force.
+    pub fn in_force(&self) -> Option<AcceptedVersion> {
+        self.fold.in_force()
+    }
+
+    /// Returns the content in force.
+    pub fn content(&self) -> Option<&str> {
+        self.accepted.as_ref().map(|(_, text)| text.as_str())
+    }
+
+    /// Returns a record that tells the version in force to a log or a peer.
+    pub fn checkpoint(&self) -> Option<BundleRecord> {
+        let (head, text) = self.accepted.as_ref()?;
+        Some(BundleRecord::checkpoint(head.clone(), text))
+    }
+
+    /// Notes a read that found records from `first_offset` on.
+    pub fn note_truncation(&mut self, first_offset: u64) {
+        self.fold.note_truncation(first_offset);
+    }
+
+    /// Takes in the record at an offset of the log.
+    pub fn follow(&mut self, offset: u64, bytes: &[u8]) -> Followed {
+        let checked = BundleRecord::parse(bytes).and_then(|record| self.check(record));
+        match checked {
+            Ok((record, rollout, text)) => {
+                let verdict = self.fold.fold(offset, rollout);
+                self.conclude(verdict, record, text)
+            }
+            Err(error) => {
+                self.fold.skip(offset);
+                Followed::Invalid(error)
+            }
+        }
+    }
+
+    /// Learns the version in force from a peer's checkpoint record.
+    ///
+    /// # Errors
+    /// The record is unreadable, not a checkpoint, or not properly signed.
+    pub fn learn(&mut self, bytes: &[u8]) -> Result<bool, RecordError> {
+        let (record, rollout, text) = self.check(BundleRecord::parse(bytes)?)?;
+        let RolloutRecord::Checkpoint { version, digest } = rollout else {
+            return Err(RecordError::Unreadable("a peer sent no checkpoint".to_owned()));
+        };
+        if !self.fold.learn(AcceptedVersion { version, digest }) {
+            return Ok(false);
+        }
+        self.accepted = text.map(|text| (record.head, text));
+        Ok(true)
+    }
+
+    /// Checks a record's signatures and content. Content is `None` where it could be had only from
+    /// a base that is not the one in force; the fold then finds the record stale.
+    fn check(
+        &self,
+        record: BundleRecord,
+    ) -> Result<(BundleRecord, RolloutRecord, Option<String>), RecordError> {
+        record.head.verify(&self.trusted)?;
+        let rollout = record.rollout()?;
+        let text = match rollout {
+            RolloutRecord::Checkpoint { version, .. } if self.knows(version) => None,
+            RolloutRecord::Checkpoint { .. } => Some(record.content(None)?),
+            RolloutRecord::Proposal {
+                base_version,
+                base_digest,
+                ..
+            } => {
+                let base = AcceptedVersion {
+                    version: base_version,
+                    digest: base_digest,
+                };
+                if base_version == 0 || self.fold.in_force() == Some(base) {
+                    Some(record.content(self.content())?)
+                } else {
+                    None
+                }
+            }
+        };
+        Ok((record, rollout, text))
+    }
+
+    fn knows(&self, version: u32) -> bool {
+        self.fold.in_force().is_some_and(|known| known.version >= version)
+    }
+
+    fn conclude(&mut self, verdict: FoldVerdict, record: BundleRecord, text: Option<String>) -> Followed {
+        match verdict {
+            FoldVerdict::Accepted(accepted) | FoldVerdict::CaughtUp(accepted) => {
+                self.accepted = text.map(|text| (record.head, text));
+                Followed::InForce(accepted)
+            }
+            FoldVerdict::Stale | FoldVerdict::Repeated | FoldVerdict::NoStart => Followed::Unchanged(verdict),
+        }
+    }
+}
--- /dev/null
+++ b/crates/reedsail_bundle/src/record.rs
@@ -0,0 +1,261 @@
+//! The records of the bundle stream: signed proposals, and checkpoints that repeat them.
+
+use reedsail_core::Digest;
+use reedsail_core::RolloutRecord;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+use uuid::Uuid;
+
+use crate::CodecError;
+use crate::KeyRole;
+use crate::SecretKey;
+use crate::TrustedKeys;
+use crate::codec;
+
+/// The largest record that is read, in bytes.
+const RECORD_BYTES_MAX: usize = 16 << 20;
+
+/// Why a record is of no use to anybody.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum RecordError {
+    /// It is not the JSON of a record.
+    #[error("the record is not readable: {0}")]
+    Unreadable(String),
+    /// The signer is not among the trusted keys of the role.
+    #[error("`{name}` is no trusted {role}; add the key to `trusted_keys` in the settings")]
+    UnknownSigner {
+        /// The name on the record.
+        name: String,
+        /// The role in which it signed.
+        role: &'static str,
+    },
+    /// A signature does not fit.
+    #[error("the signature of `{0}` is wrong; sign the bundle again")]
+    WrongSignature(String),
+    /// One person signed as author and approver.
+    #[error("`{0}` signed as author and as approver; another person must approve")]
+    SelfApproval(String),
+    /// No approver signed.
+    #[error("the bundle is not approved; run `reedsail bundle approve` with an approver's key")]
+    NotApproved,
+    /// The content does not unpack.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+    /// The content has another digest than was signed.
+    #[error("the content differs from what was signed; sign the bundle again")]
+    WrongDigest,
+}
+
+/// One person's signature.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Signature {
+    /// The person's name, as in the settings.
+    pub name: String,
+    /// The signature in hexadecimal.
+    pub signature: String,
+}
+
+/// What author and approver sign.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SignedHead {
+    /// The version that is replaced; zero for the first.
+    pub base_version: u32,
+    /// The digest of the base's content, in hexadecimal; zeros for the first.
+    pub base_digest: String,
+    /// The digest of the content, in hexadecimal.
+    pub digest: String,
+    /// The author's signature.
+    pub author: Signature,
+    /// The approver's signature.
+    pub approver: Option<Signature>,
+}
+
+/// How a record carries its content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RecordBody {
+    /// A proposal: the change from the base.
+    Patch(String),
+    /// A proposal without a base, packed whole.
+    Whole(String),
+    /// A checkpoint of what was accepted, packed whole.
+    Checkpoint(String),
+}
+
+/// A record of the bundle stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BundleRecord {
+    /// Tells a record from its own second copy after a lost answer.
+    pub id: Uuid,
+    /// What was signed.
+    pub head: SignedHead,
+    /// The content.
+    pub body: RecordBody,
+}
+
+impl SignedHead {
+    /// Signs content as its author.
+    pub fn sign(base: Option<(u32, &str)>, text: &str, name: &str, key: &SecretKey) -> Self {
+        let (base_version, base_digest) = match base {
+            Some((version, base_text)) => (version, codec::digest_of(base_text)),
+            None => (0, Digest::default()),
+        };
+        let mut head = Self {
+            base_version,
+            base_digest: hex::encode(base_digest),
+            digest: hex::encode(codec::digest_of(text)),
+            author: Signature {
+                name: name.to_owned(),
+                signature: String::new(),
+            },
+            approver: None,
+        };
+        head.author.signature = hex::encode(key.sign(&head.message("author")));
+        head
+    }
+
+    /// Adds an approver's signature.
+    pub fn approve(&mut self, name: &str, key: &SecretKey) {
+        self.approver = Some(Signature {
+            name: name.to_owned(),
+            signature: hex::encode(key.sign(&self.message("approver"))),
+        });
+    }
+
+    /// Returns the digest of the content.
+    ///
+    /// # Errors
+    /// The record is unreadable if the digest is not hexadecimal.
+    pub fn content_digest(&self) -> Result<Digest, RecordError> {
+        parse_digest(&self.digest)
+    }
+
+    /// Checks both signatures against the trusted keys.
+    ///
+    /// # Errors
+    /// Names the signer and the fault.
+    pub fn verify(&self, trusted: &TrustedKeys) -> Result<(), RecordError> {
+        let approver = self.approver.as_ref().ok_or(RecordError::NotApproved)?;
+        if approver.name == self.author.name {
+            return Err(RecordError::SelfApproval(approver.name.clone()));
+        }
+        let author_key = self.verify_one(trusted, &self.author, KeyRole::Author, "author")?;
+        let approver_key = self.verify_one(trusted, approver, KeyRole::Approver, "approver")?;
+        if author_key == approver_key {
+            return Err(RecordError::SelfApproval(approver.name.clone()));
+        }
+        Ok(())
+    }
+
+    fn verify_one(
+        &self,
+        trusted: &TrustedKeys,
+        signature: &Signature,
+        role: KeyRole,
+        role_name: &'static str,
+    ) -> Result<crate::PublicKey, RecordError> {
+        let key = trusted
+            .find(&signature.name, role)
+            .ok_or_else(|| RecordError::UnknownSigner {
+                name: signature.name.clone(),
+                role: role_name,
+            })?;
+        let mut bytes = [0; 64];
+        let wrong = || RecordError::WrongSignature(signature.name.clone());
+        hex::decode_to_slice(&signature.signature, &mut bytes).map_err(|_| wrong())?;
+        if !key.verify(&self.message(role_name), &bytes) {
+            return Err(wrong());
+        }
+        Ok(key)
+    }
+
+    fn message(&self, role: &str) -> Vec<u8> {
+        format!(
+            "reedsail bundle 1 {role} {} {} {}",
+            self.base_version, self.base_digest, self.digest
+        )
+        .into_bytes()
+    }
+}
+
+impl BundleRecord {
+    /// Makes a proposal for publishing.
+    pub fn propose(head: SignedHead, base: Option<&str>, text: &str) -> Self {
+        let body = match base {
+            Some(base) => RecordBody::Patch(codec::make_patch(base, text)),
+            None => RecordBody::Whole(codec::pack(text)),
+        };
+        let id = Uuid::now_v7();
+        Self { id, head, body }
+    }
+
+    /// Makes a checkpoint of what was accepted.
+    pub fn checkpoint(head: SignedHead, text: &str) -> Self {
+        Self {
+            id: Uuid::now_v7(),
+            head,
+            body: RecordBody::Checkpoint(codec::pack(text)),
+        }
+    }
+
+    /// Reads a record.
+    ///
+    /// # Errors
+    /// Says what is not readable.
+    pub fn parse(bytes: &[u8]) -> Result<Self, RecordError> {
+        if bytes.len() > RECORD_BYTES_MAX {
+            return Err(RecordError::Unreadable("it is over 16 MiB".to_owned()));
+        }
+        serde_json::from_slice(bytes).map_err(|error| RecordError::Unreadable(error.to_string()))
+    }
+
+    /// Writes a record.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a record is always JSON")
+    }
+
+    /// Returns the content, made from `base` where the record carries a change only.
+    ///
+    /// # Errors
+    /// The content does not unpack, does not fit the base, or is not what was signed.
+    pub fn content(&self, base: Option<&str>) -> Result<String, RecordError> {
+        let text = match &self.body {
+            RecordBody::Patch(patch) => codec::apply_patch(base.unwrap_or_default(), patch)?,
+            RecordBody::Whole(packed) | RecordBody::Checkpoint(packed) => codec::unpack(packed)?,
+        };
+        if codec::digest_of(&text) != self.head.content_digest()? {
+            return Err(RecordError::WrongDigest);
+        }
+        Ok(text)
+    }
+
+    /// Returns what the fold needs to know.
+    ///
+    /// # Errors
+    /// The record is unreadable if a digest is not hexadecimal.
+    pub fn rollout(&self) -> Result<RolloutRecord, RecordError> {
+        let digest = self.head.content_digest()?;
+        Ok(match self.body {
+            RecordBody::Patch(_) | RecordBody::Whole(_) => RolloutRecord::Proposal {
+                base_version: self.head.base_version,
+                base_digest: parse_digest(&self.head.base_digest)?,
+                digest,
+            },
+            RecordBody::Checkpoint(_) => RolloutRecord::Checkpoint {
+                version: self.head.base_version + 1,
+                digest,
+            },
+        })
+    }
+}
+
+fn parse_digest(text: &str) -> Result<Digest, RecordError> {
+    let mut digest = Digest::default();
+    hex::decode_to_slice(text, &mut digest)
+        .map_err(|_| RecordError::Unreadable("a digest is not 64 hexadecimal digits".to_owned()))?;
+    Ok(digest)
+}
--- /dev/null
+++ b/crates/reedsail_core/src/allocator/mod.rs
@@ -0,0 +1,304 @@
+//! The allocator of one service in one failure domain: leases slots by weighted, fleet-wide need.
+//!
+//! It keeps nothing that its members could not tell it again: a new allocator learns virtual
+//! times, held slots and demand from their next reports, and leases nothing new until all of them
+//! have reported or every lease that it cannot know of has lapsed.
+
+mod domain;
+mod member;
+mod slots;
+mod targets;
+
+use std::collections::HashMap;
+
+use crate::MemberKind;
+use crate::NameHash;
+use crate::ServerKey;
+use crate::ServiceGrant;
+use crate::ServiceReport;
+use crate::TimeMs;
+use crate::VirtualTimeRow;
+use crate::WorkspaceKey;
+use domain::DomainLink;
+use member::Member;
+
+/// Targets are computed afresh at most this often.
+const TARGETS_AGE_MAX_MS: u64 = 100;
+/// The weight of the newest report in the running mean of what a slot yields.
+const YIELD_SAMPLE_WEIGHT: f64 = 0.05;
+/// What a slot is taken to yield before anything was measured, in cost units a millisecond.
+const YIELD_FIRST_GUESS: f64 = 0.02;
+
+/// Settings of an allocator.
+#[derive(Clone, Copy, Debug)]
+pub struct AllocatorConfig {
+    /// How long a lease lasts, counted from the report that it answers.
+    pub lease_ms: u64,
+    /// Over which time a workspace that is behind is brought level.
+    pub horizon_ms: u64,
+    /// By how many seconds of its fair part a workspace may lead after a cut is mended.
+    pub rejoin_clamp_ms: u64,
+}
+
+impl Default for AllocatorConfig {
+    fn default() -> Self {
+        Self {
+            lease_ms: 3_000,
+            horizon_ms: 2_000,
+            rejoin_clamp_ms: 2_000,
+        }
+    }
+}
+
+/// A backend server of the allocator's own failure domain.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerCapacity {
+    /// The backend server.
+    pub server: ServerKey,
+    /// How many requests it runs at once; zero once it is leaving.
+    pub slots: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkspaceEntry {
+    virtual_time: f64,
+    backlogged: bool,
+}
+
+/// See the module's text.
+#[derive(Debug)]
+pub struct Allocator {
+    config: AllocatorConfig,
+    settle_deadline: TimeMs,
+    daemons_expected: usize,
+    weights: HashMap<WorkspaceKey, f64>,
+    own_servers: Vec<ServerCapacity>,
+    members: HashMap<NameHash, Member>,
+    links: HashMap<NameHash, DomainLink>,
+    workspaces: HashMap<WorkspaceKey, WorkspaceEntry>,
+    /// What this domain's daemons were charged, since this allocator began.
+    domain_costs: HashMap<WorkspaceKey, f64>,
+    floor: f64,
+    yield_per_ms: f64,
+    targets_at: Option<TimeMs>,
+}
+
+impl Allocator {
+    /// Makes an allocator that knows nothing yet.
+    pub fn new(config: AllocatorConfig, now: TimeMs) -> Self {
+        Self {
+            config,
+            settle_deadline: now.plus_ms(config.lease_ms),
+            daemons_expected: usize::MAX,
+            weights: HashMap::new(),
+            own_servers: Vec::new(),
+            members: HashMap::new(),
+            links: HashMap::new(),
+            workspaces: HashMap::new(),
+            domain_costs: HashMap::new(),
+            floor: 0.0,
+            yield_per_ms: YIELD_FIRST_GUESS,
+            targets_at: None,
+        }
+    }
+
+    /// Takes over the backend servers of the domain and how many daemons are alive in it.
+    pub fn set_servers(&mut self, servers: Vec<ServerCapacity>, daemons_expected: usize) {
+        self.own_servers = servers;
+        self.daemons_expected = daemons_expected;
+    }
+
+    /// Takes over a workspace's weight.
+    pub fn set_weight(&mut self, workspace: WorkspaceKey, weight: f64) {
+        self.weights.insert(workspace, weight);
+    }
+
+    /// Answers a member's report.
+    pub fn on_report(&mut self, from: NameHash, report: &ServiceReport, now: TimeMs) -> ServiceGrant {
+        self.expire(now);
+        self.take_in(from, report, now);
+        self.refresh_targets(now);
+        let leases = self.lease_slots(from, now);
+        ServiceGrant {
+            base: self.floor,
+            leases,
+            virtual_times: self.virtual_times_of(report),
+        }
+    }
+
+    /// Forgets members whose lease has lapsed, and borrowed slots past their deadline.
+    pub fn expire(&mut self, now: TimeMs) {
+        let before = self.members.len();
+        self.members.retain(|_, member| member.lease_deadline > now);
+        for link in self.links.values_mut() {
+            link.expire(now);
+        }
+        if self.members.len() != before {
+            self.targets_at = None;
+        }
+    }
+
+    /// Forgets a member that said it is leaving or was seen to die.
+    pub fn remove_member(&mut self, member: NameHash) {
+        self.members.remove(&member);
+        self.targets_at = None;
+    }
+
+    /// Returns the slots committed on a server, over all members.
+    pub fn committed_slots(&self, server: ServerKey) -> u32 {
+        self.members.values().map(|member| member.committed(server)).sum()
+    }
+
+    /// Returns a workspace's virtual time above the floor, in cost units per weight.
+    pub fn lead_of(&self, workspace: WorkspaceKey) -> f64 {
+        self.virtual_time(workspace) - self.floor
+    }
+
+    /// Returns the floor: no workspace that becomes backlogged starts below it.
+    pub fn floor(&self) -> f64 {
+        self.floor
+    }
+
+    /// Returns how many members hold or may hold leases.
+    pub fn member_count(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns how many workspaces are remembered; idle ones without a lead are not.
+    pub fn workspace_count(&self) -> usize {
+        self.workspaces.len()
+    }
+
+    /// Drops idle workspaces that would start at the floor anyway; called now and then.
+    pub fn compact(&mut self) {
+        let floor = self.floor;
+        self.workspaces
+            .retain(|_, entry| entry.backlogged || entry.virtual_time > floor);
+    }
+
+    fn is_settled(&self, now: TimeMs) -> bool {
+        let daemons = self.members.values().filter(|member| member.is_daemon()).count();
+        now >= self.settle_deadline || daemons >= self.daemons_expected
+    }
+
+    fn virtual_time(&self, workspace: WorkspaceKey) -> f64 {
+        self.workspaces
+            .get(&workspace)
+            .map_or(self.floor, |entry| entry.virtual_time)
+    }
+
+    fn weight(&self, workspace: WorkspaceKey) -> f64 {
+        self.weights.get(&workspace).copied().unwrap_or(1.0)
+    }
+
+    fn entry_mut(&mut self, workspace: WorkspaceKey) -> &mut WorkspaceEntry {
+        let floor = self.floor;
+        self.workspaces.entry(workspace).or_insert(WorkspaceEntry {
+            virtual_time: floor,
+            backlogged: false,
+        })
+    }
+
+    fn take_in(&mut self, from: NameHash, report: &ServiceReport, now: TimeMs) {
+        let known = self
+            .members
+            .get(&from)
+            .is_some_and(|member| member.session == report.session);
+        if !known {
+            self.adopt(from, report, now);
+        }
+        self.charge_costs(from, report, now);
+        let lease_deadline = now.plus_ms(self.config.lease_ms);
+        if let Some(member) = self.members.get_mut(&from) {
+            member.update(report, now, lease_deadline);
+        }
+        self.settle_backlog();
+    }
+
+    /// Meets a member, or a new session of one: its counters and view become the starting point.
+    fn adopt(&mut self, from: NameHash, report: &ServiceReport, now: TimeMs) {
+        self.targets_at = None;
+        self.members.insert(from, Member::new(report, now));
+        if report.kind == MemberKind::Domain {
+            return;
+        }
+        self.floor = self.floor.max(report.base);
+        for demand in &report.demands {
+            let seen = report.base + demand.lead;
+            let entry = self.entry_mut(demand.workspace);
+            entry.virtual_time = entry.virtual_time.max(seen);
+        }
+    }
+
+    fn charge_costs(&mut self, from: NameHash, report: &ServiceReport, now: TimeMs) {
+        let Some(member) = self.members.get_mut(&from) else {
+            return;
+        };
+        let after_cut = now.since_ms(member.reported_at) > self.config.lease_ms / 2;
+        let slot_ms = member.slot_ms_since_report(now);
+        let charges = member.take_charges(report);
+        let is_daemon = member.is_daemon();
+        let total: f64 = charges.iter().map(|(_, cost)| cost).sum();
+        if is_daemon && slot_ms > 0.0 {
+            self.yield_per_ms += YIELD_SAMPLE_WEIGHT * (total / slot_ms - self.yield_per_ms);
+            self.yield_per_ms = self.yield_per_ms.max(1e-6);
+        }
+        for (workspace, cost) in charges {
+            let weight = self.weight(workspace);
+            self.entry_mut(workspace).virtual_time += cost / weight;
+            if is_daemon {
+                *self.domain_costs.entry(workspace).or_default() += cost;
+            }
+        }
+        if report.kind == MemberKind::Domain {
+            self.reconcile_leads(report, after_cut);
+        }
+    }
+
+    /// Lifts workspaces that have just become backlogged, and raises the floor.
+    fn settle_backlog(&mut self) {
+        let mut queued: HashMap<WorkspaceKey, u32> = HashMap::new();
+        for member in self.members.values() {
+            for (workspace, demand) in member.demands() {
+                *queued.entry(workspace).or_default() += demand.queued;
+            }
+        }
+        let floor = self.floor;
+        for (workspace, entry) in &mut self.workspaces {
+            let backlogged = queued.get(workspace).is_some_and(|count| *count > 0);
+            if backlogged && !entry.backlogged {
+                entry.virtual_time = entry.virtual_time.max(floor);
+            }
+            entry.backlogged = backlogged;
+        }
+        for (workspace, count) in queued {
+            if count > 0 {
+                self.entry_mut(workspace).backlogged = true;
+            }
+        }
+        let least = self
+            .workspaces
+            .values()
+            .filter(|entry| entry.backlogged)
+            .map(|entry| entry.virtual_time)
+            .fold(f64::INFINITY, f64::min);
+        if least.is_finite() {
+            self.floor = self.floor.max(least);
+        }
+    }
+
+    fn virtual_times_of(&self, report: &ServiceReport) -> Vec<VirtualTimeRow> {
+        if report.kind == MemberKind::Domain {
+            return Vec::new();
+        }
+        report
+            .demands
+            .iter()
+            .filter(|demand| demand.queued > 0 || demand.running > 0)
+            .map(|demand| VirtualTimeRow {
+                workspace: demand.workspace,
+                lead: self.lead_of(demand.workspace),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/reedsail_core/src/fair_queue.rs
@@ -0,0 +1,379 @@
+//! One service's waiting requests on one daemon, ordered by workspace and inside each workspace.
+
+use std::collections::BTreeMap;
+
+use crate::ErrorKind;
+use crate::SharePolicy;
+use crate::TimeMs;
+use crate::WorkspaceKey;
+use crate::key::TableKey;
+
+/// The cost that a workspace's request is taken to have before one has ended.
+const COST_FIRST_GUESS: f64 = 50.0;
+/// The weight of the newest request in a workspace's running mean cost.
+const COST_SAMPLE_WEIGHT: f64 = 0.1;
+/// The weight of the newest interval in a workspace's running service rate.
+const RATE_SAMPLE_WEIGHT: f64 = 0.3;
+
+/// How urgent a request is inside its own workspace; never weighed against other workspaces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Class {
+    /// Somebody waits for the answer.
+    Interactive,
+    /// The answer can wait.
+    Batch,
+}
+
+impl Class {
+    /// Every class, the more urgent first.
+    pub const ALL: [Self; 2] = [Self::Interactive, Self::Batch];
+
+    /// Returns the place in the order: the smallest goes first.
+    pub fn rank(self) -> u8 {
+        match self {
+            Self::Interactive => 0,
+            Self::Batch => 1,
+        }
+    }
+
+    /// Returns the name that bundles, headers and metrics use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Interactive => "interactive",
+            Self::Batch => "batch",
+        }
+    }
+}
+
+/// The place of a waiting request; redeemable to withdraw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    pub(crate) workspace: WorkspaceKey,
+    rank: (u8, u64, u64),
+}
+
+/// A request that waits for a slot. `W` is whatever wakes its owner.
+#[derive(Debug)]
+pub struct Waiting<W> {
+    /// The workspace that it counts against.
+    pub workspace: WorkspaceKey,
+    /// Its class.
+    pub class: Class,
+    /// When its answer must have begun.
+    pub deadline: TimeMs,
+    /// The size of its body, held in memory while it waits.
+    pub body_bytes: u64,
+    /// A hash of the prompt's prefix, if it has one.
+    pub prefix: Option<u64>,
+    /// Wakes the owner.
+    pub waker: W,
+}
+
+/// Bounds on one workspace's queue at one daemon and service.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueLimits {
+    /// The most requests that wait.
+    pub queued_max: u32,
+    /// The most bytes of bodies that wait.
+    pub queued_bytes_max: u64,
+    /// The most requests that run at once at this daemon.
+    pub running_max: u32,
+}
+
+impl Default for QueueLimits {
+    fn default() -> Self {
+        Self {
+            queued_max: 1_024,
+            queued_bytes_max: 64 << 20,
+            running_max: u32::MAX,
+        }
+    }
+}
+
+/// One workspace at one service.
+#[derive(Debug)]
+pub(crate) struct WorkspaceQueue<W> {
+    pub(crate) weight: f64,
+    pub(crate) limits: QueueLimits,
+    waiting: BTreeMap<(u8, u64, u64), Waiting<W>>,
+    queued_bytes: u64,
+    pub(crate) running: u32,
+    /// Fleet-wide virtual time: the allocator's, plus what was charged here since.
+    pub(crate) virtual_time: f64,
+    /// What running requests are still expected to cost.
+    pub(crate) outstanding_cost: f64,
+    pub(crate) mean_cost: f64,
+    /// Cost received here since the session began.
+    pub(crate) cost_total: f64,
+    /// `cost_total` as it stood in the report under way.
+    pub(crate) cost_reported: f64,
+    cost_ever: f64,
+    cost_at_tick: f64,
+    rate_per_ms: f64,
+}
+
+impl<W> WorkspaceQueue<W> {
+    fn new() -> Self {
+        Self {
+            weight: 1.0,
+            limits: QueueLimits::default(),
+            waiting: BTreeMap::new(),
+            queued_bytes: 0,
+            running: 0,
+            virtual_time: 0.0,
+            outstanding_cost: 0.0,
+            mean_cost: COST_FIRST_GUESS,
+            cost_total: 0.0,
+            cost_reported: 0.0,
+            cost_ever: 0.0,
+            cost_at_tick: 0.0,
+            rate_per_ms: 0.0,
+        }
+    }
+
+    pub(crate) fn queued(&self) -> u32 {
+        self.waiting.len() as u32
+    }
+
+    pub(crate) fn is_active(&self) -> bool {
+        self.running > 0 || !self.waiting.is_empty()
+    }
+
+    /// Returns the virtual time at which the workspace stands once its running work is done.
+    pub(crate) fn projected_virtual_time(&self) -> f64 {
+        self.virtual_time + self.outstanding_cost / self.weight
+    }
+
+    pub(crate) fn charge(&mut self, cost: f64) {
+        self.cost_total += cost;
+        self.cost_ever += cost;
+        self.virtual_time += cost / self.weight;
+    }
+
+    pub(crate) fn learn_cost(&mut self, cost: f64) {
+        self.mean_cost += COST_SAMPLE_WEIGHT * (cost - self.mean_cost);
+    }
+
+    /// Returns how long a new request of the class would wait, if that can be told.
+    fn predicted_wait_ms(&self, class: Class) -> Option<u64> {
+        if self.rate_per_ms <= 0.0 {
+            return None;
+        }
+        let last_ahead = (class.rank(), u64::MAX, u64::MAX);
+        let ahead = self.waiting.range(..=last_ahead).count() as f64;
+        Some((ahead * self.mean_cost / self.rate_per_ms) as u64)
+    }
+}
+
+/// The queues of every workspace at one service.
+#[derive(Debug)]
+pub struct FairQueue<W> {
+    entries: Vec<Option<Box<WorkspaceQueue<W>>>>,
+    /// Workspaces with work waiting or running; kept short and scanned in full.
+    active: Vec<WorkspaceKey>,
+    /// No workspace that becomes backlogged starts below this virtual time.
+    floor: f64,
+    sequence: u64,
+    queued: u32,
+}
+
+impl<W> Default for FairQueue<W> {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            active: Vec::new(),
+            floor: 0.0,
+            sequence: 0,
+            queued: 0,
+        }
+    }
+}
+
+impl<W> FairQueue<W> {
+    /// Returns how many requests wait in all.
+    pub fn queued(&self) -> u32 {
+        self.queued
+    }
+
+    /// Returns how many requests of the workspace wait.
+    pub fn queued_of(&self, workspace: WorkspaceKey) -> u32 {
+        self.entry(workspace).map_or(0, WorkspaceQueue::queued)
+    }
+
+    /// Returns the bytes of bodies that wait.
+    pub fn queued_bytes(&self) -> u64 {
+        self.active_entries().map(|(_, entry)| entry.queued_bytes).sum()
+    }
+
+    /// Returns the cost that the workspace has received here since the start.
+    pub fn cost_ever(&self, workspace: WorkspaceKey) -> f64 {
+        self.entry(workspace).map_or(0.0, |entry| entry.cost_ever)
+    }
+
+    pub(crate) fn floor(&self) -> f64 {
+        self.floor
+    }
+
+    pub(crate) fn raise_floor(&mut self, floor: f64) {
+        self.floor = self.floor.max(floor);
+    }
+
+    pub(crate) fn active_entries(&self) -> impl Iterator<Item = (WorkspaceKey, &WorkspaceQueue<W>)> {
+        self.active
+            .iter()
+            .filter_map(|key| self.entry(*key).map(|entry| (*key, entry)))
+    }
+
+    pub(crate) fn entry(&self, workspace: WorkspaceKey) -> Option<&WorkspaceQueue<W>> {
+        self.entries.get(workspace.index())?.as_deref()
+    }
+
+    pub(crate) fn entry_mut(&mut self, workspace: WorkspaceKey) -> &mut WorkspaceQueue<W> {
+        let index = workspace.index();
+        if self.entries.len() <= index {
+            self.entries.resize_with(index + 1, || None);
+        }
+        let floor = self.floor;
+        self.entries[index].get_or_insert_with(|| {
+            let mut entry = Box::new(WorkspaceQueue::new());
+            entry.virtual_time = floor;
+            entry
+        })
+    }
+
+    pub(crate) fn idle_entries(&self) -> impl Iterator<Item = (WorkspaceKey, &WorkspaceQueue<W>)> {
+        self.entries
+            .iter()
+            .enumerate()
+            .filter_map(|(index, entry)| Some((WorkspaceKey::from_index(index), entry.as_deref()?)))
+            .filter(|(_, entry)| !entry.is_active())
+    }
+
+    pub(crate) fn all_entries_mut(&mut self) -> impl Iterator<Item = &mut WorkspaceQueue<W>> {
+        self.entries.iter_mut().flatten().map(Box::as_mut)
+    }
+
+    /// Adds a request, or says why it is refused.
+    ///
+    /// # Errors
+    /// `QueueFull`, `QueueBytesFull` or `WouldMissDeadline`; none of them has run.
+    pub(crate) fn push<P: SharePolicy>(
+        &mut self,
+        policy: &P,
+        waiting: Waiting<W>,
+        now: TimeMs,
+    ) -> Result<Ticket, (ErrorKind, W)> {
+        let floor = self.floor;
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let workspace = waiting.workspace;
+        let entry = self.entry_mut(workspace);
+        if let Some(kind) = refusal(entry, &waiting, now) {
+            return Err((kind, waiting.waker));
+        }
+        if entry.waiting.is_empty() {
+            entry.virtual_time = entry.virtual_time.max(floor);
+        }
+        let rank = policy.rank(waiting.class, waiting.deadline, sequence);
+        entry.queued_bytes += waiting.body_bytes;
+        let was_active = entry.is_active();
+        entry.waiting.insert(rank, waiting);
+        if !was_active {
+            self.active.push(workspace);
+        }
+        self.queued += 1;
+        Ok(Ticket { workspace, rank })
+    }
+
+    /// Withdraws a waiting request; `None` if it has been taken already.
+    pub(crate) fn withdraw(&mut self, ticket: Ticket) -> Option<Waiting<W>> {
+        let entry = self.entries.get_mut(ticket.workspace.index())?.as_deref_mut()?;
+        let waiting = entry.waiting.remove(&ticket.rank)?;
+        entry.queued_bytes -= waiting.body_bytes;
+        self.queued -= 1;
+        self.retire_if_idle(ticket.workspace);
+        Some(waiting)
+    }
+
+    /// Takes the request that goes next: the first of the workspace that is furthest behind.
+    pub(crate) fn pop<P: SharePolicy>(&mut self, policy: &P) -> Option<Waiting<W>> {
+        let mut best: Option<(f64, WorkspaceKey)> = None;
+        for (key, entry) in self.active_entries() {
+            let Some((rank, _)) = entry.waiting.first_key_value() else {
+                continue;
+            };
+            if entry.running >= entry.limits.running_max {
+                continue;
+            }
+            let order = policy.workspace_order(entry.projected_virtual_time(), rank.2);
+            if best.is_none_or(|(least, _)| order < least) {
+                best = Some((order, key));
+            }
+        }
+        let (_, workspace) = best?;
+        let entry = self.entry_mut(workspace);
+        let (_, waiting) = entry.waiting.pop_first()?;
+        entry.queued_bytes -= waiting.body_bytes;
+        self.queued -= 1;
+        self.settle_floor();
+        Some(waiting)
+    }
+
+    /// Removes the workspace from the active list once nothing of it waits or runs.
+    pub(crate) fn retire_if_idle(&mut self, workspace: WorkspaceKey) {
+        if self.entry(workspace).is_some_and(|entry| !entry.is_active()) {
+            self.active.retain(|key| *key != workspace);
+        }
+    }
+
+    /// Takes every request whose deadline has passed.
+    pub(crate) fn take_expired(&mut self, now: TimeMs) -> Vec<Waiting<W>> {
+        let mut expired = Vec::new();
+        for key in self.active.clone() {
+            let entry = self.entry_mut(key);
+            let late: Vec<_> = entry
+                .waiting
+                .iter()
+                .filter(|(_, waiting)| waiting.deadline <= now)
+                .map(|(rank, _)| *rank)
+                .collect();
+            for rank in late {
+                let ticket = Ticket { workspace: key, rank };
+                expired.extend(self.withdraw(ticket));
+            }
+        }
+        expired
+    }
+
+    /// Updates service rates; called once a tick with the time since the last one.
+    pub(crate) fn measure_rates(&mut self, elapsed_ms: u64) {
+        for key in self.active.clone() {
+            let entry = self.entry_mut(key);
+            let rate = (entry.cost_ever - entry.cost_at_tick) / elapsed_ms.max(1) as f64;
+            entry.cost_at_tick = entry.cost_ever;
+            entry.rate_per_ms += RATE_SAMPLE_WEIGHT * (rate - entry.rate_per_ms);
+        }
+    }
+
+    fn settle_floor(&mut self) {
+        let least = self
+            .active_entries()
+            .filter(|(_, entry)| !entry.waiting.is_empty())
+            .map(|(_, entry)| entry.virtual_time)
+            .fold(f64::INFINITY, f64::min);
+        if least.is_finite() {
+            self.raise_floor(least);
+        }
+    }
+}
+
+fn refusal<W>(entry: &WorkspaceQueue<W>, waiting: &Waiting<W>, now: TimeMs) -> Option<ErrorKind> {
+    if entry.queued() >= entry.limits.queued_max {
+        return Some(ErrorKind::QueueFull);
+    }
+    if entry.queued_bytes + waiting.body_bytes > entry.limits.queued_bytes_max {
+        return Some(ErrorKind::QueueBytesFull);
+    }
+    let wait_ms = entry.predicted_wait_ms(waiting.class)?;
+    (now.plus_ms(wait_ms) > waiting.deadline).then_some(ErrorKind::WouldMissDeadline)
+}
--- /dev/null
+++ b/crates/reedsail_core/src/scheduler.rs
@@ -0,0 +1,486 @@
+//! One service on one daemon: who waits, which slots are held, what runs next and where.
+
+use std::collections::HashMap;
+
+use crate::AffinityTable;
+use crate::DemandRow;
+use crate::ErrorKind;
+use crate::FairQueue;
+use crate::MemberKind;
+use crate::QueueLimits;
+use crate::ServerHealth;
+use crate::ServerKey;
+use crate::ServiceGrant;
+use crate::ServiceReport;
+use crate::SharePolicy;
+use crate::SlotRow;
+use crate::Ticket;
+use crate::TimeMs;
+use crate::Waiting;
+use crate::WorkspaceKey;
+
+/// How much fuller, as a part of its slots, the server with the cached prefix may be.
+const AFFINITY_LOAD_MARGIN: f64 = 0.5;
+
+/// A backend server as the bundle in force describes it.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerSetup {
+    /// The backend server.
+    pub server: ServerKey,
+    /// How many requests it runs at once.
+    pub capacity: u32,
+}
+
+/// A workspace as the bundle in force describes it, at one service.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkspaceSetup {
+    /// The workspace.
+    pub workspace: WorkspaceKey,
+    /// Its weight.
+    pub weight: f64,
+    /// Its limits at one daemon.
+    pub limits: QueueLimits,
+}
+
+/// A request that was given a slot; handed back with [`Scheduler::finish`].
+#[derive(Debug)]
+pub struct Running {
+    /// The workspace that it counts against.
+    pub workspace: WorkspaceKey,
+    /// The backend server whose slot it has.
+    pub server: ServerKey,
+    estimate: f64,
+    charged: f64,
+}
+
+/// A request that may be sent now.
+#[derive(Debug)]
+pub struct Dispatch<W> {
+    /// Its slot.
+    pub running: Running,
+    /// Wakes its owner.
+    pub waker: W,
+}
+
+#[derive(Debug)]
+struct Server {
+    capacity: u32,
+    leased: u32,
+    lease_deadline: TimeMs,
+    in_use: u32,
+    leaving: bool,
+    configured: bool,
+    reported_busy_ratio: f64,
+    health: ServerHealth,
+}
+
+impl Server {
+    fn free(&mut self, now: TimeMs) -> u32 {
+        if self.leaving || !self.configured {
+            return 0;
+        }
+        self.health
+            .usable_slots(self.leased, now)
+            .saturating_sub(self.in_use)
+    }
+}
+
+/// One service's queues and slots on one daemon, shared under the policy `P`.
+#[derive(Debug)]
+pub struct Scheduler<P, W> {
+    policy: P,
+    queue: FairQueue<W>,
+    servers: HashMap<ServerKey, Server>,
+    affinity: AffinityTable,
+    session: u32,
+    /// Set when work waits and no slot is free, until the next report.
+    starved: bool,
+}
+
+impl<P: SharePolicy, W> Scheduler<P, W> {
+    /// Makes a scheduler without servers or work.
+    pub fn new(policy: P, session: u32) -> Self {
+        Self {
+            policy,
+            queue: FairQueue::default(),
+            servers: HashMap::new(),
+            affinity: AffinityTable::default(),
+            session,
+            starved: false,
+        }
+    }
+
+    /// Returns the queues, for reports and metrics.
+    pub fn queue(&self) -> &FairQueue<W> {
+        &self.queue
+    }
+
+    /// Replaces weights and limits by those of a new bundle; what waits and runs stays.
+    pub fn configure(&mut self, servers: &[ServerSetup], workspaces: &[WorkspaceSetup]) {
+        for server in self.servers.values_mut() {
+            server.configured = false;
+        }
+        for setup in servers {
+            let fixed = self.policy.fixed_slots(setup.capacity);
+            let server = self.servers.entry(setup.server).or_insert_with(|| Server {
+                capacity: setup.capacity,
+                leased: 0,
+                lease_deadline: TimeMs(0),
+                in_use: 0,
+                leaving: false,
+                configured: true,
+                reported_busy_ratio: 0.0,
+                health: ServerHealth::default(),
+            });
+            server.capacity = setup.capacity;
+            server.configured = true;
+            if !P::LEASED {
+                server.leased = fixed;
+            }
+        }
+        self.servers
+            .retain(|_, server| server.configured || server.in_use > 0);
+        for setup in workspaces {
+            let entry = self.queue.entry_mut(setup.workspace);
+            entry.weight = setup.weight;
+            entry.limits = setup.limits;
+        }
+    }
+
+    /// Queues a request.
+    ///
+    /// # Errors
+    /// The kind of refusal, none of which has run, and the waker handed back.
+    pub fn submit(&mut self, waiting: Waiting<W>, now: TimeMs) -> Result<Ticket, (ErrorKind, W)> {
+        self.queue.push(&self.policy, waiting, now)
+    }
+
+    /// Withdraws a request that still waits; `None` if it was dispatched before.
+    pub fn withdraw(&mut self, ticket: Ticket) -> Option<Waiting<W>> {
+        self.queue.withdraw(ticket)
+    }
+
+    /// Dispatches as many waiting requests as slots are free.
+    pub fn dispatch(&mut self, now: TimeMs) -> Vec<Dispatch<W>> {
+        let mut dispatches = Vec::new();
+        while self.queue.queued() > 0 {
+            if !self.servers.values_mut().any(|server| server.free(now) > 0) {
+                self.starved = true;
+                break;
+            }
+            let Some(waiting) = self.queue.pop(&self.policy) else {
+                break;
+            };
+            let Some(server) = self.choose_server(waiting.prefix, now) else {
+                break;
+            };
+            let running = self.start(waiting.workspace, server, waiting.prefix, now);
+            let waker = waiting.waker;
+            dispatches.push(Dispatch { running, waker });
+        }
+        dispatches
+    }
+
+    /// Takes another slot for a retry, on a server other than those already tried.
+    ///
+    /// A retry does not queue again: its workspace was charged for its turn.
+    ///
+    /// # Errors
+    /// Hands the slot back if no other server has a free one.
+    pub fn restart(
+        &mut self,
+        running: Running,
+        tried: &[ServerKey],
+        now: TimeMs,
+    ) -> Result<Running, Running> {
+        let choice = self
+            .servers
+            .iter_mut()
+            .filter(|(key, _)| !tried.contains(key))
+            .filter_map(|(key, server)| (server.free(now) > 0).then_some((*key, server.in_use)))
+            .min_by_key(|(key, in_use)| (*in_use, *key));
+        let Some((server, _)) = choice else {
+            return Err(running);
+        };
+        self.release_slot(running.server);
+        if let Some(entry) = self.servers.get_mut(&server) {
+            entry.in_use += 1;
+        }
+        Ok(Running { server, ..running })
+    }
+
+    /// Charges a running request's cost as it shows, so that order does not wait for its end.
+    pub fn progress(&mut self, running: &mut Running, cost: f64) {
+        let step = (cost - running.charged).max(0.0);
+        let entry = self.queue.entry_mut(running.workspace);
+        let still_expected = (running.estimate - running.charged).max(0.0);
+        let expected_after = (running.estimate - cost).max(0.0);
+        entry.outstanding_cost = (entry.outstanding_cost - (still_expected - expected_after)).max(0.0);
+        entry.charge(step);
+        running.charged += step;
+    }
+
+    /// Ends a request with its true cost and frees its slot.
+    pub fn finish(&mut self, mut running: Running, cost: f64, answered: bool, now: TimeMs) {
+        self.progress(&mut running, cost);
+        let still_expected = (running.estimate - running.charged).max(0.0);
+        let entry = self.queue.entry_mut(running.workspace);
+        entry.outstanding_cost = (entry.outstanding_cost - still_expected).max(0.0);
+        entry.running -= 1;
+        if answered {
+            entry.learn_cost(cost);
+        }
+        if entry.running == 0 {
+            entry.outstanding_cost = 0.0;
+        }
+        self.queue.retire_if_idle(running.workspace);
+        self.release_slot(running.server);
+        if answered {
+            self.record_success(running.server);
+        }
+        let _ = now;
+    }
+
+    /// Records an answer of the server.
+    fn record_success(&mut self, server: ServerKey) {
+        if let Some(entry) = self.servers.get_mut(&server) {
+            entry.health.succeed();
+        }
+    }
+
+    /// Records a failure of the server; returns `true` when it is now left to rest.
+    pub fn record_failure(&mut self, server: ServerKey, now: TimeMs) -> bool {
+        self.servers
+            .get_mut(&server)
+            .is_some_and(|entry| entry.health.fail(now))
+    }
+
+    /// Marks the backend servers that the platform or a peer says are leaving.
+    pub fn set_leaving(&mut self, is_leaving: impl Fn(ServerKey) -> bool) {
+        for (key, server) in &mut self.servers {
+            server.leaving = is_leaving(*key);
+        }
+    }
+
+    /// Records how busy a server says it is; the report lags, so it only breaks near ties.
+    pub fn record_load(&mut self, server: ServerKey, busy_ratio: f64) {
+        if let Some(entry) = self.servers.get_mut(&server) {
+            entry.reported_busy_ratio = busy_ratio.clamp(0.0, 2.0);
+        }
+    }
+
+    /// Records a server's late word that it cached or dropped a prefix.
+    pub fn record_cache_event(&mut self, server: ServerKey, prefix: u64, cached: bool, now: TimeMs) {
+        if cached {
+            self.affinity.record(prefix, server, now);
+        } else {
+            self.affinity.forget(prefix, server);
+        }
+    }
+
+    /// Lets lapsed leases go and takes out requests whose deadline has passed.
+    pub fn tick(&mut self, now: TimeMs, elapsed_ms: u64) -> Vec<Waiting<W>> {
+        if P::LEASED {
+            for server in self.servers.values_mut() {
+                if server.lease_deadline <= now {
+                    server.leased = 0;
+                }
+            }
+        }
+        self.queue.measure_rates(elapsed_ms);
+        self.queue.take_expired(now)
+    }
+
+    /// Tells whether work has waited without a free slot since the last report.
+    pub fn is_starved(&self) -> bool {
+        self.starved && self.queue.queued() > 0
+    }
+
+    /// Tells whether there is anything to report beyond that the daemon is alive.
+    pub fn is_active(&self) -> bool {
+        self.queue.active_entries().next().is_some()
+    }
+
+    /// Starts the cost counters again, for an allocator that does not know them.
+    pub fn begin_session(&mut self, session: u32) {
+        self.session = session;
+        for entry in self.queue.all_entries_mut() {
+            entry.cost_total = 0.0;
+            entry.cost_reported = 0.0;
+        }
+    }
+
+    /// Writes the report to the allocator.
+    pub fn report(&mut self, now: TimeMs) -> ServiceReport {
+        self.starved = false;
+        let base = self.queue.floor();
+        let mut demands = Vec::new();
+        let session = self.session;
+        for (workspace, entry) in self.queue.active_entries() {
+            demands.push(DemandRow {
+                workspace,
+                queued: entry.queued(),
+                running: entry.running,
+                cost_total: wrapping_cost(entry.cost_total),
+                lead: entry.virtual_time - base,
+            });
+        }
+        self.add_unreported(&mut demands, base);
+        for demand in &demands {
+            let entry = self.queue.entry_mut(demand.workspace);
+            entry.cost_reported = entry.cost_total;
+        }
+        ServiceReport {
+            kind: MemberKind::Daemon,
+            session,
+            own_slots: 0,
+            base,
+            slots: self.slot_rows(),
+            resting: self.resting(now),
+            demands,
+        }
+    }
+
+    /// Adds idle workspaces that received cost since the last report.
+    fn add_unreported(&mut self, demands: &mut Vec<DemandRow>, base: f64) {
+        for (workspace, entry) in self.queue.idle_entries() {
+            if entry.cost_total > entry.cost_reported {
+                demands.push(DemandRow {
+                    workspace,
+                    queued: 0,
+                    running: 0,
+                    cost_total: wrapping_cost(entry.cost_total),
+                    lead: entry.virtual_time - base,
+                });
+            }
+        }
+    }
+
+    fn slot_rows(&self) -> Vec<SlotRow> {
+        let mut rows: Vec<SlotRow> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.leased > 0 || server.in_use > 0)
+            .map(|(key, server)| SlotRow {
+                server: *key,
+                held: server.leased.max(server.in_use),
+                in_use: server.in_use,
+            })
+            .collect();
+        rows.sort_by_key(|row| row.server);
+        rows
+    }
+
+    fn resting(&self, now: TimeMs) -> Vec<ServerKey> {
+        let mut resting: Vec<ServerKey> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.health.is_resting(now))
+            .map(|(key, _)| *key)
+            .collect();
+        resting.sort();
+        resting
+    }
+
+    /// Takes over the allocator's leases and virtual times.
+    ///
+    /// `lease_deadline` counts from when the report was sent, so that a daemon that was paused in
+    /// between finds its lease lapsed and not renewed.
+    pub fn apply_grant(&mut self, grant: &ServiceGrant, lease_deadline: TimeMs) {
+        for server in self.servers.values_mut() {
+            server.leased = 0;
+        }
+        for lease in &grant.leases {
+            if let Some(server) = self.servers.get_mut(&lease.server) {
+                server.leased = lease.slots.min(server.capacity);
+                server.lease_deadline = lease_deadline;
+            }
+        }
+        self.queue.raise_floor(grant.base);
+        for row in &grant.virtual_times {
+            let entry = self.queue.entry_mut(row.workspace);
+            let charged_since = entry.cost_total - entry.cost_reported;
+            entry.virtual_time = grant.base + row.lead + charged_since / entry.weight;
+        }
+    }
+
+    /// Gives back every lease, for a planned stop; what runs keeps its slot to the end.
+    pub fn release_leases(&mut self) {
+        for server in self.servers.values_mut() {
+            server.leased = server.in_use.min(server.leased);
+        }
+    }
+
+    /// Returns the slots that are leased, in use, and configured.
+    pub fn slot_counts(&self) -> (u32, u32) {
+        let leased = self.servers.values().map(|server| server.leased).sum();
+        let in_use = self.servers.values().map(|server| server.in_use).sum();
+        (leased, in_use)
+    }
+
+    fn start(
+        &mut self,
+        workspace: WorkspaceKey,
+        server: ServerKey,
+        prefix: Option<u64>,
+        now: TimeMs,
+    ) -> Running {
+        if let Some(entry) = self.servers.get_mut(&server) {
+            entry.in_use += 1;
+        }
+        if let Some(prefix) = prefix {
+            self.affinity.record(prefix, server, now);
+        }
+        let entry = self.queue.entry_mut(workspace);
+        entry.running += 1;
+        let estimate = entry.mean_cost;
+        entry.outstanding_cost += estimate;
+        Running {
+            workspace,
+            server,
+            estimate,
+            charged: 0.0,
+        }
+    }
+
+    fn release_slot(&mut self, server: ServerKey) {
+        let Some(entry) = self.servers.get_mut(&server) else {
+            return;
+        };
+        entry.in_use -= 1;
+        if entry.in_use == 0 && !entry.configured {
+            self.servers.remove(&server);
+        }
+    }
+
+    /// Chooses among servers with a free slot: the one with the cached prefix unless it is much
+    /// fuller than the emptiest, else the emptiest.
+    fn choose_server(&mut self, prefix: Option<u64>, now: TimeMs) -> Option<ServerKey> {
+        let hinted = prefix.and_then(|prefix| self.affinity.find(prefix, now));
+        let mut emptiest: Option<(f64, ServerKey)> = None;
+        let mut hinted_fill = None;
+        for (key, server) in &mut self.servers {
+            if server.free(now) == 0 {
+                continue;
+            }
+            let own_fill = f64::from(server.in_use) / f64::from(server.capacity.max(1));
+            let fill = own_fill + 0.1 * server.reported_busy_ratio;
+            if hinted == Some(*key) {
+                hinted_fill = Some(fill);
+            }
+            if emptiest.is_none_or(|(least, least_key)| (fill, *key) < (least, least_key)) {
+                emptiest = Some((fill, *key));
+            }
+        }
+        let (least, emptiest) = emptiest?;
+        match (hinted, hinted_fill) {
+            (Some(server), Some(fill)) if fill <= least + AFFINITY_LOAD_MARGIN => Some(server),
+            _ => Some(emptiest),
+        }
+    }
+}
+
+/// Cuts a cost down to the wrapping whole number that travels.
+fn wrapping_cost(cost: f64) -> u32 {
+    (cost as u64) as u32
+}
--- /dev/null
+++ b/crates/reedsail_document/src/lib.rs
@@ -0,0 +1,41 @@
+//! Reads YAML documents strictly, collecting every fault with its line and path.
+//!
+//! Settings and bundles share it, so that both report in the same words.
+
+mod fault;
+mod mapping;
+mod value;
+
+pub use fault::Fault;
+pub use fault::Faults;
+pub use fault::render_faults;
+pub use mapping::Mapping;
+pub use value::Value;
+
+/// Parses a document and hands its top mapping to `read`.
+///
+/// # Errors
+/// Every fault found, in the order of the lines; the document is then of no use at all.
+pub fn read_document<T>(
+    text: &str,
+    read: impl FnOnce(&mut Mapping<'_>) -> Option<T>,
+) -> Result<T, Vec<Fault>> {
+    let options = marked_yaml::LoaderOptions::default().error_on_duplicate_keys(true);
+    let node = marked_yaml::parse_yaml_with_options(0, text, options)
+        .map_err(|error| vec![Fault::syntax(&error)])?;
+    let faults = Faults::default();
+    let top = Value::top(&node, &faults);
+    let outcome = top.mapping().and_then(|mut mapping| {
+        let outcome = read(&mut mapping);
+        mapping.close();
+        outcome
+    });
+    let mut found = faults.take();
+    match outcome {
+        Some(document) if found.is_empty() => Ok(document),
+        _ => {
+            found.sort_by_key(|fault| (fault.line, fault.column));
+            Err(found)
+        }
+    }
+}
--- /dev/null
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -0,0 +1,103 @@
+//! The closed list of events; docs/EVENTS.md shows the same catalogue.
+
+macro_rules! event_kinds {
+    ($($(#[$doc:meta])* $kind:ident = $number:literal, $name:literal, $level:ident, $text:literal;)*) => {
+        /// Everything that a process can report.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum EventKind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        impl EventKind {
+            /// Every kind, in the order of the numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
+
+            /// Returns the number, which never changes its meaning.
+            pub fn number(self) -> u16 {
+                match self { $(Self::$kind => $number,)* }
+            }
+
+            /// Returns the name.
+            pub fn name(self) -> &'static str {
+                match self { $(Self::$kind => $name,)* }
+            }
+
+            /// Returns what the event means, and what to do where something is to be done.
+            pub fn text(self) -> &'static str {
+                match self { $(Self::$kind => $text,)* }
+            }
+
+            /// Returns the level at which it is logged.
+            pub fn level(self) -> log::Level {
+                match self { $(Self::$kind => log::Level::$level,)* }
+            }
+        }
+    };
+}
+
+event_kinds! {
+    /// The daemon has started.
+    DaemonStarted = 100, "daemon_started", Info, "the daemon has started with its settings checked";
+    /// The daemon takes requests.
+    DaemonReady = 101, "daemon_ready", Info, "a bundle is in force and the daemon takes requests";
+    /// A planned stop has begun.
+    StopBegun = 102, "stop_begun", Info, "a planned stop has begun; open requests are finished first";
+    /// A planned stop has ended.
+    StopEnded = 103, "stop_ended", Info, "every request is finished and the daemon ends";
+    /// A planned stop was cut short.
+    StopCut = 104, "stop_cut", Warn, "a second signal or the deadline ended the stop with requests open";
+
+    /// A bundle is in force.
+    BundleInForce = 200, "bundle_in_force", Info, "a bundle version is in force on this daemon";
+    /// A proposal lost against a rival or has an old base.
+    BundleStale = 201, "bundle_stale", Warn, "a proposal's base is not the version in force; make it anew on the version in force";
+    /// A bundle record is invalid.
+    BundleInvalid = 202, "bundle_invalid", Warn, "a bundle record is invalid and skipped; see its error";
+    /// The version in force cannot be applied here.
+    BundleNotApplied = 203, "bundle_not_applied", Error, "the accepted version cannot be applied here; the last one is served; publish a corrected one";
+    /// A bundle was learned from a peer.
+    BundleFromPeer = 204, "bundle_from_peer", Info, "the version in force was learned from a peer";
+    /// A checkpoint was appended.
+    CheckpointAppended = 205, "checkpoint_appended", Info, "the version in force was repeated in the log before it ages out";
+
+    /// A daemon no longer answers.
+    PeerSuspected = 300, "peer_suspected", Warn, "a daemon did not answer; its duties pass to the next in rank";
+    /// A daemon answers again.
+    PeerHeard = 301, "peer_heard", Info, "a daemon that was suspected answers again";
+    /// A daemon said that it is leaving.
+    PeerLeaving = 302, "peer_leaving", Info, "a daemon is leaving and hands back its leases";
+    /// This daemon has become allocator of a service.
+    AllocatorBegun = 303, "allocator_begun", Info, "this daemon allocates a service's slots in its failure domain";
+    /// This daemon is no longer allocator of a service.
+    AllocatorEnded = 304, "allocator_ended", Info, "this daemon no longer allocates a service's slots";
+    /// A member has turned to another allocator.
+    AllocatorChanged = 305, "allocator_changed", Info, "this daemon reports a service to another allocator";
+    /// A backend server is left alone for a while.
+    ServerResting = 306, "server_resting", Warn, "a backend server failed several requests in a row and is left alone for a while";
+    /// A backend server is leaving.
+    ServerLeaving = 307, "server_leaving", Info, "a backend server is leaving and gets no new work";
+
+    /// The platform cannot be reached.
+    PlatformLost = 400, "platform_lost", Error, "the platform cannot be reached; calls that need a claim are refused as not run";
+    /// The platform can be reached again.
+    PlatformBack = 401, "platform_back", Info, "the platform can be reached again";
+    /// The log dropped records before they were read.
+    LogTruncated = 402, "log_truncated", Warn, "the log dropped records that this daemon had not read; it goes on from a checkpoint or a peer";
+
+    /// A request was taken in.
+    RequestAdmitted = 500, "request_admitted", Debug, "a request was taken in and queued";
+    /// A request was sent to a backend server.
+    RequestDispatched = 501, "request_dispatched", Debug, "a request got a slot and is being sent";
+    /// A request was answered whole.
+    RequestAnswered = 502, "request_answered", Debug, "a request was answered whole";
+    /// A request was refused or failed.
+    RequestFailed = 503, "request_failed", Debug, "a request was refused or failed; see its error kind";
+    /// A request is tried on another backend server.
+    RequestRetried = 504, "request_retried", Info, "a request is tried on another backend server";
+    /// A broken stream is resumed.
+    StreamResumed = 505, "stream_resumed", Info, "a broken stream is resumed from the last token delivered";
+    /// A caller went away.
+    CallerGone = 506, "caller_gone", Debug, "the caller went away; its request was withdrawn or its stream cancelled";
+    /// A key was claimed.
+    ClaimSettled = 507, "claim_settled", Debug, "a claim was read back from the log, and its verdict is known";
+}
--- /dev/null
+++ b/crates/reedsail_events/src/event_log.rs
@@ -0,0 +1,86 @@
+//! A process's own events: logged as they come, and kept for a while for `reedsail timeline`.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use crate::Event;
+use crate::EventKind;
+
+/// Collects events under one logical clock. Clones share their state.
+#[derive(Clone, Debug)]
+pub struct EventLog(Arc<State>);
+
+#[derive(Debug)]
+struct State {
+    instance: String,
+    clock: AtomicU64,
+    kept_max: usize,
+    kept: Mutex<VecDeque<Event>>,
+}
+
+impl EventLog {
+    /// Makes a log that keeps the newest `kept_max` events.
+    pub fn new(instance: &str, kept_max: usize) -> Self {
+        Self(Arc::new(State {
+            instance: instance.to_owned(),
+            clock: AtomicU64::new(0),
+            kept_max,
+            kept: Mutex::new(VecDeque::new()),
+        }))
+    }
+
+    /// Returns the clock to send along with a message.
+    pub fn clock(&self) -> u64 {
+        self.0.clock.load(Ordering::Relaxed)
+    }
+
+    /// Takes note of the clock that came with a message: what follows here is later.
+    pub fn observe(&self, clock: u64) {
+        self.0.clock.fetch_max(clock, Ordering::Relaxed);
+    }
+
+    /// Reports an event.
+    pub fn emit(&self, kind: EventKind, fields: &[(&str, &str)]) {
+        let clock = self.0.clock.fetch_add(1, Ordering::Relaxed) + 1;
+        let event = Event {
+            clock,
+            unix_ms: unix_ms(),
+            instance: self.0.instance.clone(),
+            number: kind.number(),
+            name: kind.name().to_owned(),
+            fields: fields
+                .iter()
+                .map(|(key, value)| ((*key).to_owned(), (*value).to_owned()))
+                .collect(),
+        };
+        if log::log_enabled!(target: "reedsail", kind.level()) {
+            log::log!(target: "reedsail", kind.level(), "{}", event.to_line());
+        }
+        if self.0.kept_max == 0 {
+            return;
+        }
+        let mut kept = self.0.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        if kept.len() >= self.0.kept_max {
+            kept.pop_front();
+        }
+        kept.push_back(event);
+    }
+
+    /// Returns the events that are kept, the oldest first.
+    pub fn kept(&self) -> Vec<Event> {
+        let kept = self.0.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.iter().cloned().collect()
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/reedsail_events/src/lib.rs
@@ -0,0 +1,14 @@
+//! The time line: numbered events with a logical clock, so that those of all processes can be put
+//! into one order in which a cause comes before its effect.
+
+mod chrome_trace;
+mod event;
+mod event_kind;
+mod event_log;
+mod merge;
+
+pub use chrome_trace::chrome_trace;
+pub use event::Event;
+pub use event_kind::EventKind;
+pub use event_log::EventLog;
+pub use merge::merge_events;
--- /dev/null
+++ b/crates/reedsail_net/src/counted_stream.rs
@@ -0,0 +1,98 @@
+//! A TCP stream that counts its bytes and never waits to fill a segment.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::ByteCounter;
+
+/// A TCP stream with `TCP_NODELAY` set and its payload counted.
+#[derive(Debug)]
+pub struct CountedStream {
+    stream: TcpStream,
+    counter: ByteCounter,
+}
+
+impl CountedStream {
+    /// Takes over an accepted or connected stream.
+    ///
+    /// # Errors
+    /// The system's, if the socket is already gone.
+    pub fn new(stream: TcpStream, counter: ByteCounter) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, counter })
+    }
+}
+
+/// Connects within `limit_ms` milliseconds.
+///
+/// # Errors
+/// The system's, or `TimedOut`.
+pub async fn connect(address: SocketAddr, limit_ms: u64, counter: ByteCounter) -> io::Result<CountedStream> {
+    let connecting = TcpStream::connect(address);
+    let stream = timeout(Duration::from_millis(limit_ms), connecting)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    CountedStream::new(stream, counter)
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let outcome = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - before;
+        self.counter.add_received(read as u64);
+        outcome
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let outcome = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if let Poll::Ready(Ok(written)) = &outcome {
+            self.counter.add_sent(*written as u64);
+        }
+        outcome
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let outcome = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        if let Poll::Ready(Ok(written)) = &outcome {
+            self.counter.add_sent(*written as u64);
+        }
+        outcome
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/reedsail_net/src/lib.rs
@@ -0,0 +1,13 @@
+//! Sockets as every part of the project uses them: counted, undelayed, and with faults on demand.
+
+mod byte_counter;
+mod counted_stream;
+mod http_connection;
+mod net_gate;
+
+pub use byte_counter::ByteCounter;
+pub use counted_stream::CountedStream;
+pub use counted_stream::connect;
+pub use http_connection::HttpConnection;
+pub use http_connection::SendError;
+pub use net_gate::NetGate;
--- /dev/null
+++ b/crates/reedsail_standin/src/engine.rs
@@ -0,0 +1,416 @@
+//! A model engine: continuous batching, one token an interval, streams that resume and cancel.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::channel::Channel;
+use http_body_util::channel::Sender;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::sleep;
+use twox_hash::XxHash64;
+
+use crate::StandinError;
+use crate::engine_slots::EngineSlots;
+use crate::http_server::Body;
+use crate::http_server::Handler;
+use crate::http_server::HttpServer;
+use crate::http_server::whole;
+use crate::prefix_cache::PrefixCache;
+
+/// The most prompt bytes that count as a prefix.
+const PREFIX_BYTES_MAX: usize = 64;
+/// The most runs that are recorded.
+const RUNS_MAX: usize = 200_000;
+
+/// How an engine behaves when nothing is wrong.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineConfig {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Time between two tokens of one stream.
+    pub token_interval_ms: u64,
+    /// Time to the first token when the prefix is not cached.
+    pub prefill_ms: u64,
+    /// Prefixes that the cache holds.
+    pub prefixes_max: usize,
+    /// How many answers later a dropped prefix is told; every fourth drop is never told.
+    pub cache_event_lag: usize,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            slots: 16,
+            token_interval_ms: 20,
+            prefill_ms: 20,
+            prefixes_max: 64,
+            cache_event_lag: 8,
+        }
+    }
+}
+
+/// What is wrong with an engine at the moment.
+#[derive(Debug, Default)]
+pub struct EngineFaults {
+    /// Breaks off each stream after this many tokens; zero for never.
+    pub cut_after_tokens: AtomicU64,
+    /// Answers with another request's id.
+    pub crossed: AtomicBool,
+    /// Breaks each connection at the request.
+    pub broken: AtomicBool,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// Every token was written.
+    Whole,
+    /// The engine broke off, by a fault.
+    Cut,
+    /// The caller went away.
+    Cancelled,
+}
+
+/// What the engine truly did for one request.
+#[derive(Clone, Debug)]
+pub struct EngineRun {
+    /// The id that came with the request.
+    pub request_id: String,
+    /// The workspace that came with the request.
+    pub workspace: String,
+    /// The token from which it was resumed.
+    pub resumed_from: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// How it ended.
+    pub end: RunEnd,
+}
+
+#[derive(Debug)]
+struct State {
+    config: EngineConfig,
+    slots: EngineSlots,
+    faults: Arc<EngineFaults>,
+    runs: Mutex<Vec<EngineRun>>,
+    tokens_by_workspace: Mutex<HashMap<String, u64>>,
+    requests_seen: Mutex<HashMap<String, u64>>,
+    cache: Mutex<(PrefixCache, VecDeque<u64>, u64)>,
+}
+
+#[derive(Clone, Debug)]
+struct EngineHandler(Arc<State>);
+
+/// A running engine.
+#[derive(Debug)]
+pub struct EngineStandin {
+    server: HttpServer,
+    state: Arc<State>,
+}
+
+/// Returns the text of a token: it depends on the prompt and the place alone, so that a caller can
+/// tell its own answer from any other, and a resumed stream from a broken one.
+pub fn token_text(prompt: &str, index: u64) -> String {
+    format!("{:08x} ", XxHash64::oneshot(index, prompt.as_bytes()) as u32)
+}
+
+impl EngineStandin {
+    /// Starts an engine on a free loopback port.
+    ///
+    /// # Errors
+    /// The system's, when no port is to be had.
+    pub async fn start(config: EngineConfig) -> std::io::Result<Self> {
+        let state = Arc::new(State {
+            config,
+            slots: EngineSlots::new(config.slots),
+            faults: Arc::default(),
+            runs: Mutex::default(),
+            tokens_by_workspace: Mutex::default(),
+            requests_seen: Mutex::default(),
+            cache: Mutex::new((PrefixCache::new(config.prefixes_max), VecDeque::new(), 0)),
+        });
+        let server = HttpServer::start(EngineHandler(Arc::clone(&state))).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns where the engine takes requests.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Returns the switches of its faults.
+    pub fn faults(&self) -> Arc<EngineFaults> {
+        Arc::clone(&self.state.faults)
+    }
+
+    /// Breaks every open connection, as if the engine had crashed and come back.
+    pub fn crash(&self) {
+        self.server.break_connections();
+    }
+
+    /// Returns what ran, in the order of the ends.
+    pub fn runs(&self) -> Vec<EngineRun> {
+        lock(&self.state.runs).clone()
+    }
+
+    /// Tells how often a request with this id arrived.
+    pub fn times_seen(&self, request_id: &str) -> u64 {
+        lock(&self.state.requests_seen)
+            .get(request_id)
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// Returns the ids of all requests that arrived.
+    pub fn requests_seen(&self) -> Vec<String> {
+        lock(&self.state.requests_seen).keys().cloned().collect()
+    }
+
+    /// Returns the tokens generated so far for each workspace.
+    pub fn tokens_by_workspace(&self) -> HashMap<String, u64> {
+        lock(&self.state.tokens_by_workspace).clone()
+    }
+
+    /// Returns running and waiting requests, and the busy slot time so far in milliseconds.
+    pub fn load(&self) -> (u32, u32, f64) {
+        self.state.slots.load()
+    }
+
+    /// Returns how often a prefix was found in the cache, and how often not.
+    pub fn cache_counts(&self) -> (u64, u64) {
+        lock(&self.state.cache).0.counts()
+    }
+
+    /// Stops the engine.
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    #[serde(default)]
+    stream: bool,
+    max_tokens: u64,
+    messages: Vec<ChatMessage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+/// One request being generated; gives its slot back however it ends.
+struct Generation {
+    state: Arc<State>,
+    prompt: String,
+    request_id: String,
+    workspace: String,
+    next: u64,
+    resumed_from: u64,
+    tokens_total: u64,
+    end: RunEnd,
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        self.state.slots.release();
+        let run = EngineRun {
+            request_id: std::mem::take(&mut self.request_id),
+            workspace: std::mem::take(&mut self.workspace),
+            resumed_from: self.resumed_from,
+            tokens: self.next - self.resumed_from,
+            end: self.end,
+        };
+        let mut runs = lock(&self.state.runs);
+        if runs.len() < RUNS_MAX {
+            runs.push(run);
+        }
+    }
+}
+
+impl Generation {
+    /// Waits for the next token; `None` at the end or when a fault breaks the stream off.
+    async fn next_token(&mut self, ticks: &mut tokio::time::Interval) -> Option<String> {
+        if self.next >= self.tokens_total {
+            self.end = RunEnd::Whole;
+            return None;
+        }
+        let cut_after = self.state.faults.cut_after_tokens.load(Ordering::Relaxed);
+        if cut_after > 0 && self.next - self.resumed_from >= cut_after {
+            self.end = RunEnd::Cut;
+            return None;
+        }
+        ticks.tick().await;
+        let text = token_text(&self.prompt, self.next);
+        self.next += 1;
+        let mut by_workspace = lock(&self.state.tokens_by_workspace);
+        *by_workspace.entry(self.workspace.clone()).or_default() += 1;
+        Some(text)
+    }
+
+    fn usage(&self) -> String {
+        format!(
+            r#""usage":{{"prompt_tokens":{},"completion_tokens":{}}}"#,
+            self.prompt.split_whitespace().count(),
+            self.next,
+        )
+    }
+}
+
+impl Handler for EngineHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, StandinError> {
+        let state = &self.0;
+        if state.faults.broken.load(Ordering::Relaxed) {
+            return Err(StandinError);
+        }
+        let header = |name: &str| {
+            let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        let mut request_id = header("x-request-id");
+        let workspace = header("x-workspace");
+        let resumed_from: u64 = header("x-resume-from").parse().unwrap_or(0);
+        let priority: u8 = header("x-priority").parse().unwrap_or(1);
+        *lock(&state.requests_seen).entry(request_id.clone()).or_default() += 1;
+        let body = request
+            .into_body()
+            .collect()
+            .await
+            .map_err(|_| StandinError)?
+            .to_bytes();
+        let Ok(chat) = serde_json::from_slice::<ChatRequest>(&body) else {
+            return Ok(whole(
+                StatusCode::BAD_REQUEST,
+                r#"{"error":"not a chat request"}"#,
+            ));
+        };
+        let prompt: String = chat
+            .messages
+            .iter()
+            .map(|message| message.content.as_str())
+            .collect();
+        let (cached, told_drop) = state.touch_prefix(&prompt);
+        state.slots.acquire(priority).await;
+        let generation = Generation {
+            state: Arc::clone(state),
+            prompt,
+            request_id: request_id.clone(),
+            workspace,
+            next: resumed_from,
+            resumed_from,
+            tokens_total: chat.max_tokens,
+            end: RunEnd::Cancelled,
+        };
+        if !cached {
+            sleep(Duration::from_millis(state.config.prefill_ms)).await;
+        }
+        if state.faults.crossed.load(Ordering::Relaxed) {
+            request_id = format!("not-{request_id}");
+        }
+        let (running, waiting, _) = state.slots.load();
+        let mut response = if chat.stream {
+            let (sender, body) = Channel::new(16);
+            tokio::spawn(stream_tokens(generation, sender));
+            let mut response = Response::new(Either::Right(body));
+            let value = "text/event-stream".parse().expect("a valid header value");
+            response.headers_mut().insert("content-type", value);
+            response
+        } else {
+            answer_whole(generation).await?
+        };
+        let headers = response.headers_mut();
+        if let Ok(value) = request_id.parse() {
+            headers.insert("x-request-id", value);
+        }
+        let load = format!("{running}/{waiting}/{}", state.config.slots);
+        headers.insert("x-load", load.parse().expect("a valid header value"));
+        if let Some(prefix) = told_drop {
+            let value = format!("{prefix:016x}").parse().expect("a valid header value");
+            headers.insert("x-prefix-dropped", value);
+        }
+        Ok(response)
+    }
+}
+
+impl State {
+    /// Uses the prompt's prefix; drops are told late, and some never.
+    fn touch_prefix(&self, prompt: &str) -> (bool, Option<u64>) {
+        let end = prompt.len().min(PREFIX_BYTES_MAX);
+        let prefix = XxHash64::oneshot(0, &prompt.as_bytes()[..end]);
+        let mut cache = lock(&self.cache);
+        let (cached, dropped) = cache.0.touch(prefix);
+        if let Some(dropped) = dropped {
+            cache.2 += 1;
+            if cache.2 % 4 != 0 {
+                cache.1.push_back(dropped);
+            }
+        }
+        let told = (cache.1.len() > self.config.cache_event_lag)
+            .then(|| cache.1.pop_front())
+            .flatten();
+        (cached, told)
+    }
+
+    fn ticks(&self) -> tokio::time::Interval {
+        let mut ticks = interval(Duration::from_millis(self.config.token_interval_ms.max(1)));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        ticks
+    }
+}
+
+async fn stream_tokens(mut generation: Generation, mut sender: Sender<Bytes, Infallible>) {
+    let mut ticks = generation.state.ticks();
+    while let Some(text) = generation.next_token(&mut ticks).await {
+        let event = format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n");
+        if sender.send_data(Bytes::from(event)).await.is_err() {
+            generation.end = RunEnd::Cancelled;
+            return;
+        }
+    }
+    if generation.end == RunEnd::Whole {
+        let usage = generation.usage();
+        let end = format!(
+            "data: {{\"choices\":[{{\"delta\":{{}},\"finish_reason\":\"stop\"}}],{usage}}}\n\ndata: [DONE]\n\n"
+        );
+        if sender.send_data(Bytes::from(end)).await.is_err() {
+            generation.end = RunEnd::Cancelled;
+        }
+    }
+}
+
+async fn answer_whole(mut generation: Generation) -> Result<Response<Body>, StandinError> {
+    let mut ticks = generation.state.ticks();
+    let mut text = String::new();
+    while let Some(token) = generation.next_token(&mut ticks).await {
+        text.push_str(&token);
+    }
+    if generation.end == RunEnd::Cut {
+        return Err(StandinError);
+    }
+    let usage = generation.usage();
+    let body =
+        format!(r#"{{"choices":[{{"message":{{"content":"{text}"}},"finish_reason":"stop"}}],{usage}}}"#);
+    Ok(whole(StatusCode::OK, body))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/reedsail_standin/src/lib.rs
@@ -0,0 +1,26 @@
+//! Small stand-ins for what lies around the fleet: the platform, model engines, plain services.
+//!
+//! Each runs on a loopback port inside the calling process, keeps a record of what truly happened,
+//! and has faults that a test or a script can switch on.
+
+mod engine;
+mod engine_slots;
+mod http_server;
+mod plain_service;
+mod platform;
+mod platform_log;
+mod prefix_cache;
+
+pub use engine::EngineConfig;
+pub use engine::EngineFaults;
+pub use engine::EngineRun;
+pub use engine::EngineStandin;
+pub use engine::RunEnd;
+pub use engine::token_text;
+pub use http_server::StandinError;
+pub use plain_service::PlainFaults;
+pub use plain_service::PlainRun;
+pub use plain_service::PlainStandin;
+pub use platform::PlatformConfig;
+pub use platform::PlatformFaults;
+pub use platform::PlatformStandin;
--- /dev/null
+++ b/crates/reedsail_standin/src/platform.rs
@@ -0,0 +1,300 @@
+//! The platform: a log with limited rate and retention, and an instance list that lags.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use reedsail_platform::Appended;
+use reedsail_platform::Instance;
+use reedsail_platform::InstanceList;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::StandinError;
+use crate::http_server::Body;
+use crate::http_server::Handler;
+use crate::http_server::HttpServer;
+use crate::http_server::whole;
+use crate::platform_log::LogStreams;
+
+/// How the platform behaves when nothing is wrong.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformConfig {
+    /// Appends a second that the log takes; more are refused with status 429.
+    pub appends_per_s: f64,
+    /// How long records are kept.
+    pub retention_ms: u64,
+    /// By how much the instance list lags.
+    pub list_lag_ms: u64,
+    /// How long an append takes.
+    pub append_ms: u64,
+    /// The seed of the faults that strike at random.
+    pub seed: u64,
+}
+
+impl Default for PlatformConfig {
+    fn default() -> Self {
+        Self {
+            appends_per_s: 100.0,
+            retention_ms: 3_600_000,
+            list_lag_ms: 500,
+            append_ms: 5,
+            seed: 1,
+        }
+    }
+}
+
+/// What is wrong with the platform at the moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlatformFaults {
+    /// Every call is refused with status 503.
+    pub outage: bool,
+    /// The part of appends that take effect and lose their answer.
+    pub lost_answer_ratio: f64,
+    /// Each call takes so much longer.
+    pub delay_ms: u64,
+    /// The instance list stays as it is.
+    pub list_frozen: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    config: PlatformConfig,
+    faults: PlatformFaults,
+    log: LogStreams,
+    appends: u64,
+    answers_lost: u64,
+    append_tokens: f64,
+    tokens_at: Instant,
+    list_version: u64,
+    list: Vec<(u64, Instance)>,
+    list_pending: VecDeque<(Instant, Instance)>,
+    random: StdRng,
+}
+
+#[derive(Clone, Debug)]
+struct PlatformHandler {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+/// A running platform.
+#[derive(Debug)]
+pub struct PlatformStandin {
+    server: HttpServer,
+    handler: PlatformHandler,
+}
+
+impl PlatformStandin {
+    /// Starts a platform on a free loopback port.
+    ///
+    /// # Errors
+    /// The system's, when no port is to be had.
+    pub async fn start(config: PlatformConfig) -> std::io::Result<Self> {
+        let state = State {
+            config,
+            faults: PlatformFaults::default(),
+            log: LogStreams::default(),
+            appends: 0,
+            answers_lost: 0,
+            append_tokens: config.appends_per_s,
+            tokens_at: Instant::now(),
+            list_version: 0,
+            list: Vec::new(),
+            list_pending: VecDeque::new(),
+            random: StdRng::seed_from_u64(config.seed),
+        };
+        let handler = PlatformHandler {
+            state: Arc::new(Mutex::new(state)),
+            changed: Arc::new(Notify::new()),
+        };
+        let server = HttpServer::start(handler.clone()).await?;
+        Ok(Self { server, handler })
+    }
+
+    /// Returns where the platform takes calls.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Adds or changes a row of the instance list; it shows after the list's lag.
+    pub fn set_instance(&self, instance: Instance) {
+        self.handler.with_state(|state| {
+            let shown_at = Instant::now() + Duration::from_millis(state.config.list_lag_ms);
+            state.list_pending.push_back((shown_at, instance));
+        });
+    }
+
+    /// Switches faults on and off.
+    pub fn set_faults(&self, change: impl FnOnce(&mut PlatformFaults)) {
+        self.handler.with_state(|state| change(&mut state.faults));
+        self.handler.changed.notify_waiters();
+    }
+
+    /// Returns how many appends took effect, and how many of them lost their answer.
+    pub fn append_counts(&self) -> (u64, u64) {
+        self.handler
+            .with_state(|state| (state.appends, state.answers_lost))
+    }
+
+    /// Drops every record kept now, as if it had aged out.
+    pub fn age_out(&self) {
+        self.handler.with_state(|state| state.log.drop_before(u64::MAX));
+    }
+
+    /// Stops the platform.
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+impl PlatformHandler {
+    fn with_state<T>(&self, use_it: impl FnOnce(&mut State) -> T) -> T {
+        use_it(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    async fn append(&self, stream: &str, data: Vec<u8>) -> Result<Response<Body>, StandinError> {
+        let append_ms = self.with_state(|state| state.config.append_ms);
+        sleep(Duration::from_millis(append_ms)).await;
+        let outcome = self.with_state(|state| state.append(stream, data));
+        self.changed.notify_waiters();
+        match outcome {
+            None => Ok(whole(StatusCode::TOO_MANY_REQUESTS, "{}")),
+            Some((_, true)) => Err(StandinError),
+            Some((offset, false)) => Ok(json(&Appended { offset })),
+        }
+    }
+
+    /// Answers once `read` has something to say, or when the wait is over.
+    async fn wait_for<T>(&self, wait_ms: u64, read: impl Fn(&mut State) -> (bool, T)) -> T {
+        let wait = async {
+            loop {
+                let changed = self.changed.notified();
+                if self.with_state(|state| read(state).0 || state.faults.outage) {
+                    return;
+                }
+                // The list changes by the passing of time too, so look again now and then.
+                let _ = timeout(Duration::from_millis(50), changed).await;
+            }
+        };
+        let _ = timeout(Duration::from_millis(wait_ms), wait).await;
+        self.with_state(|state| read(state).1)
+    }
+}
+
+impl Handler for PlatformHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, StandinError> {
+        let faults = self.with_state(|state| state.faults);
+        sleep(Duration::from_millis(faults.delay_ms)).await;
+        if faults.outage {
+            return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, "{}"));
+        }
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let wait_ms = query_number(&query, "wait_ms");
+        if let Some(stream) = path.strip_prefix("/v1/log/") {
+            if request.method() == Method::POST {
+                let body = request.into_body().collect().await.map_err(|_| StandinError)?;
+                return self.append(stream, body.to_bytes().to_vec()).await;
+            }
+            let from = query_number(&query, "from");
+            let page = self.wait_for(wait_ms, |state| state.read(stream, from)).await;
+            if self.with_state(|state| state.faults.outage) {
+                return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, "{}"));
+            }
+            return Ok(json(&page));
+        }
+        if path == "/v1/instances" {
+            let since = query_number(&query, "since");
+            let list = self.wait_for(wait_ms, |state| state.list_since(since)).await;
+            return Ok(json(&list));
+        }
+        Ok(whole(StatusCode::NOT_FOUND, "{}"))
+    }
+}
+
+impl State {
+    /// Returns the offset and whether the answer is to be lost, or `None` over the rate.
+    fn append(&mut self, stream: &str, data: Vec<u8>) -> Option<(u64, bool)> {
+        let elapsed_s = self.tokens_at.elapsed().as_secs_f64();
+        self.tokens_at = Instant::now();
+        let rate = self.config.appends_per_s;
+        self.append_tokens = (self.append_tokens + elapsed_s * rate).min(rate);
+        if self.append_tokens < 1.0 {
+            return None;
+        }
+        self.append_tokens -= 1.0;
+        self.appends += 1;
+        let lost = self.random.random::<f64>() < self.faults.lost_answer_ratio;
+        self.answers_lost += u64::from(lost);
+        Some((self.log.append(stream, data, unix_ms()), lost))
+    }
+
+    fn read(&mut self, stream: &str, from: u64) -> (bool, reedsail_platform::LogPage) {
+        let kept_from = unix_ms().saturating_sub(self.config.retention_ms);
+        self.log.drop_before(kept_from);
+        let page = self.log.read(stream, from);
+        (!page.records.is_empty(), page)
+    }
+
+    fn list_since(&mut self, since: u64) -> (bool, InstanceList) {
+        self.show_pending();
+        let changed = self.list.iter().filter(|(version, _)| *version > since);
+        let list = InstanceList {
+            version: self.list_version,
+            instances: changed.map(|(_, instance)| instance.clone()).collect(),
+        };
+        (!list.instances.is_empty(), list)
+    }
+
+    fn show_pending(&mut self) {
+        if self.faults.list_frozen {
+            return;
+        }
+        while self
+            .list_pending
+            .front()
+            .is_some_and(|(at, _)| *at <= Instant::now())
+        {
+            let Some((_, instance)) = self.list_pending.pop_front() else {
+                return;
+            };
+            self.list_version += 1;
+            self.list.retain(|(_, row)| row.name != instance.name);
+            self.list.push((self.list_version, instance));
+        }
+    }
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Response<Body> {
+    let body = serde_json::to_vec(value).expect("the platform's answers are always JSON");
+    whole(StatusCode::OK, body)
+}
+
+fn query_number(query: &str, name: &str) -> u64 {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let number = pairs.into_iter().find(|(key, _)| *key == name);
+    number.and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/reedsail_wire/src/lib.rs
@@ -0,0 +1,28 @@
+//! What daemons say to each other, over capnp-rpc on counted TCP streams.
+//!
+//! Peers' messages are checked and bounded like callers' requests; a row that names what this
+//! process never met is dropped, since it only means that the sender knows a newer bundle.
+
+mod grant;
+mod link;
+mod message;
+#[allow(
+    missing_docs,
+    unreachable_pub,
+    clippy::pedantic,
+    clippy::all,
+    reason = "generated from schema/peer.capnp"
+)]
+mod peer_capnp;
+mod report;
+mod server;
+
+pub use link::LinkError;
+pub use link::PeerLink;
+pub use message::ClaimEnd;
+pub use message::ClaimRequest;
+pub use message::ClaimVerdict;
+pub use message::Grant;
+pub use message::Report;
+pub use server::PeerHandler;
+pub use server::serve_peers;
--- /dev/null
+++ b/crates/reedsail_wire/src/server.rs
@@ -0,0 +1,157 @@
+//! The answering end of connections between daemons. Lives on the control thread.
+
+use std::rc::Rc;
+
+use capnp::Error;
+use capnp::capability::Rc as CapRc;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use futures_util::AsyncReadExt;
+use reedsail_core::Directory;
+use reedsail_core::Nonce;
+use reedsail_net::ByteCounter;
+use reedsail_net::CountedStream;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::ClaimEnd;
+use crate::ClaimRequest;
+use crate::ClaimVerdict;
+use crate::Grant;
+use crate::Report;
+use crate::grant::write_grant;
+use crate::link::check_claims;
+use crate::link::read_claim_key;
+use crate::link::verdict_row;
+use crate::peer_capnp::peer;
+use crate::report::read_report;
+
+/// The most words of a peer's message that are read (8 bytes each).
+const MESSAGE_WORDS_MAX: usize = 4 << 20;
+
+/// What a daemon does with its peers' calls.
+pub trait PeerHandler: 'static {
+    /// Runs `use_it` with the names that the daemon has met.
+    fn with_directory<T>(&self, use_it: impl FnOnce(&Directory) -> T) -> T;
+
+    /// Answers a report.
+    fn exchange(&self, report: Report) -> impl Future<Output = Grant> + 'static;
+
+    /// Claims keys and records ends.
+    fn claim(
+        &self,
+        claims: Vec<ClaimRequest>,
+        ends: Vec<ClaimEnd>,
+    ) -> impl Future<Output = Vec<ClaimVerdict>> + 'static;
+
+    /// Returns the version in force and its checkpoint record.
+    fn bundle(&self) -> impl Future<Output = Option<(u32, Vec<u8>)>> + 'static;
+}
+
+/// Takes peers' connections until the task is dropped.
+///
+/// # Errors
+/// The system's, when the listener fails.
+pub async fn serve_peers<H: PeerHandler>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    counter: ByteCounter,
+) -> std::io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let Ok(stream) = CountedStream::new(stream, counter.clone()) else {
+            continue;
+        };
+        let (reader, writer) = stream.compat().split();
+        let mut options = capnp::message::ReaderOptions::default();
+        options.traversal_limit_in_words(Some(MESSAGE_WORDS_MAX));
+        let network = VatNetwork::new(reader, writer, Side::Server, options);
+        let server = Server {
+            handler: Rc::clone(&handler),
+        };
+        let client: peer::Client = capnp_rpc::new_client(server);
+        let system = RpcSystem::new(Box::new(network), Some(client.client));
+        spawn_local(async move {
+            // A peer that breaks off shows at its own end.
+            let _ = system.await;
+        });
+    }
+}
+
+struct Server<H> {
+    handler: Rc<H>,
+}
+
+impl<H: PeerHandler> peer::Server for Server<H> {
+    async fn exchange(
+        self: CapRc<Self>,
+        params: peer::ExchangeParams,
+        mut results: peer::ExchangeResults,
+    ) -> Result<(), Error> {
+        let reader = params.get()?.get_report()?;
+        let report = self
+            .handler
+            .with_directory(|directory| read_report(reader, directory))?;
+        let grant = self.handler.exchange(report).await;
+        self.handler
+            .with_directory(|directory| write_grant(&grant, directory, results.get().init_grant()));
+        Ok(())
+    }
+
+    async fn claim(
+        self: CapRc<Self>,
+        params: peer::ClaimParams,
+        mut results: peer::ClaimResults,
+    ) -> Result<(), Error> {
+        let (claims, ends) = read_claims(&params)?;
+        let verdicts = self.handler.claim(claims, ends).await;
+        let mut rows = results.get().init_verdicts(verdicts.len() as u32);
+        for (index, verdict) in verdicts.iter().enumerate() {
+            let (state, status) = verdict_row(*verdict);
+            let mut row = rows.reborrow().get(index as u32);
+            row.set_state(state);
+            row.set_status(status);
+        }
+        Ok(())
+    }
+
+    async fn bundle(
+        self: CapRc<Self>,
+        params: peer::BundleParams,
+        mut results: peer::BundleResults,
+    ) -> Result<(), Error> {
+        let known_version = params.get()?.get_known_version();
+        let mut copy = results.get().init_copy();
+        if let Some((version, record)) = self.handler.bundle().await
+            && version > known_version
+        {
+            copy.set_version(version);
+            copy.set_content(&record);
+        }
+        Ok(())
+    }
+}
+
+fn read_claims(params: &peer::ClaimParams) -> Result<(Vec<ClaimRequest>, Vec<ClaimEnd>), Error> {
+    let params = params.get()?;
+    let (claim_rows, end_rows) = (params.get_claims()?, params.get_ends()?);
+    check_claims(claim_rows.len(), end_rows.len())?;
+    let mut claims = Vec::new();
+    for row in claim_rows {
+        claims.push(ClaimRequest {
+            key: read_claim_key(row.get_key()?)?,
+            nonce: Nonce(row.get_nonce()),
+        });
+    }
+    let mut ends = Vec::new();
+    for row in end_rows {
+        ends.push(ClaimEnd {
+            key: read_claim_key(row.get_key()?)?,
+            nonce: Nonce(row.get_nonce()),
+            status: row.get_status(),
+        });
+    }
+    Ok((claims, ends))
+}
