--- a/crates/reedsail_core/src/allocator/domain.rs
+++ b/crates/reedsail_core/src/allocator/domain.rs
@@ -48,6 +48,14 @@
         link.costs_before = costs_before;
     }
 
+    /// Gives up a link whose other end does not answer: what it lent is no longer passed on.
+    pub fn forget_borrowed(&mut self, from: NameHash) {
+        if let Some(link) = self.links.get_mut(&from) {
+            link.borrowed.clear();
+            self.targets_at = None;
+        }
+    }
+
     /// Writes the report to another domain's allocator.
     pub fn domain_report(&mut self, to: NameHash, now: TimeMs) -> ServiceReport {
         self.expire(now);
--- a/crates/reedsail_core/src/allocator/mod.rs
+++ b/crates/reedsail_core/src/allocator/mod.rs
@@ -113,6 +113,11 @@
         self.weights.insert(workspace, weight);
     }
 
+    /// Takes over how long leases last; longer where reports are spaced further apart.
+    pub fn set_lease_ms(&mut self, lease_ms: u64) {
+        self.config.lease_ms = lease_ms;
+    }
+
     /// Answers a member's report.
     pub fn on_report(&mut self, from: NameHash, report: &ServiceReport, now: TimeMs) -> ServiceGrant {
         self.expire(now);
--- a/crates/reedsail_core/src/membership.rs
+++ b/crates/reedsail_core/src/membership.rs
@@ -7,10 +7,10 @@
 use crate::NameHash;
 use crate::TimeMs;
 
-/// A daemon that failed to answer is left out for this long, unless it is heard from before.
-const SUSPECT_MS: u64 = 3_000;
-/// A daemon on the platform's list counts as alive for this long after it was last listed.
-const LISTED_MS: u64 = 30_000;
+/// A daemon that failed to answer is left out for this long at first, unless it is heard from.
+const SUSPECT_FIRST_MS: u64 = 3_000;
+/// The longest time for which it is left out; each failure in a row doubles it up to here.
+const SUSPECT_MAX_MS: u64 = 48_000;
 /// A daemon that was heard from counts as alive for this long, listed or not.
 const HEARD_MS: u64 = 10_000;
 
@@ -30,9 +30,10 @@
     name: String,
     domain: NameHash,
     address: String,
-    listed_until: TimeMs,
+    listed: bool,
     heard_until: TimeMs,
     suspect_until: TimeMs,
+    failures_in_row: u32,
     leaving: bool,
 }
 
@@ -44,33 +45,47 @@
 
 impl Membership {
     /// Takes over one row of the platform's list, or of the settings.
-    pub fn list(&mut self, name: &str, domain: &str, address: &str, leaving: bool, now: TimeMs) {
+    pub fn list(&mut self, name: &str, domain: &str, address: &str, leaving: bool) {
         let entry = self.entries.entry(NameHash::of(name)).or_insert_with(|| Entry {
             name: name.to_owned(),
             domain: NameHash::of(domain),
             address: address.to_owned(),
-            listed_until: TimeMs(0),
+            listed: false,
             heard_until: TimeMs(0),
             suspect_until: TimeMs(0),
+            failures_in_row: 0,
             leaving: false,
         });
         if entry.address != address {
             address.clone_into(&mut entry.address);
             entry.suspect_until = TimeMs(0);
+            entry.failures_in_row = 0;
             entry.leaving = false;
         }
         entry.leaving |= leaving;
-        entry.listed_until = now.plus_ms(LISTED_MS);
+        entry.listed = true;
     }
 
-    /// Records that a daemon was heard from; this ends any suspicion.
-    pub fn hear(&mut self, daemon: NameHash, now: TimeMs) {
-        if let Some(entry) = self.entries.get_mut(&daemon) {
-            entry.heard_until = now.plus_ms(HEARD_MS);
-            entry.suspect_until = TimeMs(0);
+    /// Takes note that the platform no longer lists a daemon.
+    pub fn unlist(&mut self, name: &str) {
+        if let Some(entry) = self.entries.get_mut(&NameHash::of(name)) {
+            entry.listed = false;
         }
     }
 
+    /// Records that a daemon was heard from and stays; returns `true` if it was suspected.
+    pub fn hear(&mut self, daemon: NameHash, now: TimeMs) -> bool {
+        let Some(entry) = self.entries.get_mut(&daemon) else {
+            return false;
+        };
+        let was_suspect = entry.failures_in_row > 0;
+        entry.heard_until = now.plus_ms(HEARD_MS);
+        entry.suspect_until = TimeMs(0);
+        entry.failures_in_row = 0;
+        entry.leaving = false;
+        was_suspect
+    }
+
     /// Records that a daemon said it is leaving.
     pub fn leave(&mut self, daemon: NameHash) {
         if let Some(entry) = self.entries.get_mut(&daemon) {
@@ -83,8 +98,10 @@
         let Some(entry) = self.entries.get_mut(&daemon) else {
             return false;
         };
-        let is_news = entry.suspect_until <= now;
-        entry.suspect_until = now.plus_ms(SUSPECT_MS);
+        let is_news = entry.failures_in_row == 0;
+        let suspect_ms = (SUSPECT_FIRST_MS << entry.failures_in_row.min(4)).min(SUSPECT_MAX_MS);
+        entry.failures_in_row += 1;
+        entry.suspect_until = now.plus_ms(suspect_ms);
         is_news
     }
 
@@ -96,7 +113,7 @@
         if entry.leaving {
             return Presence::Leaving;
         }
-        let known = now < entry.listed_until || now < entry.heard_until;
+        let known = entry.listed || now < entry.heard_until;
         if known && entry.suspect_until <= now {
             Presence::Alive
         } else {
@@ -137,10 +154,27 @@
         self.entries.get(&daemon).map(|entry| entry.name.as_str())
     }
 
+    /// Takes a peer's word that a daemon did not answer, unless it was heard from here since.
+    pub fn suspect_by_hearsay(&mut self, daemon: NameHash, now: TimeMs) {
+        let Some(entry) = self.entries.get(&daemon) else {
+            return;
+        };
+        let heard_lately = now.plus_ms(HEARD_MS / 2) < entry.heard_until;
+        if !heard_lately && entry.suspect_until <= now {
+            self.suspect(daemon, now);
+        }
+    }
+
+    /// Returns the daemons that are suspected now.
+    pub fn suspects(&self, now: TimeMs) -> Vec<NameHash> {
+        let suspected = self.entries.iter().filter(|(_, entry)| now < entry.suspect_until);
+        suspected.map(|(name, _)| *name).collect()
+    }
+
     /// Forgets daemons that nobody has heard of for long.
     pub fn forget_old(&mut self, now: TimeMs) {
         self.entries
-            .retain(|_, entry| now < entry.listed_until || now < entry.heard_until);
+            .retain(|_, entry| entry.listed || now < entry.heard_until);
     }
 
     /// Returns how many daemons are known.
--- a/crates/reedsail_core/src/rate_limit.rs
+++ b/crates/reedsail_core/src/rate_limit.rs
@@ -36,6 +36,12 @@
         Err((missing / self.per_s.max(1e-9) * 1_000.0).ceil() as u64)
     }
 
+    /// Takes over the rate of a new bundle; what was used stays used.
+    pub fn set_rate(&mut self, per_s: f64) {
+        self.per_s = per_s;
+        self.burst = per_s.max(1.0);
+    }
+
     fn refill(&mut self, now: TimeMs) {
         let gained = now.since_ms(self.refilled_at) as f64 / 1_000.0 * self.per_s;
         self.tokens = (self.tokens + gained).min(self.burst);
--- a/crates/reedsail_core/src/scheduler.rs
+++ b/crates/reedsail_core/src/scheduler.rs
@@ -75,8 +75,10 @@
 }
 
 impl Server {
-    fn free(&mut self, now: TimeMs) -> u32 {
-        if self.leaving || !self.configured {
+    /// Returns the slots that may be given out now. A lapsed lease counts for nothing, whether or
+    /// not a tick has noticed: the control thread may be the one that was paused.
+    fn free(&mut self, leased: bool, now: TimeMs) -> u32 {
+        if self.leaving || !self.configured || (leased && self.lease_deadline <= now) {
             return 0;
         }
         self.health
@@ -95,6 +97,8 @@
     session: u32,
     /// Set when work waits and no slot is free, until the next report.
     starved: bool,
+    /// Set when the last report said that work waits.
+    starved_reported: bool,
 }
 
 impl<P: SharePolicy, W> Scheduler<P, W> {
@@ -107,6 +111,7 @@
             affinity: AffinityTable::default(),
             session,
             starved: false,
+            starved_reported: false,
         }
     }
 
@@ -164,7 +169,11 @@
     pub fn dispatch(&mut self, now: TimeMs) -> Vec<Dispatch<W>> {
         let mut dispatches = Vec::new();
         while self.queue.queued() > 0 {
-            if !self.servers.values_mut().any(|server| server.free(now) > 0) {
+            if !self
+                .servers
+                .values_mut()
+                .any(|server| server.free(P::LEASED, now) > 0)
+            {
                 self.starved = true;
                 break;
             }
@@ -197,7 +206,7 @@
             .servers
             .iter_mut()
             .filter(|(key, _)| !tried.contains(key))
-            .filter_map(|(key, server)| (server.free(now) > 0).then_some((*key, server.in_use)))
+            .filter_map(|(key, server)| (server.free(P::LEASED, now) > 0).then_some((*key, server.in_use)))
             .min_by_key(|(key, in_use)| (*in_use, *key));
         let Some((server, _)) = choice else {
             return Err(running);
@@ -291,9 +300,9 @@
         self.queue.take_expired(now)
     }
 
-    /// Tells whether work has waited without a free slot since the last report.
-    pub fn is_starved(&self) -> bool {
-        self.starved && self.queue.queued() > 0
+    /// Tells whether work waits here without a free slot, and the allocator does not know yet.
+    pub fn is_starved_anew(&self) -> bool {
+        self.starved && self.queue.queued() > 0 && !self.starved_reported
     }
 
     /// Tells whether there is anything to report beyond that the daemon is alive.
@@ -313,6 +322,7 @@
     /// Writes the report to the allocator.
     pub fn report(&mut self, now: TimeMs) -> ServiceReport {
         self.starved = false;
+        self.starved_reported = self.queue.queued() > 0;
         let base = self.queue.floor();
         let mut demands = Vec::new();
         let session = self.session;
@@ -460,7 +470,7 @@
         let mut emptiest: Option<(f64, ServerKey)> = None;
         let mut hinted_fill = None;
         for (key, server) in &mut self.servers {
-            if server.free(now) == 0 {
+            if server.free(P::LEASED, now) == 0 {
                 continue;
             }
             let own_fill = f64::from(server.in_use) / f64::from(server.capacity.max(1));
--- /dev/null
+++ b/crates/reedsail_daemon/src/claims/dispatcher.rs
@@ -0,0 +1,175 @@
+//! Gathers this daemon's claims and takes them to the writer of their shard.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use reedsail_core::ClaimKey;
+use reedsail_core::NameHash;
+use reedsail_core::SharePolicy;
+use reedsail_core::rank_by_rendezvous;
+use reedsail_wire::ClaimEnd;
+use reedsail_wire::ClaimRequest;
+use reedsail_wire::ClaimVerdict;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use twox_hash::XxHash64;
+
+use super::ClaimJob;
+use super::ClaimWriter;
+use super::WriterJob;
+use super::run_writer;
+use crate::control::Links;
+use crate::control::PeerAddress;
+
+/// How long jobs are gathered before they leave for the writer.
+const GATHER_MS: u64 = 5;
+/// The most jobs of one round.
+const JOBS_MAX: usize = 4_096;
+/// How many other daemons are tried before this one writes itself.
+const WRITERS_TRIED_MAX: usize = 1;
+/// The length of a writer's queue, in batches.
+const WRITER_QUEUE_MAX: usize = 4_096;
+
+type Replies = Vec<oneshot::Sender<ClaimVerdict>>;
+
+/// The writers on this daemon and the way to those on others.
+#[derive(Clone)]
+pub(crate) struct ClaimRouter<P: SharePolicy> {
+    links: Links<P>,
+    own_name: NameHash,
+    domain_daemons: watch::Receiver<Vec<PeerAddress>>,
+    writers: Rc<Vec<mpsc::Sender<WriterJob>>>,
+}
+
+impl<P: SharePolicy> ClaimRouter<P> {
+    /// Starts this daemon's writers, one for each shard; an idle one costs nothing.
+    pub(crate) fn start(
+        links: Links<P>,
+        domain_daemons: watch::Receiver<Vec<PeerAddress>>,
+        make_writer: impl Fn(u32) -> ClaimWriter,
+    ) -> Self {
+        let settings = &links.shared().settings;
+        let own_name = NameHash::of(&settings.instance);
+        let writers = (0..settings.claims.shards).map(|shard| {
+            let (jobs, queue) = mpsc::channel(WRITER_QUEUE_MAX);
+            spawn_local(run_writer(make_writer(shard), queue));
+            jobs
+        });
+        let writers = Rc::new(writers.collect());
+        Self {
+            links,
+            own_name,
+            domain_daemons,
+            writers,
+        }
+    }
+
+    /// Writes claims and ends on this daemon, for itself or a peer.
+    pub(crate) async fn write_here(
+        &self,
+        claims: Vec<ClaimRequest>,
+        ends: Vec<ClaimEnd>,
+    ) -> Vec<ClaimVerdict> {
+        let count = claims.len();
+        let mut verdicts: Vec<ClaimVerdict> = vec![ClaimVerdict::Unavailable; count];
+        let mut by_shard: HashMap<usize, (Vec<usize>, Vec<ClaimRequest>, Vec<ClaimEnd>)> = HashMap::new();
+        for (index, claim) in claims.into_iter().enumerate() {
+            let part = by_shard.entry(self.shard_of(claim.key)).or_default();
+            part.0.push(index);
+            part.1.push(claim);
+        }
+        for end in ends {
+            by_shard.entry(self.shard_of(end.key)).or_default().2.push(end);
+        }
+        for (shard, (indices, claims, ends)) in by_shard {
+            let (reply, answer) = oneshot::channel();
+            let job = WriterJob { claims, ends, reply };
+            if self.writers[shard].send(job).await.is_err() {
+                continue;
+            }
+            let answers = answer.await.unwrap_or_default();
+            for (index, verdict) in indices.into_iter().zip(answers) {
+                verdicts[index] = verdict;
+            }
+        }
+        verdicts
+    }
+
+    fn shard_of(&self, key: ClaimKey) -> usize {
+        let hash = XxHash64::oneshot(0, &key.0.to_be_bytes());
+        (hash % self.writers.len() as u64) as usize
+    }
+
+    /// Takes one shard's claims to its writer, and to the next in rank if that one fails. The same
+    /// nonces go along, so that it does not matter whether the first one's append took effect.
+    async fn write_shard(
+        &self,
+        shard: usize,
+        claims: &[ClaimRequest],
+        ends: &[ClaimEnd],
+    ) -> Vec<ClaimVerdict> {
+        let daemons = self.domain_daemons.borrow().clone();
+        let mut names: Vec<NameHash> = daemons.iter().map(|daemon| daemon.name).collect();
+        names.push(self.own_name);
+        let duty = XxHash64::oneshot(shard as u64, b"claim writer");
+        let ranked = rank_by_rendezvous(duty, &names);
+        let mut may_stand = false;
+        let others = ranked.into_iter().take_while(|name| *name != self.own_name);
+        for name in others.take(WRITERS_TRIED_MAX) {
+            let Some(writer) = daemons.iter().find(|daemon| daemon.name == name) else {
+                continue;
+            };
+            match self.links.claim(writer, claims, ends).await {
+                Ok(verdicts) => return verdicts,
+                Err(error) => may_stand |= !matches!(error, reedsail_wire::LinkError::Connect(_)),
+            }
+        }
+        let mut verdicts = self.write_here(claims.to_vec(), ends.to_vec()).await;
+        if may_stand {
+            for verdict in &mut verdicts {
+                if *verdict == ClaimVerdict::Unavailable {
+                    *verdict = ClaimVerdict::Unsettled;
+                }
+            }
+        }
+        verdicts
+    }
+}
+
+/// Serves the traffic threads' claims until they are gone.
+pub(crate) async fn run_dispatcher<P: SharePolicy>(
+    router: ClaimRouter<P>,
+    mut jobs: mpsc::Receiver<ClaimJob>,
+) {
+    let mut round = Vec::new();
+    while jobs.recv_many(&mut round, JOBS_MAX).await > 0 {
+        sleep(Duration::from_millis(GATHER_MS)).await;
+        while let Ok(job) = jobs.try_recv() {
+            round.push(job);
+        }
+        let mut by_shard: HashMap<usize, (Vec<ClaimRequest>, Replies, Vec<ClaimEnd>)> = HashMap::new();
+        for job in round.drain(..) {
+            match job {
+                ClaimJob::Claim(request, reply) => {
+                    let part = by_shard.entry(router.shard_of(request.key)).or_default();
+                    part.0.push(request);
+                    part.1.push(reply);
+                }
+                ClaimJob::End(end) => by_shard.entry(router.shard_of(end.key)).or_default().2.push(end),
+            }
+        }
+        for (shard, (claims, replies, ends)) in by_shard {
+            let router = router.clone();
+            spawn_local(async move {
+                let verdicts = router.write_shard(shard, &claims, &ends).await;
+                for (reply, verdict) in replies.into_iter().zip(verdicts) {
+                    let _ = reply.send(verdict);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/claims/writer.rs
@@ -0,0 +1,240 @@
+//! Writes claims to the log in batches and reads back who holds each key.
+//!
+//! Any daemon can write; one of each failure domain does, only so that claims share appends. Two
+//! writers of one shard cost appends and no more, since the log's order alone decides.
+//!
+//! A key's own time picks its stream, so that all claims of a key stand in one short stream, and a
+//! writer that starts with nothing reads only the minutes that it is asked about.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use reedsail_core::ClaimFold;
+use reedsail_core::ClaimKey;
+use reedsail_core::ClaimState;
+use reedsail_platform::LogPage;
+use reedsail_platform::PlatformClient;
+use reedsail_wire::ClaimBatch;
+use reedsail_wire::ClaimEnd;
+use reedsail_wire::ClaimRequest;
+use reedsail_wire::ClaimVerdict;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::settings::ClaimSettings;
+
+/// The span of keys' times that share a stream.
+const BUCKET_MS: u64 = 60_000;
+/// How long a batch may try to reach the log and to be read back.
+const SETTLE_LIMIT_MS: u64 = 1_500;
+/// The pause between two tries.
+const RETRY_PAUSE_MS: u64 = 50;
+/// Folds of streams that were not used for so many batches are dropped; they can be read again.
+const IDLE_BATCHES_MAX: u64 = 10_000;
+/// The most ends that wait for the log to come back.
+const ENDS_KEPT_MAX: usize = 100_000;
+
+/// Claims and ends for one shard, from one daemon.
+#[derive(Debug)]
+pub(crate) struct WriterJob {
+    pub(crate) claims: Vec<ClaimRequest>,
+    pub(crate) ends: Vec<ClaimEnd>,
+    pub(crate) reply: oneshot::Sender<Vec<ClaimVerdict>>,
+}
+
+#[derive(Debug, Default)]
+struct Bucket {
+    fold: ClaimFold,
+    used_at_batch: u64,
+}
+
+/// The writer of one shard on one daemon.
+#[derive(Debug)]
+pub(crate) struct ClaimWriter {
+    shard: u32,
+    settings: ClaimSettings,
+    platform: Rc<PlatformClient>,
+    buckets: HashMap<u64, Bucket>,
+    ends_kept: Vec<ClaimEnd>,
+    batches: u64,
+}
+
+/// Serves one shard's claims until nobody can ask any more.
+pub(crate) async fn run_writer(mut writer: ClaimWriter, mut jobs: mpsc::Receiver<WriterJob>) {
+    while let Some(first) = jobs.recv().await {
+        sleep(Duration::from_millis(writer.settings.batch_window_ms)).await;
+        let mut batch = vec![first];
+        while let Ok(job) = jobs.try_recv() {
+            batch.push(job);
+        }
+        writer.settle(batch).await;
+    }
+}
+
+impl ClaimWriter {
+    pub(crate) fn new(shard: u32, settings: ClaimSettings, platform: Rc<PlatformClient>) -> Self {
+        Self {
+            shard,
+            settings,
+            platform,
+            buckets: HashMap::new(),
+            ends_kept: Vec::new(),
+            batches: 0,
+        }
+    }
+
+    /// Writes the jobs' claims and ends, and answers each job.
+    async fn settle(&mut self, jobs: Vec<WriterJob>) {
+        self.batches += 1;
+        let mut by_bucket: HashMap<u64, (Vec<ClaimRequest>, Vec<ClaimEnd>)> = HashMap::new();
+        for end in std::mem::take(&mut self.ends_kept) {
+            by_bucket.entry(bucket_of(end.key)).or_default().1.push(end);
+        }
+        for job in &jobs {
+            for claim in &job.claims {
+                by_bucket.entry(bucket_of(claim.key)).or_default().0.push(*claim);
+            }
+            for end in &job.ends {
+                by_bucket.entry(bucket_of(end.key)).or_default().1.push(*end);
+            }
+        }
+        let mut verdicts: HashMap<ClaimRequest, ClaimVerdict> = HashMap::new();
+        for (bucket, (claims, ends)) in by_bucket {
+            let settled = self.settle_bucket(bucket, &claims, &ends).await;
+            if matches!(settled, Settled::Unavailable | Settled::Unsettled) {
+                let room = ENDS_KEPT_MAX.saturating_sub(self.ends_kept.len());
+                self.ends_kept.extend(ends.into_iter().take(room));
+            }
+            for (index, claim) in claims.iter().enumerate() {
+                verdicts.insert(*claim, settled.verdict(index));
+            }
+        }
+        for job in jobs {
+            let answer = job
+                .claims
+                .iter()
+                .map(|claim| verdicts.get(claim).copied().unwrap_or(ClaimVerdict::Unsettled))
+                .collect();
+            // A daemon that went away asks again elsewhere, with the same nonce.
+            let _ = job.reply.send(answer);
+        }
+        let batches = self.batches;
+        self.buckets
+            .retain(|_, bucket| batches - bucket.used_at_batch < IDLE_BATCHES_MAX);
+    }
+
+    /// Appends one record and reads until it is seen. An append whose answer was lost is looked for
+    /// before it is tried again; a second copy folds to nothing.
+    async fn settle_bucket(&mut self, bucket: u64, claims: &[ClaimRequest], ends: &[ClaimEnd]) -> Settled {
+        let stream = format!("claims-{}-{bucket}", self.shard);
+        let batch = ClaimBatch {
+            id: rand::random(),
+            claims: claims.to_vec(),
+            ends: ends.to_vec(),
+        };
+        let record = batch.to_bytes();
+        let entry = self.buckets.entry(bucket).or_default();
+        entry.used_at_batch = self.batches;
+        let deadline = Instant::now() + Duration::from_millis(SETTLE_LIMIT_MS);
+        let mut may_stand = false;
+        while Instant::now() < deadline {
+            let appended = self.platform.append(&stream, record.clone()).await;
+            match &appended {
+                Ok(_) => may_stand = true,
+                Err(error) => may_stand |= error.may_have_taken_effect(),
+            }
+            if may_stand {
+                let until = appended.ok();
+                if let Some(verdicts) =
+                    read_back(&self.platform, &stream, &mut entry.fold, &batch, until, deadline).await
+                {
+                    return Settled::Known(verdicts);
+                }
+            }
+            sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        }
+        if may_stand {
+            Settled::Unsettled
+        } else {
+            Settled::Unavailable
+        }
+    }
+}
+
+/// What became of a batch.
+#[derive(Debug)]
+enum Settled {
+    Known(Vec<ClaimVerdict>),
+    Unavailable,
+    Unsettled,
+}
+
+impl Settled {
+    fn verdict(&self, index: usize) -> ClaimVerdict {
+        match self {
+            Self::Known(verdicts) => verdicts[index],
+            Self::Unavailable => ClaimVerdict::Unavailable,
+            Self::Unsettled => ClaimVerdict::Unsettled,
+        }
+    }
+}
+
+/// Reads a stream on until the batch's record is folded, and tells how its claims stand there.
+///
+/// With the record's offset not known, reads to the end once; `None` if it was not found.
+async fn read_back(
+    platform: &PlatformClient,
+    stream: &str,
+    fold: &mut ClaimFold,
+    batch: &ClaimBatch,
+    offset: Option<u64>,
+    deadline: Instant,
+) -> Option<Vec<ClaimVerdict>> {
+    let mut verdicts = None;
+    while Instant::now() < deadline {
+        let Ok(page) = platform.read(stream, fold.next_offset(), 0).await else {
+            sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+            continue;
+        };
+        fold_page(fold, &page, batch, &mut verdicts);
+        let at_end = fold.next_offset() >= page.next_offset;
+        let past_record = offset.is_some_and(|offset| fold.next_offset() > offset);
+        if verdicts.is_some() || past_record || (at_end && offset.is_none()) {
+            break;
+        }
+    }
+    verdicts
+}
+
+fn fold_page(
+    fold: &mut ClaimFold,
+    page: &LogPage,
+    batch: &ClaimBatch,
+    verdicts: &mut Option<Vec<ClaimVerdict>>,
+) {
+    fold.note_truncation(page.first_offset);
+    for record in &page.records {
+        // A record that nobody can read says nothing to anybody.
+        let read = ClaimBatch::parse(&record.data).ok();
+        let records = read.as_ref().map(ClaimBatch::records).unwrap_or_default();
+        fold.fold(record.offset, &records);
+        if verdicts.is_none() && read.is_some_and(|read| read.id == batch.id) {
+            *verdicts = Some(batch.claims.iter().map(|claim| verdict_of(fold, claim)).collect());
+        }
+    }
+}
+
+fn verdict_of(fold: &ClaimFold, claim: &ClaimRequest) -> ClaimVerdict {
+    match fold.state(claim.key) {
+        Some(ClaimState::Held(nonce)) if nonce == claim.nonce => ClaimVerdict::Held,
+        Some(ClaimState::Ended(_, status)) if status != 0 => ClaimVerdict::Ended(status),
+        Some(ClaimState::Held(_) | ClaimState::Ended(..)) | None => ClaimVerdict::InUse,
+    }
+}
+
+fn bucket_of(key: ClaimKey) -> u64 {
+    key.made_at_unix_ms() / BUCKET_MS
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/control/actor.rs
@@ -0,0 +1,250 @@
+//! The actor: its state, its messages, and what each does.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use reedsail_bundle::BundleFollower;
+use reedsail_core::Allocator;
+use reedsail_core::BytePacer;
+use reedsail_core::Membership;
+use reedsail_core::NameHash;
+use reedsail_core::ServiceKey;
+use reedsail_core::SharePolicy;
+use reedsail_core::TimeMs;
+use reedsail_platform::InstanceList;
+use reedsail_platform::LogPage;
+use reedsail_wire::Grant;
+use reedsail_wire::LinkError;
+use reedsail_wire::Report;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use xtra::Actor;
+use xtra::Context;
+use xtra::Handler;
+
+use super::PeerAddress;
+use super::exchange::PeerSchedule;
+use super::exchange::Seat;
+use super::links::LinkAction;
+use crate::shared::Shared;
+use crate::shared::Status;
+
+/// The control state of one daemon.
+pub(crate) struct Control<P: SharePolicy> {
+    pub(super) shared: Arc<Shared<P>>,
+    pub(super) own_name: NameHash,
+    pub(super) own_domain: NameHash,
+    pub(super) actions: mpsc::UnboundedSender<LinkAction>,
+    pub(super) domain_daemons: watch::Sender<Vec<PeerAddress>>,
+    pub(super) follower: BundleFollower,
+    pub(super) log_caught_up: bool,
+    pub(super) log_reachable: bool,
+    pub(super) log_lost_at: Option<TimeMs>,
+    /// When the log last showed the version in force, by its own clock.
+    pub(super) in_force_seen_unix_ms: u64,
+    pub(super) checkpoint_under_way: bool,
+    pub(super) behind_since: Option<(TimeMs, NameHash)>,
+    pub(super) membership: Membership,
+    pub(super) servers_leaving: HashSet<NameHash>,
+    pub(super) servers_heard_leaving: HashMap<NameHash, TimeMs>,
+    pub(super) allocators: HashMap<ServiceKey, Allocator>,
+    pub(super) seats: HashMap<ServiceKey, Seat>,
+    pub(super) domain_seats: HashMap<(ServiceKey, NameHash), Seat>,
+    pub(super) peers: HashMap<NameHash, PeerSchedule>,
+    pub(super) pacer: BytePacer,
+    pub(super) exchanges: u64,
+    pub(super) paced_at: TimeMs,
+    pub(super) paced_bytes: u64,
+    pub(super) paced_exchanges: u64,
+    pub(super) ticked_at: TimeMs,
+    pub(super) ticks: u64,
+    pub(super) stopping: bool,
+}
+
+impl<P: SharePolicy> Control<P> {
+    pub(crate) fn new(
+        shared: Arc<Shared<P>>,
+        actions: mpsc::UnboundedSender<LinkAction>,
+        domain_daemons: watch::Sender<Vec<PeerAddress>>,
+    ) -> Self {
+        let settings = &shared.settings;
+        let mut membership = Membership::default();
+        for peer in settings
+            .peers
+            .iter()
+            .filter(|peer| peer.instance != settings.instance)
+        {
+            membership.list(
+                &peer.instance,
+                &peer.failure_domain,
+                &peer.address.to_string(),
+                false,
+            );
+        }
+        Self {
+            own_name: NameHash::of(&settings.instance),
+            own_domain: NameHash::of(&settings.failure_domain),
+            follower: BundleFollower::new(settings.trusted_keys.clone()),
+            pacer: BytePacer::new(settings.control.budget_bytes_per_s as f64),
+            actions,
+            domain_daemons,
+            log_caught_up: false,
+            log_reachable: true,
+            log_lost_at: None,
+            in_force_seen_unix_ms: 0,
+            checkpoint_under_way: false,
+            behind_since: None,
+            membership,
+            servers_leaving: HashSet::new(),
+            servers_heard_leaving: HashMap::new(),
+            allocators: HashMap::new(),
+            seats: HashMap::new(),
+            domain_seats: HashMap::new(),
+            peers: HashMap::new(),
+            exchanges: 0,
+            paced_at: shared.clock.now(),
+            paced_bytes: 0,
+            paced_exchanges: 0,
+            ticked_at: shared.clock.now(),
+            ticks: 0,
+            stopping: false,
+            shared,
+        }
+    }
+}
+
+impl<P: SharePolicy> Actor for Control<P> {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+/// Time has passed.
+pub(super) struct Tick;
+
+impl<P: SharePolicy> Handler<Tick> for Control<P> {
+    type Return = ();
+
+    async fn handle(&mut self, _tick: Tick, _context: &mut Context<Self>) {
+        self.tick();
+    }
+}
+
+/// A peer reports.
+pub(super) struct PeerReport(pub(super) Report);
+
+impl<P: SharePolicy> Handler<PeerReport> for Control<P> {
+    type Return = Grant;
+
+    async fn handle(&mut self, report: PeerReport, _context: &mut Context<Self>) -> Grant {
+        self.answer_report(&report.0)
+    }
+}
+
+/// A call to a peer has ended.
+pub(super) struct ExchangeDone {
+    pub(super) peer: NameHash,
+    pub(super) sent_at: TimeMs,
+    pub(super) outcome: Result<Grant, LinkError>,
+}
+
+impl<P: SharePolicy> Handler<ExchangeDone> for Control<P> {
+    type Return = ();
+
+    async fn handle(&mut self, done: ExchangeDone, _context: &mut Context<Self>) {
+        self.conclude_exchange(done);
+    }
+}
+
+/// The log was read.
+pub(super) struct LogRead(pub(super) LogPage);
+
+impl<P: SharePolicy> Handler<LogRead> for Control<P> {
+    type Return = u64;
+
+    /// Returns the offset from which to read on.
+    async fn handle(&mut self, read: LogRead, _context: &mut Context<Self>) -> u64 {
+        self.follow_log(&read.0)
+    }
+}
+
+/// The log can, or cannot, be reached.
+pub(super) struct LogReachable(pub(super) bool);
+
+impl<P: SharePolicy> Handler<LogReachable> for Control<P> {
+    type Return = ();
+
+    async fn handle(&mut self, reachable: LogReachable, _context: &mut Context<Self>) {
+        self.note_log_reachable(reachable.0);
+    }
+}
+
+/// The append of a checkpoint has ended.
+pub(super) struct CheckpointDone(pub(super) bool);
+
+impl<P: SharePolicy> Handler<CheckpointDone> for Control<P> {
+    type Return = ();
+
+    async fn handle(&mut self, done: CheckpointDone, _context: &mut Context<Self>) {
+        self.conclude_checkpoint(done.0);
+    }
+}
+
+/// The instance list changed.
+pub(super) struct InstancesChanged(pub(super) InstanceList);
+
+impl<P: SharePolicy> Handler<InstancesChanged> for Control<P> {
+    type Return = ();
+
+    async fn handle(&mut self, changed: InstancesChanged, _context: &mut Context<Self>) {
+        self.take_in_instances(&changed.0);
+    }
+}
+
+/// A peer sent its bundle.
+pub(super) struct BundleFetched(pub(super) Vec<u8>);
+
+impl<P: SharePolicy> Handler<BundleFetched> for Control<P> {
+    type Return = ();
+
+    async fn handle(&mut self, fetched: BundleFetched, _context: &mut Context<Self>) {
+        self.learn_bundle(&fetched.0);
+    }
+}
+
+/// A peer asks for the bundle in force.
+pub(super) struct ReadBundle;
+
+impl<P: SharePolicy> Handler<ReadBundle> for Control<P> {
+    type Return = Option<(u32, Vec<u8>)>;
+
+    async fn handle(&mut self, _read: ReadBundle, _context: &mut Context<Self>) -> Self::Return {
+        let version = self.follower.in_force()?.version;
+        Some((version, self.follower.checkpoint()?.to_bytes()))
+    }
+}
+
+/// Somebody wants to know how the daemon stands.
+pub(crate) struct ReadStatus;
+
+impl<P: SharePolicy> Handler<ReadStatus> for Control<P> {
+    type Return = Status;
+
+    async fn handle(&mut self, _read: ReadStatus, _context: &mut Context<Self>) -> Status {
+        let members = self.allocators.values().map(Allocator::member_count).sum();
+        let alive = self.membership.alive(None, self.shared.clock.now()).len() + 1;
+        self.shared.status(members, alive)
+    }
+}
+
+/// A planned stop begins.
+pub(crate) struct BeginStop;
+
+impl<P: SharePolicy> Handler<BeginStop> for Control<P> {
+    type Return = ();
+
+    async fn handle(&mut self, _stop: BeginStop, _context: &mut Context<Self>) {
+        self.begin_stop();
+    }
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/control/allocation.rs
@@ -0,0 +1,230 @@
+//! The tick, the allocators of this daemon, and who is leaving.
+
+use reedsail_core::Allocator;
+use reedsail_core::AllocatorConfig;
+use reedsail_core::NameHash;
+use reedsail_core::ServerCapacity;
+use reedsail_core::ServiceKey;
+use reedsail_core::SharePolicy;
+use reedsail_core::TimeMs;
+use reedsail_events::EventKind;
+use reedsail_platform::InstanceKind;
+use reedsail_platform::InstanceList;
+use reedsail_platform::InstanceState;
+
+use super::Control;
+
+/// How often allocators take over the domain's servers and daemons, in ticks.
+const REFRESH_EVERY_TICKS: u64 = 5;
+/// How often idle state is dropped, in ticks.
+const COMPACT_EVERY_TICKS: u64 = 300;
+/// How often a frozen thread looks whether it may go on.
+const FROZEN_LOOK_MS: u64 = 10;
+/// For how long a peer's word that a server is leaving holds without being repeated.
+const HEARSAY_LEAVING_MS: u64 = 30_000;
+
+impl<P: SharePolicy> Control<P> {
+    pub(super) fn tick(&mut self) {
+        self.stand_still_if_frozen();
+        let now = self.shared.clock.now();
+        let elapsed_ms = now.since_ms(self.ticked_at);
+        self.ticked_at = now;
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(REFRESH_EVERY_TICKS) {
+            self.refresh_allocators(now);
+            self.publish_domain_daemons(now);
+            self.mark_servers_leaving(now);
+        }
+        if self.ticks.is_multiple_of(COMPACT_EVERY_TICKS) {
+            self.membership.forget_old(now);
+            for allocator in self.allocators.values_mut() {
+                allocator.compact();
+            }
+        }
+        for (_, service) in self.shared.view.load().services() {
+            service.cell.tick(elapsed_ms);
+        }
+        self.pace(now);
+        self.send_reports(now);
+        self.keep_bundle(now);
+    }
+
+    /// Blocks the thread for as long as a fault script wants, as a paused instance would.
+    fn stand_still_if_frozen(&self) {
+        while self.shared.gate.is_frozen(&self.shared.settings.instance) {
+            std::thread::sleep(std::time::Duration::from_millis(FROZEN_LOOK_MS));
+        }
+    }
+
+    /// Returns the allocator of a service on this daemon, begun now if need be.
+    pub(super) fn allocator_mut(&mut self, service: ServiceKey, now: TimeMs) -> &mut Allocator {
+        if !self.allocators.contains_key(&service) {
+            let control = self.shared.settings.control;
+            let config = AllocatorConfig {
+                lease_ms: control.lease_ms,
+                horizon_ms: control.horizon_ms,
+                rejoin_clamp_ms: control.rejoin_clamp_ms,
+            };
+            self.allocators.insert(service, Allocator::new(config, now));
+            self.refresh_allocator(service, now);
+            let name = self
+                .shared
+                .with_directory(|directory| directory.services.name(service).to_owned());
+            self.shared
+                .events
+                .emit(EventKind::AllocatorBegun, &[("service", &name)]);
+        }
+        self.allocators.get_mut(&service).expect("it was inserted above")
+    }
+
+    pub(super) fn refresh_allocators(&mut self, now: TimeMs) {
+        let services: Vec<ServiceKey> = self.allocators.keys().copied().collect();
+        for service in services {
+            let is_mine = self.allocator_of(service, self.own_domain, now) == Some(self.own_name);
+            let allocator = self.allocators.get_mut(&service);
+            let is_idle = allocator.is_some_and(|allocator| {
+                allocator.expire(now);
+                allocator.member_count() == 0
+            });
+            if !is_mine && is_idle {
+                self.allocators.remove(&service);
+                self.domain_seats.retain(|(of, _), _| *of != service);
+                let name = self
+                    .shared
+                    .with_directory(|directory| directory.services.name(service).to_owned());
+                self.shared
+                    .events
+                    .emit(EventKind::AllocatorEnded, &[("service", &name)]);
+                continue;
+            }
+            self.refresh_allocator(service, now);
+        }
+    }
+
+    /// Gives an allocator its servers, daemons and weights as they are now.
+    fn refresh_allocator(&mut self, service: ServiceKey, now: TimeMs) {
+        let daemons = self.membership.alive(Some(self.own_domain), now).len() + usize::from(!self.stopping);
+        let view = self.shared.view.load();
+        let Some(found) = view.service(service) else {
+            return;
+        };
+        let mut servers = Vec::new();
+        for (key, server) in &found.servers {
+            let Some(described) = found.service.servers.get(&server.name) else {
+                continue;
+            };
+            if described.domain != self.shared.settings.failure_domain {
+                continue;
+            }
+            let leaving = self.is_server_leaving(NameHash::of(&server.name), now);
+            servers.push(ServerCapacity {
+                server: *key,
+                slots: if leaving { 0 } else { described.slots },
+            });
+        }
+        servers.sort_by_key(|server| server.server);
+        if let Some(allocator) = self.allocators.get_mut(&service) {
+            allocator.set_servers(servers, daemons);
+            for (workspace, settings) in view.workspaces() {
+                allocator.set_weight(workspace, settings.workspace.weight);
+            }
+        }
+    }
+
+    pub(super) fn is_server_leaving(&self, server: NameHash, now: TimeMs) -> bool {
+        let heard = self.servers_heard_leaving.get(&server);
+        self.servers_leaving.contains(&server) || heard.is_some_and(|until| now < *until)
+    }
+
+    /// Takes a peer's word on leaving servers.
+    pub(super) fn hear_servers_leaving(&mut self, servers: &[NameHash], now: TimeMs) {
+        if servers.is_empty() {
+            return;
+        }
+        let mut is_news = false;
+        for server in servers {
+            let until = now.plus_ms(HEARSAY_LEAVING_MS);
+            is_news |= self.servers_heard_leaving.insert(*server, until).is_none();
+        }
+        if is_news {
+            self.mark_servers_leaving(now);
+            self.refresh_allocators(now);
+        }
+    }
+
+    pub(super) fn mark_servers_leaving(&mut self, now: TimeMs) {
+        self.servers_heard_leaving.retain(|_, until| now < *until);
+        for (_, service) in self.shared.view.load().services() {
+            service.cell.lock().set_leaving(|key| {
+                let server = service.servers.get(&key);
+                server.is_some_and(|server| self.is_server_leaving(NameHash::of(&server.name), now))
+            });
+        }
+    }
+
+    /// Takes in what changed in the platform's list.
+    pub(super) fn take_in_instances(&mut self, list: &InstanceList) {
+        let now = self.shared.clock.now();
+        for instance in &list.instances {
+            match instance.kind {
+                InstanceKind::Daemon if instance.name == self.shared.settings.instance => {}
+                InstanceKind::Daemon => match instance.state {
+                    InstanceState::Gone => self.membership.unlist(&instance.name),
+                    InstanceState::Live | InstanceState::Leaving => {
+                        let leaving = instance.state == InstanceState::Leaving;
+                        let address = instance.address.to_string();
+                        self.membership
+                            .list(&instance.name, &instance.failure_domain, &address, leaving);
+                    }
+                },
+                InstanceKind::Server => self.take_in_server(&instance.name, instance.state),
+            }
+        }
+        self.mark_servers_leaving(now);
+        self.refresh_allocators(now);
+        self.publish_domain_daemons(now);
+    }
+
+    fn take_in_server(&mut self, name: &str, state: InstanceState) {
+        let server = NameHash::of(name);
+        match state {
+            InstanceState::Live => {
+                self.servers_leaving.remove(&server);
+                self.servers_heard_leaving.remove(&server);
+            }
+            InstanceState::Leaving | InstanceState::Gone => {
+                if self.servers_leaving.insert(server) {
+                    self.shared
+                        .events
+                        .emit(EventKind::ServerLeaving, &[("server", name)]);
+                }
+            }
+        }
+    }
+
+    /// Tells the claim dispatcher which daemons of the domain are alive.
+    pub(super) fn publish_domain_daemons(&mut self, now: TimeMs) {
+        let alive = self.membership.alive(Some(self.own_domain), now);
+        let addresses = alive
+            .into_iter()
+            .filter_map(|name| self.peer_address(name))
+            .collect();
+        self.domain_daemons.send_replace(addresses);
+        let members = self
+            .allocators
+            .values()
+            .map(Allocator::member_count)
+            .sum::<usize>();
+        self.shared.metrics.members.set(members as i64);
+    }
+
+    /// Begins a planned stop: duties pass on with the next reports, which say so.
+    pub(super) fn begin_stop(&mut self) {
+        self.stopping = true;
+        for schedule in self.peers.values_mut() {
+            schedule.make_due();
+        }
+        let now = self.shared.clock.now();
+        self.send_reports(now);
+    }
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/control/roll_out.rs
@@ -0,0 +1,247 @@
+//! Which bundle is in force here, and how this daemon comes to know.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+
+use reedsail_bundle::Followed;
+use reedsail_bundle::read_bundle;
+use reedsail_core::Directory;
+use reedsail_core::FoldVerdict;
+use reedsail_core::NameHash;
+use reedsail_core::SharePolicy;
+use reedsail_core::TimeMs;
+use reedsail_core::rank_by_rendezvous;
+use reedsail_document::render_faults;
+use reedsail_events::EventKind;
+use reedsail_platform::LogPage;
+
+use super::Control;
+use super::links::LinkAction;
+use crate::clock::Clock;
+use crate::service_cell::ServiceCell;
+use crate::stage::Stage;
+use crate::view::View;
+
+/// A daemon whose peer knows a newer version waits so long for the log before it asks the peer.
+const PEER_FETCH_AFTER_MS: u64 = 1_000;
+/// With the log out of reach for so long, a version learned from a peer will do.
+const LOG_GIVEN_UP_AFTER_MS: u64 = 1_000;
+/// The duty of repeating the version in force in the log.
+const CHECKPOINT_DUTY: u64 = 0x6368_6563_6b70_6f69;
+
+impl<P: SharePolicy> Control<P> {
+    /// Folds a part of the bundle stream; returns the offset from which to read on.
+    pub(super) fn follow_log(&mut self, page: &LogPage) -> u64 {
+        self.note_log_reachable(true);
+        if page.first_offset > self.follower.next_offset() {
+            let first = page.first_offset.to_string();
+            self.shared
+                .events
+                .emit(EventKind::LogTruncated, &[("first_offset", &first)]);
+        }
+        self.follower.note_truncation(page.first_offset);
+        let version_before = self.follower.in_force();
+        for record in &page.records {
+            let followed = self.follower.follow(record.offset, &record.data);
+            self.note_followed(&followed, record.offset);
+            if !matches!(
+                followed,
+                Followed::Invalid(_) | Followed::Unchanged(FoldVerdict::Stale)
+            ) {
+                self.in_force_seen_unix_ms = record.appended_unix_ms;
+            }
+        }
+        if self.follower.in_force() != version_before {
+            self.apply_in_force();
+        }
+        if self.follower.next_offset() >= page.next_offset {
+            self.log_caught_up = true;
+        }
+        self.check_ready();
+        self.follower.next_offset()
+    }
+
+    fn note_followed(&self, followed: &Followed, offset: u64) {
+        let offset = offset.to_string();
+        match followed {
+            Followed::Invalid(error) => {
+                let fields = [("offset", offset.as_str()), ("error", &error.to_string())];
+                self.shared.events.emit(EventKind::BundleInvalid, &fields);
+            }
+            Followed::Unchanged(FoldVerdict::Stale) => {
+                let fields = [("offset", offset.as_str())];
+                self.shared.events.emit(EventKind::BundleStale, &fields);
+            }
+            Followed::Unchanged(_) | Followed::InForce(_) => {}
+        }
+    }
+
+    /// Puts the accepted content in force here, whole or not at all.
+    fn apply_in_force(&mut self) {
+        let (Some(accepted), Some(content)) = (self.follower.in_force(), self.follower.content()) else {
+            return;
+        };
+        let version = accepted.version.to_string();
+        let bundle = match read_bundle(content) {
+            Ok(bundle) if bundle.version == accepted.version => bundle,
+            Ok(bundle) => {
+                let error = format!("it calls itself version {}", bundle.version);
+                let fields = [("version", version.as_str()), ("error", &error)];
+                self.shared.events.emit(EventKind::BundleNotApplied, &fields);
+                return;
+            }
+            Err(faults) => {
+                let fields = [("version", version.as_str()), ("error", &render_faults(&faults))];
+                self.shared.events.emit(EventKind::BundleNotApplied, &fields);
+                return;
+            }
+        };
+        let before = self.shared.view.load_full();
+        let mut directory = Directory::clone(&self.shared.directory.load());
+        let policy = &self.shared.policy;
+        let clock = self.shared.clock;
+        let view = View::build(Arc::new(bundle), &mut directory, &before, |_| {
+            ServiceCell::new(policy.clone(), clock)
+        });
+        // Names come first: a view's keys must be known to whoever sees it.
+        self.shared.directory.store(Arc::new(directory));
+        self.shared.view.store(Arc::new(view));
+        let digest = hex::encode(accepted.digest);
+        self.shared
+            .metrics
+            .bundle_version
+            .set(i64::from(accepted.version));
+        let fields = [("version", version.as_str()), ("digest", &digest[..12])];
+        self.shared.events.emit(EventKind::BundleInForce, &fields);
+        *self
+            .shared
+            .digest_in_force
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = digest;
+        self.after_bundle_change();
+    }
+
+    fn after_bundle_change(&mut self) {
+        let now = self.shared.clock.now();
+        self.mark_servers_leaving(now);
+        self.refresh_allocators(now);
+    }
+
+    /// Takes requests once a bundle is in force that no reachable source knows to be old.
+    fn check_ready(&mut self) {
+        let now = self.shared.clock.now();
+        let log_given_up = self
+            .log_lost_at
+            .is_some_and(|at| now.since_ms(at) >= LOG_GIVEN_UP_AFTER_MS);
+        if self.shared.view.load().version == 0 || !(self.log_caught_up || log_given_up) {
+            return;
+        }
+        if self.shared.stage.advance(Stage::Ready) {
+            self.shared.events.emit(EventKind::DaemonReady, &[]);
+        }
+    }
+
+    pub(super) fn note_log_reachable(&mut self, reachable: bool) {
+        if reachable == self.log_reachable {
+            return;
+        }
+        self.log_reachable = reachable;
+        self.log_lost_at = (!reachable).then(|| self.shared.clock.now());
+        self.shared.metrics.platform_reachable.set(i64::from(reachable));
+        let kind = if reachable {
+            EventKind::PlatformBack
+        } else {
+            EventKind::PlatformLost
+        };
+        self.shared.events.emit(kind, &[]);
+    }
+
+    /// Takes in a peer's copy of the version in force.
+    pub(super) fn learn_bundle(&mut self, record: &[u8]) {
+        match self.follower.learn(record) {
+            Ok(true) => {
+                let version = self.follower.in_force().map_or(0, |accepted| accepted.version);
+                let fields = [("version", version.to_string())];
+                let fields: Vec<(&str, &str)> =
+                    fields.iter().map(|(key, value)| (*key, value.as_str())).collect();
+                self.shared.events.emit(EventKind::BundleFromPeer, &fields);
+                self.apply_in_force();
+            }
+            Ok(false) => {}
+            Err(error) => {
+                let fields = [("error", error.to_string())];
+                let fields: Vec<(&str, &str)> =
+                    fields.iter().map(|(key, value)| (*key, value.as_str())).collect();
+                self.shared.events.emit(EventKind::BundleInvalid, &fields);
+            }
+        }
+        self.check_ready();
+    }
+
+    pub(super) fn note_peer_version(&mut self, peer: NameHash, version: u32, now: TimeMs) {
+        let own = self.follower.in_force().map_or(0, |accepted| accepted.version);
+        if version <= own {
+            if self.behind_since.is_some_and(|(_, known)| known == peer) {
+                self.behind_since = None;
+            }
+        } else if self.behind_since.is_none() {
+            self.behind_since = Some((now, peer));
+        }
+    }
+
+    /// Fetches the bundle from a peer if the log does not bring it, and repeats it in the log
+    /// before it ages out.
+    pub(super) fn keep_bundle(&mut self, now: TimeMs) {
+        self.check_ready();
+        let nothing_known = self.follower.in_force().is_none();
+        if let Some((since, peer)) = self.behind_since
+            && now.since_ms(since) >= PEER_FETCH_AFTER_MS
+        {
+            self.behind_since = None;
+            self.fetch_bundle_from(peer);
+        } else if nothing_known && self.ticks.is_multiple_of(5) {
+            let alive = self.membership.alive(None, now);
+            let turn = (self.ticks / 5) as usize;
+            if !alive.is_empty() {
+                self.fetch_bundle_from(alive[turn % alive.len()]);
+            }
+        }
+        if self.ticks.is_multiple_of(10) {
+            self.checkpoint_if_due(now);
+        }
+    }
+
+    fn fetch_bundle_from(&mut self, peer: NameHash) {
+        let known_version = self.follower.in_force().map_or(0, |accepted| accepted.version);
+        if let Some(peer) = self.peer_address(peer) {
+            let _ = self.actions.send(LinkAction::FetchBundle { peer, known_version });
+        }
+    }
+
+    /// The first daemon in rank repeats the version; each further one waits a quarter longer.
+    fn checkpoint_if_due(&mut self, now: TimeMs) {
+        if !self.log_reachable || !self.log_caught_up || self.checkpoint_under_way || self.stopping {
+            return;
+        }
+        let Some(record) = self.follower.checkpoint() else {
+            return;
+        };
+        let mut daemons = self.membership.alive(None, now);
+        daemons.push(self.own_name);
+        let ranked = rank_by_rendezvous(CHECKPOINT_DUTY, &daemons);
+        let place = ranked.iter().position(|name| *name == self.own_name).unwrap_or(0) as u64;
+        let every_ms = self.shared.settings.control.checkpoint_every_ms;
+        let age_ms = Clock::unix_ms().saturating_sub(self.in_force_seen_unix_ms);
+        if age_ms >= every_ms + every_ms / 4 * place {
+            self.checkpoint_under_way = true;
+            let _ = self.actions.send(LinkAction::AppendCheckpoint(record.to_bytes()));
+        }
+    }
+
+    pub(super) fn conclude_checkpoint(&mut self, appended: bool) {
+        self.checkpoint_under_way = false;
+        if appended {
+            self.shared.events.emit(EventKind::CheckpointAppended, &[]);
+        }
+    }
+}
--- a/crates/reedsail_daemon/src/lib.rs
+++ b/crates/reedsail_daemon/src/lib.rs
@@ -1,1 +1,30 @@
-//! stub
+//! The daemon: one thread for control state, others for traffic.
+
+mod admin;
+mod claims;
+mod clock;
+mod control;
+mod metrics;
+mod running;
+mod service_cell;
+mod settings;
+mod shared;
+mod stage;
+mod traffic;
+mod view;
+
+pub use clock::Clock;
+pub use running::DaemonAddresses;
+pub use running::DaemonOptions;
+pub use running::RunningDaemon;
+pub use settings::ClaimSettings;
+pub use settings::ControlSettings;
+pub use settings::LimitSettings;
+pub use settings::ListenSettings;
+pub use settings::PeerSeed;
+pub use settings::PolicyChoice;
+pub use settings::Settings;
+pub use settings::TimelineSettings;
+pub use shared::ServiceStatus;
+pub use shared::Status;
+pub use stage::Stage;
--- /dev/null
+++ b/crates/reedsail_daemon/src/running.rs
@@ -0,0 +1,339 @@
+//! A daemon that runs inside the calling process: the binary's, a test's or the bench's.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use reedsail_core::FifoPolicy;
+use reedsail_core::FleetPolicy;
+use reedsail_core::SharePolicy;
+use reedsail_core::SplitPolicy;
+use reedsail_events::Event;
+use reedsail_events::EventKind;
+use reedsail_net::NetGate;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use xtra::Address;
+
+use crate::control::BeginStop;
+use crate::control::Control;
+use crate::control::ControlThread;
+use crate::control::run_control;
+use crate::settings::PolicyChoice;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::stage::Stage;
+use crate::traffic::TrafficThread;
+use crate::traffic::run_traffic;
+
+/// How many claims may wait for the control thread.
+const CLAIM_JOBS_MAX: usize = 8_192;
+/// How often a stopping daemon looks whether requests are open.
+const STOP_POLL_MS: u64 = 20;
+
+/// What a test or the bench adds to the settings.
+#[derive(Clone, Debug, Default)]
+pub struct DaemonOptions {
+    /// Cuts between the daemon and others.
+    pub gate: NetGate,
+}
+
+/// Where a daemon listens, with free ports filled in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+    /// For health, metrics and the time line.
+    pub admin: SocketAddr,
+}
+
+/// A handle on a daemon, whatever its policy.
+#[derive(Debug)]
+pub struct RunningDaemon {
+    instance: String,
+    addresses: DaemonAddresses,
+    probe: Probe,
+    killed: watch::Sender<bool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// What can be asked of a daemon in the same process, by policy.
+#[derive(Debug)]
+enum Probe {
+    Fifo(Handle<FifoPolicy>),
+    Split(Handle<SplitPolicy>),
+    Fleet(Handle<FleetPolicy>),
+}
+
+struct Handle<P: SharePolicy> {
+    shared: Arc<Shared<P>>,
+    control: Address<Control<P>>,
+    stage_changed: watch::Sender<Stage>,
+}
+
+impl<P: SharePolicy> std::fmt::Debug for Handle<P> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Handle")
+            .field("instance", &self.shared.settings.instance)
+            .finish_non_exhaustive()
+    }
+}
+
+macro_rules! with_handle {
+    ($probe:expr, $handle:ident => $body:expr) => {
+        match $probe {
+            Probe::Fifo($handle) => $body,
+            Probe::Split($handle) => $body,
+            Probe::Fleet($handle) => $body,
+        }
+    };
+}
+
+impl RunningDaemon {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    /// Names the address that cannot be listened on, or the thread that cannot be started.
+    pub async fn start(settings: Settings, options: DaemonOptions) -> anyhow::Result<Self> {
+        let instance = settings.instance.clone();
+        let (killed, killed_watch) = watch::channel(false);
+        let (probe, addresses, threads) = match settings.policy {
+            PolicyChoice::Fifo => {
+                let (handle, addresses, threads) =
+                    launch(settings, FifoPolicy, options, killed_watch).await?;
+                (Probe::Fifo(handle), addresses, threads)
+            }
+            PolicyChoice::Split { daemons } => {
+                let policy = SplitPolicy { daemons };
+                let (handle, addresses, threads) = launch(settings, policy, options, killed_watch).await?;
+                (Probe::Split(handle), addresses, threads)
+            }
+            PolicyChoice::Fleet => {
+                let (handle, addresses, threads) =
+                    launch(settings, FleetPolicy, options, killed_watch).await?;
+                (Probe::Fleet(handle), addresses, threads)
+            }
+        };
+        Ok(Self {
+            instance,
+            addresses,
+            probe,
+            killed,
+            threads,
+        })
+    }
+
+    /// Returns the instance's name.
+    pub fn instance(&self) -> &str {
+        &self.instance
+    }
+
+    /// Returns where the daemon listens.
+    pub fn addresses(&self) -> DaemonAddresses {
+        self.addresses
+    }
+
+    /// Returns the stage.
+    pub fn stage(&self) -> Stage {
+        with_handle!(&self.probe, handle => handle.shared.stage.get())
+    }
+
+    /// Returns the version in force; zero for none.
+    pub fn bundle_version(&self) -> u32 {
+        with_handle!(&self.probe, handle => handle.shared.view.load().version)
+    }
+
+    /// Returns how many requests of a workspace wait for a service.
+    pub fn queued(&self, service: &str, workspace: &str) -> u32 {
+        with_handle!(&self.probe, handle => handle.shared.queued(service, workspace))
+    }
+
+    /// Returns slots leased and in use for a service.
+    pub fn slot_counts(&self, service: &str) -> (u32, u32) {
+        with_handle!(&self.probe, handle => handle.shared.slot_counts(service))
+    }
+
+    /// Returns the bytes sent and received so far that serve no caller: those between daemons, and
+    /// all.
+    pub fn control_bytes(&self) -> (u64, u64) {
+        with_handle!(&self.probe, handle => {
+            let bytes = &handle.shared.bytes;
+            let peers = bytes.peer_calls.total_bytes() + bytes.peer_served.total_bytes();
+            (peers, peers + bytes.platform.total_bytes() + bytes.claims.total_bytes())
+        })
+    }
+
+    /// Returns the events kept so far.
+    pub fn events(&self) -> Vec<Event> {
+        with_handle!(&self.probe, handle => handle.shared.events.kept())
+    }
+
+    /// Returns how many requests are open.
+    pub fn open_requests(&self) -> usize {
+        with_handle!(&self.probe, handle => {
+            handle.shared.open_requests.load(std::sync::atomic::Ordering::Acquire)
+        })
+    }
+
+    /// Stops as planned: every open request is finished first. Returns whether all were.
+    pub async fn close(self) -> bool {
+        let finished = with_handle!(&self.probe, handle => stop_as_planned(handle).await);
+        self.end();
+        finished
+    }
+
+    /// Ends at once, as a crash would.
+    pub fn kill(self) {
+        self.end();
+    }
+
+    fn end(self) {
+        self.killed.send_replace(true);
+        for thread in self.threads {
+            // A thread that panicked is over as well.
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn launch<P: SharePolicy>(
+    settings: Settings,
+    policy: P,
+    options: DaemonOptions,
+    killed: watch::Receiver<bool>,
+) -> anyhow::Result<(Handle<P>, DaemonAddresses, Vec<JoinHandle<()>>)> {
+    let callers = listen(settings.listen.callers)?;
+    let peers = listen(settings.listen.peers)?;
+    let admin = listen(settings.listen.admin)?;
+    let addresses = DaemonAddresses {
+        callers: callers.local_addr()?,
+        peers: peers.local_addr()?,
+        admin: admin.local_addr()?,
+    };
+    let traffic_threads = settings.traffic_threads;
+    let (claim_jobs, claim_queue) = mpsc::channel(CLAIM_JOBS_MAX);
+    let shared = Arc::new(Shared::new(settings, policy, options.gate, claim_jobs));
+    let domain = shared.settings.failure_domain.as_str();
+    shared
+        .events
+        .emit(EventKind::DaemonStarted, &[("failure_domain", domain)]);
+    let (stage_changed, stage_watch) = watch::channel(Stage::Starting);
+    let mut threads = Vec::new();
+    for index in 0..traffic_threads {
+        let thread = TrafficThread {
+            shared: Arc::clone(&shared),
+            listener: callers
+                .try_clone()
+                .context("cannot share the callers' listener")?,
+            stage_changed: stage_watch.clone(),
+        };
+        let killed = killed.clone();
+        threads.push(spawn_thread(format!("traffic-{index}"), killed, || {
+            run_traffic(thread)
+        })?);
+    }
+    let (started, control) = oneshot::channel();
+    let thread = ControlThread {
+        shared: Arc::clone(&shared),
+        peer_listener: peers,
+        admin_listener: admin,
+        claim_jobs: claim_queue,
+        started,
+    };
+    threads.push(spawn_thread("control".to_owned(), killed, || {
+        run_control(thread)
+    })?);
+    let control = control.await.context("the control thread ended at its start")?;
+    let handle = Handle {
+        shared,
+        control,
+        stage_changed,
+    };
+    Ok((handle, addresses, threads))
+}
+
+fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let socket = socket2::Socket::new(
+        socket2::Domain::for_address(address),
+        socket2::Type::STREAM,
+        Some(socket2::Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket
+        .bind(&address.into())
+        .with_context(|| format!("cannot listen on {address}; free the port or change the setting"))?;
+    socket.listen(1_024)?;
+    Ok(socket.into())
+}
+
+/// Runs a future on a thread with a runtime of its own, until it ends or the daemon is killed.
+fn spawn_thread<F, T>(
+    name: String,
+    mut killed: watch::Receiver<bool>,
+    make: F,
+) -> anyhow::Result<JoinHandle<()>>
+where
+    F: FnOnce() -> T + Send + 'static,
+    T: Future<Output = std::io::Result<()>>,
+{
+    let body = move || {
+        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(error) => {
+                log::error!("cannot start a runtime: {error}");
+                return;
+            }
+        };
+        let tasks = LocalSet::new();
+        runtime.block_on(tasks.run_until(async move {
+            tokio::select! {
+                ended = make() => {
+                    if let Err(error) = ended {
+                        log::error!("a thread of the daemon ended: {error}");
+                    }
+                }
+                _ = killed.wait_for(|killed| *killed) => {}
+            }
+        }));
+        drop(tasks);
+        runtime.shutdown_background();
+    };
+    std::thread::Builder::new()
+        .name(name)
+        .spawn(body)
+        .context("cannot start a thread")
+}
+
+/// Passes duties on, waits for the balancer to notice, then for every open request.
+async fn stop_as_planned<P: SharePolicy>(handle: &Handle<P>) -> bool {
+    let shared = &handle.shared;
+    let limits = &shared.settings.limits;
+    shared.stage.advance(Stage::Draining);
+    shared.events.emit(EventKind::StopBegun, &[]);
+    // The actor ends only with the daemon.
+    let _ = handle.control.send(BeginStop).await;
+    let deadline = Instant::now() + Duration::from_millis(limits.stop_max_ms);
+    sleep(Duration::from_millis(limits.stop_notice_ms)).await;
+    shared.stage.advance(Stage::Closing);
+    handle.stage_changed.send_replace(Stage::Closing);
+    while shared.open_requests.load(std::sync::atomic::Ordering::Acquire) > 0 {
+        if Instant::now() >= deadline {
+            shared.events.emit(EventKind::StopCut, &[]);
+            return false;
+        }
+        sleep(Duration::from_millis(STOP_POLL_MS)).await;
+    }
+    shared.events.emit(EventKind::StopEnded, &[]);
+    true
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/service_cell.rs
@@ -0,0 +1,186 @@
+//! One service's scheduler behind a lock, and the slots that it hands to requests.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use reedsail_core::Dispatch;
+use reedsail_core::ErrorKind;
+use reedsail_core::RetryBudget;
+use reedsail_core::Running;
+use reedsail_core::Scheduler;
+use reedsail_core::ServerKey;
+use reedsail_core::ServerSetup;
+use reedsail_core::SharePolicy;
+use reedsail_core::Ticket;
+use reedsail_core::Waiting;
+use reedsail_core::WorkspaceSetup;
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+
+/// Wakes a queued request with its slot, or with the kind of its refusal.
+pub(crate) type Waker<P> = oneshot::Sender<Result<Slot<P>, ErrorKind>>;
+
+/// One service's queues and slots on this daemon.
+#[derive(Debug)]
+pub(crate) struct ServiceCell<P: SharePolicy> {
+    scheduler: Mutex<Scheduler<P, Waker<P>>>,
+    retry_budget: Mutex<RetryBudget>,
+    clock: Clock,
+}
+
+impl<P: SharePolicy> ServiceCell<P> {
+    pub(crate) fn new(policy: P, clock: Clock) -> Self {
+        Self {
+            scheduler: Mutex::new(Scheduler::new(policy, rand::random())),
+            retry_budget: Mutex::default(),
+            clock,
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Scheduler<P, Waker<P>>> {
+        self.scheduler.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn configure(&self, servers: &[ServerSetup], workspaces: &[WorkspaceSetup]) {
+        self.lock().configure(servers, workspaces);
+    }
+
+    /// Queues a request; the receiver gets its slot.
+    pub(crate) fn submit(self: &Arc<Self>, waiting: Waiting<Waker<P>>) -> Result<QueuePlace<P>, ErrorKind> {
+        let ticket = {
+            let mut scheduler = self.lock();
+            scheduler
+                .submit(waiting, self.clock.now())
+                .map_err(|(kind, _)| kind)?
+        };
+        self.dispatch();
+        Ok(QueuePlace {
+            cell: Arc::clone(self),
+            ticket: Some(ticket),
+        })
+    }
+
+    /// Hands free slots to waiting requests.
+    ///
+    /// The wakers are called after the lock is let go, since a request that went away drops its
+    /// slot at once, and that takes the lock again.
+    pub(crate) fn dispatch(self: &Arc<Self>) {
+        let dispatches = self.lock().dispatch(self.clock.now());
+        for Dispatch { running, waker } in dispatches {
+            let slot = Slot {
+                running: Some(running),
+                cell: Arc::clone(self),
+                cost: 0.0,
+            };
+            // A request that went away hands its slot back as it drops it.
+            let _ = waker.send(Ok(slot));
+        }
+    }
+
+    /// Wakes requests whose deadline has passed, and lets lapsed leases go.
+    pub(crate) fn tick(self: &Arc<Self>, elapsed_ms: u64) {
+        let expired = self.lock().tick(self.clock.now(), elapsed_ms);
+        for waiting in expired {
+            let _ = waiting.waker.send(Err(ErrorKind::DeadlineInQueue));
+        }
+        self.dispatch();
+    }
+
+    pub(crate) fn earn_retry(&self) {
+        self.budget().earn();
+    }
+
+    pub(crate) fn spend_retry(&self) -> bool {
+        self.budget().spend()
+    }
+
+    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request's place in the queue; dropping it withdraws the request.
+#[derive(Debug)]
+pub(crate) struct QueuePlace<P: SharePolicy> {
+    cell: Arc<ServiceCell<P>>,
+    ticket: Option<Ticket>,
+}
+
+impl<P: SharePolicy> QueuePlace<P> {
+    /// Ends the place of a request that was dispatched or refused.
+    pub(crate) fn close(mut self) {
+        self.ticket = None;
+    }
+}
+
+impl<P: SharePolicy> Drop for QueuePlace<P> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            self.cell.lock().withdraw(ticket);
+        }
+    }
+}
+
+/// A slot on a backend server; dropping it frees the slot, whatever became of the request.
+#[derive(Debug)]
+pub(crate) struct Slot<P: SharePolicy> {
+    running: Option<Running>,
+    cell: Arc<ServiceCell<P>>,
+    cost: f64,
+}
+
+impl<P: SharePolicy> Slot<P> {
+    pub(crate) fn server(&self) -> Option<ServerKey> {
+        self.running.as_ref().map(|running| running.server)
+    }
+
+    /// Charges the cost that has shown so far.
+    pub(crate) fn progress(&mut self, cost: f64) {
+        self.cost = cost;
+        if let Some(running) = &mut self.running {
+            self.cell.lock().progress(running, cost);
+        }
+    }
+
+    /// Notes the cost without charging it yet.
+    pub(crate) fn note_cost(&mut self, cost: f64) {
+        self.cost = cost;
+    }
+
+    /// Moves to a server that was not tried yet; `false` if none has a free slot.
+    pub(crate) fn restart(&mut self, tried: &[ServerKey]) -> bool {
+        let Some(running) = self.running.take() else {
+            return false;
+        };
+        let outcome = self.cell.lock().restart(running, tried, self.cell.clock.now());
+        let moved = outcome.is_ok();
+        self.running = Some(outcome.unwrap_or_else(|running| running));
+        if moved {
+            self.cell.dispatch();
+        }
+        moved
+    }
+
+    /// Frees the slot of a request that was answered whole.
+    pub(crate) fn close(mut self, cost: f64) {
+        self.release(cost, true);
+    }
+
+    fn release(&mut self, cost: f64, answered: bool) {
+        if let Some(running) = self.running.take() {
+            self.cell
+                .lock()
+                .finish(running, cost, answered, self.cell.clock.now());
+            self.cell.dispatch();
+        }
+    }
+}
+
+impl<P: SharePolicy> Drop for Slot<P> {
+    fn drop(&mut self) {
+        self.release(self.cost, false);
+    }
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/shared.rs
@@ -0,0 +1,214 @@
+//! What all threads of a daemon share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use reedsail_core::Directory;
+use reedsail_core::NameHash;
+use reedsail_core::RateLimit;
+use reedsail_core::SharePolicy;
+use reedsail_core::WorkspaceKey;
+use reedsail_events::EventLog;
+use reedsail_net::ByteCounter;
+use reedsail_net::NetGate;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::claims::ClaimJob;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::stage::StageCell;
+use crate::view::View;
+
+/// Bytes that serve no caller, by kind.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ControlBytes {
+    /// Calls to other daemons.
+    pub(crate) peer_calls: ByteCounter,
+    /// Calls from other daemons.
+    pub(crate) peer_served: ByteCounter,
+    /// The bundle stream and the instance list.
+    pub(crate) platform: ByteCounter,
+    /// Claim streams.
+    pub(crate) claims: ByteCounter,
+}
+
+impl ControlBytes {
+    pub(crate) fn kinds(&self) -> [(&'static str, &ByteCounter); 4] {
+        [
+            ("peer_calls", &self.peer_calls),
+            ("peer_served", &self.peer_served),
+            ("platform", &self.platform),
+            ("claims", &self.claims),
+        ]
+    }
+}
+
+/// What all threads share; each field has its own lock or none.
+#[derive(Debug)]
+pub(crate) struct Shared<P: SharePolicy> {
+    pub(crate) settings: Settings,
+    pub(crate) policy: P,
+    pub(crate) clock: Clock,
+    pub(crate) events: EventLog,
+    pub(crate) metrics: Metrics,
+    pub(crate) gate: NetGate,
+    pub(crate) bytes: ControlBytes,
+    pub(crate) directory: ArcSwap<Directory>,
+    pub(crate) view: ArcSwap<View<P>>,
+    pub(crate) stage: StageCell,
+    pub(crate) open_requests: AtomicUsize,
+    pub(crate) claim_jobs: mpsc::Sender<ClaimJob>,
+    pub(crate) incarnation: u32,
+    pub(crate) digest_in_force: Mutex<String>,
+    rates: Mutex<HashMap<WorkspaceKey, RateLimit>>,
+}
+
+impl<P: SharePolicy> Shared<P> {
+    pub(crate) fn new(
+        settings: Settings,
+        policy: P,
+        gate: NetGate,
+        claim_jobs: mpsc::Sender<ClaimJob>,
+    ) -> Self {
+        Self {
+            events: EventLog::new(&settings.instance, settings.timeline.kept_max),
+            settings,
+            policy,
+            clock: Clock::default(),
+            metrics: Metrics::new(),
+            gate,
+            bytes: ControlBytes::default(),
+            directory: ArcSwap::default(),
+            view: ArcSwap::from_pointee(View::default()),
+            stage: StageCell::default(),
+            open_requests: AtomicUsize::new(0),
+            claim_jobs,
+            incarnation: rand::random::<u32>().max(1),
+            digest_in_force: Mutex::default(),
+            rates: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn with_directory<T>(&self, use_it: impl FnOnce(&Directory) -> T) -> T {
+        use_it(&self.directory.load())
+    }
+
+    /// Takes one request from a workspace's rate, or says when to come back.
+    pub(crate) fn take_rate(&self, workspace: WorkspaceKey, per_s: f64) -> Result<(), u64> {
+        let now = self.clock.now();
+        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+        let limit = rates
+            .entry(workspace)
+            .or_insert_with(|| RateLimit::new(per_s, per_s.max(1.0), now));
+        limit.set_rate(per_s);
+        limit.take(1.0, now)
+    }
+
+    pub(crate) fn queued(&self, service: &str, workspace: &str) -> u32 {
+        let view = self.view.load();
+        let key = self.with_directory(|directory| directory.workspaces.find(NameHash::of(workspace)));
+        let found = view.services().find(|(_, found)| found.name == service);
+        match (found, key) {
+            (Some((_, found)), Some(key)) => found.cell.lock().queue().queued_of(key),
+            _ => 0,
+        }
+    }
+
+    pub(crate) fn slot_counts(&self, service: &str) -> (u32, u32) {
+        let view = self.view.load();
+        let found = view.services().find(|(_, found)| found.name == service);
+        found.map_or((0, 0), |(_, found)| found.cell.lock().slot_counts())
+    }
+
+    /// Opens a request; it counts until the guard is dropped.
+    pub(crate) fn open_request(self: &Arc<Self>) -> OpenRequest<P> {
+        self.open_requests.fetch_add(1, Ordering::AcqRel);
+        OpenRequest(Arc::clone(self))
+    }
+
+    pub(crate) fn status(&self, members: usize, alive_daemons: usize) -> Status {
+        let view = self.view.load();
+        let services = view
+            .services()
+            .map(|(_, service)| {
+                let scheduler = service.cell.lock();
+                let (leased, in_use) = scheduler.slot_counts();
+                ServiceStatus {
+                    name: service.name.clone(),
+                    queued: scheduler.queue().queued(),
+                    slots_leased: leased,
+                    slots_in_use: in_use,
+                }
+            })
+            .collect();
+        Status {
+            instance: self.settings.instance.clone(),
+            failure_domain: self.settings.failure_domain.clone(),
+            stage: self.stage.get().name().to_owned(),
+            bundle_version: view.version,
+            bundle_digest: self
+                .digest_in_force
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone(),
+            open_requests: self.open_requests.load(Ordering::Acquire),
+            members,
+            alive_daemons,
+            services,
+        }
+    }
+}
+
+/// Counts an open request; a planned stop waits for all of them.
+#[derive(Debug)]
+pub(crate) struct OpenRequest<P: SharePolicy>(Arc<Shared<P>>);
+
+impl<P: SharePolicy> Drop for OpenRequest<P> {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// What `reedsail fleet status` shows of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The instance.
+    pub instance: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Its stage.
+    pub stage: String,
+    /// The version in force.
+    pub bundle_version: u32,
+    /// The digest of its content.
+    pub bundle_digest: String,
+    /// Requests open.
+    pub open_requests: usize,
+    /// Members that it leases slots to.
+    pub members: usize,
+    /// Daemons that it sees alive, itself included.
+    pub alive_daemons: usize,
+    /// Its services.
+    pub services: Vec<ServiceStatus>,
+}
+
+/// One service on one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// The service.
+    pub name: String,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Slots leased to the daemon.
+    pub slots_leased: u32,
+    /// Slots in use.
+    pub slots_in_use: u32,
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/traffic/call.rs
@@ -0,0 +1,185 @@
+//! A request that was read and checked, ready to be queued.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::body::Incoming;
+use reedsail_bundle::KeyRule;
+use reedsail_bundle::Repeat;
+use reedsail_core::ClaimKey;
+use reedsail_core::Class;
+use reedsail_core::ErrorKind;
+use reedsail_core::SharePolicy;
+use reedsail_core::TimeMs;
+use reedsail_core::WorkspaceKey;
+use uuid::Uuid;
+
+use super::chat::ChatHead;
+use super::headers;
+use crate::clock::Clock;
+use crate::shared::Shared;
+use crate::stage::Stage;
+use crate::view::ServiceView;
+use crate::view::View;
+
+/// The path of model services.
+const CHAT_PATH: &str = "/v1/chat/completions";
+/// How far a key's time may lie ahead of this daemon's clock.
+const KEY_AHEAD_MAX_MS: u64 = 60_000;
+
+/// A refusal before anything was queued, with when to come back where that is known.
+pub(crate) type Refusal = (ErrorKind, Option<u64>);
+
+/// A request ready to be queued.
+#[derive(Debug)]
+pub(crate) struct Call<P: SharePolicy> {
+    pub(crate) id: String,
+    pub(crate) workspace: WorkspaceKey,
+    pub(crate) workspace_name: String,
+    pub(crate) service: Arc<ServiceView<P>>,
+    pub(crate) class: Class,
+    pub(crate) admitted_at: TimeMs,
+    pub(crate) deadline: TimeMs,
+    pub(crate) repeat: Repeat,
+    pub(crate) key: Option<ClaimKey>,
+    pub(crate) method: Method,
+    pub(crate) path_and_query: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) prefix: Option<u64>,
+    /// A chat whose answer is wanted as a stream of events.
+    pub(crate) wants_stream: bool,
+}
+
+/// Reads and checks a request.
+pub(crate) async fn read_call<P: SharePolicy>(
+    shared: &Shared<P>,
+    request: Request<Incoming>,
+    id: String,
+) -> Result<Call<P>, Refusal> {
+    let view = shared.view.load_full();
+    check_stage(shared, &view)?;
+    let (parts, body) = request.into_parts();
+    check_header_size(&parts.headers, shared.settings.limits.header_bytes_max)?;
+    let digest = headers::key_digest(&parts.headers).ok_or((ErrorKind::UnknownKey, None))?;
+    let (workspace, described) = view.identify(&digest).ok_or((ErrorKind::UnknownKey, None))?;
+    let path = parts.uri.path();
+    let is_chat = path == CHAT_PATH;
+    let plain_service = view.service_of_path(path).cloned();
+    if !is_chat && plain_service.is_none() {
+        return Err((ErrorKind::UnknownRoute, None));
+    }
+    if is_chat && parts.method != Method::POST {
+        return Err((ErrorKind::MethodNotAllowed, None));
+    }
+    let limits = &shared.settings.limits;
+    let class =
+        headers::class(&parts.headers, described.workspace.default_class).map_err(|kind| (kind, None))?;
+    let deadline_ms =
+        headers::deadline_ms(&parts.headers, limits.deadline_default_ms, limits.deadline_max_ms)
+            .map_err(|kind| (kind, None))?;
+    if let Some(per_s) = described.workspace.limits.requests_per_s {
+        shared
+            .take_rate(workspace, per_s)
+            .map_err(|after_ms| (ErrorKind::RateLimited, Some(after_ms)))?;
+    }
+    let body = read_body(body, limits.body_bytes_max).await?;
+    let mut prefix = None;
+    let mut wants_stream = false;
+    let service = match plain_service {
+        Some(service) if !is_chat => service,
+        _ => {
+            let head: ChatHead<'_> = serde_json::from_slice(&body).map_err(|_| (ErrorKind::BadJson, None))?;
+            prefix = head.prefix();
+            wants_stream = head.stream;
+            let found = view.service_of_model(&head.model);
+            Arc::clone(found.ok_or((ErrorKind::UnknownModel, None))?)
+        }
+    };
+    let (repeat, key_rule) = service.service.rule_for(parts.method.as_str(), path);
+    let key = match repeat {
+        Repeat::Never => read_key(&parts.headers, key_rule, shared.settings.claims.retention_ms)?,
+        Repeat::Allowed => None,
+    };
+    let now = shared.clock.now();
+    let mut passed_on = HeaderMap::new();
+    headers::pass_on(&parts.headers, &mut passed_on);
+    Ok(Call {
+        id,
+        workspace,
+        workspace_name: described.name.clone(),
+        class,
+        admitted_at: now,
+        deadline: now.plus_ms(deadline_ms),
+        repeat,
+        key,
+        path_and_query: parts
+            .uri
+            .path_and_query()
+            .map_or_else(|| path.to_owned(), ToString::to_string),
+        method: parts.method,
+        headers: passed_on,
+        body,
+        prefix,
+        wants_stream,
+        service,
+    })
+}
+
+fn check_stage<P: SharePolicy>(shared: &Shared<P>, view: &View<P>) -> Result<(), Refusal> {
+    match shared.stage.get() {
+        Stage::Starting => Err((ErrorKind::NotReady, None)),
+        Stage::Closing => Err((ErrorKind::Stopping, None)),
+        Stage::Ready | Stage::Draining if view.version == 0 => Err((ErrorKind::NotReady, None)),
+        Stage::Ready | Stage::Draining => Ok(()),
+    }
+}
+
+fn check_header_size(headers: &HeaderMap, most_bytes: usize) -> Result<(), Refusal> {
+    let size: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    if size > most_bytes {
+        return Err((ErrorKind::HeaderTooLarge, None));
+    }
+    Ok(())
+}
+
+async fn read_body(body: Incoming, most_bytes: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, most_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err((ErrorKind::BodyTooLarge, None)),
+        Err(_) => Err((ErrorKind::BodyIncomplete, None)),
+    }
+}
+
+/// Reads the key of a call that may not be repeated; it carries its time (`UUIDv7`, RFC 9562), so
+/// that a key which the log may have forgotten can be told.
+fn read_key(headers: &HeaderMap, rule: KeyRule, retention_ms: u64) -> Result<Option<ClaimKey>, Refusal> {
+    let Some(value) = headers::idempotency_key(headers) else {
+        return match rule {
+            KeyRule::Required => Err((ErrorKind::KeyRequired, None)),
+            KeyRule::Optional => Ok(None),
+        };
+    };
+    let parsed = value.to_str().ok().and_then(|text| Uuid::parse_str(text).ok());
+    let Some(uuid) = parsed.filter(|uuid| uuid.get_version_num() == 7) else {
+        return Err((ErrorKind::KeyMalformed, None));
+    };
+    let key = ClaimKey(uuid.as_u128());
+    let now_ms = Clock::unix_ms();
+    if key.made_at_unix_ms() > now_ms + KEY_AHEAD_MAX_MS {
+        return Err((ErrorKind::KeyFromFuture, None));
+    }
+    if key.made_at_unix_ms() + retention_ms < now_ms {
+        return Err((ErrorKind::KeyExpired, None));
+    }
+    Ok(Some(key))
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/traffic/claim.rs
@@ -0,0 +1,90 @@
+//! Claims a call's key before it runs, and records its end.
+
+use reedsail_core::ClaimKey;
+use reedsail_core::ErrorKind;
+use reedsail_core::Nonce;
+use reedsail_core::SharePolicy;
+use reedsail_events::EventKind;
+use reedsail_wire::ClaimEnd;
+use reedsail_wire::ClaimRequest;
+use reedsail_wire::ClaimVerdict;
+use tokio::sync::oneshot;
+
+use super::call::Call;
+use super::outcome::Failure;
+use super::outcome::Unsent;
+use crate::claims::ClaimJob;
+use crate::shared::Shared;
+
+/// A key that this call holds. Its end must be recorded with [`HeldClaim::close`].
+#[derive(Debug)]
+pub(crate) struct HeldClaim {
+    key: ClaimKey,
+    nonce: Nonce,
+}
+
+impl HeldClaim {
+    /// Records how the call ended; `None` if it was never sent, so that it may be tried again.
+    pub(crate) async fn close<P: SharePolicy>(self, shared: &Shared<P>, status: Option<u16>) {
+        record_end(shared, self.key, self.nonce, status.unwrap_or(0)).await;
+    }
+}
+
+/// Claims the key of a call, if it has one.
+pub(crate) async fn claim_key<P: SharePolicy>(
+    shared: &Shared<P>,
+    call: &Call<P>,
+    unsent: Unsent,
+) -> Result<(Unsent, Option<HeldClaim>), Failure> {
+    let Some(key) = call.key else {
+        return Ok((unsent, None));
+    };
+    let nonce = Nonce(rand::random());
+    let verdict = ask(shared, ClaimRequest { key, nonce }).await;
+    let name = verdict_name(verdict);
+    shared.metrics.claims.with_label_values(&[name]).inc();
+    if shared.settings.timeline.requests {
+        let fields = [("request", call.id.as_str()), ("verdict", name)];
+        shared.events.emit(EventKind::ClaimSettled, &fields);
+    }
+    match verdict {
+        ClaimVerdict::Held => Ok((unsent, Some(HeldClaim { key, nonce }))),
+        ClaimVerdict::InUse => Err(unsent.refuse(ErrorKind::KeyInUse)),
+        ClaimVerdict::Ended(status) => Err(unsent.refuse(ErrorKind::KeyAlreadyRan).with_first_status(status)),
+        ClaimVerdict::Unavailable => Err(unsent.refuse(ErrorKind::ClaimUnavailable)),
+        ClaimVerdict::Unsettled => {
+            // The claim may stand in the log although nothing was sent: give the key free again.
+            record_end(shared, key, nonce, 0).await;
+            Err(unsent.refuse(ErrorKind::ClaimUnavailable))
+        }
+    }
+}
+
+async fn ask<P: SharePolicy>(shared: &Shared<P>, request: ClaimRequest) -> ClaimVerdict {
+    let (reply, answer) = oneshot::channel();
+    if shared
+        .claim_jobs
+        .send(ClaimJob::Claim(request, reply))
+        .await
+        .is_err()
+    {
+        return ClaimVerdict::Unavailable;
+    }
+    answer.await.unwrap_or(ClaimVerdict::Unsettled)
+}
+
+async fn record_end<P: SharePolicy>(shared: &Shared<P>, key: ClaimKey, nonce: Nonce, status: u16) {
+    let end = ClaimEnd { key, nonce, status };
+    // Without a control thread there is nobody left to tell; the key then stays in use, never free.
+    let _ = shared.claim_jobs.send(ClaimJob::End(end)).await;
+}
+
+fn verdict_name(verdict: ClaimVerdict) -> &'static str {
+    match verdict {
+        ClaimVerdict::Held => "held",
+        ClaimVerdict::InUse => "in_use",
+        ClaimVerdict::Ended(_) => "ended",
+        ClaimVerdict::Unavailable => "unavailable",
+        ClaimVerdict::Unsettled => "unsettled",
+    }
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/traffic/relay.rs
@@ -0,0 +1,132 @@
+//! Brings a backend server's answer to the caller.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use reedsail_bundle::CostUnit;
+use reedsail_core::ErrorKind;
+use reedsail_core::ServerKey;
+use reedsail_core::SharePolicy;
+use tokio::time::timeout_at;
+
+use super::answer::AnswerBody;
+use super::answer::RAN_HEADER;
+use super::backend::Answering;
+use super::call::Call;
+use super::chat::whole_answer_tokens;
+use super::headers;
+use super::outcome::Failure;
+use super::pool::Pool;
+use crate::service_cell::Slot;
+use crate::shared::Shared;
+
+/// Tells whether the answer is a stream of events that passes token by token.
+pub(crate) fn is_stream<P: SharePolicy>(call: &Call<P>, answering: &Answering) -> bool {
+    let content_type = answering.response.headers().get(CONTENT_TYPE);
+    let is_events = content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+    call.wants_stream && is_events && answering.response.status() == StatusCode::OK
+}
+
+/// Reads a whole answer, so that the caller gets all of it or an error.
+pub(crate) async fn relay_whole<P: SharePolicy>(
+    shared: &Shared<P>,
+    pool: &Pool,
+    call: &Call<P>,
+    slot: Slot<P>,
+    answering: Answering,
+) -> Result<Response<AnswerBody>, Failure> {
+    let started = shared.clock.now();
+    let (parts, body) = answering.response.into_parts();
+    note_hints(shared, call, answering.server, &parts.headers);
+    let limits = &shared.settings.limits;
+    let end = started.plus_ms(limits.stall_max_ms).max(call.deadline);
+    let reading = Limited::new(body, limits.answer_bytes_max).collect();
+    let body = match timeout_at(shared.clock.instant(end), reading).await {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return Err(answering.sent.fail(ErrorKind::AnswerTooLarge));
+        }
+        Ok(Err(_)) => {
+            call.service
+                .cell
+                .lock()
+                .record_failure(answering.server, shared.clock.now());
+            return Err(answering.sent.fail(ErrorKind::AnswerIncomplete));
+        }
+        Err(_) => return Err(answering.sent.fail(ErrorKind::DeadlineAfterSend)),
+    };
+    pool.give_back(answering.address, answering.connection);
+    let cost = whole_cost(shared, call, &body);
+    slot.close(cost);
+    Ok(answer_from(
+        parts.status,
+        &parts.headers,
+        &call.id,
+        Either::Left(Full::new(body)),
+    ))
+}
+
+/// Makes an answer with the backend server's status and headers.
+pub(crate) fn answer_from(
+    status: StatusCode,
+    from: &HeaderMap,
+    id: &str,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    headers::pass_on(from, response.headers_mut());
+    response
+        .headers_mut()
+        .insert(RAN_HEADER, HeaderValue::from_static("ran"));
+    if let Ok(id) = HeaderValue::from_str(id) {
+        response.headers_mut().insert(headers::REQUEST_ID_HEADER, id);
+    }
+    response
+}
+
+fn whole_cost<P: SharePolicy>(shared: &Shared<P>, call: &Call<P>, body: &Bytes) -> f64 {
+    match call.service.service.cost_unit {
+        CostUnit::Tokens => whole_answer_tokens(body).unwrap_or(0) as f64,
+        CostUnit::Requests => 1.0,
+        CostUnit::Milliseconds => shared.clock.now().since_ms(call.admitted_at).max(1) as f64,
+    }
+}
+
+/// Takes in what a server's answer says, late, of its load and its cache.
+pub(crate) fn note_hints<P: SharePolicy>(
+    shared: &Shared<P>,
+    call: &Call<P>,
+    server: ServerKey,
+    headers: &HeaderMap,
+) {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let mut scheduler = None;
+    if let Some((running, waiting, slots)) = text("x-load").and_then(parse_load) {
+        let busy_ratio = (running + waiting) / slots.max(1.0);
+        scheduler
+            .get_or_insert_with(|| call.service.cell.lock())
+            .record_load(server, busy_ratio);
+    }
+    if let Some(prefix) = text("x-prefix-dropped").and_then(|text| u64::from_str_radix(text, 16).ok()) {
+        scheduler
+            .get_or_insert_with(|| call.service.cell.lock())
+            .record_cache_event(server, prefix, false, shared.clock.now());
+    }
+}
+
+fn parse_load(text: &str) -> Option<(f64, f64, f64)> {
+    let mut numbers = text.split('/').map(|part| part.parse::<u32>().ok());
+    let running = numbers.next()??;
+    let waiting = numbers.next()??;
+    let slots = numbers.next()??;
+    Some((f64::from(running), f64::from(waiting), f64::from(slots)))
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/traffic/serve.rs
@@ -0,0 +1,162 @@
+//! One request from its head to its answer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use reedsail_bundle::Repeat;
+use reedsail_core::ErrorKind;
+use reedsail_core::SharePolicy;
+use reedsail_events::EventKind;
+
+use super::answer::AnswerBody;
+use super::answer::failure_answer;
+use super::backend::send_call;
+use super::call::Call;
+use super::call::read_call;
+use super::claim::claim_key;
+use super::outcome::Failure;
+use super::outcome::Unsent;
+use super::pool::Pool;
+use super::queueing::wait_for_slot;
+use super::relay::is_stream;
+use super::relay::relay_whole;
+use super::stream::relay_stream;
+use crate::shared::OpenRequest;
+use crate::shared::Shared;
+
+/// Numbers the requests of a process.
+static REQUESTS: AtomicU64 = AtomicU64::new(1);
+
+/// Serves one request; every failure becomes an answer.
+pub(crate) async fn serve_request<P: SharePolicy>(
+    shared: Arc<Shared<P>>,
+    pool: Arc<Pool>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let open = shared.open_request();
+    let number = REQUESTS.fetch_add(1, Ordering::Relaxed);
+    let id = format!("{}-{:08x}-{number}", shared.settings.instance, shared.incarnation);
+    let outcome = match read_call(&shared, request, id.clone()).await {
+        Ok(call) => run_call(&shared, &pool, call, open).await,
+        Err((kind, after_ms)) => {
+            let failure = Unsent::new().refuse(kind);
+            Err(after_ms.map_or(failure, |after_ms| failure.with_retry_after_ms(after_ms)))
+        }
+    };
+    Ok(outcome.unwrap_or_else(|failure| {
+        note_failure(&shared, &id, &failure);
+        failure_answer(&failure, &id)
+    }))
+}
+
+/// Runs a call that was read. One that may not be repeated runs in a task of its own, so that its
+/// end is recorded even if the caller goes away.
+async fn run_call<P: SharePolicy>(
+    shared: &Arc<Shared<P>>,
+    pool: &Arc<Pool>,
+    call: Call<P>,
+    open: OpenRequest<P>,
+) -> Result<Response<AnswerBody>, Failure> {
+    let labels = [call.service.name.as_str(), call.class.name()];
+    shared.metrics.requests.with_label_values(&labels).inc();
+    call.service.cell.earn_retry();
+    if shared.settings.timeline.requests {
+        let fields = [
+            ("request", call.id.as_str()),
+            ("workspace", &call.workspace_name),
+            ("service", &call.service.name),
+        ];
+        shared.events.emit(EventKind::RequestAdmitted, &fields);
+    }
+    if call.repeat == Repeat::Allowed {
+        return forward(Arc::clone(shared), Arc::clone(pool), call, Unsent::new(), open).await;
+    }
+    let task = tokio::spawn(run_once(Arc::clone(shared), Arc::clone(pool), call, open));
+    match task.await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(Unsent::new().send().fail(ErrorKind::BackendFailed)),
+    }
+}
+
+/// Runs a call that may not be repeated, under its claim if it has a key.
+async fn run_once<P: SharePolicy>(
+    shared: Arc<Shared<P>>,
+    pool: Arc<Pool>,
+    call: Call<P>,
+    open: OpenRequest<P>,
+) -> Result<Response<AnswerBody>, Failure> {
+    let (unsent, claim) = claim_key(&shared, &call, Unsent::new()).await?;
+    let outcome = forward(Arc::clone(&shared), pool, call, unsent, open).await;
+    if let Some(claim) = claim {
+        match &outcome {
+            Ok(answer) => claim.close(&shared, Some(answer.status().as_u16())).await,
+            Err(failure) if failure.ran() == reedsail_core::RanState::NotRun => {
+                claim.close(&shared, None).await
+            }
+            // With no known end the key stays in use: a repeat is told so, and never run.
+            Err(_) => drop(claim),
+        }
+    }
+    outcome
+}
+
+/// Queues a call, sends it and brings the answer back.
+async fn forward<P: SharePolicy>(
+    shared: Arc<Shared<P>>,
+    pool: Arc<Pool>,
+    call: Call<P>,
+    unsent: Unsent,
+    open: OpenRequest<P>,
+) -> Result<Response<AnswerBody>, Failure> {
+    let mut slot = match wait_for_slot(&shared, &call).await {
+        Ok(slot) => slot,
+        Err(kind) => return Err(unsent.refuse(kind)),
+    };
+    note_dispatch(&shared, &call, slot.server());
+    let answering = send_call(&shared, &pool, &call, &mut slot, unsent, 0, Vec::new()).await?;
+    let first_byte_ms = shared.clock.now().since_ms(call.admitted_at);
+    shared
+        .metrics
+        .first_byte
+        .with_label_values(&[call.service.name.as_str(), call.class.name()])
+        .observe(first_byte_ms as f64 / 1_000.0);
+    if is_stream(&call, &answering) {
+        return Ok(relay_stream(shared, pool, call, slot, answering, open));
+    }
+    let answer = relay_whole(&shared, &pool, &call, slot, answering).await?;
+    if shared.settings.timeline.requests {
+        let status = answer.status().as_str().to_owned();
+        let fields = [("request", call.id.as_str()), ("status", status.as_str())];
+        shared.events.emit(EventKind::RequestAnswered, &fields);
+    }
+    shared.metrics.answers.with_label_values(&["answered"]).inc();
+    Ok(answer)
+}
+
+fn note_dispatch<P: SharePolicy>(
+    shared: &Shared<P>,
+    call: &Call<P>,
+    server: Option<reedsail_core::ServerKey>,
+) {
+    if !shared.settings.timeline.requests {
+        return;
+    }
+    let server = server.and_then(|server| call.service.servers.get(&server));
+    let name = server.map_or("unknown", |server| server.name.as_str());
+    let fields = [("request", call.id.as_str()), ("server", name)];
+    shared.events.emit(EventKind::RequestDispatched, &fields);
+}
+
+fn note_failure<P: SharePolicy>(shared: &Shared<P>, id: &str, failure: &Failure) {
+    let kind = failure.kind().name();
+    shared.metrics.answers.with_label_values(&[kind]).inc();
+    if shared.settings.timeline.requests {
+        let fields = [("request", id), ("kind", kind), ("ran", failure.ran().as_str())];
+        shared.events.emit(EventKind::RequestFailed, &fields);
+    }
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/traffic/stream.rs
@@ -0,0 +1,215 @@
+//! Passes a stream of events on, token by token, and resumes it elsewhere when it breaks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::channel::Channel;
+use http_body_util::channel::Sender;
+use hyper::Response;
+use hyper::body::Incoming;
+use reedsail_bundle::CostUnit;
+use reedsail_core::SharePolicy;
+use reedsail_events::EventKind;
+use tokio::time::timeout;
+
+use super::answer::AnswerBody;
+use super::answer::AnswerBroken;
+use super::backend::Answering;
+use super::backend::send_call;
+use super::call::Call;
+use super::chat::EventSplitter;
+use super::chat::StreamEvent;
+use super::chat::read_event;
+use super::outcome::Unsent;
+use super::pool::Pool;
+use super::relay::answer_from;
+use super::relay::note_hints;
+use crate::service_cell::Slot;
+use crate::shared::OpenRequest;
+use crate::shared::Shared;
+
+/// The length of the queue between the two sides, in events.
+const EVENTS_QUEUED_MAX: usize = 32;
+/// How often tokens are charged while a stream runs.
+const TOKENS_PER_CHARGE: u64 = 8;
+/// How often a stream may be resumed.
+const RESUMES_MAX: usize = 3;
+/// The largest event.
+const EVENT_BYTES_MAX: usize = 1 << 20;
+
+/// How a part of a stream ended.
+enum PartEnd {
+    /// The stream is whole.
+    Whole,
+    /// It broke off; it may go on elsewhere.
+    Broken,
+    /// The caller went away.
+    CallerGone,
+}
+
+/// A stream under way.
+struct StreamRelay<P: SharePolicy> {
+    shared: Arc<Shared<P>>,
+    pool: Arc<Pool>,
+    call: Call<P>,
+    slot: Slot<P>,
+    sender: Sender<Bytes, AnswerBroken>,
+    splitter: EventSplitter,
+    tokens: u64,
+    done: bool,
+}
+
+/// Starts to pass a stream on, and returns the answer whose body it feeds.
+pub(crate) fn relay_stream<P: SharePolicy>(
+    shared: Arc<Shared<P>>,
+    pool: Arc<Pool>,
+    call: Call<P>,
+    slot: Slot<P>,
+    answering: Answering,
+    open: OpenRequest<P>,
+) -> Response<AnswerBody> {
+    let (sender, body) = Channel::new(EVENTS_QUEUED_MAX);
+    let headers = answering.response.headers();
+    let answer = answer_from(
+        answering.response.status(),
+        headers,
+        &call.id,
+        Either::Right(body),
+    );
+    note_hints(&shared, &call, answering.server, headers);
+    let relay = StreamRelay {
+        shared,
+        pool,
+        call,
+        slot,
+        sender,
+        splitter: EventSplitter::default(),
+        tokens: 0,
+        done: false,
+    };
+    tokio::spawn(async move {
+        relay.run(answering).await;
+        drop(open);
+    });
+    answer
+}
+
+impl<P: SharePolicy> StreamRelay<P> {
+    async fn run(mut self, first: Answering) {
+        let mut answering = first;
+        for _ in 0..=RESUMES_MAX {
+            let server = answering.server;
+            let mut body = answering.response.into_body();
+            match self.pass_part(&mut body).await {
+                PartEnd::Whole => {
+                    self.pool.give_back(answering.address, answering.connection);
+                    self.finish();
+                    return;
+                }
+                PartEnd::CallerGone => {
+                    // Dropping the connection cancels the stream on the engine.
+                    self.emit(EventKind::CallerGone);
+                    return;
+                }
+                PartEnd::Broken => {}
+            }
+            drop(body);
+            drop(answering.connection);
+            self.call
+                .service
+                .cell
+                .lock()
+                .record_failure(server, self.shared.clock.now());
+            let Some(resumed) = self.resume(server).await else {
+                break;
+            };
+            answering = resumed;
+        }
+        self.emit(EventKind::RequestFailed);
+        self.sender.abort(AnswerBroken);
+    }
+
+    /// Passes events on until the stream ends, breaks or is no longer wanted.
+    async fn pass_part(&mut self, body: &mut Incoming) -> PartEnd {
+        let stall = Duration::from_millis(self.shared.settings.limits.stall_max_ms);
+        loop {
+            let frame = match timeout(stall, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) if self.done => return PartEnd::Whole,
+                Ok(None | Some(Err(_))) | Err(_) => return PartEnd::Broken,
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            for event in self.splitter.push(&data) {
+                self.note_event(&event);
+                if self.sender.send_data(Bytes::from(event)).await.is_err() {
+                    return PartEnd::CallerGone;
+                }
+            }
+            if self.splitter.partial_bytes() > EVENT_BYTES_MAX {
+                return PartEnd::Broken;
+            }
+        }
+    }
+
+    fn note_event(&mut self, event: &[u8]) {
+        match read_event(event) {
+            StreamEvent::Token => self.tokens += 1,
+            StreamEvent::Usage(tokens) => self.tokens = self.tokens.max(tokens),
+            StreamEvent::Done => self.done = true,
+            StreamEvent::Other => return,
+        }
+        if self.call.service.service.cost_unit != CostUnit::Tokens {
+            return;
+        }
+        let cost = self.tokens as f64;
+        if self.tokens.is_multiple_of(TOKENS_PER_CHARGE) {
+            self.slot.progress(cost);
+        } else {
+            self.slot.note_cost(cost);
+        }
+    }
+
+    /// Asks another server to go on after the last token that was delivered.
+    async fn resume(&mut self, broken: reedsail_core::ServerKey) -> Option<Answering> {
+        self.splitter.clear();
+        let tried = vec![broken];
+        if !self.slot.restart(&tried) && !self.call.service.cell.spend_retry() {
+            return None;
+        }
+        let resumed = send_call(
+            &self.shared,
+            &self.pool,
+            &self.call,
+            &mut self.slot,
+            Unsent::new(),
+            self.tokens,
+            tried,
+        )
+        .await
+        .ok()?;
+        self.emit(EventKind::StreamResumed);
+        Some(resumed)
+    }
+
+    fn finish(self) {
+        let cost = match self.call.service.service.cost_unit {
+            CostUnit::Tokens => self.tokens as f64,
+            CostUnit::Requests => 1.0,
+            CostUnit::Milliseconds => self.shared.clock.now().since_ms(self.call.admitted_at) as f64,
+        };
+        self.emit(EventKind::RequestAnswered);
+        self.shared.metrics.answers.with_label_values(&["answered"]).inc();
+        self.slot.close(cost);
+    }
+
+    fn emit(&self, kind: EventKind) {
+        if self.shared.settings.timeline.requests {
+            let tokens = self.tokens.to_string();
+            let fields = [("request", self.call.id.as_str()), ("tokens", &tokens)];
+            self.shared.events.emit(kind, &fields);
+        }
+    }
+}
--- /dev/null
+++ b/crates/reedsail_daemon/src/traffic/thread.rs
@@ -0,0 +1,81 @@
+//! Takes callers' connections on one thread.
+
+use std::sync::Arc;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use reedsail_core::SharePolicy;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use super::pool::Pool;
+use super::serve::serve_request;
+use crate::shared::Shared;
+use crate::stage::Stage;
+
+/// What a traffic thread is given.
+pub(crate) struct TrafficThread<P: SharePolicy> {
+    pub(crate) shared: Arc<Shared<P>>,
+    pub(crate) listener: std::net::TcpListener,
+    /// Changes when the daemon's stage does.
+    pub(crate) stage_changed: watch::Receiver<Stage>,
+}
+
+/// Serves callers until the daemon closes.
+///
+/// # Errors
+/// The system's, when the listener cannot be used.
+pub(crate) async fn run_traffic<P: SharePolicy>(thread: TrafficThread<P>) -> std::io::Result<()> {
+    let listener = TcpListener::from_std(thread.listener)?;
+    let pool = Arc::new(Pool::default());
+    let mut closing = thread.stage_changed.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    let shared = Arc::clone(&thread.shared);
+                    let pool = Arc::clone(&pool);
+                    tokio::spawn(serve_connection(shared, pool, stream, thread.stage_changed.clone()));
+                }
+            }
+            changed = closing.wait_for(|stage| *stage == Stage::Closing) => {
+                let _ = changed;
+                break;
+            }
+        }
+    }
+    drop(listener);
+    // Open connections end by themselves; the daemon waits for their requests.
+    std::future::pending().await
+}
+
+/// Serves one connection. Once the daemon closes, the request under way is the last.
+async fn serve_connection<P: SharePolicy>(
+    shared: Arc<Shared<P>>,
+    pool: Arc<Pool>,
+    stream: TcpStream,
+    mut stage_changed: watch::Receiver<Stage>,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let header_bytes_max = shared.settings.limits.header_bytes_max;
+    let service = service_fn(|request| serve_request(Arc::clone(&shared), Arc::clone(&pool), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .max_buf_size(header_bytes_max.max(8_192) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A connection that breaks shows at its requests.
+        _ = connection.as_mut() => return,
+        changed = stage_changed.wait_for(|stage| *stage == Stage::Closing) => {
+            let _ = changed;
+        }
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
--- a/crates/reedsail_net/src/net_gate.rs
+++ b/crates/reedsail_net/src/net_gate.rs
@@ -22,6 +22,7 @@
 struct Rules {
     groups: HashMap<String, String>,
     cuts: HashSet<(String, String)>,
+    frozen: HashSet<String>,
 }
 
 impl NetGate {
@@ -49,6 +50,27 @@
         });
     }
 
+    /// Has a party's control thread stand still, or go on.
+    pub fn freeze(&self, party: &str, on: bool) {
+        self.change(|rules| {
+            if on {
+                rules.frozen.insert(party.to_owned());
+            } else {
+                rules.frozen.remove(party);
+            }
+        });
+        self.0.used.store(true, Ordering::Release);
+    }
+
+    /// Tells whether a party is to stand still.
+    pub fn is_frozen(&self, party: &str) -> bool {
+        if !self.0.used.load(Ordering::Acquire) {
+            return false;
+        }
+        let rules = self.0.rules.lock().unwrap_or_else(PoisonError::into_inner);
+        rules.frozen.contains(party)
+    }
+
     /// Tells whether a message from one party to another is lost.
     pub fn is_cut(&self, from: &str, to: &str) -> bool {
         if !self.0.used.load(Ordering::Acquire) {
--- a/crates/reedsail_platform/src/message.rs
+++ b/crates/reedsail_platform/src/message.rs
@@ -57,6 +57,8 @@
     Live,
     /// It is about to go.
     Leaving,
+    /// It is gone.
+    Gone,
 }
 
 /// One row of the instance list.
--- a/crates/reedsail_standin/src/engine.rs
+++ b/crates/reedsail_standin/src/engine.rs
@@ -359,7 +359,7 @@
         let (cached, dropped) = cache.0.touch(prefix);
         if let Some(dropped) = dropped {
             cache.2 += 1;
-            if cache.2 % 4 != 0 {
+            if !cache.2.is_multiple_of(4) {
                 cache.1.push_back(dropped);
             }
         }
--- a/crates/reedsail_standin/src/http_server.rs
+++ b/crates/reedsail_standin/src/http_server.rs
@@ -34,7 +34,7 @@
 impl std::error::Error for StandinError {}
 
 /// What a stand-in does with a request.
-pub(crate) trait Handler: Clone + Send + 'static {
+pub(crate) trait Handler: Clone + Send + Sync + 'static {
     fn handle(
         &self,
         request: Request<Incoming>,
--- a/crates/reedsail_wire/schema/peer.capnp
+++ b/crates/reedsail_wire/schema/peer.capnp
@@ -35,6 +35,7 @@
   leaving       @4 :Bool;
   services      @5 :List(ServiceReport);
   suspects      @6 :List(UInt32);
+  serversLeaving @7 :List(UInt32);
 }
 
 struct LeaseRow {
@@ -49,10 +50,9 @@
 
 struct ServiceGrant {
   service      @0 :UInt32;
-  redirect     @1 :UInt32;  # who the sender takes for the allocator, or 0
-  base         @2 :Float64;
-  leases       @3 :List(LeaseRow);
-  virtualTimes @4 :List(VirtualTimeRow);
+  base         @1 :Float64;
+  leases       @2 :List(LeaseRow);
+  virtualTimes @3 :List(VirtualTimeRow);
 }
 
 struct Grant {
@@ -85,6 +85,12 @@
   content @1 :Data;         # a checkpoint record of the bundle stream
 }
 
+struct ClaimBatch {         # one record of a claim stream
+  id     @0 :UInt64;        # tells a record from its own second copy
+  claims @1 :List(Claim);
+  ends   @2 :List(ClaimEnd);
+}
+
 interface Peer {
   exchange @0 (report :Report) -> (grant :Grant);
   claim    @1 (claims :List(Claim), ends :List(ClaimEnd)) -> (verdicts :List(ClaimVerdict));
--- a/crates/reedsail_wire/src/grant.rs
+++ b/crates/reedsail_wire/src/grant.rs
@@ -21,10 +21,9 @@
     builder.set_next_report_ms(grant.next_report_ms);
     builder.set_lease_ms(grant.lease_ms);
     let mut services = builder.reborrow().init_services(grant.services.len() as u32);
-    for (index, (service, redirect, row)) in grant.services.iter().enumerate() {
+    for (index, (service, row)) in grant.services.iter().enumerate() {
         let mut service_builder = services.reborrow().get(index as u32);
         service_builder.set_service(directory.services.hash(*service).0);
-        service_builder.set_redirect(redirect.map_or(0, |name| name.0));
         write_service(row, directory, service_builder);
     }
     if !grant.leaving.is_empty() {
@@ -57,9 +56,8 @@
     let mut services = Vec::new();
     for row in service_rows {
         let grant = read_service(row, directory)?;
-        let redirect = (row.get_redirect() != 0).then(|| NameHash(row.get_redirect()));
         if let Some(service) = directory.services.find(NameHash(row.get_service())) {
-            services.push((service, redirect, grant));
+            services.push((service, grant));
         }
     }
     let leaving = reader.get_leaving()?;
--- a/crates/reedsail_wire/src/lib.rs
+++ b/crates/reedsail_wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! Peers' messages are checked and bounded like callers' requests; a row that names what this
 //! process never met is dropped, since it only means that the sender knows a newer bundle.
 
+mod claim_rows;
 mod grant;
 mod link;
 mod message;
@@ -17,6 +18,7 @@
 mod report;
 mod server;
 
+pub use claim_rows::ClaimBatch;
 pub use link::LinkError;
 pub use link::PeerLink;
 pub use message::ClaimEnd;
--- a/crates/reedsail_wire/src/link.rs
+++ b/crates/reedsail_wire/src/link.rs
@@ -8,7 +8,6 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
 use futures_util::AsyncReadExt;
-use reedsail_core::ClaimKey;
 use reedsail_core::Directory;
 use reedsail_net::ByteCounter;
 use reedsail_net::connect;
@@ -22,9 +21,10 @@
 use crate::ClaimVerdict;
 use crate::Grant;
 use crate::Report;
+use crate::claim_rows::read_verdict;
+use crate::claim_rows::write_claims;
+use crate::claim_rows::write_ends;
 use crate::grant::read_grant;
-use crate::message::ROWS_MAX;
-use crate::message::check_rows;
 use crate::peer_capnp::peer;
 use crate::report::write_report;
 
@@ -95,19 +95,8 @@
         ends: &[ClaimEnd],
     ) -> Result<Vec<ClaimVerdict>, LinkError> {
         let mut request = self.client.claim_request();
-        let mut claim_rows = request.get().init_claims(claims.len() as u32);
-        for (index, claim) in claims.iter().enumerate() {
-            let mut row = claim_rows.reborrow().get(index as u32);
-            row.set_key(&claim.key.0.to_be_bytes());
-            row.set_nonce(claim.nonce.0);
-        }
-        let mut end_rows = request.get().init_ends(ends.len() as u32);
-        for (index, end) in ends.iter().enumerate() {
-            let mut row = end_rows.reborrow().get(index as u32);
-            row.set_key(&end.key.0.to_be_bytes());
-            row.set_nonce(end.nonce.0);
-            row.set_status(end.status);
-        }
+        write_claims(claims, request.get().init_claims(claims.len() as u32));
+        write_ends(ends, request.get().init_ends(ends.len() as u32));
         let expected = claims.len() as u32;
         let answered = async {
             let response = request.send().promise.await?;
@@ -147,35 +136,3 @@
         }
     }
 }
-
-pub(crate) fn verdict_row(verdict: ClaimVerdict) -> (u8, u16) {
-    match verdict {
-        ClaimVerdict::Held => (0, 0),
-        ClaimVerdict::InUse => (1, 0),
-        ClaimVerdict::Ended(status) => (2, status),
-        ClaimVerdict::Unavailable => (3, 0),
-        ClaimVerdict::Unsettled => (4, 0),
-    }
-}
-
-fn read_verdict(state: u8, status: u16) -> Result<ClaimVerdict, Error> {
-    Ok(match state {
-        0 => ClaimVerdict::Held,
-        1 => ClaimVerdict::InUse,
-        2 => ClaimVerdict::Ended(status),
-        3 => ClaimVerdict::Unavailable,
-        4 => ClaimVerdict::Unsettled,
-        other => return Err(Error::failed(format!("{other} is no verdict"))),
-    })
-}
-
-pub(crate) fn read_claim_key(bytes: &[u8]) -> Result<ClaimKey, Error> {
-    let bytes =
-        <[u8; 16]>::try_from(bytes).map_err(|_| Error::failed("a key is not 16 bytes long".to_owned()))?;
-    Ok(ClaimKey(u128::from_be_bytes(bytes)))
-}
-
-pub(crate) fn check_claims(claims: u32, ends: u32) -> Result<(), Error> {
-    check_rows(claims, ROWS_MAX)?;
-    check_rows(ends, ROWS_MAX)
-}
--- a/crates/reedsail_wire/src/message.rs
+++ b/crates/reedsail_wire/src/message.rs
@@ -30,6 +30,8 @@
     pub services: Vec<(ServiceKey, ServiceReport)>,
     /// Daemons that did not answer the sender.
     pub suspects: Vec<NameHash>,
+    /// Backend servers that the platform told the sender are leaving.
+    pub servers_leaving: Vec<NameHash>,
 }
 
 /// The allocator's answer.
@@ -43,14 +45,14 @@
     pub next_report_ms: u32,
     /// How long the leases last, counted from the report.
     pub lease_ms: u32,
-    /// The leases by service, each with the daemon that the sender takes for the allocator.
-    pub services: Vec<(ServiceKey, Option<NameHash>, ServiceGrant)>,
+    /// The leases by service.
+    pub services: Vec<(ServiceKey, ServiceGrant)>,
     /// Backend servers that are leaving.
     pub leaving: Vec<NameHash>,
 }
 
 /// A claim on a key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ClaimRequest {
     /// The key.
     pub key: ClaimKey,
--- a/crates/reedsail_wire/src/peer_capnp.rs
+++ b/crates/reedsail_wire/src/peer_capnp.rs
@@ -1418,6 +1418,17 @@
         pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_servers_leaving(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_servers_leaving(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -1425,7 +1436,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+            ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1599,6 +1610,32 @@
         pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_servers_leaving(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_servers_leaving(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_servers_leaving(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_servers_leaving(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline {
@@ -1611,73 +1648,80 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 134] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(71, 205, 178, 162, 122, 58, 188, 237),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(83, 136, 126, 77, 240, 161, 185, 194),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 112, 111, 114),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 160, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1746,6 +1790,19 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 115, 76),
+            ::capnp::word(101, 97, 118, 105, 110, 103, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1756,6 +1813,7 @@
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::service_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1774,9 +1832,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 1, 4, 0, 5, 6];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 1, 4, 0, 7, 5, 6];
         pub(crate) const TYPE_ID: u64 = 0xedbc_3a7a_a2b2_cd47;
     }
 }
@@ -2476,10 +2534,6 @@
             self.reader.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn get_redirect(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
-        }
-        #[inline]
         pub fn get_base(self) -> f64 {
             self.reader.get_data_field::<f64>(1)
         }
@@ -2602,14 +2656,6 @@
             self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
-        pub fn get_redirect(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
-        }
-        #[inline]
-        pub fn set_redirect(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(1, value);
-        }
-        #[inline]
         pub fn get_base(self) -> f64 {
             self.builder.get_data_field::<f64>(1)
         }
@@ -2692,7 +2738,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 102] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(138, 132, 1, 90, 133, 167, 169, 160),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -2702,49 +2748,42 @@
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 101, 114, 118, 105),
             ::capnp::word(99, 101, 71, 114, 97, 110, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 106, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2753,15 +2792,6 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 100, 105, 114, 101, 99, 116),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2799,10 +2829,9 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <f64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::struct_list::Owned<crate::peer_capnp::lease_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::peer_capnp::virtual_time_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::lease_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::peer_capnp::virtual_time_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2821,9 +2850,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 1, 0, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 3];
         pub(crate) const TYPE_ID: u64 = 0xa0a9_a785_5a01_848a;
     }
 }
@@ -4567,6 +4596,401 @@
     }
 }
 
+pub mod claim_batch {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_claims(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::claim::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_claims(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_ends(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::claim_end::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_ends(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_claims(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::claim::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_claims(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::claim::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_claims(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::claim::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_claims(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_ends(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::claim_end::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_ends(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::claim_end::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_ends(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::claim_end::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_ends(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 70] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(118, 67, 105, 132, 201, 126, 241, 228),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(83, 136, 126, 77, 240, 161, 185, 194),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 108, 97, 105, 109),
+            ::capnp::word(66, 97, 116, 99, 104, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 97, 105, 109, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 238, 144, 58, 198, 169, 192, 248),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 80, 250, 146, 79, 36, 65, 229),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::claim::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::claim_end::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
+        pub(crate) const TYPE_ID: u64 = 0xe4f1_7ec9_8469_4376;
+    }
+}
+
 pub mod peer {
     #![allow(unused_variables)]
     pub type ExchangeParams = ::capnp::capability::Params<crate::peer_capnp::peer::exchange_params::Owned>;
--- a/crates/reedsail_wire/src/report.rs
+++ b/crates/reedsail_wire/src/report.rs
@@ -29,11 +29,17 @@
         write_service(row, directory, service_builder);
     }
     if !report.suspects.is_empty() {
-        let mut suspects = builder.init_suspects(report.suspects.len() as u32);
+        let mut suspects = builder.reborrow().init_suspects(report.suspects.len() as u32);
         for (index, suspect) in report.suspects.iter().enumerate() {
             suspects.set(index as u32, suspect.0);
         }
     }
+    if !report.servers_leaving.is_empty() {
+        let mut servers = builder.init_servers_leaving(report.servers_leaving.len() as u32);
+        for (index, server) in report.servers_leaving.iter().enumerate() {
+            servers.set(index as u32, server.0);
+        }
+    }
 }
 
 fn write_service(report: &ServiceReport, directory: &Directory, mut builder: service_report::Builder<'_>) {
@@ -80,6 +86,8 @@
     }
     let suspects = reader.get_suspects()?;
     check_rows(suspects.len(), SERVICES_MAX)?;
+    let servers_leaving = reader.get_servers_leaving()?;
+    check_rows(servers_leaving.len(), ROWS_MAX)?;
     Ok(Report {
         sender: NameHash(reader.get_sender()),
         incarnation: reader.get_incarnation(),
@@ -88,6 +96,7 @@
         leaving: reader.get_leaving(),
         services,
         suspects: suspects.iter().map(NameHash).collect(),
+        servers_leaving: servers_leaving.iter().map(NameHash).collect(),
     })
 }
 
--- a/crates/reedsail_wire/src/server.rs
+++ b/crates/reedsail_wire/src/server.rs
@@ -9,7 +9,6 @@
 use capnp_rpc::twoparty::VatNetwork;
 use futures_util::AsyncReadExt;
 use reedsail_core::Directory;
-use reedsail_core::Nonce;
 use reedsail_net::ByteCounter;
 use reedsail_net::CountedStream;
 use tokio::net::TcpListener;
@@ -21,10 +20,10 @@
 use crate::ClaimVerdict;
 use crate::Grant;
 use crate::Report;
+use crate::claim_rows::read_claims;
+use crate::claim_rows::read_ends;
+use crate::claim_rows::verdict_row;
 use crate::grant::write_grant;
-use crate::link::check_claims;
-use crate::link::read_claim_key;
-use crate::link::verdict_row;
 use crate::peer_capnp::peer;
 use crate::report::read_report;
 
@@ -105,7 +104,9 @@
         params: peer::ClaimParams,
         mut results: peer::ClaimResults,
     ) -> Result<(), Error> {
-        let (claims, ends) = read_claims(&params)?;
+        let params = params.get()?;
+        let claims = read_claims(params.get_claims()?)?;
+        let ends = read_ends(params.get_ends()?)?;
         let verdicts = self.handler.claim(claims, ends).await;
         let mut rows = results.get().init_verdicts(verdicts.len() as u32);
         for (index, verdict) in verdicts.iter().enumerate() {
@@ -133,25 +134,3 @@
         Ok(())
     }
 }
-
-fn read_claims(params: &peer::ClaimParams) -> Result<(Vec<ClaimRequest>, Vec<ClaimEnd>), Error> {
-    let params = params.get()?;
-    let (claim_rows, end_rows) = (params.get_claims()?, params.get_ends()?);
-    check_claims(claim_rows.len(), end_rows.len())?;
-    let mut claims = Vec::new();
-    for row in claim_rows {
-        claims.push(ClaimRequest {
-            key: read_claim_key(row.get_key()?)?,
-            nonce: Nonce(row.get_nonce()),
-        });
-    }
-    let mut ends = Vec::new();
-    for row in end_rows {
-        ends.push(ClaimEnd {
-            key: read_claim_key(row.get_key()?)?,
-            nonce: Nonce(row.get_nonce()),
-            status: row.get_status(),
-        });
-    }
-    Ok((claims, ends))
-}
