Order workspaces on a daemon by their share, not by fleet-wide virtual time

Cause: with the least virtual time first, all nine daemons gave every freed slot to the same workspace until the next report: it got three times its part, then nothing. Ruled out: the loop's gain (horizons of 2 to 16 s gave the same gap) and the views of domains (with mending off they tracked the truth, the gap stayed). Change: the allocator divides slots by virtual time and tells each daemon every workspace's share; the daemon serves by share. Mending of views is gone. Standing slots are lent too. Messages are deflated with one window a connection.

--- a/crates/reedsail_bench/src/faults.rs
+++ b/crates/reedsail_bench/src/faults.rs
@@ -197,13 +197,11 @@
 fn read_pair(mapping: &mut Mapping<'_>) -> Option<(String, String)> {
     let between: Value<'_> = mapping.required("between")?;
     let names: Vec<Option<String>> = between.list().iter().map(Value::name).collect();
-    match names.as_slice() {
-        [Some(one), Some(other)] => Some((one.clone(), other.clone())),
-        _ => {
-            between.fault("must be a list of two names");
-            None
-        }
+    if let [Some(one), Some(other)] = names.as_slice() {
+        return Some((one.clone(), other.clone()));
     }
+    between.fault("must be a list of two names");
+    None
 }
 
 impl FaultAction {
--- a/crates/reedsail_bench/src/lib.rs
+++ b/crates/reedsail_bench/src/lib.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod checker;
 mod compare;
+mod drive;
 mod fairness;
 mod faults;
 mod fleet;
@@ -24,6 +25,10 @@
 pub use checker::PromiseCheck;
 pub use checker::check_promises;
 pub use compare::compare_policies;
+pub use drive::Drive;
+pub use drive::DriveSetup;
+pub use drive::GapWatch;
+pub use drive::uneven_setup;
 pub use fairness::FairnessFigures;
 pub use fairness::measure_fairness;
 pub use faults::FaultScript;
--- a/crates/reedsail_bench/src/replay.rs
+++ b/crates/reedsail_bench/src/replay.rs
@@ -56,7 +56,7 @@
 /// One request of the trace.
 #[derive(Clone, Debug)]
 struct Sent {
-    sent_ms: u64,
+    at_ms: u64,
     daemon: String,
     workspace: String,
     class: String,
@@ -239,7 +239,7 @@
                     class: class.clone(),
                 };
                 self.send(Sent {
-                    sent_ms: at_ms,
+                    at_ms,
                     daemon,
                     workspace,
                     class,
@@ -260,7 +260,7 @@
                 let key = key.map(|label| self.key_of(label));
                 let plan = RequestPlan::Plain { method, path, key };
                 self.send(Sent {
-                    sent_ms: at_ms,
+                    at_ms,
                     daemon,
                     workspace,
                     class: "plain".to_owned(),
@@ -380,7 +380,7 @@
         .map(|(sent, caller)| CallerRecord {
             request_id: caller.request_id.clone(),
             outcome: caller.outcome.clone(),
-            excused: script.excuses(&caller.outcome, &sent.daemon, sent.sent_ms),
+            excused: script.excuses(&caller.outcome, &sent.daemon, sent.at_ms),
         })
         .collect()
 }
@@ -405,7 +405,7 @@
     report.doubled_total = doubled(record);
     report.false_not_run_total = false_not_run(record);
     for (sent, caller) in done {
-        let excused = script.excuses(&caller.outcome, &sent.daemon, sent.sent_ms);
+        let excused = script.excuses(&caller.outcome, &sent.daemon, sent.at_ms);
         match &caller.outcome {
             Outcome::Answered => report.answered_total += 1,
             Outcome::Failed { ran, .. } if ran == "not_run" => report.refused_not_run_total += 1,
@@ -421,7 +421,7 @@
         if report.unexpected_outcomes.len() < TOLD_MAX {
             let told = format!(
                 "at {} ms {} of {} at {}: {:?} instead of {:?}",
-                sent.sent_ms, caller.request_id, sent.workspace, sent.daemon, caller.outcome, sent.expect
+                sent.at_ms, caller.request_id, sent.workspace, sent.daemon, caller.outcome, sent.expect
             );
             report.unexpected_outcomes.push(told);
         }
--- a/crates/reedsail_bench/src/report.rs
+++ b/crates/reedsail_bench/src/report.rs
@@ -26,8 +26,10 @@
     /// Summarises times in milliseconds.
     pub fn of(times_ms: &[f64]) -> Self {
         let mut histogram: Histogram<u64> = Histogram::new(3).expect("three digits are a valid precision");
+        histogram.auto(true);
         for time_ms in times_ms {
-            histogram.saturating_record((time_ms * 1_000.0) as u64);
+            // With automatic growth every value fits.
+            let _ = histogram.record((time_ms * 1_000.0) as u64);
         }
         let at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
         Self {
--- a/crates/reedsail_core/src/allocator/domain.rs
+++ b/crates/reedsail_core/src/allocator/domain.rs
@@ -14,11 +14,6 @@
 use crate::TimeMs;
 use crate::WorkspaceKey;
 
-/// Which part of a difference between two domains' views is mended at each report.
-const VIEW_MEND_PART: f64 = 0.25;
-/// Differences below this much fair-part time are put down to messages under way.
-const VIEW_TOLERANCE_MS: f64 = 1_500.0;
-
 /// What this allocator told, and borrowed from, the allocator of another domain.
 #[derive(Debug, Default)]
 pub(super) struct DomainLink {
@@ -166,27 +161,15 @@
         demands
     }
 
-    /// Mends differences between this domain's view and another's.
+    /// Bounds every lead as a domain is met, or met again after a cut.
     ///
-    /// Both charge the same costs, but a cut or a lift at different moments sets them apart. After
-    /// a cut no workspace may lead by more than the clamp, or whoever was served during the cut
-    /// would starve; beside that, large differences are halved away step by step.
-    pub(super) fn reconcile_leads(&mut self, report: &ServiceReport, after_cut: bool) {
-        let per_ms = self.fair_lead_per_ms(report);
-        let clamp = self.config.rejoin_clamp_ms as f64 * per_ms;
-        let tolerance = VIEW_TOLERANCE_MS * per_ms;
+    /// What was served on the other side of a cut was not charged here, and the reverse; without
+    /// the bound, whoever was served during the cut would starve until the others are level.
+    pub(super) fn clamp_leads(&mut self, report: &ServiceReport) {
+        let most = self.config.rejoin_clamp_ms as f64 * self.fair_lead_per_ms(report);
         let floor = self.floor;
-        for demand in report.demands.iter().filter(|demand| demand.queued > 0) {
-            let entry = self.entry_mut(demand.workspace);
-            let difference = (entry.virtual_time - floor) - demand.lead;
-            if difference.abs() > tolerance {
-                entry.virtual_time -= VIEW_MEND_PART * difference;
-            }
-        }
-        if after_cut {
-            for entry in self.workspaces.values_mut() {
-                entry.virtual_time = entry.virtual_time.min(floor + clamp);
-            }
+        for entry in self.workspaces.values_mut() {
+            entry.virtual_time = entry.virtual_time.min(floor + most);
         }
     }
 
--- a/crates/reedsail_core/src/allocator/mod.rs
+++ b/crates/reedsail_core/src/allocator/mod.rs
@@ -44,7 +44,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 3_000,
-            horizon_ms: 2_000,
+            horizon_ms: 6_000,
             rejoin_clamp_ms: 2_000,
         }
     }
@@ -81,6 +81,8 @@
     floor: f64,
     yield_per_ms: f64,
     targets_at: Option<TimeMs>,
+    /// Of each workspace's demand, the part that is to run now.
+    shares: HashMap<WorkspaceKey, f64>,
 }
 
 impl Allocator {
@@ -99,6 +101,7 @@
             floor: 0.0,
             yield_per_ms: YIELD_FIRST_GUESS,
             targets_at: None,
+            shares: HashMap::new(),
         }
     }
 
@@ -127,7 +130,7 @@
         ServiceGrant {
             base: self.floor,
             leases,
-            virtual_times: self.virtual_times_of(report),
+            virtual_times: self.virtual_times_of(from, report),
         }
     }
 
@@ -225,6 +228,7 @@
         self.targets_at = None;
         self.members.insert(from, Member::new(report, now));
         if report.kind == MemberKind::Domain {
+            self.clamp_leads(report);
             return;
         }
         self.floor = self.floor.max(report.base);
@@ -239,7 +243,6 @@
         let Some(member) = self.members.get_mut(&from) else {
             return;
         };
-        let after_cut = now.since_ms(member.reported_at) > self.config.lease_ms / 2;
         let slot_ms = member.slot_ms_since_report(now);
         let charges = member.take_charges(report);
         let is_daemon = member.is_daemon();
@@ -255,9 +258,6 @@
                 *self.domain_costs.entry(workspace).or_default() += cost;
             }
         }
-        if report.kind == MemberKind::Domain {
-            self.reconcile_leads(report, after_cut);
-        }
     }
 
     /// Lifts workspaces that have just become backlogged, and raises the floor.
@@ -292,7 +292,7 @@
         }
     }
 
-    fn virtual_times_of(&self, report: &ServiceReport) -> Vec<VirtualTimeRow> {
+    fn virtual_times_of(&self, from: NameHash, report: &ServiceReport) -> Vec<VirtualTimeRow> {
         if report.kind == MemberKind::Domain {
             return Vec::new();
         }
@@ -303,7 +303,27 @@
             .map(|demand| VirtualTimeRow {
                 workspace: demand.workspace,
                 lead: self.lead_of(demand.workspace),
+                share: self.share_at(from, demand.workspace),
             })
             .collect()
     }
 }
+impl Allocator {
+    /// dbg
+    pub fn dbg(&self) {
+        let mut m: Vec<_> = self.members.iter().collect();
+        m.sort_by_key(|m| m.0.0);
+        for (n, m) in m {
+            print!(
+                "   m{}: target {} held {:?} |",
+                n.0,
+                m.target_slots,
+                m.slots
+                    .iter()
+                    .map(|(k, s)| (k.0, s.in_use, s.granted))
+                    .collect::<Vec<_>>()
+            );
+        }
+        println!("  yield {}", self.yield_per_ms);
+    }
+}
--- a/crates/reedsail_core/src/allocator/targets.rs
+++ b/crates/reedsail_core/src/allocator/targets.rs
@@ -20,14 +20,14 @@
             return;
         }
         self.targets_at = Some(now);
+        self.refresh_shares();
         let needs = self.needs_of_members();
         self.set_domain_targets(&needs);
         self.set_daemon_targets(&needs);
     }
 
-    /// Divides the fleet's slots among workspaces, and each workspace's part among the members in
-    /// proportion to its demand there.
-    fn needs_of_members(&self) -> HashMap<NameHash, f64> {
+    /// Divides the fleet's slots among workspaces, by what each wants and how far it is behind.
+    fn refresh_shares(&mut self) {
         let mut wanted: HashMap<WorkspaceKey, f64> = HashMap::new();
         for member in self.members.values() {
             for (workspace, demand) in member.demands() {
@@ -46,15 +46,34 @@
             .collect();
         let horizon_cost = self.yield_per_ms * self.config.horizon_ms as f64;
         let parts = share_slots(&demands, f64::from(self.fleet_slots()), horizon_cost);
-        let mut needs: HashMap<NameHash, f64> = self.members.keys().map(|key| (*key, 0.0)).collect();
-        for (workspace, part) in order.iter().zip(parts) {
-            let all_wanted = wanted[workspace].max(1.0);
-            for (name, member) in &self.members {
-                let here = f64::from(member.demand_of(*workspace).wanted());
-                *needs.entry(*name).or_default() += part * here / all_wanted;
-            }
-        }
-        needs
+        self.shares = order
+            .iter()
+            .zip(parts)
+            .map(|(workspace, part)| (*workspace, part / wanted[workspace].max(1.0)))
+            .collect();
+    }
+
+    /// Returns the slots that a workspace is to have at a member: its part of the fleet's, divided
+    /// among the members in proportion to its demand there.
+    pub(super) fn share_at(&self, member: NameHash, workspace: WorkspaceKey) -> f64 {
+        let wanted = self
+            .members
+            .get(&member)
+            .map_or(0, |member| member.demand_of(workspace).wanted());
+        self.shares.get(&workspace).copied().unwrap_or(0.0) * f64::from(wanted)
+    }
+
+    fn needs_of_members(&self) -> HashMap<NameHash, f64> {
+        let need = |member: &super::Member| -> f64 {
+            let parts = member.demands().map(|(workspace, demand)| {
+                self.shares.get(&workspace).copied().unwrap_or(0.0) * f64::from(demand.wanted())
+            });
+            parts.sum()
+        };
+        self.members
+            .iter()
+            .map(|(name, member)| (*name, need(member)))
+            .collect()
     }
 
     fn own_slots(&self) -> u32 {
@@ -84,15 +103,19 @@
     /// Every allocator computes this from the same rows, so the lenders share the burden without
     /// a message about it.
     fn set_domain_targets(&mut self, needs: &HashMap<NameHash, f64>) {
-        let own_surplus = (f64::from(self.own_slots()) - self.own_need(needs)).max(0.0);
+        let domains = 1 + self.members.values().filter(|member| !member.is_daemon()).count();
+        let needed: f64 = needs.values().sum();
+        // What nobody needs stands by in every domain alike, also in one without servers.
+        let standing_by = (f64::from(self.fleet_slots()) - needed).max(0.0) / domains as f64;
+        let own_surplus = (f64::from(self.own_slots()) - self.own_need(needs) - standing_by).max(0.0);
         let mut surplus_total = own_surplus;
         for (name, member) in self.members.iter().filter(|(_, member)| !member.is_daemon()) {
-            surplus_total += (f64::from(member.own_slots) - needs[name]).max(0.0);
+            surplus_total += (f64::from(member.own_slots) - needs[name] - standing_by).max(0.0);
         }
         let own_part = own_surplus / surplus_total.max(1e-9);
         let mut spare = own_surplus;
         for (name, member) in self.members.iter_mut().filter(|(_, member)| !member.is_daemon()) {
-            let lacking = (needs[name] - f64::from(member.own_slots)).max(0.0);
+            let lacking = (needs[name] + standing_by - f64::from(member.own_slots)).max(0.0);
             let lent = (lacking * own_part).min(spare);
             spare -= lent;
             member.target_slots = lent.round() as u32;
--- a/crates/reedsail_core/src/fair_queue.rs
+++ b/crates/reedsail_core/src/fair_queue.rs
@@ -12,8 +12,18 @@
 const COST_FIRST_GUESS: f64 = 50.0;
 /// The weight of the newest request in a workspace's running mean cost.
 const COST_SAMPLE_WEIGHT: f64 = 0.1;
-/// The weight of the newest interval in a workspace's running service rate.
+/// The time over which a workspace's service rate is measured.
+const RATE_WINDOW_MS: u64 = 1_000;
+/// The weight of the newest window in the running service rate.
 const RATE_SAMPLE_WEIGHT: f64 = 0.3;
+/// A wait is predicted once so many windows in a row were backlogged; before, nobody is refused.
+const RATE_WINDOWS_MIN: u32 = 3;
+
+/// The smallest share by which cost is divided, in slots.
+const SHARE_MIN: f64 = 0.01;
+/// The most requests by which a workspace may run ahead of its share and be made to wait for it
+/// later; what lies beyond is left to the allocator, which sees the whole fleet.
+const AHEAD_REQUESTS_MAX: f64 = 2.0;
 
 /// How urgent a request is inside its own workspace; never weighed against other workspaces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -100,6 +110,10 @@
     pub(crate) running: u32,
     /// Fleet-wide virtual time: the allocator's, plus what was charged here since.
     pub(crate) virtual_time: f64,
+    /// The slots that it is to have here, as the allocator divides them; `None` until told.
+    share: Option<f64>,
+    /// Cost received here by share: the order among workspaces on this daemon.
+    local_time: f64,
     /// What running requests are still expected to cost.
     pub(crate) outstanding_cost: f64,
     pub(crate) mean_cost: f64,
@@ -108,8 +122,11 @@
     /// `cost_total` as it stood in the report under way.
     pub(crate) cost_reported: f64,
     cost_ever: f64,
-    cost_at_tick: f64,
+    /// `cost_ever` as the present window began.
+    cost_at_window: f64,
     rate_per_ms: f64,
+    /// Windows in a row throughout which work waited.
+    backlogged_windows: u32,
 }
 
 impl<W> WorkspaceQueue<W> {
@@ -121,13 +138,16 @@
             queued_bytes: 0,
             running: 0,
             virtual_time: 0.0,
+            share: None,
+            local_time: 0.0,
             outstanding_cost: 0.0,
             mean_cost: COST_FIRST_GUESS,
             cost_total: 0.0,
             cost_reported: 0.0,
             cost_ever: 0.0,
-            cost_at_tick: 0.0,
+            cost_at_window: 0.0,
             rate_per_ms: 0.0,
+            backlogged_windows: 0,
         }
     }
 
@@ -139,24 +159,51 @@
         self.running > 0 || !self.waiting.is_empty()
     }
 
-    /// Returns the virtual time at which the workspace stands once its running work is done.
-    pub(crate) fn projected_virtual_time(&self) -> f64 {
-        self.virtual_time + self.outstanding_cost / self.weight
+    /// Returns the share, or what the weight would give at the usual rate of slots by weight.
+    fn share_or(&self, slots_per_weight: f64) -> f64 {
+        self.share
+            .unwrap_or(self.weight * slots_per_weight)
+            .max(SHARE_MIN)
+    }
+
+    /// Returns the local time at which the workspace stands once its running work is done.
+    fn projected_local_time(&self, slots_per_weight: f64) -> f64 {
+        self.local_time + self.outstanding_cost / self.share_or(slots_per_weight)
     }
 
-    pub(crate) fn charge(&mut self, cost: f64) {
-        self.cost_total += cost;
-        self.cost_ever += cost;
-        self.virtual_time += cost / self.weight;
+    /// Changes the share, keeping in cost what the workspace is ahead.
+    fn rebase(&mut self, floor: f64, slots_per_weight: f64, share: Option<f64>, slots_per_weight_after: f64) {
+        let ahead_cost = (self.local_time - floor) * self.share_or(slots_per_weight);
+        self.share = share;
+        let most = AHEAD_REQUESTS_MAX * self.mean_cost;
+        let ahead_cost = ahead_cost.clamp(-most, most);
+        self.local_time = floor + ahead_cost / self.share_or(slots_per_weight_after);
     }
 
     pub(crate) fn learn_cost(&mut self, cost: f64) {
         self.mean_cost += COST_SAMPLE_WEIGHT * (cost - self.mean_cost);
     }
 
+    fn measure_rate(&mut self, window_ms: u64) {
+        let rate = (self.cost_ever - self.cost_at_window) / window_ms as f64;
+        self.cost_at_window = self.cost_ever;
+        if self.waiting.is_empty() {
+            self.backlogged_windows = 0;
+            self.rate_per_ms = 0.0;
+            return;
+        }
+        let weight = if self.backlogged_windows == 0 {
+            1.0
+        } else {
+            RATE_SAMPLE_WEIGHT
+        };
+        self.backlogged_windows += 1;
+        self.rate_per_ms += weight * (rate - self.rate_per_ms);
+    }
+
     /// Returns how long a new request of the class would wait, if that can be told.
     fn predicted_wait_ms(&self, class: Class) -> Option<u64> {
-        if self.rate_per_ms <= 0.0 {
+        if self.backlogged_windows < RATE_WINDOWS_MIN || self.rate_per_ms <= 0.0 {
             return None;
         }
         let last_ahead = (class.rank(), u64::MAX, u64::MAX);
@@ -173,8 +220,13 @@
     active: Vec<WorkspaceKey>,
     /// No workspace that becomes backlogged starts below this virtual time.
     floor: f64,
+    /// The local time of the request taken last; who becomes backlogged starts here.
+    local_floor: f64,
+    /// Slots by weight where the allocator has told no share.
+    slots_per_weight: f64,
     sequence: u64,
     queued: u32,
+    window_began: TimeMs,
 }
 
 impl<W> Default for FairQueue<W> {
@@ -183,8 +235,11 @@
             entries: Vec::new(),
             active: Vec::new(),
             floor: 0.0,
+            local_floor: 0.0,
+            slots_per_weight: 1.0,
             sequence: 0,
             queued: 0,
+            window_began: TimeMs(0),
         }
     }
 }
@@ -263,7 +318,7 @@
         waiting: Waiting<W>,
         now: TimeMs,
     ) -> Result<Ticket, (ErrorKind, W)> {
-        let floor = self.floor;
+        let (floor, local_floor) = (self.floor, self.local_floor);
         self.sequence += 1;
         let sequence = self.sequence;
         let workspace = waiting.workspace;
@@ -272,7 +327,10 @@
             return Err((kind, waiting.waker));
         }
         if entry.waiting.is_empty() {
+            entry.backlogged_windows = 0;
+            entry.cost_at_window = entry.cost_ever;
             entry.virtual_time = entry.virtual_time.max(floor);
+            entry.local_time = entry.local_time.max(local_floor);
         }
         let rank = policy.rank(waiting.class, waiting.deadline, sequence);
         entry.queued_bytes += waiting.body_bytes;
@@ -305,20 +363,58 @@
             if entry.running >= entry.limits.running_max {
                 continue;
             }
-            let order = policy.workspace_order(entry.projected_virtual_time(), rank.2);
+            let local_time = entry.projected_local_time(self.slots_per_weight);
+            let order = policy.workspace_order(local_time, rank.2);
             if best.is_none_or(|(least, _)| order < least) {
                 best = Some((order, key));
             }
         }
         let (_, workspace) = best?;
+        let slots_per_weight = self.slots_per_weight;
         let entry = self.entry_mut(workspace);
+        let local_time = entry.projected_local_time(slots_per_weight);
         let (_, waiting) = entry.waiting.pop_first()?;
         entry.queued_bytes -= waiting.body_bytes;
         self.queued -= 1;
+        self.local_floor = self.local_floor.max(local_time);
         self.settle_floor();
         Some(waiting)
     }
 
+    /// Charges a workspace for what it received.
+    pub(crate) fn charge(&mut self, workspace: WorkspaceKey, cost: f64) {
+        let slots_per_weight = self.slots_per_weight;
+        let entry = self.entry_mut(workspace);
+        entry.cost_total += cost;
+        entry.cost_ever += cost;
+        entry.virtual_time += cost / entry.weight;
+        entry.local_time += cost / entry.share_or(slots_per_weight);
+    }
+
+    /// Takes over shares from the allocator. What a workspace is ahead of its share counts on, in
+    /// cost, but no further than a few requests: with a share that was tiny for a while it would
+    /// else wait for hours.
+    pub(crate) fn set_shares(&mut self, shares: &[(WorkspaceKey, f64)]) {
+        let (slots, weight) = shares
+            .iter()
+            .fold((0.0, 0.0), |(slots, weight), (workspace, share)| {
+                let of = self.entry(*workspace).map_or(1.0, |entry| entry.weight);
+                (slots + share, weight + of)
+            });
+        let before = self.slots_per_weight;
+        if slots > 0.0 {
+            self.slots_per_weight = slots / weight;
+        }
+        let (floor, after) = (self.local_floor, self.slots_per_weight);
+        for entry in self.all_entries_mut() {
+            entry.rebase(floor, before, None, after);
+        }
+        for (workspace, share) in shares {
+            self.entry_mut(*workspace)
+                .rebase(floor, after, Some(*share), after);
+        }
+    }
+
     /// Removes the workspace from the active list once nothing of it waits or runs.
     pub(crate) fn retire_if_idle(&mut self, workspace: WorkspaceKey) {
         if self.entry(workspace).is_some_and(|entry| !entry.is_active()) {
@@ -345,13 +441,15 @@
         expired
     }
 
-    /// Updates service rates; called once a tick with the time since the last one.
-    pub(crate) fn measure_rates(&mut self, elapsed_ms: u64) {
+    /// Updates service rates once the present window is over.
+    pub(crate) fn measure_rates(&mut self, now: TimeMs) {
+        let window_ms = now.since_ms(self.window_began);
+        if window_ms < RATE_WINDOW_MS {
+            return;
+        }
+        self.window_began = now;
         for key in self.active.clone() {
-            let entry = self.entry_mut(key);
-            let rate = (entry.cost_ever - entry.cost_at_tick) / elapsed_ms.max(1) as f64;
-            entry.cost_at_tick = entry.cost_ever;
-            entry.rate_per_ms += RATE_SAMPLE_WEIGHT * (rate - entry.rate_per_ms);
+            self.entry_mut(key).measure_rate(window_ms);
         }
     }
 
--- a/crates/reedsail_core/src/scheduler.rs
+++ b/crates/reedsail_core/src/scheduler.rs
@@ -225,7 +225,7 @@
         let still_expected = (running.estimate - running.charged).max(0.0);
         let expected_after = (running.estimate - cost).max(0.0);
         entry.outstanding_cost = (entry.outstanding_cost - (still_expected - expected_after)).max(0.0);
-        entry.charge(step);
+        self.queue.charge(running.workspace, step);
         running.charged += step;
     }
 
@@ -288,7 +288,7 @@
     }
 
     /// Lets lapsed leases go and takes out requests whose deadline has passed.
-    pub fn tick(&mut self, now: TimeMs, elapsed_ms: u64) -> Vec<Waiting<W>> {
+    pub fn tick(&mut self, now: TimeMs) -> Vec<Waiting<W>> {
         if P::LEASED {
             for server in self.servers.values_mut() {
                 if server.lease_deadline <= now {
@@ -296,7 +296,7 @@
                 }
             }
         }
-        self.queue.measure_rates(elapsed_ms);
+        self.queue.measure_rates(now);
         self.queue.take_expired(now)
     }
 
@@ -412,6 +412,8 @@
             let charged_since = entry.cost_total - entry.cost_reported;
             entry.virtual_time = grant.base + row.lead + charged_since / entry.weight;
         }
+        let shares: Vec<(WorkspaceKey, f64)> = grant.shares().collect();
+        self.queue.set_shares(&shares);
     }
 
     /// Gives back every lease, for a planned stop; what runs keeps its slot to the end.
--- a/crates/reedsail_core/src/slot_lease.rs
+++ b/crates/reedsail_core/src/slot_lease.rs
@@ -69,13 +69,15 @@
     pub slots: u32,
 }
 
-/// A workspace's fleet-wide virtual time.
+/// A workspace's fleet-wide virtual time, and its part of the member's slots.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct VirtualTimeRow {
     /// The workspace.
     pub workspace: WorkspaceKey,
     /// Virtual time above the grant's base, in cost units per weight.
     pub lead: f64,
+    /// The slots that the workspace is to have at the member.
+    pub share: f64,
 }
 
 /// The allocator's answer to one report; servers that it does not name are no longer leased.
@@ -88,3 +90,10 @@
     /// The virtual times of the workspaces that the report named.
     pub virtual_times: Vec<VirtualTimeRow>,
 }
+
+impl ServiceGrant {
+    /// Returns each named workspace's share of the member's slots.
+    pub fn shares(&self) -> impl Iterator<Item = (WorkspaceKey, f64)> {
+        self.virtual_times.iter().map(|row| (row.workspace, row.share))
+    }
+}
--- a/crates/reedsail_daemon/src/claims/dispatcher.rs
+++ b/crates/reedsail_daemon/src/claims/dispatcher.rs
@@ -34,7 +34,15 @@
 /// The length of a writer's queue, in batches.
 const WRITER_QUEUE_MAX: usize = 4_096;
 
-type Replies = Vec<oneshot::Sender<ClaimVerdict>>;
+/// What of a round belongs to one shard.
+#[derive(Debug, Default)]
+struct ShardPart {
+    /// The claims' places in the round.
+    indices: Vec<usize>,
+    claims: Vec<ClaimRequest>,
+    replies: Vec<oneshot::Sender<ClaimVerdict>>,
+    ends: Vec<ClaimEnd>,
+}
 
 /// The writers on this daemon and the way to those on others.
 #[derive(Clone)]
@@ -76,23 +84,27 @@
     ) -> Vec<ClaimVerdict> {
         let count = claims.len();
         let mut verdicts: Vec<ClaimVerdict> = vec![ClaimVerdict::Unavailable; count];
-        let mut by_shard: HashMap<usize, (Vec<usize>, Vec<ClaimRequest>, Vec<ClaimEnd>)> = HashMap::new();
+        let mut parts: HashMap<usize, ShardPart> = HashMap::new();
         for (index, claim) in claims.into_iter().enumerate() {
-            let part = by_shard.entry(self.shard_of(claim.key)).or_default();
-            part.0.push(index);
-            part.1.push(claim);
+            let part = parts.entry(self.shard_of(claim.key)).or_default();
+            part.indices.push(index);
+            part.claims.push(claim);
         }
         for end in ends {
-            by_shard.entry(self.shard_of(end.key)).or_default().2.push(end);
+            parts.entry(self.shard_of(end.key)).or_default().ends.push(end);
         }
-        for (shard, (indices, claims, ends)) in by_shard {
+        for (shard, part) in parts {
             let (reply, answer) = oneshot::channel();
-            let job = WriterJob { claims, ends, reply };
+            let job = WriterJob {
+                claims: part.claims,
+                ends: part.ends,
+                reply,
+            };
             if self.writers[shard].send(job).await.is_err() {
                 continue;
             }
             let answers = answer.await.unwrap_or_default();
-            for (index, verdict) in indices.into_iter().zip(answers) {
+            for (index, verdict) in part.indices.into_iter().zip(answers) {
                 verdicts[index] = verdict;
             }
         }
@@ -151,22 +163,22 @@
         while let Ok(job) = jobs.try_recv() {
             round.push(job);
         }
-        let mut by_shard: HashMap<usize, (Vec<ClaimRequest>, Replies, Vec<ClaimEnd>)> = HashMap::new();
+        let mut parts: HashMap<usize, ShardPart> = HashMap::new();
         for job in round.drain(..) {
             match job {
                 ClaimJob::Claim(request, reply) => {
-                    let part = by_shard.entry(router.shard_of(request.key)).or_default();
-                    part.0.push(request);
-                    part.1.push(reply);
+                    let part = parts.entry(router.shard_of(request.key)).or_default();
+                    part.claims.push(request);
+                    part.replies.push(reply);
                 }
-                ClaimJob::End(end) => by_shard.entry(router.shard_of(end.key)).or_default().2.push(end),
+                ClaimJob::End(end) => parts.entry(router.shard_of(end.key)).or_default().ends.push(end),
             }
         }
-        for (shard, (claims, replies, ends)) in by_shard {
+        for (shard, part) in parts {
             let router = router.clone();
             spawn_local(async move {
-                let verdicts = router.write_shard(shard, &claims, &ends).await;
-                for (reply, verdict) in replies.into_iter().zip(verdicts) {
+                let verdicts = router.write_shard(shard, &part.claims, &part.ends).await;
+                for (reply, verdict) in part.replies.into_iter().zip(verdicts) {
                     let _ = reply.send(verdict);
                 }
             });
--- a/crates/reedsail_daemon/src/control/actor.rs
+++ b/crates/reedsail_daemon/src/control/actor.rs
@@ -38,6 +38,8 @@
     pub(super) actions: mpsc::UnboundedSender<LinkAction>,
     pub(super) domain_daemons: watch::Sender<Vec<PeerAddress>>,
     pub(super) follower: BundleFollower,
+    /// When the first bundle was in force here.
+    pub(super) applied_at: Option<TimeMs>,
     pub(super) log_caught_up: bool,
     pub(super) log_reachable: bool,
     pub(super) log_lost_at: Option<TimeMs>,
@@ -57,7 +59,6 @@
     pub(super) paced_at: TimeMs,
     pub(super) paced_bytes: u64,
     pub(super) paced_exchanges: u64,
-    pub(super) ticked_at: TimeMs,
     pub(super) ticks: u64,
     pub(super) stopping: bool,
 }
@@ -89,6 +90,7 @@
             pacer: BytePacer::new(settings.control.budget_bytes_per_s as f64),
             actions,
             domain_daemons,
+            applied_at: None,
             log_caught_up: false,
             log_reachable: true,
             log_lost_at: None,
@@ -106,7 +108,6 @@
             paced_at: shared.clock.now(),
             paced_bytes: 0,
             paced_exchanges: 0,
-            ticked_at: shared.clock.now(),
             ticks: 0,
             stopping: false,
             shared,
--- a/crates/reedsail_daemon/src/control/allocation.rs
+++ b/crates/reedsail_daemon/src/control/allocation.rs
@@ -27,8 +27,6 @@
     pub(super) fn tick(&mut self) {
         self.stand_still_if_frozen();
         let now = self.shared.clock.now();
-        let elapsed_ms = now.since_ms(self.ticked_at);
-        self.ticked_at = now;
         self.ticks += 1;
         if self.ticks.is_multiple_of(REFRESH_EVERY_TICKS) {
             self.refresh_allocators(now);
@@ -42,7 +40,7 @@
             }
         }
         for (_, service) in self.shared.view.load().services() {
-            service.cell.tick(elapsed_ms);
+            service.cell.tick();
         }
         self.pace(now);
         self.send_reports(now);
--- a/crates/reedsail_daemon/src/control/exchange.rs
+++ b/crates/reedsail_daemon/src/control/exchange.rs
@@ -360,6 +360,8 @@
         if only_domains {
             interval_ms *= DOMAIN_REPORT_FACTOR;
         }
+        // Whatever the budget says, a lease is renewed before it lapses.
+        interval_ms = interval_ms.min(u64::from(grant.lease_ms) / 2);
         let schedule = self.peers.entry(done.peer).or_default();
         schedule.in_flight = false;
         schedule.next_report_at = done.sent_at.plus_ms(interval_ms);
@@ -432,8 +434,11 @@
         }
         let bytes = self.shared.bytes.peer_calls.total_bytes() + self.shared.bytes.peer_served.total_bytes();
         let exchanges = self.exchanges - self.paced_exchanges;
-        if exchanges > 0 {
-            self.pacer.record((bytes - self.paced_bytes) / exchanges);
+        if let Some(exchange_bytes) = (bytes - self.paced_bytes).checked_div(exchanges) {
+            self.pacer.record(exchange_bytes);
+        }
+        if let Some(seconds) = thread_cpu_s() {
+            self.shared.metrics.control_cpu.set(seconds);
         }
         self.paced_at = now;
         self.paced_bytes = bytes;
@@ -448,3 +453,10 @@
         })
     }
 }
+
+/// Returns the processor time of this thread: the first field of its `schedstat`, in nanoseconds.
+fn thread_cpu_s() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").ok()?;
+    let nanoseconds: f64 = text.split_whitespace().next()?.parse().ok()?;
+    Some(nanoseconds / 1e9)
+}
--- a/crates/reedsail_daemon/src/control/links.rs
+++ b/crates/reedsail_daemon/src/control/links.rs
@@ -56,10 +56,13 @@
     AppendCheckpoint(Vec<u8>),
 }
 
+/// The connections by peer and time limit.
+type OpenLinks = HashMap<(NameHash, u64), (SocketAddr, Rc<PeerLink>)>;
+
 /// Connections to peers. Clones share them.
 pub(crate) struct Links<P: SharePolicy> {
     shared: Arc<Shared<P>>,
-    open: Rc<RefCell<HashMap<(NameHash, u64), (SocketAddr, Rc<PeerLink>)>>>,
+    open: Rc<RefCell<OpenLinks>>,
 }
 
 impl<P: SharePolicy> Clone for Links<P> {
--- a/crates/reedsail_daemon/src/control/platform_tasks.rs
+++ b/crates/reedsail_daemon/src/control/platform_tasks.rs
@@ -28,23 +28,20 @@
     let mut from = 0;
     let mut wait_ms = 0;
     loop {
-        match platform.read(BUNDLE_STREAM, from, wait_ms).await {
-            Ok(page) => {
-                let at_end = page.records.is_empty();
-                let Ok(next) = control.send(LogRead(page)).await else {
-                    return;
-                };
-                from = next;
-                wait_ms = if at_end { READ_WAIT_MS } else { 0 };
-            }
-            Err(_) => {
-                if control.send(LogReachable(false)).await.is_err() {
-                    return;
-                }
-                wait_ms = 0;
-                sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        let Ok(page) = platform.read(BUNDLE_STREAM, from, wait_ms).await else {
+            if control.send(LogReachable(false)).await.is_err() {
+                return;
             }
-        }
+            wait_ms = 0;
+            sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+            continue;
+        };
+        let at_end = page.records.is_empty();
+        let Ok(next) = control.send(LogRead(page)).await else {
+            return;
+        };
+        from = next;
+        wait_ms = if at_end { READ_WAIT_MS } else { 0 };
     }
 }
 
--- a/crates/reedsail_daemon/src/control/roll_out.rs
+++ b/crates/reedsail_daemon/src/control/roll_out.rs
@@ -100,7 +100,7 @@
         let mut directory = Directory::clone(&self.shared.directory.load());
         let policy = &self.shared.policy;
         let clock = self.shared.clock;
-        let view = View::build(Arc::new(bundle), &mut directory, &before, |_| {
+        let view = View::build(&bundle, &mut directory, &before, |_| {
             ServiceCell::new(policy.clone(), clock)
         });
         // Names come first: a view's keys must be known to whoever sees it.
@@ -136,11 +136,23 @@
         if self.shared.view.load().version == 0 || !(self.log_caught_up || log_given_up) {
             return;
         }
+        let since = *self.applied_at.get_or_insert(now);
+        let leases_awaited = now.since_ms(since) < self.shared.settings.control.lease_ms;
+        if leases_awaited && !self.has_slots_everywhere() {
+            return;
+        }
         if self.shared.stage.advance(Stage::Ready) {
             self.shared.events.emit(EventKind::DaemonReady, &[]);
         }
     }
 
+    /// Tells whether every service has slots here, so that the first request need not wait.
+    fn has_slots_everywhere(&self) -> bool {
+        let view = self.shared.view.load();
+        let mut services = view.services();
+        services.all(|(_, service)| service.cell.lock().slot_counts().0 > 0)
+    }
+
     pub(super) fn note_log_reachable(&mut self, reachable: bool) {
         if reachable == self.log_reachable {
             return;
--- a/crates/reedsail_daemon/src/metrics.rs
+++ b/crates/reedsail_daemon/src/metrics.rs
@@ -4,6 +4,7 @@
 //! workspaces only those with work or cost since the last scrape are shown, the largest first.
 
 use prometheus::Encoder;
+use prometheus::Gauge;
 use prometheus::GaugeVec;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -110,7 +111,7 @@
     pub(crate) bundle_version: IntGauge,
     pub(crate) open_requests: IntGauge,
     pub(crate) members: IntGauge,
-    pub(crate) control_cpu: GaugeVec,
+    pub(crate) control_cpu: Gauge,
     pub(crate) resident_bytes: IntGauge,
     pub(crate) platform_reachable: IntGauge,
 }
@@ -174,7 +175,10 @@
             bundle_version: plain("reedsail_bundle_version"),
             open_requests: plain("reedsail_open_requests"),
             members: plain("reedsail_members"),
-            control_cpu: real("reedsail_control_cpu_seconds_total"),
+            control_cpu: register(
+                &registry,
+                Gauge::with_opts(entry("reedsail_control_cpu_seconds_total").0),
+            ),
             resident_bytes: plain("reedsail_resident_memory_bytes"),
             platform_reachable: plain("reedsail_platform_reachable"),
             registry,
--- a/crates/reedsail_daemon/src/service_cell.rs
+++ b/crates/reedsail_daemon/src/service_cell.rs
@@ -81,8 +81,8 @@
     }
 
     /// Wakes requests whose deadline has passed, and lets lapsed leases go.
-    pub(crate) fn tick(self: &Arc<Self>, elapsed_ms: u64) {
-        let expired = self.lock().tick(self.clock.now(), elapsed_ms);
+    pub(crate) fn tick(self: &Arc<Self>) {
+        let expired = self.lock().tick(self.clock.now());
         for waiting in expired {
             let _ = waiting.waker.send(Err(ErrorKind::DeadlineInQueue));
         }
--- a/crates/reedsail_daemon/src/traffic/outcome.rs
+++ b/crates/reedsail_daemon/src/traffic/outcome.rs
@@ -52,6 +52,7 @@
 #[derive(Debug)]
 pub(crate) struct Unsent(());
 
+#[allow(clippy::unused_self, reason = "the proof is used up by being consumed")]
 impl Unsent {
     /// Begins a request.
     pub(crate) fn new() -> Self {
@@ -79,6 +80,7 @@
 #[derive(Debug)]
 pub(crate) struct Sent(());
 
+#[allow(clippy::unused_self, reason = "the proof is used up by being consumed")]
 impl Sent {
     /// The connection handed the whole request back: nothing of it was written.
     pub(crate) fn handed_back(self) -> Unsent {
--- a/crates/reedsail_daemon/src/traffic/serve.rs
+++ b/crates/reedsail_daemon/src/traffic/serve.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use reedsail_bundle::Repeat;
 use reedsail_core::ErrorKind;
+use reedsail_core::RanState;
 use reedsail_core::SharePolicy;
 use reedsail_events::EventKind;
 
@@ -93,14 +94,13 @@
     let (unsent, claim) = claim_key(&shared, &call, Unsent::new()).await?;
     let outcome = forward(Arc::clone(&shared), pool, call, unsent, open).await;
     if let Some(claim) = claim {
-        match &outcome {
-            Ok(answer) => claim.close(&shared, Some(answer.status().as_u16())).await,
-            Err(failure) if failure.ran() == reedsail_core::RanState::NotRun => {
-                claim.close(&shared, None).await
-            }
-            // With no known end the key stays in use: a repeat is told so, and never run.
-            Err(_) => drop(claim),
-        }
+        // With no known end the key stays in use: a repeat is told so, and never run.
+        let status = match &outcome {
+            Ok(answer) => Some(answer.status().as_u16()),
+            Err(failure) if failure.ran() == RanState::NotRun => None,
+            Err(_) => return outcome,
+        };
+        claim.close(&shared, status).await;
     }
     outcome
 }
--- a/crates/reedsail_daemon/src/view.rs
+++ b/crates/reedsail_daemon/src/view.rs
@@ -49,7 +49,6 @@
 pub(crate) struct View<P: SharePolicy> {
     /// Zero while no bundle is in force.
     pub(crate) version: u32,
-    pub(crate) bundle: Option<Arc<Bundle>>,
     by_digest: HashMap<Digest, WorkspaceKey>,
     workspaces: HashMap<WorkspaceKey, WorkspaceView>,
     models: HashMap<String, ServiceKey>,
@@ -62,7 +61,6 @@
     fn default() -> Self {
         Self {
             version: 0,
-            bundle: None,
             by_digest: HashMap::new(),
             workspaces: HashMap::new(),
             models: HashMap::new(),
@@ -75,14 +73,13 @@
 impl<P: SharePolicy> View<P> {
     /// Makes the view of a bundle, keeping the queues and slots of services that go on.
     pub(crate) fn build(
-        bundle: Arc<Bundle>,
+        bundle: &Bundle,
         directory: &mut Directory,
         before: &Self,
         make_cell: impl Fn(&str) -> ServiceCell<P>,
     ) -> Self {
         let mut view = Self {
             version: bundle.version,
-            bundle: Some(Arc::clone(&bundle)),
             ..Self::default()
         };
         for (name, workspace) in &bundle.workspaces {
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod byte_counter;
 mod counted_stream;
+mod deflate_stream;
 mod http_connection;
 mod net_gate;
 
 pub use byte_counter::ByteCounter;
 pub use counted_stream::CountedStream;
 pub use counted_stream::connect;
+pub use deflate_stream::DeflateStream;
 pub use http_connection::HttpConnection;
 pub use http_connection::SendError;
 pub use net_gate::NetGate;
--- a/crates/reedsail_wire/schema/peer.capnp
+++ b/crates/reedsail_wire/schema/peer.capnp
@@ -46,6 +46,7 @@
 struct VirtualTimeRow {
   workspace @0 :UInt32;
   lead      @1 :Float32;
+  share     @2 :Float32;
 }
 
 struct ServiceGrant {
--- a/crates/reedsail_wire/src/grant.rs
+++ b/crates/reedsail_wire/src/grant.rs
@@ -12,6 +12,7 @@
 use crate::message::SERVICES_MAX;
 use crate::message::check_finite;
 use crate::message::check_rows;
+use crate::message::coarse;
 use crate::peer_capnp::grant;
 use crate::peer_capnp::service_grant;
 
@@ -46,7 +47,8 @@
     for (index, row) in grant.virtual_times.iter().enumerate() {
         let mut time = times.reborrow().get(index as u32);
         time.set_workspace(directory.workspaces.hash(row.workspace).0);
-        time.set_lead(row.lead as f32);
+        time.set_lead(coarse(row.lead));
+        time.set_share(coarse(row.share));
     }
 }
 
@@ -86,8 +88,13 @@
     let mut virtual_times = Vec::new();
     for row in time_rows {
         let lead = check_finite(f64::from(row.get_lead()))?;
+        let share = check_finite(f64::from(row.get_share()))?;
         if let Some(workspace) = directory.workspaces.find(NameHash(row.get_workspace())) {
-            virtual_times.push(VirtualTimeRow { workspace, lead });
+            virtual_times.push(VirtualTimeRow {
+                workspace,
+                lead,
+                share,
+            });
         }
     }
     Ok(ServiceGrant {
--- a/crates/reedsail_wire/src/link.rs
+++ b/crates/reedsail_wire/src/link.rs
@@ -10,6 +10,7 @@
 use futures_util::AsyncReadExt;
 use reedsail_core::Directory;
 use reedsail_net::ByteCounter;
+use reedsail_net::DeflateStream;
 use reedsail_net::connect;
 use thiserror::Error;
 use tokio::task::spawn_local;
@@ -54,7 +55,7 @@
         let stream = connect(address, limit_ms, counter)
             .await
             .map_err(LinkError::Connect)?;
-        let (reader, writer) = stream.compat().split();
+        let (reader, writer) = DeflateStream::new(stream).compat().split();
         let network = VatNetwork::new(
             reader,
             writer,
--- a/crates/reedsail_wire/src/message.rs
+++ b/crates/reedsail_wire/src/message.rs
@@ -96,6 +96,12 @@
     Ok(())
 }
 
+/// Keeps the upper half of a number's bits, a precision of one in 256: enough for what is a hint to
+/// the next allocator or is divided by anyway, and the zeros cost next to nothing on the wire.
+pub(crate) fn coarse(number: f64) -> f32 {
+    f32::from_bits((number as f32).to_bits() & 0xffff_0000)
+}
+
 /// Refuses numbers that would poison every sum they enter.
 pub(crate) fn check_finite(number: f64) -> Result<f64, Error> {
     if number.is_finite() {
--- a/crates/reedsail_wire/src/peer_capnp.rs
+++ b/crates/reedsail_wire/src/peer_capnp.rs
@@ -2240,6 +2240,10 @@
         pub fn get_lead(self) -> f32 {
             self.reader.get_data_field::<f32>(1)
         }
+        #[inline]
+        pub fn get_share(self) -> f32 {
+            self.reader.get_data_field::<f32>(2)
+        }
     }
 
     pub struct Builder<'a> {
@@ -2247,7 +2251,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2339,6 +2343,14 @@
         pub fn set_lead(&mut self, value: f32) {
             self.builder.set_data_field::<f32>(1, value);
         }
+        #[inline]
+        pub fn get_share(self) -> f32 {
+            self.builder.get_data_field::<f32>(2)
+        }
+        #[inline]
+        pub fn set_share(&mut self, value: f32) {
+            self.builder.set_data_field::<f32>(2, value);
+        }
     }
 
     pub struct Pipeline {
@@ -2351,17 +2363,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(78, 170, 169, 196, 132, 120, 111, 207),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(83, 136, 126, 77, 240, 161, 185, 194),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -2369,21 +2381,28 @@
             ::capnp::word(97, 108, 84, 105, 109, 101, 82, 111),
             ::capnp::word(119, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -2401,11 +2420,20 @@
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 101, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2424,9 +2452,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
         pub(crate) const TYPE_ID: u64 = 0xcf6f_7884_c4a9_aa4e;
     }
 }
--- a/crates/reedsail_wire/src/report.rs
+++ b/crates/reedsail_wire/src/report.rs
@@ -13,6 +13,7 @@
 use crate::message::SERVICES_MAX;
 use crate::message::check_finite;
 use crate::message::check_rows;
+use crate::message::coarse;
 use crate::peer_capnp::report;
 use crate::peer_capnp::service_report;
 
@@ -70,7 +71,7 @@
         demand.set_queued(saturate(row.queued));
         demand.set_running(saturate(row.running));
         demand.set_cost_total(row.cost_total);
-        demand.set_lead(row.lead as f32);
+        demand.set_lead(coarse(row.lead));
     }
 }
 
--- a/crates/reedsail_wire/src/server.rs
+++ b/crates/reedsail_wire/src/server.rs
@@ -11,6 +11,7 @@
 use reedsail_core::Directory;
 use reedsail_net::ByteCounter;
 use reedsail_net::CountedStream;
+use reedsail_net::DeflateStream;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -63,7 +64,7 @@
         let Ok(stream) = CountedStream::new(stream, counter.clone()) else {
             continue;
         };
-        let (reader, writer) = stream.compat().split();
+        let (reader, writer) = DeflateStream::new(stream).compat().split();
         let mut options = capnp::message::ReaderOptions::default();
         options.traversal_limit_in_words(Some(MESSAGE_WORDS_MAX));
         let network = VatNetwork::new(reader, writer, Side::Server, options);
