--- a/crates/reedsail_bench/src/drive.rs
+++ b/crates/reedsail_bench/src/drive.rs
@@ -245,9 +245,7 @@
                 daemon.scheduler.progress(&mut request.running, received);
                 if request.received == request.cost {
                     let ended = daemon.running.swap_remove(index);
-                    daemon
-                        .scheduler
-                        .finish(ended.running, ended.cost as f64, true, now);
+                    daemon.scheduler.finish(ended.running, ended.cost as f64, true);
                 } else {
                     index += 1;
                 }
@@ -277,6 +275,7 @@
                         deadline: now.plus_ms(100_000_000),
                         body_bytes: 0,
                         prefix: None,
+                        preemptible: true,
                         waker: cost,
                     };
                     if scheduler.submit(waiting, now).is_err() {
@@ -447,17 +446,3 @@
         seed,
     }
 }
-impl Drive {
-    /// dbg
-    pub fn dbg(&self) {
-        for a in &self.allocators {
-            println!(
-                "   view {:?}",
-                (0..16)
-                    .map(|w| (a.lead_of(WorkspaceKey(w)) / 506.0 * 10.0).round() / 10.0)
-                    .collect::<Vec<_>>()
-            );
-            a.dbg();
-        }
-    }
-}
--- a/crates/reedsail_bench/src/fleet.rs
+++ b/crates/reedsail_bench/src/fleet.rs
@@ -333,12 +333,20 @@
 
     async fn publish_next(&mut self) -> anyhow::Result<u32> {
         let text = self.setup.bundle_text(self.version + 1, &self.servers);
-        let record = self.propose(&text);
+        self.publish_text(&text).await
+    }
+
+    /// Publishes a text as the next version; returns once the log has it.
+    ///
+    /// # Errors
+    /// The log does not take the record.
+    pub async fn publish_text(&mut self, text: &str) -> anyhow::Result<u32> {
+        let record = self.propose(text);
         self.platform_client()
             .append(BUNDLE_STREAM, record.to_bytes())
             .await?;
         self.version += 1;
-        self.text = text;
+        text.clone_into(&mut self.text);
         Ok(self.version)
     }
 
--- a/crates/reedsail_bench/src/trace_maker.rs
+++ b/crates/reedsail_bench/src/trace_maker.rs
@@ -21,10 +21,12 @@
 const TOKEN_INTERVAL_MS: u64 = 20;
 /// When the quiet part ends and the backlog begins.
 const BACKLOG_FROM_MS: u64 = 4_000;
-/// When the large workspaces' requests have all arrived.
-const BACKLOG_LARGE_UNTIL_MS: u64 = 4_500;
-/// When the small workspaces' requests have all arrived.
-const BACKLOG_SMALL_UNTIL_MS: u64 = 5_500;
+/// Over which time the backlog's requests arrive, ever faster, as on a morning.
+const BACKLOG_RISE_MS: f64 = 6_000.0;
+/// Requests of a large workspace, many times what it can be served in its fair part.
+const LARGE_REQUESTS: usize = 600;
+/// Requests of a small workspace, enough to keep it backlogged for most of the run.
+const SMALL_REQUESTS: usize = 85;
 
 /// What tells the two deployments apart.
 struct Deployment {
@@ -306,20 +308,24 @@
             .push(chat(800, first, "no-such-model", refused("unknown_model")));
     }
 
-    /// Every workspace gets more work than it can be served for a while, the large ones first.
+    /// Draws a moment of the backlog's rise: twice as far in, twice as many requests a second.
+    fn rising_ms(&mut self) -> u64 {
+        let along: f64 = self.random.random();
+        BACKLOG_FROM_MS + (BACKLOG_RISE_MS * along.sqrt()) as u64
+    }
+
+    /// Every workspace gets more work than it can be served for a while.
     fn backlog_part(&mut self) {
         for workspace in self.deployment.large {
-            for _ in 0..420 {
-                let at_ms = self.random.random_range(BACKLOG_FROM_MS..BACKLOG_LARGE_UNTIL_MS);
+            for _ in 0..LARGE_REQUESTS {
+                let at_ms = self.rising_ms();
                 let tokens = self.random.random_range(20..180);
                 self.chat(at_ms, workspace, "batch", tokens);
             }
         }
         for workspace in self.deployment.small {
-            for _ in 0..85 {
-                let at_ms = self
-                    .random
-                    .random_range(BACKLOG_LARGE_UNTIL_MS..BACKLOG_SMALL_UNTIL_MS);
+            for _ in 0..SMALL_REQUESTS {
+                let at_ms = self.rising_ms();
                 let tokens = self.random.random_range(20..180);
                 let class = if self.random.random_range(0..3) == 0 {
                     "batch"
--- /dev/null
+++ b/crates/reedsail_bench/tests/failures.rs
@@ -0,0 +1,493 @@
+//! Failures brought about on real sockets: nothing lost, nothing doubled, nothing cut.
+
+mod common;
+
+use std::time::Duration;
+
+use common::chat_body;
+use common::new_key;
+use common::request;
+use common::run;
+use common::send;
+use http_body_util::Full;
+use reedsail_bench::Caller;
+use reedsail_bench::Fleet;
+use reedsail_bench::Outcome;
+use reedsail_bench::RequestPlan;
+use reedsail_daemon::Stage;
+use tokio::task::JoinSet;
+
+fn chat_plan(number: u64, tokens: u64) -> RequestPlan {
+    RequestPlan::Chat {
+        model: "hut-writer".to_owned(),
+        prompt: format!("prompt {number}"),
+        tokens,
+        stream: true,
+        class: "interactive".to_owned(),
+    }
+}
+
+fn deposit_plan(key: &str) -> RequestPlan {
+    RequestPlan::Plain {
+        method: "POST".to_owned(),
+        path: "/booking/deposits/confirm".to_owned(),
+        key: Some(key.to_owned()),
+    }
+}
+
+fn beds_plan() -> RequestPlan {
+    RequestPlan::Plain {
+        method: "GET".to_owned(),
+        path: "/booking/beds".to_owned(),
+        key: None,
+    }
+}
+
+fn keyed_runs(fleet: &Fleet, key: &str) -> usize {
+    let runs = fleet
+        .plains
+        .values()
+        .flat_map(reedsail_standin::PlainStandin::runs);
+    runs.filter(|run| run.idempotency_key == key).count()
+}
+
+fn first_plain(fleet: &Fleet) -> &reedsail_standin::PlainStandin {
+    fleet.plains.values().next().expect("a plain backend server")
+}
+
+fn first_engine(fleet: &Fleet) -> &reedsail_standin::EngineStandin {
+    fleet.engines.values().next().expect("an engine")
+}
+
+async fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..500 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{what} within ten seconds");
+}
+
+#[test]
+fn a_planned_stop_finishes_every_open_stream() {
+    run(async {
+        let mut fleet = common::small_fleet(1, 2).await;
+        let address = fleet.callers["hall-a-1"];
+        let mut callers = JoinSet::new();
+        for number in 0..40 {
+            callers.spawn(async move { Caller::run(address, "labska", &chat_plan(number, 60)).await });
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let daemon = fleet.daemons.remove("hall-a-1").unwrap();
+        assert!(
+            daemon.open_requests() >= 30,
+            "most are still open as the stop begins"
+        );
+        assert!(daemon.close().await, "nothing was cut");
+        for caller in callers.join_all().await {
+            assert_eq!(caller.outcome, Outcome::Answered);
+        }
+        // The other daemon has all the slots now.
+        eventually("the other daemon takes over", || {
+            fleet.daemons["hall-a-2"].slot_counts("assistant-llm").0 == 8
+        })
+        .await;
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn callers_of_other_daemons_lose_nothing_when_one_is_killed() {
+    run(async {
+        let mut fleet = common::small_fleet(2, 2).await;
+        let mut callers = JoinSet::new();
+        for (name, address) in fleet
+            .callers
+            .clone()
+            .into_iter()
+            .filter(|(name, _)| name != "hall-a-1")
+        {
+            for number in 0..10 {
+                let prompt = number + 1_000 * u64::from(name.ends_with('2'));
+                callers.spawn(async move { Caller::run(address, "labska", &chat_plan(prompt, 80)).await });
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        fleet.kill_daemon("hall-a-1");
+        for caller in callers.join_all().await {
+            assert_eq!(caller.outcome, Outcome::Answered);
+        }
+        fleet.start_daemon("hall-a-1").await.unwrap();
+        fleet.wait_until_ready().await.unwrap();
+        let caller = Caller::run(fleet.callers["hall-a-1"], "labska", &chat_plan(5_000, 5)).await;
+        assert_eq!(caller.outcome, Outcome::Answered, "back with no state");
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn a_restart_with_no_state_finds_the_bundle_wherever_it_can() {
+    run(async {
+        let mut fleet = common::small_fleet(1, 2).await;
+        // Log up, peers up: covered by every other test. Log up, peers cut off:
+        fleet.kill_daemon("hall-a-1");
+        fleet.gate.cut("hall-a-1", "hall-a-2");
+        fleet.start_daemon("hall-a-1").await.unwrap();
+        eventually("the log alone makes it ready", || {
+            fleet.daemons["hall-a-1"].stage() == Stage::Ready
+        })
+        .await;
+        // Log down, peers up:
+        fleet.kill_daemon("hall-a-1");
+        fleet.gate.mend("hall-a-1", "hall-a-2");
+        fleet.platform.set_faults(|faults| faults.outage = true);
+        fleet.start_daemon("hall-a-1").await.unwrap();
+        eventually("a peer alone makes it ready", || {
+            fleet.daemons["hall-a-1"].stage() == Stage::Ready
+        })
+        .await;
+        let address = fleet.callers["hall-a-1"];
+        assert_eq!(
+            Caller::run(address, "labska", &beds_plan()).await.outcome,
+            Outcome::Answered
+        );
+        // Log down, peers cut off: not ready, and callers are told that nothing ran.
+        fleet.kill_daemon("hall-a-1");
+        fleet.gate.cut("hall-a-1", "hall-a-2");
+        fleet.start_daemon("hall-a-1").await.unwrap();
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(fleet.daemons["hall-a-1"].stage(), Stage::Starting);
+        let refused = Caller::run(fleet.callers["hall-a-1"], "labska", &beds_plan()).await;
+        let not_ready = Outcome::Failed {
+            kind: "not_ready".to_owned(),
+            ran: "not_run".to_owned(),
+        };
+        assert_eq!(refused.outcome, not_ready);
+        fleet.platform.set_faults(|faults| faults.outage = false);
+        eventually("the log is back", || {
+            fleet.daemons["hall-a-1"].stage() == Stage::Ready
+        })
+        .await;
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn an_outage_longer_than_retention_reverts_nothing() {
+    run(async {
+        let mut fleet =
+            common::tuned_fleet(1, 2, |settings| settings.control.checkpoint_every_ms = 1_000).await;
+        let text = fleet.bundle_text().replace("version: 1", "version: 2");
+        fleet.publish_text(&text).await.unwrap();
+        fleet.wait_for_version(2, 5_000).await.unwrap();
+        fleet.platform.set_faults(|faults| faults.outage = true);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.platform.age_out();
+        fleet.platform.set_faults(|faults| faults.outage = false);
+        eventually("the version is repeated in the log", || {
+            let events = fleet.events();
+            events.iter().any(|event| event.name == "checkpoint_appended")
+        })
+        .await;
+        // A daemon that knows nobody finds the version in the log alone.
+        fleet.kill_daemon("hall-a-1");
+        fleet.gate.cut("hall-a-1", "hall-a-2");
+        fleet.start_daemon("hall-a-1").await.unwrap();
+        eventually("the checkpoint is found", || {
+            fleet.daemons["hall-a-1"].bundle_version() == 2
+        })
+        .await;
+        // And the next version comes into force everywhere.
+        fleet.gate.mend("hall-a-1", "hall-a-2");
+        let next = text.replace("version: 2", "version: 3");
+        fleet.publish_text(&next).await.unwrap();
+        fleet.wait_for_version(3, 5_000).await.unwrap();
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn calls_that_may_not_be_repeated_run_at_most_once_through_kills_and_lost_answers() {
+    run(async {
+        let mut fleet = common::small_fleet(1, 3).await;
+        fleet.platform.set_faults(|faults| faults.lost_answer_ratio = 0.2);
+        first_plain(&fleet).set_faults(|faults| faults.answers_lost = 5);
+        let mut callers = JoinSet::new();
+        let keys: Vec<String> = (0..120).map(|_| new_key()).collect();
+        for (number, key) in keys.iter().enumerate() {
+            for daemon in [1 + number % 3, 1 + (number + 1) % 3] {
+                let address = fleet.callers[&format!("hall-a-{daemon}")];
+                let key = key.clone();
+                callers.spawn(async move {
+                    let caller = Caller::run(address, "labska", &deposit_plan(&key)).await;
+                    (key, caller)
+                });
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            if number == 60 {
+                fleet.kill_daemon("hall-a-3");
+            }
+            if number == 90 {
+                fleet.start_daemon("hall-a-3").await.unwrap();
+            }
+        }
+        let mut answered = 0;
+        for (key, caller) in callers.join_all().await {
+            answered += usize::from(caller.outcome == Outcome::Answered);
+            if let Outcome::Failed { ran, .. } = &caller.outcome
+                && ran == "not_run"
+            {
+                let mut runs = fleet
+                    .plains
+                    .values()
+                    .flat_map(reedsail_standin::PlainStandin::runs);
+                assert!(
+                    runs.all(|run| run.request_id != caller.request_id),
+                    "{key} was said not to have run"
+                );
+            }
+        }
+        for key in &keys {
+            assert!(
+                keyed_runs(&fleet, key) <= 1,
+                "{key} ran {} times",
+                keyed_runs(&fleet, key)
+            );
+        }
+        assert!(answered > 60, "only {answered} were answered");
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn a_call_whose_answer_was_lost_is_never_sent_again() {
+    run(async {
+        let fleet = common::small_fleet(1, 1).await;
+        first_plain(&fleet).set_faults(|faults| faults.answers_lost = 1);
+        let key = new_key();
+        let address = fleet.callers["hall-a-1"];
+        let first = Caller::run(address, "labska", &deposit_plan(&key)).await;
+        assert!(
+            matches!(&first.outcome, Outcome::Failed { ran, .. } if ran == "unknown"),
+            "{first:?}"
+        );
+        for _ in 0..3 {
+            let repeat = Caller::run(address, "labska", &deposit_plan(&key)).await;
+            let in_use = Outcome::Failed {
+                kind: "idempotency_key_in_use".to_owned(),
+                ran: "unknown".to_owned(),
+            };
+            assert_eq!(repeat.outcome, in_use);
+        }
+        assert_eq!(keyed_runs(&fleet, &key), 1);
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn an_outage_of_the_log_refuses_keyed_calls_alone_and_leaves_their_keys_free() {
+    run(async {
+        let fleet = common::small_fleet(1, 1).await;
+        let address = fleet.callers["hall-a-1"];
+        fleet.platform.set_faults(|faults| faults.outage = true);
+        let key = new_key();
+        let refused = Caller::run(address, "labska", &deposit_plan(&key)).await;
+        let unavailable = Outcome::Failed {
+            kind: "claim_unavailable".to_owned(),
+            ran: "not_run".to_owned(),
+        };
+        assert_eq!(refused.outcome, unavailable);
+        assert_eq!(
+            Caller::run(address, "labska", &beds_plan()).await.outcome,
+            Outcome::Answered
+        );
+        assert_eq!(
+            Caller::run(address, "labska", &chat_plan(1, 5)).await.outcome,
+            Outcome::Answered
+        );
+        fleet.platform.set_faults(|faults| faults.outage = false);
+        let mut outcome = Outcome::Crossed;
+        for _ in 0..20 {
+            outcome = Caller::run(address, "labska", &deposit_plan(&key)).await.outcome;
+            if outcome == Outcome::Answered {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(
+            outcome,
+            Outcome::Answered,
+            "the same key runs once the log is back"
+        );
+        assert_eq!(keyed_runs(&fleet, &key), 1);
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn a_broken_stream_goes_on_from_the_last_token() {
+    run(async {
+        let fleet = common::small_fleet(2, 1).await;
+        let address = fleet.callers["hall-a-1"];
+        for engine in fleet.engines.values() {
+            let faults = engine.faults();
+            faults
+                .cut_after_tokens
+                .store(15, std::sync::atomic::Ordering::Relaxed);
+        }
+        let caller = Caller::run(address, "labska", &chat_plan(1, 40)).await;
+        assert_eq!(caller.outcome, Outcome::Answered);
+        let resumed: Vec<u64> = fleet
+            .engines
+            .values()
+            .flat_map(reedsail_standin::EngineStandin::runs)
+            .map(|run| run.resumed_from)
+            .collect();
+        assert!(resumed.contains(&15) && resumed.contains(&30), "{resumed:?}");
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn a_caller_that_goes_away_frees_its_slot_and_cancels_its_stream() {
+    run(async {
+        let fleet = common::small_fleet(1, 1).await;
+        let address = fleet.callers["hall-a-1"];
+        let mut callers = JoinSet::new();
+        for number in 0..12 {
+            callers.spawn(async move { Caller::run(address, "labska", &chat_plan(number, 2_000)).await });
+        }
+        eventually("all slots are used", || {
+            fleet.daemons["hall-a-1"].slot_counts("assistant-llm").1 == 8
+        })
+        .await;
+        callers.abort_all();
+        eventually("all slots are free", || {
+            let daemon = &fleet.daemons["hall-a-1"];
+            daemon.slot_counts("assistant-llm").1 == 0 && daemon.open_requests() == 0
+        })
+        .await;
+        eventually("the engine has stopped", || first_engine(&fleet).load().0 == 0).await;
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn crossed_and_short_answers_never_reach_a_caller() {
+    run(async {
+        let fleet = common::small_fleet(1, 1).await;
+        let address = fleet.callers["hall-a-1"];
+        // What may be repeated is asked again, elsewhere or of the same server.
+        first_plain(&fleet).set_faults(|faults| faults.answers_crossed = 1);
+        let crossed = Caller::run(address, "labska", &beds_plan()).await;
+        assert_eq!(crossed.outcome, Outcome::Answered);
+        // What may not be repeated ends as unknown.
+        first_plain(&fleet).set_faults(|faults| faults.answers_crossed = 1);
+        let key = new_key();
+        let keyed = Caller::run(address, "labska", &deposit_plan(&key)).await;
+        let mismatched = Outcome::Failed {
+            kind: "answer_mismatched".to_owned(),
+            ran: "unknown".to_owned(),
+        };
+        assert_eq!(keyed.outcome, mismatched);
+        assert_eq!(keyed_runs(&fleet, &key), 1);
+        first_plain(&fleet).set_faults(|faults| faults.answers_short = 1);
+        let short = Caller::run(address, "labska", &deposit_plan(&new_key())).await;
+        assert!(
+            matches!(&short.outcome, Outcome::Failed { ran, .. } if ran == "unknown"),
+            "{short:?}"
+        );
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_request() {
+    run(async {
+        let fleet = common::small_fleet(2, 1).await;
+        let leaving = "booking-api-hall-a-1";
+        fleet.set_leaving(leaving);
+        eventually("both daemons know", || {
+            let events = fleet.events();
+            let known = events.iter().filter(|event| event.name == "server_leaving");
+            known.count() == 2
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let before = fleet.plains[leaving].runs().len();
+        for _ in 0..20 {
+            let caller = Caller::run(fleet.callers["hall-a-1"], "labska", &beds_plan()).await;
+            assert_eq!(caller.outcome, Outcome::Answered, "served from the other domain");
+        }
+        assert_eq!(fleet.plains[leaving].runs().len(), before);
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn a_frozen_daemon_starts_nothing_after_its_lease_and_goes_on_when_thawed() {
+    run(async {
+        let fleet = common::small_fleet(1, 2).await;
+        let frozen = "hall-a-1";
+        fleet.gate.freeze(frozen, true);
+        eventually("the other daemon gets its slots", || {
+            fleet.daemons["hall-a-2"].slot_counts("assistant-llm").0 == 8
+        })
+        .await;
+        let before = first_engine(&fleet).requests_seen().len();
+        let address = fleet.callers[frozen];
+        let waiting = tokio::spawn(async move { Caller::run(address, "labska", &chat_plan(1, 5)).await });
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(
+            first_engine(&fleet).requests_seen().len(),
+            before,
+            "its lease has lapsed"
+        );
+        fleet.gate.freeze(frozen, false);
+        assert_eq!(waiting.await.unwrap().outcome, Outcome::Answered);
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn a_domain_cut_off_serves_on_and_comes_back() {
+    run(async {
+        let fleet = common::small_fleet(2, 2).await;
+        fleet.gate.cut("hall-a", "hall-b");
+        fleet.gate.cut("hall-a-1", "platform");
+        fleet.gate.cut("hall-a-2", "platform");
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        for (name, address) in &fleet.callers {
+            let caller = Caller::run(*address, "labska", &chat_plan(1, 5)).await;
+            assert_eq!(caller.outcome, Outcome::Answered, "at {name} during the cut");
+        }
+        fleet.gate.mend("hall-a", "hall-b");
+        fleet.gate.mend("hall-a-1", "platform");
+        fleet.gate.mend("hall-a-2", "platform");
+        for (name, address) in &fleet.callers {
+            let caller = Caller::run(*address, "labska", &chat_plan(2, 5)).await;
+            assert_eq!(caller.outcome, Outcome::Answered, "at {name} after the cut");
+        }
+        assert!(fleet.close().await);
+    });
+}
+
+#[test]
+fn bodies_of_both_kinds_pass_unchanged() {
+    run(async {
+        let fleet = common::small_fleet(1, 1).await;
+        let chat = request("POST", "/v1/chat/completions", "labska");
+        let chat = chat.body(chat_body("hut-writer", "whole", 3, false)).unwrap();
+        let answer = send(fleet.callers["hall-a-1"], chat).await;
+        assert_eq!(answer.status.as_u16(), 200);
+        assert_eq!(answer.header("reedsail-ran"), "ran");
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+        assert_eq!(body["usage"]["completion_tokens"], 3);
+        let put = request("PUT", "/booking/notes?of=labska", "labska");
+        let answer = send(fleet.callers["hall-a-1"], put.body(Full::default()).unwrap()).await;
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+        assert_eq!(body["call"], "PUT /booking/notes?of=labska");
+        fleet.close().await;
+    });
+}
--- a/crates/reedsail_bundle/src/follower.rs
+++ b/crates/reedsail_bundle/src/follower.rs
@@ -54,10 +54,19 @@
         self.accepted.as_ref().map(|(_, text)| text.as_str())
     }
 
+    /// Tells whether every record since a sure start was read; only then can proposals be judged.
+    pub fn is_sure(&self) -> bool {
+        self.fold.is_sure()
+    }
+
     /// Returns a record that tells the version in force to a log or a peer.
     pub fn checkpoint(&self) -> Option<BundleRecord> {
         let (head, text) = self.accepted.as_ref()?;
-        Some(BundleRecord::checkpoint(head.clone(), text))
+        Some(BundleRecord::checkpoint(
+            head.clone(),
+            text,
+            self.fold.next_offset(),
+        ))
     }
 
     /// Notes a read that found records from `first_offset` on.
@@ -86,10 +95,15 @@
     /// The record is unreadable, not a checkpoint, or not properly signed.
     pub fn learn(&mut self, bytes: &[u8]) -> Result<bool, RecordError> {
         let (record, rollout, text) = self.check(BundleRecord::parse(bytes)?)?;
-        let RolloutRecord::Checkpoint { version, digest } = rollout else {
+        let RolloutRecord::Checkpoint {
+            version,
+            digest,
+            as_of,
+        } = rollout
+        else {
             return Err(RecordError::Unreadable("a peer sent no checkpoint".to_owned()));
         };
-        if !self.fold.learn(AcceptedVersion { version, digest }) {
+        if !self.fold.learn(AcceptedVersion { version, digest }, as_of) {
             return Ok(false);
         }
         self.accepted = text.map(|text| (record.head, text));
--- a/crates/reedsail_bundle/src/record.rs
+++ b/crates/reedsail_bundle/src/record.rs
@@ -81,8 +81,13 @@
     Patch(String),
     /// A proposal without a base, packed whole.
     Whole(String),
-    /// A checkpoint of what was accepted, packed whole.
-    Checkpoint(String),
+    /// A checkpoint of what was accepted.
+    Checkpoint {
+        /// Every record of the log before this offset is taken into account.
+        as_of: u64,
+        /// The content, packed whole.
+        content: String,
+    },
 }
 
 /// A record of the bundle stream.
@@ -194,11 +199,12 @@
     }
 
     /// Makes a checkpoint of what was accepted.
-    pub fn checkpoint(head: SignedHead, text: &str) -> Self {
+    pub fn checkpoint(head: SignedHead, text: &str, as_of: u64) -> Self {
+        let content = codec::pack(text);
         Self {
             id: Uuid::now_v7(),
             head,
-            body: RecordBody::Checkpoint(codec::pack(text)),
+            body: RecordBody::Checkpoint { as_of, content },
         }
     }
 
@@ -225,7 +231,9 @@
     pub fn content(&self, base: Option<&str>) -> Result<String, RecordError> {
         let text = match &self.body {
             RecordBody::Patch(patch) => codec::apply_patch(base.unwrap_or_default(), patch)?,
-            RecordBody::Whole(packed) | RecordBody::Checkpoint(packed) => codec::unpack(packed)?,
+            RecordBody::Whole(packed) | RecordBody::Checkpoint { content: packed, .. } => {
+                codec::unpack(packed)?
+            }
         };
         if codec::digest_of(&text) != self.head.content_digest()? {
             return Err(RecordError::WrongDigest);
@@ -245,9 +253,10 @@
                 base_digest: parse_digest(&self.head.base_digest)?,
                 digest,
             },
-            RecordBody::Checkpoint(_) => RolloutRecord::Checkpoint {
+            RecordBody::Checkpoint { as_of, .. } => RolloutRecord::Checkpoint {
                 version: self.head.base_version + 1,
                 digest,
+                as_of,
             },
         })
     }
--- /dev/null
+++ b/crates/reedsail_cli/src/admin_client.rs
@@ -0,0 +1,70 @@
+//! Asks a daemon's admin port.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use reedsail_daemon::Status;
+use reedsail_net::ByteCounter;
+use reedsail_net::HttpConnection;
+use tokio::time::timeout;
+
+use crate::failure::Failure;
+
+/// How long a daemon may take to answer.
+const LIMIT_MS: u64 = 5_000;
+
+/// Gets a page of the admin port.
+pub(crate) async fn get(address: SocketAddr, path: &str) -> Result<(StatusCode, Bytes), Failure> {
+    let unreachable = |error: &dyn std::fmt::Display| {
+        Failure::Unreachable(format!("no answer from the daemon at {address}: {error}"))
+    };
+    let exchange = async {
+        let mut connection = HttpConnection::open(address, LIMIT_MS, ByteCounter::default())
+            .await
+            .map_err(|error| unreachable(&error))?;
+        connection.ready().await;
+        let request = Request::builder()
+            .uri(path)
+            .header("host", address.to_string())
+            .body(Full::default())
+            .map_err(|error| unreachable(&error))?;
+        let response = connection
+            .send(request)
+            .await
+            .map_err(|error| unreachable(&error))?;
+        let status = response.status();
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(|error| unreachable(&error))?;
+        Ok((status, body.to_bytes()))
+    };
+    match timeout(Duration::from_millis(LIMIT_MS), exchange).await {
+        Ok(outcome) => outcome,
+        Err(error) => Err(unreachable(&error)),
+    }
+}
+
+/// Gets a daemon's status.
+pub(crate) async fn status(address: SocketAddr) -> Result<Status, Failure> {
+    let (_, body) = get(address, "/status").await?;
+    serde_json::from_slice(&body)
+        .map_err(|error| Failure::Unreachable(format!("the answer of {address} is not readable: {error}")))
+}
+
+/// Gets the content of the bundle that a daemon has accepted; `None` if there is none yet.
+pub(crate) async fn bundle(address: SocketAddr) -> Result<Option<String>, Failure> {
+    let (status, body) = get(address, "/bundle").await?;
+    if status != StatusCode::OK {
+        return Ok(None);
+    }
+    String::from_utf8(body.to_vec())
+        .map(Some)
+        .map_err(|error| Failure::Unreachable(format!("the bundle of {address} is not a text: {error}")))
+}
--- /dev/null
+++ b/crates/reedsail_cli/src/flags.rs
@@ -0,0 +1,6 @@
+//! The flags of each command.
+
+pub(crate) mod bundle;
+pub(crate) mod fleet;
+pub(crate) mod keys;
+pub(crate) mod timeline;
--- /dev/null
+++ b/crates/reedsail_cli/src/keys_command.rs
@@ -0,0 +1,28 @@
+//! `reedsail keys`.
+
+use std::path::Path;
+
+use reedsail_bundle::SecretKey;
+
+use crate::failure::Failure;
+use crate::key_file::KeyFile;
+
+/// Makes a key, and prints what the daemons' settings need of it.
+pub(crate) fn new(name: &str, out: &Path) -> Result<(), Failure> {
+    let fits = |character: char| character.is_ascii_alphanumeric() || "-_.".contains(character);
+    if name.is_empty() || name.len() > 64 || !name.chars().all(fits) {
+        return Err(Failure::Usage(format!(
+            "`{name}` is no name: use at most 64 letters, digits, `-`, `_` and `.`"
+        )));
+    }
+    let file = KeyFile {
+        name: name.to_owned(),
+        key: SecretKey::generate(),
+    };
+    file.write_new(out)?;
+    let public = hex::encode(file.key.public().0);
+    println!("secret key of {name} written to {}", out.display());
+    println!("for `trusted_keys` in the daemons' settings, with the role that {name} has:");
+    println!("  - {{name: {name}, role: author, key: {public}}}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/reedsail_cli/src/main.rs
@@ -0,0 +1,98 @@
+//! `reedsail`: what operators do with bundles, keys, the fleet's status and its time line.
+
+mod admin_client;
+mod bundle_command;
+mod failure;
+mod flags;
+mod fleet_command;
+mod key_file;
+mod keys_command;
+mod publish_command;
+mod signed_file;
+mod table;
+mod timeline_command;
+
+use std::ffi::OsStr;
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use failure::Failure;
+use flags::bundle::Bundle;
+use flags::bundle::BundleCmd;
+use flags::fleet::Fleet;
+use flags::fleet::FleetCmd;
+use flags::keys::Keys;
+use flags::keys::KeysCmd;
+use flags::timeline::Timeline;
+
+const HELP: &str = "\
+reedsail: operates a router fleet; every change is a signed bundle, rolled forward
+
+  reedsail bundle    makes, checks, signs, publishes bundles; shows which is in force
+  reedsail fleet     looks at the fleet
+  reedsail timeline  merges the events of several daemons into one order
+  reedsail keys      makes keys for authors and approvers
+
+`reedsail COMMAND --help` tells more.
+Exit codes: 0 done; 1 the bundle has faults or was refused; 2 wrong use; 3 the base is
+not the version in force; 4 the platform or a daemon cannot be reached.";
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args_os().skip(1);
+    let command = arguments.next().unwrap_or_default();
+    let rest: Vec<OsString> = arguments.collect();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("reedsail: cannot start: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    match runtime.block_on(run(&command, rest)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("reedsail: {failure}");
+            failure.exit_code()
+        }
+    }
+}
+
+async fn run(command: &OsStr, rest: Vec<OsString>) -> Result<(), Failure> {
+    match command.to_str() {
+        Some("bundle") => run_bundle(parsed(Bundle::from_vec(rest))).await,
+        Some("fleet") => match parsed(Fleet::from_vec(rest)).subcommand {
+            FleetCmd::Status(status) => fleet_command::fleet_status(&status.daemon, status.json).await,
+        },
+        Some("timeline") => timeline_command::run(&parsed(Timeline::from_vec(rest))).await,
+        Some("keys") => match parsed(Keys::from_vec(rest)).subcommand {
+            KeysCmd::New(new) => keys_command::new(&new.name, &new.out),
+        },
+        Some("" | "help" | "--help" | "-h") => {
+            println!("{HELP}");
+            Ok(())
+        }
+        _ => Err(Failure::Usage(format!(
+            "`{}` is no command\n\n{HELP}",
+            command.display()
+        ))),
+    }
+}
+
+async fn run_bundle(bundle: Bundle) -> Result<(), Failure> {
+    match bundle.subcommand {
+        BundleCmd::New(new) => bundle_command::new(&new.file),
+        BundleCmd::Check(check) => bundle_command::check(&check.file, check.json),
+        BundleCmd::Diff(diff) => bundle_command::diff(&diff.base, &diff.file, diff.json),
+        BundleCmd::Sign(sign) => publish_command::sign(&sign.file, &sign.key, sign.daemon, sign.first).await,
+        BundleCmd::Approve(approve) => publish_command::approve(&approve.file, &approve.key),
+        BundleCmd::Publish(publish) => {
+            publish_command::publish(&publish.file, publish.platform, publish.daemon).await
+        }
+        BundleCmd::Status(status) => fleet_command::bundle_status(&status.daemon, status.json).await,
+    }
+}
+
+/// Ends the program with a message, or the help that was asked for, where the flags do not parse.
+fn parsed<T>(flags: xflags::Result<T>) -> T {
+    flags.unwrap_or_else(|error| error.exit())
+}
--- a/crates/reedsail_core/src/accept_fold.rs
+++ b/crates/reedsail_core/src/accept_fold.rs
@@ -21,6 +21,8 @@
         version: u32,
         /// The digest of its content.
         digest: Digest,
+        /// Every record before this offset is taken into account.
+        as_of: u64,
     },
 }
 
@@ -44,19 +46,37 @@
     Stale,
     /// The record says what is known already.
     Repeated,
-    /// Without a starting point nothing can be said; a checkpoint will come.
+    /// Records are missing, so nothing can be said yet; a checkpoint or a peer will help.
     NoStart,
 }
 
 /// Folds the records of the bundle stream in log order.
 ///
-/// A fold may start only at offset zero or from a version learned elsewhere (a checkpoint, a
-/// peer): the first proposal seen after records were dropped may well be a rival that lost.
-#[derive(Clone, Debug, Default)]
+/// A reader judges proposals only while it has seen every record since a sure start: offset zero,
+/// or a checkpoint or peer's word whose `as_of` leaves no proposal out. The first proposal seen
+/// after a gap may well be a rival that lost, and a checkpoint written by a daemon that lagged may
+/// be older than a proposal before it.
+#[derive(Clone, Debug)]
 pub struct AcceptFold {
     in_force: Option<AcceptedVersion>,
-    from_start: bool,
+    /// Whether every record since a sure start was seen.
+    is_sure: bool,
     next_offset: u64,
+    /// From here on every record was seen.
+    seen_from: u64,
+    last_proposal: Option<u64>,
+}
+
+impl Default for AcceptFold {
+    fn default() -> Self {
+        Self {
+            in_force: None,
+            is_sure: true,
+            next_offset: 0,
+            seen_from: 0,
+            last_proposal: None,
+        }
+    }
 }
 
 impl AcceptFold {
@@ -65,28 +85,49 @@
         self.in_force
     }
 
-    /// Returns the offset from which to read on.
+    /// Returns the offset from which to read on; every record before it is taken into account.
     pub fn next_offset(&self) -> u64 {
         self.next_offset
     }
 
-    /// Learns a version from a peer; an older one than is known changes nothing.
-    pub fn learn(&mut self, accepted: AcceptedVersion) -> bool {
-        if self
-            .in_force
-            .is_some_and(|known| known.version >= accepted.version)
-        {
+    /// Tells whether every record since a sure start was seen.
+    pub fn is_sure(&self) -> bool {
+        self.is_sure
+    }
+
+    /// Takes over a version that somebody sure knows as of an offset; an older one changes nothing.
+    ///
+    /// Returns `true` if the version is news.
+    pub fn learn(&mut self, accepted: AcceptedVersion, as_of: u64) -> bool {
+        if !self.covers(as_of) {
             return false;
         }
-        self.in_force = Some(accepted);
-        true
+        if as_of > self.next_offset {
+            self.next_offset = as_of;
+            self.seen_from = as_of;
+            self.last_proposal = None;
+        }
+        let is_news = self.in_force.is_none_or(|known| known.version < accepted.version);
+        if is_news {
+            self.in_force = Some(accepted);
+        }
+        // Whoever speaks is sure, so the higher of both versions is the one in force.
+        self.is_sure = true;
+        is_news
+    }
+
+    /// Tells whether knowledge as of an offset leaves out no proposal that was read here.
+    fn covers(&self, as_of: u64) -> bool {
+        as_of >= self.seen_from && self.last_proposal.is_none_or(|offset| offset < as_of)
     }
 
     /// Notes a read that found records from `first_offset` on: what lies between is lost.
     pub fn note_truncation(&mut self, first_offset: u64) {
         if first_offset > self.next_offset {
             self.next_offset = first_offset;
-            self.from_start = false;
+            self.seen_from = first_offset;
+            self.last_proposal = None;
+            self.is_sure = false;
         }
     }
 
@@ -95,30 +136,42 @@
         if offset < self.next_offset {
             return FoldVerdict::Repeated;
         }
-        self.from_start = offset == 0 || (self.from_start && offset == self.next_offset);
+        self.note_truncation(offset);
         self.next_offset = offset + 1;
         match record {
-            RolloutRecord::Checkpoint { version, digest } => {
-                self.fold_checkpoint(AcceptedVersion { version, digest })
-            }
+            RolloutRecord::Checkpoint {
+                version,
+                digest,
+                as_of,
+            } => self.fold_checkpoint(AcceptedVersion { version, digest }, as_of),
             RolloutRecord::Proposal {
                 base_version,
                 base_digest,
                 digest,
-            } => self.fold_proposal(base_version, base_digest, digest),
+            } => {
+                self.last_proposal = Some(offset);
+                self.fold_proposal(base_version, base_digest, digest)
+            }
         }
     }
 
     /// Skips a record that cannot be read or whose signatures fail; every reader skips it alike.
     pub fn skip(&mut self, offset: u64) {
         if offset >= self.next_offset {
-            self.from_start = offset == 0 || (self.from_start && offset == self.next_offset);
+            self.note_truncation(offset);
             self.next_offset = offset + 1;
         }
     }
 
-    fn fold_checkpoint(&mut self, accepted: AcceptedVersion) -> FoldVerdict {
-        if self.learn(accepted) {
+    fn fold_checkpoint(&mut self, accepted: AcceptedVersion, as_of: u64) -> FoldVerdict {
+        if self.is_sure {
+            return FoldVerdict::Repeated;
+        }
+        // The checkpoint itself lies before `next_offset` already and is no proposal.
+        if as_of >= self.next_offset || !self.covers(as_of) {
+            return FoldVerdict::NoStart;
+        }
+        if self.learn(accepted, as_of) {
             FoldVerdict::CaughtUp(accepted)
         } else {
             FoldVerdict::Repeated
@@ -126,11 +179,13 @@
     }
 
     fn fold_proposal(&mut self, base_version: u32, base_digest: Digest, digest: Digest) -> FoldVerdict {
+        if !self.is_sure {
+            return FoldVerdict::NoStart;
+        }
         let version = base_version + 1;
         match self.in_force {
             Some(known) if known.version == version && known.digest == digest => FoldVerdict::Repeated,
             Some(known) if known.version != base_version || known.digest != base_digest => FoldVerdict::Stale,
-            None if !self.from_start => FoldVerdict::NoStart,
             None if base_version != 0 => FoldVerdict::Stale,
             _ => {
                 let accepted = AcceptedVersion { version, digest };
--- a/crates/reedsail_core/src/allocator/mod.rs
+++ b/crates/reedsail_core/src/allocator/mod.rs
@@ -308,22 +308,3 @@
             .collect()
     }
 }
-impl Allocator {
-    /// dbg
-    pub fn dbg(&self) {
-        let mut m: Vec<_> = self.members.iter().collect();
-        m.sort_by_key(|m| m.0.0);
-        for (n, m) in m {
-            print!(
-                "   m{}: target {} held {:?} |",
-                n.0,
-                m.target_slots,
-                m.slots
-                    .iter()
-                    .map(|(k, s)| (k.0, s.in_use, s.granted))
-                    .collect::<Vec<_>>()
-            );
-        }
-        println!("  yield {}", self.yield_per_ms);
-    }
-}
--- a/crates/reedsail_core/src/fair_queue.rs
+++ b/crates/reedsail_core/src/fair_queue.rs
@@ -75,6 +75,8 @@
     pub body_bytes: u64,
     /// A hash of the prompt's prefix, if it has one.
     pub prefix: Option<u64>,
+    /// Whether it can give its slot up while it runs, and go on elsewhere.
+    pub preemptible: bool,
     /// Wakes the owner.
     pub waker: W,
 }
@@ -296,6 +298,11 @@
         })
     }
 
+    /// Returns a workspace's share of the daemon's slots, told or assumed.
+    pub(crate) fn share_of(&self, entry: &WorkspaceQueue<W>) -> f64 {
+        entry.share_or(self.slots_per_weight)
+    }
+
     pub(crate) fn idle_entries(&self) -> impl Iterator<Item = (WorkspaceKey, &WorkspaceQueue<W>)> {
         self.entries
             .iter()
--- a/crates/reedsail_core/src/scheduler.rs
+++ b/crates/reedsail_core/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::ErrorKind;
 use crate::FairQueue;
 use crate::MemberKind;
+use crate::PreemptFlag;
 use crate::QueueLimits;
 use crate::ServerHealth;
 use crate::ServerKey;
@@ -18,6 +19,9 @@
 use crate::TimeMs;
 use crate::Waiting;
 use crate::WorkspaceKey;
+use crate::preemption::RunEntry;
+use crate::preemption::ShareStanding;
+use crate::preemption::preempt;
 
 /// How much fuller, as a part of its slots, the server with the cached prefix may be.
 const AFFINITY_LOAD_MARGIN: f64 = 0.5;
@@ -49,6 +53,9 @@
     pub workspace: WorkspaceKey,
     /// The backend server whose slot it has.
     pub server: ServerKey,
+    /// Raised when the request is to give its slot up.
+    pub preempt: PreemptFlag,
+    number: u64,
     estimate: f64,
     charged: f64,
 }
@@ -95,6 +102,11 @@
     servers: HashMap<ServerKey, Server>,
     affinity: AffinityTable,
     session: u32,
+    runs_started: u64,
+    /// Running requests that can be given up, by their number.
+    preemptible: HashMap<u64, RunEntry>,
+    /// Until when the last grant holds.
+    grant_deadline: TimeMs,
     /// Set when work waits and no slot is free, until the next report.
     starved: bool,
     /// Set when the last report said that work waits.
@@ -110,6 +122,9 @@
             servers: HashMap::new(),
             affinity: AffinityTable::default(),
             session,
+            runs_started: 0,
+            preemptible: HashMap::new(),
+            grant_deadline: TimeMs(0),
             starved: false,
             starved_reported: false,
         }
@@ -183,7 +198,7 @@
             let Some(server) = self.choose_server(waiting.prefix, now) else {
                 break;
             };
-            let running = self.start(waiting.workspace, server, waiting.prefix, now);
+            let running = self.start(&waiting, server, now);
             let waker = waiting.waker;
             dispatches.push(Dispatch { running, waker });
         }
@@ -230,7 +245,7 @@
     }
 
     /// Ends a request with its true cost and frees its slot.
-    pub fn finish(&mut self, mut running: Running, cost: f64, answered: bool, now: TimeMs) {
+    pub fn finish(&mut self, mut running: Running, cost: f64, answered: bool) {
         self.progress(&mut running, cost);
         let still_expected = (running.estimate - running.charged).max(0.0);
         let entry = self.queue.entry_mut(running.workspace);
@@ -242,19 +257,34 @@
         if entry.running == 0 {
             entry.outstanding_cost = 0.0;
         }
+        self.preemptible.remove(&running.number);
         self.queue.retire_if_idle(running.workspace);
-        self.release_slot(running.server);
-        if answered {
-            self.record_success(running.server);
+        if answered && let Some(entry) = self.servers.get_mut(&running.server) {
+            entry.health.succeed();
         }
-        let _ = now;
+        self.release_slot(running.server);
     }
 
-    /// Records an answer of the server.
-    fn record_success(&mut self, server: ServerKey) {
-        if let Some(entry) = self.servers.get_mut(&server) {
-            entry.health.succeed();
+    /// Has running requests give slots up that the lease no longer covers, or that workspaces short
+    /// of their share lack; returns how many. Without a grant in force nobody else waits for them.
+    pub fn preempt_excess(&mut self, now: TimeMs) -> usize {
+        if !P::LEASED || self.grant_deadline <= now {
+            return 0;
         }
+        let (leased, in_use) = self.slot_counts();
+        let standings = self
+            .queue
+            .active_entries()
+            .map(|(workspace, entry)| {
+                let standing = ShareStanding {
+                    running: entry.running,
+                    queued: entry.queued(),
+                    share: self.queue.share_of(entry),
+                };
+                (workspace, standing)
+            })
+            .collect();
+        preempt(&self.preemptible, &standings, in_use.saturating_sub(leased), now)
     }
 
     /// Records a failure of the server; returns `true` when it is now left to rest.
@@ -397,6 +427,7 @@
     /// `lease_deadline` counts from when the report was sent, so that a daemon that was paused in
     /// between finds its lease lapsed and not renewed.
     pub fn apply_grant(&mut self, grant: &ServiceGrant, lease_deadline: TimeMs) {
+        self.grant_deadline = lease_deadline;
         for server in self.servers.values_mut() {
             server.leased = 0;
         }
@@ -430,17 +461,24 @@
         (leased, in_use)
     }
 
-    fn start(
-        &mut self,
-        workspace: WorkspaceKey,
-        server: ServerKey,
-        prefix: Option<u64>,
-        now: TimeMs,
-    ) -> Running {
+    fn start(&mut self, waiting: &Waiting<W>, server: ServerKey, now: TimeMs) -> Running {
+        let workspace = waiting.workspace;
         if let Some(entry) = self.servers.get_mut(&server) {
             entry.in_use += 1;
         }
-        if let Some(prefix) = prefix {
+        self.runs_started += 1;
+        let number = self.runs_started;
+        let preempt = PreemptFlag::default();
+        if waiting.preemptible {
+            let run = RunEntry {
+                workspace,
+                server,
+                started_at: now,
+                flag: preempt.clone(),
+            };
+            self.preemptible.insert(number, run);
+        }
+        if let Some(prefix) = waiting.prefix {
             self.affinity.record(prefix, server, now);
         }
         let entry = self.queue.entry_mut(workspace);
@@ -450,6 +488,8 @@
         Running {
             workspace,
             server,
+            preempt,
+            number,
             estimate,
             charged: 0.0,
         }
--- a/crates/reedsail_daemon/src/admin.rs
+++ b/crates/reedsail_daemon/src/admin.rs
@@ -21,6 +21,7 @@
 use xtra::Address;
 
 use crate::control::Control;
+use crate::control::ReadContent;
 use crate::control::ReadStatus;
 use crate::metrics::WORKSPACES_SHOWN_MAX;
 use crate::shared::Shared;
@@ -62,6 +63,10 @@
             render_metrics(shared),
         ),
         "/events" => text(StatusCode::OK, "application/x-ndjson", render_events(shared)),
+        "/bundle" => match control.send(ReadContent).await {
+            Ok(Some(content)) => text(StatusCode::OK, "application/yaml", content),
+            Ok(None) | Err(_) => text(StatusCode::NOT_FOUND, "text/plain", "no bundle yet\n".to_owned()),
+        },
         "/status" => match control.send(ReadStatus).await {
             Ok(status) => {
                 let body = serde_json::to_string(&status).unwrap_or_default();
@@ -76,7 +81,7 @@
         _ => text(
             StatusCode::NOT_FOUND,
             "text/plain",
-            "use /health, /ready, /status, /metrics or /events\n".to_owned(),
+            "use /health, /ready, /status, /bundle, /metrics or /events\n".to_owned(),
         ),
     })
 }
--- a/crates/reedsail_daemon/src/control/actor.rs
+++ b/crates/reedsail_daemon/src/control/actor.rs
@@ -31,6 +31,10 @@
 use crate::shared::Status;
 
 /// The control state of one daemon.
+#[allow(
+    clippy::struct_excessive_bools,
+    reason = "each is a fact of its own, not a state of one machine"
+)]
 pub(crate) struct Control<P: SharePolicy> {
     pub(super) shared: Arc<Shared<P>>,
     pub(super) own_name: NameHash,
@@ -46,6 +50,8 @@
     /// When the log last showed the version in force, by its own clock.
     pub(super) in_force_seen_unix_ms: u64,
     pub(super) checkpoint_under_way: bool,
+    /// Since when records are missing that this daemon had not read.
+    pub(super) unsure_since: Option<TimeMs>,
     pub(super) behind_since: Option<(TimeMs, NameHash)>,
     pub(super) membership: Membership,
     pub(super) servers_leaving: HashSet<NameHash>,
@@ -96,6 +102,7 @@
             log_lost_at: None,
             in_force_seen_unix_ms: 0,
             checkpoint_under_way: false,
+            unsure_since: None,
             behind_since: None,
             membership,
             servers_leaving: HashSet::new(),
@@ -221,11 +228,26 @@
     type Return = Option<(u32, Vec<u8>)>;
 
     async fn handle(&mut self, _read: ReadBundle, _context: &mut Context<Self>) -> Self::Return {
+        // Who has a gap in what it read must not pass for one that knows.
+        if !self.follower.is_sure() {
+            return None;
+        }
         let version = self.follower.in_force()?.version;
         Some((version, self.follower.checkpoint()?.to_bytes()))
     }
 }
 
+/// An operator's tool asks for the content of the bundle in force.
+pub(crate) struct ReadContent;
+
+impl<P: SharePolicy> Handler<ReadContent> for Control<P> {
+    type Return = Option<String>;
+
+    async fn handle(&mut self, _read: ReadContent, _context: &mut Context<Self>) -> Self::Return {
+        self.follower.content().map(ToOwned::to_owned)
+    }
+}
+
 /// Somebody wants to know how the daemon stands.
 pub(crate) struct ReadStatus;
 
--- a/crates/reedsail_daemon/src/control/exchange.rs
+++ b/crates/reedsail_daemon/src/control/exchange.rs
@@ -69,7 +69,8 @@
         now: TimeMs,
     ) -> Option<NameHash> {
         let mut candidates = self.membership.alive(Some(domain), now);
-        if domain == self.own_domain && !self.stopping {
+        // A stopping daemon hands its duties over, unless there is nobody to take them.
+        if domain == self.own_domain && (!self.stopping || candidates.is_empty()) {
             candidates.push(self.own_name);
         }
         let service = self
@@ -196,7 +197,7 @@
                     &[("service", &found.name), ("allocator", peer_name)],
                 );
             }
-            if self.stopping {
+            if self.stopping && !scheduler.is_active() {
                 scheduler.release_leases();
             }
             reports.push((*service, scheduler.report(now)));
@@ -268,7 +269,8 @@
         for (service, row) in &report.services {
             let allocator = self.allocator_mut(*service, now);
             allocator.set_lease_ms(lease_ms);
-            if report.leaving {
+            // A leaving daemon is served until its last request is finished.
+            if report.leaving && row.demands.is_empty() {
                 allocator.remove_member(report.sender);
                 continue;
             }
--- a/crates/reedsail_daemon/src/control/mod.rs
+++ b/crates/reedsail_daemon/src/control/mod.rs
@@ -14,6 +14,7 @@
 
 pub(crate) use actor::BeginStop;
 pub(crate) use actor::Control;
+pub(crate) use actor::ReadContent;
 pub(crate) use actor::ReadStatus;
 pub(crate) use links::Links;
 pub(crate) use links::PeerAddress;
--- a/crates/reedsail_daemon/src/control/roll_out.rs
+++ b/crates/reedsail_daemon/src/control/roll_out.rs
@@ -26,6 +26,8 @@
 const PEER_FETCH_AFTER_MS: u64 = 1_000;
 /// With the log out of reach for so long, a version learned from a peer will do.
 const LOG_GIVEN_UP_AFTER_MS: u64 = 1_000;
+/// How often a daemon that does not know the bundle in force asks the next peer, in ticks.
+const FETCH_EVERY_TICKS: u64 = 10;
 /// The duty of repeating the version in force in the log.
 const CHECKPOINT_DUTY: u64 = 0x6368_6563_6b70_6f69;
 
@@ -44,10 +46,11 @@
         for record in &page.records {
             let followed = self.follower.follow(record.offset, &record.data);
             self.note_followed(&followed, record.offset);
-            if !matches!(
+            let says_in_force = matches!(
                 followed,
-                Followed::Invalid(_) | Followed::Unchanged(FoldVerdict::Stale)
-            ) {
+                Followed::InForce(_) | Followed::Unchanged(FoldVerdict::Repeated)
+            );
+            if says_in_force {
                 self.in_force_seen_unix_ms = record.appended_unix_ms;
             }
         }
@@ -211,9 +214,10 @@
         {
             self.behind_since = None;
             self.fetch_bundle_from(peer);
-        } else if nothing_known && self.ticks.is_multiple_of(5) {
+        } else if (nothing_known || !self.follower.is_sure()) && self.ticks.is_multiple_of(FETCH_EVERY_TICKS)
+        {
             let alive = self.membership.alive(None, now);
-            let turn = (self.ticks / 5) as usize;
+            let turn = (self.ticks / FETCH_EVERY_TICKS) as usize;
             if !alive.is_empty() {
                 self.fetch_bundle_from(alive[turn % alive.len()]);
             }
@@ -224,7 +228,9 @@
     }
 
     fn fetch_bundle_from(&mut self, peer: NameHash) {
-        let known_version = self.follower.in_force().map_or(0, |accepted| accepted.version);
+        let known = self.follower.in_force().map_or(0, |accepted| accepted.version);
+        // Who missed records wants a peer's word even on the version that it has.
+        let known_version = if self.follower.is_sure() { known } else { 0 };
         if let Some(peer) = self.peer_address(peer) {
             let _ = self.actions.send(LinkAction::FetchBundle { peer, known_version });
         }
@@ -235,6 +241,13 @@
         if !self.log_reachable || !self.log_caught_up || self.checkpoint_under_way || self.stopping {
             return;
         }
+        let every_ms = self.shared.settings.control.checkpoint_every_ms;
+        if self.follower.is_sure() {
+            self.unsure_since = None;
+        } else if now.since_ms(*self.unsure_since.get_or_insert(now)) < every_ms {
+            // Somebody who missed nothing will speak. If nobody does, what is known here must do.
+            return;
+        }
         let Some(record) = self.follower.checkpoint() else {
             return;
         };
@@ -242,7 +255,6 @@
         daemons.push(self.own_name);
         let ranked = rank_by_rendezvous(CHECKPOINT_DUTY, &daemons);
         let place = ranked.iter().position(|name| *name == self.own_name).unwrap_or(0) as u64;
-        let every_ms = self.shared.settings.control.checkpoint_every_ms;
         let age_ms = Clock::unix_ms().saturating_sub(self.in_force_seen_unix_ms);
         if age_ms >= every_ms + every_ms / 4 * place {
             self.checkpoint_under_way = true;
--- a/crates/reedsail_daemon/src/service_cell.rs
+++ b/crates/reedsail_daemon/src/service_cell.rs
@@ -82,7 +82,11 @@
 
     /// Wakes requests whose deadline has passed, and lets lapsed leases go.
     pub(crate) fn tick(self: &Arc<Self>) {
-        let expired = self.lock().tick(self.clock.now());
+        let expired = {
+            let mut scheduler = self.lock();
+            scheduler.preempt_excess(self.clock.now());
+            scheduler.tick(self.clock.now())
+        };
         for waiting in expired {
             let _ = waiting.waker.send(Err(ErrorKind::DeadlineInQueue));
         }
@@ -137,6 +141,13 @@
         self.running.as_ref().map(|running| running.server)
     }
 
+    /// Tells whether the request is to give its slot up.
+    pub(crate) fn is_preempted(&self) -> bool {
+        self.running
+            .as_ref()
+            .is_some_and(|running| running.preempt.is_raised())
+    }
+
     /// Charges the cost that has shown so far.
     pub(crate) fn progress(&mut self, cost: f64) {
         self.cost = cost;
@@ -171,9 +182,7 @@
 
     fn release(&mut self, cost: f64, answered: bool) {
         if let Some(running) = self.running.take() {
-            self.cell
-                .lock()
-                .finish(running, cost, answered, self.cell.clock.now());
+            self.cell.lock().finish(running, cost, answered);
             self.cell.dispatch();
         }
     }
--- a/crates/reedsail_daemon/src/traffic/backend.rs
+++ b/crates/reedsail_daemon/src/traffic/backend.rs
@@ -146,7 +146,7 @@
     if slot.restart(tried) {
         return true;
     }
-    match wait_for_slot(shared, call).await {
+    match wait_for_slot(shared, call, call.deadline).await {
         Ok(fresh) => {
             *slot = fresh;
             true
--- a/crates/reedsail_daemon/src/traffic/queueing.rs
+++ b/crates/reedsail_daemon/src/traffic/queueing.rs
@@ -2,6 +2,7 @@
 
 use reedsail_core::ErrorKind;
 use reedsail_core::SharePolicy;
+use reedsail_core::TimeMs;
 use reedsail_core::Waiting;
 use tokio::sync::oneshot;
 
@@ -13,14 +14,16 @@
 pub(crate) async fn wait_for_slot<P: SharePolicy>(
     shared: &Shared<P>,
     call: &Call<P>,
+    deadline: TimeMs,
 ) -> Result<Slot<P>, ErrorKind> {
     let (waker, woken) = oneshot::channel();
     let waiting = Waiting {
         workspace: call.workspace,
         class: call.class,
-        deadline: call.deadline,
+        deadline,
         body_bytes: call.body.len() as u64,
         prefix: call.prefix,
+        preemptible: call.wants_stream,
         waker,
     };
     let place = call.service.cell.submit(waiting)?;
--- a/crates/reedsail_daemon/src/traffic/serve.rs
+++ b/crates/reedsail_daemon/src/traffic/serve.rs
@@ -113,7 +113,7 @@
     unsent: Unsent,
     open: OpenRequest<P>,
 ) -> Result<Response<AnswerBody>, Failure> {
-    let mut slot = match wait_for_slot(&shared, &call).await {
+    let mut slot = match wait_for_slot(&shared, &call, call.deadline).await {
         Ok(slot) => slot,
         Err(kind) => return Err(unsent.refuse(kind)),
     };
--- a/crates/reedsail_daemon/src/traffic/stream.rs
+++ b/crates/reedsail_daemon/src/traffic/stream.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use reedsail_bundle::CostUnit;
+use reedsail_core::ServerKey;
 use reedsail_core::SharePolicy;
 use reedsail_events::EventKind;
 use tokio::time::timeout;
@@ -25,6 +26,7 @@
 use super::chat::read_event;
 use super::outcome::Unsent;
 use super::pool::Pool;
+use super::queueing::wait_for_slot;
 use super::relay::answer_from;
 use super::relay::note_hints;
 use crate::service_cell::Slot;
@@ -46,6 +48,8 @@
     Whole,
     /// It broke off; it may go on elsewhere.
     Broken,
+    /// Its slot is wanted by others; it goes on when its turn comes.
+    Preempted,
     /// The caller went away.
     CallerGone,
 }
@@ -55,10 +59,13 @@
     shared: Arc<Shared<P>>,
     pool: Arc<Pool>,
     call: Call<P>,
-    slot: Slot<P>,
+    /// Absent while the stream waits for its turn again.
+    slot: Option<Slot<P>>,
     sender: Sender<Bytes, AnswerBroken>,
     splitter: EventSplitter,
     tokens: u64,
+    /// Tokens that were charged on slots given up before.
+    tokens_before: u64,
     done: bool,
 }
 
@@ -84,10 +91,11 @@
         shared,
         pool,
         call,
-        slot,
+        slot: Some(slot),
         sender,
         splitter: EventSplitter::default(),
         tokens: 0,
+        tokens_before: 0,
         done: false,
     };
     tokio::spawn(async move {
@@ -100,32 +108,33 @@
 impl<P: SharePolicy> StreamRelay<P> {
     async fn run(mut self, first: Answering) {
         let mut answering = first;
-        for _ in 0..=RESUMES_MAX {
+        let mut breaks = 0;
+        loop {
             let server = answering.server;
             let mut body = answering.response.into_body();
-            match self.pass_part(&mut body).await {
-                PartEnd::Whole => {
-                    self.pool.give_back(answering.address, answering.connection);
-                    self.finish();
-                    return;
-                }
+            let end = self.pass_part(&mut body).await;
+            if matches!(end, PartEnd::Whole) {
+                self.pool.give_back(answering.address, answering.connection);
+                self.finish();
+                return;
+            }
+            // Dropping body and connection cancels the stream on the engine.
+            drop(body);
+            drop(answering.connection);
+            let resumed = match end {
+                PartEnd::Whole => return,
                 PartEnd::CallerGone => {
-                    // Dropping the connection cancels the stream on the engine.
                     self.emit(EventKind::CallerGone);
                     return;
                 }
-                PartEnd::Broken => {}
-            }
-            drop(body);
-            drop(answering.connection);
-            self.call
-                .service
-                .cell
-                .lock()
-                .record_failure(server, self.shared.clock.now());
-            let Some(resumed) = self.resume(server).await else {
-                break;
+                PartEnd::Preempted => self.wait_for_turn().await,
+                PartEnd::Broken if breaks < RESUMES_MAX => {
+                    breaks += 1;
+                    self.resume_elsewhere(server).await
+                }
+                PartEnd::Broken => None,
             };
+            let Some(resumed) = resumed else { break };
             answering = resumed;
         }
         self.emit(EventKind::RequestFailed);
@@ -151,6 +160,9 @@
             if self.splitter.partial_bytes() > EVENT_BYTES_MAX {
                 return PartEnd::Broken;
             }
+            if !self.done && self.slot.as_ref().is_some_and(Slot::is_preempted) {
+                return PartEnd::Preempted;
+            }
         }
     }
 
@@ -164,45 +176,75 @@
         if self.call.service.service.cost_unit != CostUnit::Tokens {
             return;
         }
-        let cost = self.tokens as f64;
+        let cost = (self.tokens - self.tokens_before) as f64;
+        let Some(slot) = &mut self.slot else { return };
         if self.tokens.is_multiple_of(TOKENS_PER_CHARGE) {
-            self.slot.progress(cost);
+            slot.progress(cost);
         } else {
-            self.slot.note_cost(cost);
+            slot.note_cost(cost);
         }
     }
 
+    /// Gives the slot up, queues again, and goes on from the last token delivered.
+    async fn wait_for_turn(&mut self) -> Option<Answering> {
+        self.emit(EventKind::StreamPreempted);
+        self.shared
+            .metrics
+            .retries
+            .with_label_values(&["preempted"])
+            .inc();
+        self.slot = None;
+        self.tokens_before = self.tokens;
+        let wait_max_ms = self.shared.settings.limits.deadline_max_ms;
+        let deadline = self.shared.clock.now().plus_ms(wait_max_ms);
+        self.slot = Some(wait_for_slot(&self.shared, &self.call, deadline).await.ok()?);
+        self.call.deadline = deadline;
+        self.go_on(Vec::new()).await
+    }
+
     /// Asks another server to go on after the last token that was delivered.
-    async fn resume(&mut self, broken: reedsail_core::ServerKey) -> Option<Answering> {
-        self.splitter.clear();
+    async fn resume_elsewhere(&mut self, broken: ServerKey) -> Option<Answering> {
+        let now = self.shared.clock.now();
+        self.call.service.cell.lock().record_failure(broken, now);
         let tried = vec![broken];
-        if !self.slot.restart(&tried) && !self.call.service.cell.spend_retry() {
+        let moved = self.slot.as_mut()?.restart(&tried);
+        if !moved && !self.call.service.cell.spend_retry() {
             return None;
         }
-        let resumed = send_call(
+        let resumed = self.go_on(tried).await?;
+        self.emit(EventKind::StreamResumed);
+        Some(resumed)
+    }
+
+    /// Sends the call again, to go on after the last token that was delivered.
+    async fn go_on(&mut self, tried: Vec<ServerKey>) -> Option<Answering> {
+        self.splitter.clear();
+        let slot = self.slot.as_mut()?;
+        let unsent = Unsent::new();
+        send_call(
             &self.shared,
             &self.pool,
             &self.call,
-            &mut self.slot,
-            Unsent::new(),
+            slot,
+            unsent,
             self.tokens,
             tried,
         )
         .await
-        .ok()?;
-        self.emit(EventKind::StreamResumed);
-        Some(resumed)
+        .ok()
     }
 
     fn finish(self) {
         let cost = match self.call.service.service.cost_unit {
-            CostUnit::Tokens => self.tokens as f64,
+            CostUnit::Tokens => (self.tokens - self.tokens_before) as f64,
             CostUnit::Requests => 1.0,
             CostUnit::Milliseconds => self.shared.clock.now().since_ms(self.call.admitted_at) as f64,
         };
         self.emit(EventKind::RequestAnswered);
         self.shared.metrics.answers.with_label_values(&["answered"]).inc();
-        self.slot.close(cost);
+        if let Some(slot) = self.slot {
+            slot.close(cost);
+        }
     }
 
     fn emit(&self, kind: EventKind) {
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -98,6 +98,8 @@
     StreamResumed = 505, "stream_resumed", Info, "a broken stream is resumed from the last token delivered";
     /// A caller went away.
     CallerGone = 506, "caller_gone", Debug, "the caller went away; its request was withdrawn or its stream cancelled";
+    /// A stream gave its slot up.
+    StreamPreempted = 508, "stream_preempted", Debug, "a stream gave its slot up to a workspace that is short of its share; it goes on when its turn comes";
     /// A key was claimed.
     ClaimSettled = 507, "claim_settled", Debug, "a claim was read back from the log, and its verdict is known";
 }
--- /dev/null
+++ b/crates/reedsail_wire/tests/wire.rs
@@ -0,0 +1,257 @@
+//! Records and messages between daemons: what is written is read, and nothing read does harm.
+
+use std::rc::Rc;
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::proptest;
+use reedsail_core::ClaimKey;
+use reedsail_core::DemandRow;
+use reedsail_core::Directory;
+use reedsail_core::LeaseRow;
+use reedsail_core::MemberKind;
+use reedsail_core::NameHash;
+use reedsail_core::Nonce;
+use reedsail_core::ServiceGrant;
+use reedsail_core::ServiceReport;
+use reedsail_core::SlotRow;
+use reedsail_core::VirtualTimeRow;
+use reedsail_net::ByteCounter;
+use reedsail_wire::ClaimBatch;
+use reedsail_wire::ClaimEnd;
+use reedsail_wire::ClaimRequest;
+use reedsail_wire::ClaimVerdict;
+use reedsail_wire::Grant;
+use reedsail_wire::PeerHandler;
+use reedsail_wire::PeerLink;
+use reedsail_wire::Report;
+use reedsail_wire::serve_peers;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+
+fn batch(count: u64) -> ClaimBatch {
+    ClaimBatch {
+        id: 42,
+        claims: (0..count)
+            .map(|index| ClaimRequest {
+                key: ClaimKey(u128::from(index) << 80),
+                nonce: Nonce(index),
+            })
+            .collect(),
+        ends: (0..count)
+            .map(|index| ClaimEnd {
+                key: ClaimKey(u128::from(index)),
+                nonce: Nonce(index),
+                status: 200,
+            })
+            .collect(),
+    }
+}
+
+#[test]
+fn a_claim_batch_is_read_as_it_was_written() {
+    assert_eq!(ClaimBatch::parse(&batch(9).to_bytes()).unwrap(), batch(9));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_record_brings_the_reader_down(place in any::<usize>(), byte in any::<u8>(), cut in any::<usize>()) {
+        let mut bytes = batch(5).to_bytes();
+        let place = place % bytes.len();
+        bytes[place] = byte;
+        bytes.truncate(cut % (bytes.len() + 1));
+        // Read or refused; both are fine.
+        let _ = ClaimBatch::parse(&bytes);
+    }
+}
+
+fn directory() -> Directory {
+    let mut directory = Directory::default();
+    directory.services.intern("assistant-llm");
+    for number in 0..16 {
+        directory.workspaces.intern(&format!("workspace-{number}"));
+    }
+    for number in 0..9 {
+        directory.servers.intern(&format!("server-{number}"));
+    }
+    directory
+}
+
+fn report(directory: &Directory) -> Report {
+    let workspace = |index: usize| {
+        directory
+            .workspaces
+            .find(NameHash::of(&format!("workspace-{index}")))
+    };
+    let server = |index: usize| directory.servers.find(NameHash::of(&format!("server-{index}")));
+    Report {
+        sender: NameHash::of("hall-a-1"),
+        incarnation: 7,
+        clock: 99,
+        bundle_version: 3,
+        leaving: false,
+        services: vec![(
+            directory.services.find(NameHash::of("assistant-llm")).unwrap(),
+            ServiceReport {
+                kind: MemberKind::Daemon,
+                session: 5,
+                own_slots: 0,
+                base: 1234.5,
+                slots: (0..9)
+                    .filter_map(server)
+                    .map(|server| SlotRow {
+                        server,
+                        held: 6,
+                        in_use: 5,
+                    })
+                    .collect(),
+                resting: Vec::new(),
+                demands: (0..16)
+                    .filter_map(workspace)
+                    .map(|workspace| DemandRow {
+                        workspace,
+                        queued: 100_000,
+                        running: 3,
+                        cost_total: 4_000_000_000,
+                        lead: 1.5,
+                    })
+                    .collect(),
+            },
+        )],
+        suspects: vec![NameHash(5)],
+        servers_leaving: vec![NameHash(6)],
+    }
+}
+
+/// Answers with what the request said, as far as that fits an answer.
+struct Echo(Directory);
+
+impl PeerHandler for Echo {
+    fn with_directory<T>(&self, use_it: impl FnOnce(&Directory) -> T) -> T {
+        use_it(&self.0)
+    }
+
+    fn exchange(&self, report: Report) -> impl Future<Output = Grant> + 'static {
+        let services = report.services.into_iter().map(|(service, row)| {
+            let grant = ServiceGrant {
+                base: row.base,
+                leases: row
+                    .slots
+                    .iter()
+                    .map(|slot| LeaseRow {
+                        server: slot.server,
+                        slots: slot.held,
+                    })
+                    .collect(),
+                virtual_times: row
+                    .demands
+                    .iter()
+                    .map(|demand| VirtualTimeRow {
+                        workspace: demand.workspace,
+                        lead: demand.lead,
+                        share: f64::from(demand.running),
+                    })
+                    .collect(),
+            };
+            (service, grant)
+        });
+        let grant = Grant {
+            incarnation: report.incarnation,
+            clock: report.clock,
+            next_report_ms: 500,
+            lease_ms: 3_000,
+            services: services.collect(),
+            leaving: report.servers_leaving,
+        };
+        async move { grant }
+    }
+
+    fn claim(
+        &self,
+        claims: Vec<ClaimRequest>,
+        ends: Vec<ClaimEnd>,
+    ) -> impl Future<Output = Vec<ClaimVerdict>> + 'static {
+        let verdicts = claims
+            .iter()
+            .map(|_| ClaimVerdict::Ended(ends.len() as u16))
+            .collect();
+        async move { verdicts }
+    }
+
+    fn bundle(&self) -> impl Future<Output = Option<(u32, Vec<u8>)>> + 'static {
+        std::future::ready(Some((4, b"a record".to_vec())))
+    }
+}
+
+#[test]
+fn calls_between_daemons_arrive_whole_and_grow_cheaper() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        spawn_local(serve_peers(
+            listener,
+            Rc::new(Echo(directory())),
+            ByteCounter::default(),
+        ));
+        let counter = ByteCounter::default();
+        let link = PeerLink::open(address, 5_000, counter.clone()).await.unwrap();
+        let directory = directory();
+        let report = report(&directory);
+        let grant = link.exchange(&report, &directory).await.unwrap();
+        let (service, row) = &grant.services[0];
+        assert_eq!(*service, report.services[0].0);
+        assert_eq!(row.leases.len(), 9);
+        assert_eq!(row.virtual_times.len(), 16);
+        assert!((row.virtual_times[3].lead - 1.5).abs() < 0.01);
+        assert_eq!(grant.leaving, [NameHash(6)]);
+        let first_bytes = counter.total_bytes();
+        link.exchange(&report, &directory).await.unwrap();
+        let second_bytes = counter.total_bytes() - first_bytes;
+        assert!(
+            second_bytes * 2 < first_bytes,
+            "{second_bytes} B after {first_bytes} B"
+        );
+        let verdicts = link.claim(&batch(3).claims, &batch(3).ends).await.unwrap();
+        assert_eq!(verdicts, [ClaimVerdict::Ended(3); 3]);
+        assert_eq!(
+            link.fetch_bundle(3).await.unwrap().as_deref(),
+            Some(b"a record".as_slice())
+        );
+        assert_eq!(link.fetch_bundle(4).await.unwrap(), None);
+    });
+}
+
+#[test]
+fn a_peer_that_talks_nonsense_is_dropped() {
+    use tokio::io::AsyncReadExt;
+    use tokio::io::AsyncWriteExt;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        spawn_local(serve_peers(
+            listener,
+            Rc::new(Echo(directory())),
+            ByteCounter::default(),
+        ));
+        let mut nonsense = tokio::net::TcpStream::connect(address).await.unwrap();
+        nonsense.write_all(&[0xff; 4_096]).await.unwrap();
+        let mut answer = Vec::new();
+        let _ = nonsense.read_to_end(&mut answer).await;
+        // The next peer is served as ever.
+        let link = PeerLink::open(address, 5_000, ByteCounter::default())
+            .await
+            .unwrap();
+        assert!(link.fetch_bundle(0).await.unwrap().is_some());
+    });
+}
