Give content workspaces headroom for chance, and share one table of workspaces

Cause: a daemon's lease followed its demand half a second to two seconds late, so workspaces below their part kept a short queue while large ones were served; and each service held an entry for each of 4,600 workspaces. Change: what a workspace wants counts with its square root on top, until it is constrained; weights and limits stand in one table, entries are made at first use.

--- a/crates/reedsail_bench/src/drive.rs
+++ b/crates/reedsail_bench/src/drive.rs
@@ -4,6 +4,7 @@
 //! workspaces always have work waiting wherever their callers are.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -23,6 +24,7 @@
 use reedsail_core::Waiting;
 use reedsail_core::WorkspaceKey;
 use reedsail_core::WorkspaceSetup;
+use reedsail_core::WorkspaceTable;
 
 /// The step of the driven time.
 const STEP_MS: u64 = 10;
@@ -99,7 +101,7 @@
         for domain in 0..setup.domains {
             for _ in 0..setup.daemons_per_domain {
                 let mut scheduler = Scheduler::new(FleetPolicy, 1);
-                scheduler.configure(&all_servers(&setup), &all_workspaces(&setup));
+                scheduler.configure(&all_servers(&setup), all_workspaces(&setup));
                 daemons.push(DriveDaemon {
                     domain,
                     scheduler,
@@ -144,9 +146,7 @@
         });
         let allocator = &mut self.allocators[domain];
         allocator.set_servers(servers.collect(), self.setup.daemons_per_domain);
-        for (index, weight) in self.setup.weights.iter().enumerate() {
-            allocator.set_weight(WorkspaceKey(index as u32), *weight);
-        }
+        allocator.set_workspaces(all_workspaces(&self.setup));
     }
 
     /// Has a domain's allocator start again with nothing, as on another daemon.
@@ -405,15 +405,15 @@
         .collect()
 }
 
-fn all_workspaces(setup: &DriveSetup) -> Vec<WorkspaceSetup> {
+fn all_workspaces(setup: &DriveSetup) -> Arc<WorkspaceTable> {
     let weights = setup.weights.iter().enumerate();
-    weights
-        .map(|(index, weight)| WorkspaceSetup {
+    Arc::new(WorkspaceTable::new(weights.map(|(index, weight)| {
+        WorkspaceSetup {
             workspace: WorkspaceKey(index as u32),
             weight: *weight,
             limits: QueueLimits::default(),
-        })
-        .collect()
+        }
+    })))
 }
 
 fn daemon_name(index: usize) -> NameHash {
--- a/crates/reedsail_bench/src/fleet.rs
+++ b/crates/reedsail_bench/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -103,10 +104,19 @@
         platform: PlatformConfig,
         tune: impl Fn(&mut Settings),
     ) -> anyhow::Result<Self> {
+        let mut fleet = Self::prepare(setup, platform).await?;
+        fleet.start_servers().await?;
+        fleet.start_daemons(policy, &tune).await?;
+        fleet.publish_next().await?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn prepare(setup: FleetSetup, platform: PlatformConfig) -> anyhow::Result<Self> {
         let platform = PlatformStandin::start(platform)
             .await
             .context("cannot start the platform")?;
-        let mut fleet = Self {
+        Ok(Self {
             gate: NetGate::default(),
             platform,
             engines: BTreeMap::new(),
@@ -119,11 +129,20 @@
             text: String::new(),
             version: 0,
             setup,
-        };
-        fleet.start_servers().await?;
-        fleet.start_daemons(policy, &tune).await?;
-        fleet.publish_next().await?;
-        fleet.wait_until_ready().await?;
+        })
+    }
+
+    /// Starts the platform alone, for daemons that run as processes of their own.
+    ///
+    /// # Errors
+    /// The platform cannot be started.
+    pub async fn start_empty(
+        setup: FleetSetup,
+        policy: PolicyChoice,
+        platform: PlatformConfig,
+    ) -> anyhow::Result<Self> {
+        let mut fleet = Self::prepare(setup, platform).await?;
+        fleet.start_daemons(policy, &|_| {}).await?;
         Ok(fleet)
     }
 
@@ -199,6 +218,35 @@
         Ok(())
     }
 
+    /// Writes the settings with which a process of its own joins the fleet, on free ports.
+    pub fn settings_yaml(&self, instance: &str, domain: &str) -> String {
+        let mut text = format!(
+            "instance: {instance}\nfailure_domain: {domain}\n\
+             listen: {{callers: '127.0.0.1:0', peers: '127.0.0.1:0', admin: '127.0.0.1:0'}}\n\
+             platform: {}\nlimits: {{stop_notice_ms: 200}}\ntrusted_keys:\n",
+            self.platform.address()
+        );
+        for trusted in trusted_keys().0 {
+            let role = match trusted.role {
+                KeyRole::Author => "author",
+                KeyRole::Approver => "approver",
+            };
+            let key = hex::encode(trusted.key.0);
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "  - {{name: {}, role: {role}, key: {key}}}", trusted.name);
+        }
+        text.push_str("peers:\n");
+        for daemon in self.daemons.values() {
+            let (name, peers) = (daemon.instance(), daemon.addresses().peers);
+            let domain = &self.settings[name].failure_domain;
+            let _ = writeln!(
+                text,
+                "  - {{instance: {name}, failure_domain: {domain}, address: '{peers}'}}"
+            );
+        }
+        text
+    }
+
     /// Starts a daemon that does not run, on new ports and without any memory.
     ///
     /// # Errors
--- a/crates/reedsail_bench/src/main.rs
+++ b/crates/reedsail_bench/src/main.rs
@@ -10,6 +10,9 @@
 use reedsail_bench::Trace;
 use reedsail_bench::compare_policies;
 use reedsail_bench::make_trace;
+use reedsail_bench::measure_claims;
+use reedsail_bench::measure_flood;
+use reedsail_bench::measure_idle;
 use reedsail_bench::measure_overhead;
 use reedsail_bench::measure_slopes;
 use reedsail_bench::replay_trace;
@@ -71,6 +74,25 @@
                 /// Writes the report as JSON.
                 optional --json file: PathBuf
             }
+            /// Sends keyed calls twice while daemons are killed, and measures a claim's cost.
+            cmd claims {
+                /// How many keys (default 10000).
+                optional --keys count: u64
+                /// Writes the report as JSON.
+                optional --json file: PathBuf
+            }
+            /// Measures what a flood by one workspace does to the others.
+            cmd flood {
+                /// Writes the report as JSON.
+                optional --json file: PathBuf
+            }
+            /// Runs nine daemon processes with 4,600 workspaces and measures their cost.
+            cmd idle {
+                /// For how long (default 60).
+                optional --seconds count: u64
+                /// Writes the report as JSON.
+                optional --json file: PathBuf
+            }
             /// Makes a deployment's trace.
             cmd trace {
                 /// `chatovna` or `vatuwaqa`.
@@ -113,6 +135,24 @@
             write_json(slopes.json.as_deref(), &report)?;
             Ok(true)
         }
+        flags::ReedsailBenchCmd::Claims(claims) => {
+            let report = measure_claims(claims.keys.unwrap_or(10_000), |line| eprintln!("{line}")).await?;
+            println!("{}", serde_json::to_string_pretty(&report)?);
+            write_json(claims.json.as_deref(), &report)?;
+            Ok(report.ran_twice == 0 && report.false_not_run == 0)
+        }
+        flags::ReedsailBenchCmd::Flood(flood) => {
+            let report = measure_flood(PolicyChoice::Fleet, |line| eprintln!("{line}")).await?;
+            println!("{}", serde_json::to_string_pretty(&report)?);
+            write_json(flood.json.as_deref(), &report)?;
+            Ok(true)
+        }
+        flags::ReedsailBenchCmd::Idle(idle) => {
+            let report = measure_idle(idle.seconds.unwrap_or(60), |line| eprintln!("{line}")).await?;
+            println!("{}", serde_json::to_string_pretty(&report)?);
+            write_json(idle.json.as_deref(), &report)?;
+            Ok(true)
+        }
         flags::ReedsailBenchCmd::Trace(trace) => {
             let made = make_trace(&trace.name, trace.seed.unwrap_or(7))?;
             std::fs::write(&trace.out, made.to_text())?;
--- a/crates/reedsail_bench/src/overhead.rs
+++ b/crates/reedsail_bench/src/overhead.rs
@@ -107,6 +107,7 @@
         workspaces: vec![WorkspacePlan {
             name: "only".to_owned(),
             weight: 1.0,
+            queued_max: None,
         }],
     }
 }
--- a/crates/reedsail_bench/src/replay.rs
+++ b/crates/reedsail_bench/src/replay.rs
@@ -434,10 +434,15 @@
 fn fill_times(report: &mut ReplayReport, done: &[(Sent, Caller)]) {
     let mut totals: BTreeMap<String, Vec<f64>> = BTreeMap::new();
     let mut firsts: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+    let mut by_workspace: BTreeMap<String, Vec<f64>> = BTreeMap::new();
     for (sent, caller) in done
         .iter()
         .filter(|(_, caller)| caller.outcome == Outcome::Answered)
     {
+        if sent.streamed {
+            let times = by_workspace.entry(sent.workspace.clone()).or_default();
+            times.push(caller.first_ms);
+        }
         totals
             .entry(sent.class.clone())
             .or_default()
@@ -457,6 +462,7 @@
     };
     report.latency_ms = summarise(totals);
     report.first_token_ms = summarise(firsts);
+    report.first_token_by_workspace_ms = summarise(by_workspace);
 }
 
 fn fill_control(report: &mut ReplayReport, samples: &[Sample]) {
--- a/crates/reedsail_bench/src/report.rs
+++ b/crates/reedsail_bench/src/report.rs
@@ -90,6 +90,8 @@
     pub first_token_ms: BTreeMap<String, LatencyFigures>,
     /// Whether a planned stop of all daemons at the end cut nothing.
     pub stop_cut_nothing: bool,
+    /// Time to the first token of streams, by workspace.
+    pub first_token_by_workspace_ms: BTreeMap<String, LatencyFigures>,
     /// Events of all daemons, by name.
     pub events: BTreeMap<String, u64>,
     /// The promises of the brief, each with its evidence.
--- a/crates/reedsail_bench/src/setup.rs
+++ b/crates/reedsail_bench/src/setup.rs
@@ -8,6 +8,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// What a workspace may have waiting if its plan does not say: more than any trace sends.
+const QUEUED_MAX: u32 = 20_000;
+
 /// One daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -46,6 +49,9 @@
     pub name: String,
     /// Its weight.
     pub weight: f64,
+    /// The most requests that wait at one daemon; many if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub queued_max: Option<u32>,
 }
 
 impl WorkspacePlan {
@@ -113,7 +119,8 @@
             // Writing to a string does not fail.
             let _ = writeln!(text, "  - name: {name}\n    weight: {weight}");
             let _ = writeln!(text, "    key_digests: [{digest}]");
-            let _ = writeln!(text, "    limits: {{queued_max: 20000}}");
+            let queued_max = workspace.queued_max.unwrap_or(QUEUED_MAX);
+            let _ = writeln!(text, "    limits: {{queued_max: {queued_max}}}");
         }
         text
     }
--- a/crates/reedsail_bench/src/slopes.rs
+++ b/crates/reedsail_bench/src/slopes.rs
@@ -1,6 +1,7 @@
 //! Drives the decisions and the wire at growing sizes, and fits a line through each cost.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use reedsail_bundle::ContentSize;
@@ -31,6 +32,7 @@
 use reedsail_core::Waiting;
 use reedsail_core::WorkspaceKey;
 use reedsail_core::WorkspaceSetup;
+use reedsail_core::WorkspaceTable;
 use reedsail_net::ByteCounter;
 use reedsail_wire::ClaimBatch;
 use reedsail_wire::ClaimEnd;
@@ -299,14 +301,12 @@
             capacity: SLOTS,
         })
         .collect();
-    let workspaces: Vec<WorkspaceSetup> = (0..known)
-        .map(|index| WorkspaceSetup {
-            workspace: WorkspaceKey(index),
-            weight: 1.0,
-            limits: QueueLimits::default(),
-        })
-        .collect();
-    scheduler.configure(&servers, &workspaces);
+    let workspaces = (0..known).map(|index| WorkspaceSetup {
+        workspace: WorkspaceKey(index),
+        weight: 1.0,
+        limits: QueueLimits::default(),
+    });
+    scheduler.configure(&servers, Arc::new(WorkspaceTable::new(workspaces)));
     scheduler
 }
 
--- a/crates/reedsail_bench/src/trace_maker.rs
+++ b/crates/reedsail_bench/src/trace_maker.rs
@@ -22,7 +22,7 @@
 /// When the quiet part ends and the backlog begins.
 const BACKLOG_FROM_MS: u64 = 4_000;
 /// Over which time the backlog's requests arrive, ever faster, as on a morning.
-const BACKLOG_RISE_MS: f64 = 20_000.0;
+const BACKLOG_RISE_MS: f64 = 12_000.0;
 /// Requests of a large workspace, many times what it can be served in its fair part.
 const LARGE_REQUESTS: usize = 600;
 /// Requests of a small workspace, enough to keep it backlogged for most of the run.
@@ -178,11 +178,20 @@
             .map(|name| WorkspacePlan {
                 name: (*name).to_owned(),
                 weight: 1.0,
+                queued_max: None,
             })
             .collect(),
     }
 }
 
+/// Mixes a number so that its neighbours land far apart (Steele, Lea and Flood, 2014).
+pub(crate) fn shuffled(number: u64) -> u64 {
+    let mixed =
+        (number.wrapping_add(0x9e37_79b9_7f4a_7c15) ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
 struct Maker {
     deployment: &'static Deployment,
     random: StdRng,
--- a/crates/reedsail_bench/tests/common/mod.rs
+++ b/crates/reedsail_bench/tests/common/mod.rs
@@ -62,6 +62,7 @@
             .map(|name| WorkspacePlan {
                 name: (*name).to_owned(),
                 weight: 1.0,
+                queued_max: None,
             })
             .collect(),
     }
--- /dev/null
+++ b/crates/reedsail_bench/tests/docs.rs
@@ -0,0 +1,138 @@
+//! docs/ and the code say the same, in both directions.
+
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+
+use reedsail_core::ErrorKind;
+use reedsail_events::EventKind;
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn read(path: &str) -> String {
+    std::fs::read_to_string(root().join(path)).unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+/// Returns the cells of every row of the page's tables, but for headers and rules.
+fn table_rows(page: &str) -> Vec<Vec<String>> {
+    let rows = page
+        .lines()
+        .filter(|line| line.starts_with('|') && !line.starts_with("|---"));
+    let cells = |line: &str| -> Vec<String> {
+        let inner = line.trim_matches('|');
+        inner
+            .split('|')
+            .map(|cell| cell.trim().trim_matches('`').to_owned())
+            .collect()
+    };
+    rows.map(cells).collect()
+}
+
+#[test]
+fn the_table_of_errors_is_the_codes() {
+    let page = read("docs/ERRORS.md");
+    let rows: BTreeSet<Vec<String>> = table_rows(&page)
+        .into_iter()
+        .filter(|row| row[0] != "kind")
+        .map(|row| {
+            vec![
+                row[0].clone(),
+                row[1].clone(),
+                row[2].clone(),
+                row[3].clone(),
+                row[5].clone(),
+            ]
+        })
+        .collect();
+    let kinds = ErrorKind::ALL.iter().map(|kind| {
+        let retry = kind
+            .retry_after_ms()
+            .map_or("-".to_owned(), |after_ms| after_ms.to_string());
+        vec![
+            kind.name().to_owned(),
+            kind.status().to_string(),
+            kind.ran().as_str().to_owned(),
+            retry,
+            kind.message().to_owned(),
+        ]
+    });
+    assert_eq!(rows, kinds.collect());
+}
+
+#[test]
+fn the_catalogue_of_events_is_the_codes() {
+    let page = read("docs/EVENTS.md");
+    let rows: BTreeSet<Vec<String>> = table_rows(&page)
+        .into_iter()
+        .filter(|row| row[0] != "number")
+        .collect();
+    let kinds = EventKind::ALL.iter().map(|kind| {
+        vec![
+            kind.number().to_string(),
+            kind.name().to_owned(),
+            kind.level().as_str().to_lowercase(),
+            kind.text().to_owned(),
+        ]
+    });
+    assert_eq!(rows, kinds.collect());
+    let numbers: BTreeSet<u16> = EventKind::ALL.iter().map(|kind| kind.number()).collect();
+    assert_eq!(numbers.len(), EventKind::ALL.len(), "a number stands twice");
+}
+
+#[test]
+fn the_page_of_metrics_names_what_the_daemon_shows() {
+    let page = read("docs/METRICS.md");
+    let named: BTreeSet<String> = table_rows(&page).into_iter().map(|row| row[0].clone()).collect();
+    let code = read("crates/reedsail_daemon/src/metrics.rs");
+    let known: BTreeSet<String> = code
+        .split('"')
+        .filter(|text| text.starts_with("reedsail_"))
+        .map(ToOwned::to_owned)
+        .collect();
+    let named: BTreeSet<String> = named
+        .into_iter()
+        .filter(|name| name.starts_with("reedsail_"))
+        .collect();
+    assert_eq!(named, known);
+}
+
+#[test]
+fn the_page_of_settings_names_every_key() {
+    let page = read("docs/SETTINGS.md");
+    let named: BTreeSet<String> = table_rows(&page)
+        .into_iter()
+        .filter(|row| row[0] != "key")
+        .map(|row| row[0].rsplit('.').next().unwrap_or_default().to_owned())
+        .collect();
+    let code = read("crates/reedsail_daemon/src/settings.rs");
+    let mut known = BTreeSet::new();
+    for marker in ["required(\"", "optional(\"", "(map, \"", "(&mut mapping, \""] {
+        for part in code.split(marker).skip(1) {
+            known.extend(part.split('"').next().map(ToOwned::to_owned));
+        }
+    }
+    for inner in [
+        "listen", "limits", "control", "claims", "timeline", "name", "role", "key", "address",
+    ] {
+        known.remove(inner);
+    }
+    assert_eq!(named, known);
+}
+
+#[test]
+fn the_page_of_faults_names_every_fault() {
+    let page = read("docs/FAULTS.md");
+    let code = read("crates/reedsail_bench/src/faults.rs");
+    let body = code.split("Some(match text.as_str() {").nth(1).unwrap();
+    let body = body.split("other => {").next().unwrap();
+    let known: Vec<&str> = body
+        .lines()
+        .filter_map(|line| line.trim().strip_prefix('"')?.split_once("\" =>"))
+        .map(|(name, _)| name)
+        .collect();
+    assert!(known.len() > 10);
+    for name in known {
+        assert!(page.contains(&format!("`{name}`")), "{name} is missing");
+    }
+}
--- a/crates/reedsail_core/src/allocator/mod.rs
+++ b/crates/reedsail_core/src/allocator/mod.rs
@@ -10,6 +10,7 @@
 mod targets;
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use crate::MemberKind;
 use crate::NameHash;
@@ -19,6 +20,7 @@
 use crate::TimeMs;
 use crate::VirtualTimeRow;
 use crate::WorkspaceKey;
+use crate::WorkspaceTable;
 use domain::DomainLink;
 use member::Member;
 
@@ -72,7 +74,7 @@
     config: AllocatorConfig,
     settle_deadline: TimeMs,
     daemons_expected: usize,
-    weights: HashMap<WorkspaceKey, f64>,
+    table: Arc<WorkspaceTable>,
     own_servers: Vec<ServerCapacity>,
     members: HashMap<NameHash, Member>,
     links: HashMap<NameHash, DomainLink>,
@@ -93,7 +95,7 @@
             config,
             settle_deadline: now.plus_ms(config.lease_ms),
             daemons_expected: usize::MAX,
-            weights: HashMap::new(),
+            table: Arc::default(),
             own_servers: Vec::new(),
             members: HashMap::new(),
             links: HashMap::new(),
@@ -112,9 +114,9 @@
         self.daemons_expected = daemons_expected;
     }
 
-    /// Takes over a workspace's weight.
-    pub fn set_weight(&mut self, workspace: WorkspaceKey, weight: f64) {
-        self.weights.insert(workspace, weight);
+    /// Takes over the workspaces' weights.
+    pub fn set_workspaces(&mut self, table: Arc<WorkspaceTable>) {
+        self.table = table;
     }
 
     /// Takes over how long leases last; longer where reports are spaced further apart.
@@ -197,7 +199,7 @@
     }
 
     fn weight(&self, workspace: WorkspaceKey) -> f64 {
-        self.weights.get(&workspace).copied().unwrap_or(1.0)
+        self.table.weight(workspace)
     }
 
     fn entry_mut(&mut self, workspace: WorkspaceKey) -> &mut WorkspaceEntry {
--- a/crates/reedsail_core/src/allocator/targets.rs
+++ b/crates/reedsail_core/src/allocator/targets.rs
@@ -4,6 +4,7 @@
 
 use super::Allocator;
 use super::TARGETS_AGE_MAX_MS;
+use super::member::Member;
 use crate::NameHash;
 use crate::ShareDemand;
 use crate::TimeMs;
@@ -44,17 +45,16 @@
             .map(|workspace| ShareDemand {
                 weight: self.weight(*workspace),
                 virtual_time: self.virtual_time(*workspace),
-                slots_wanted: wanted[workspace],
+                slots_wanted: with_headroom(wanted[workspace]),
             })
             .collect();
         let horizon_cost = self.yield_per_ms * self.config.horizon_ms as f64;
         let parts = share_slots(&demands, f64::from(self.fleet_slots()), horizon_cost);
-        let constrained: Vec<WorkspaceKey> = demands
+        let constrained: Vec<WorkspaceKey> = order
             .iter()
             .zip(&parts)
-            .zip(&order)
-            .filter(|((demand, part), _)| **part < demand.slots_wanted - CONSTRAINED_SLOTS_MIN)
-            .map(|(_, workspace)| *workspace)
+            .filter(|(workspace, part)| **part < wanted[*workspace] - CONSTRAINED_SLOTS_MIN)
+            .map(|(workspace, _)| *workspace)
             .collect();
         self.shares = order
             .iter()
@@ -141,7 +141,7 @@
             .members
             .values()
             .filter(|member| member.is_daemon())
-            .flat_map(|member| member.demands())
+            .flat_map(Member::demands)
             .map(|(workspace, demand)| {
                 self.shares.get(&workspace).copied().unwrap_or(0.0) * f64::from(demand.wanted())
             })
@@ -242,6 +242,12 @@
     }
 }
 
+/// Returns what a workspace is to have if slots are enough: what it wants now, and what chance may
+/// add before the next report. Where it has none to spare, whoever wants more there uses the slots.
+fn with_headroom(wanted: f64) -> f64 {
+    wanted + wanted.sqrt()
+}
+
 /// Rounds parts to whole slots by largest remainder, keeping their sum within `total`.
 fn round_to_total(exact: &[f64], total: u32) -> Vec<u32> {
     let mut whole: Vec<u32> = exact.iter().map(|part| part.floor() as u32).collect();
--- a/crates/reedsail_core/src/fair_queue.rs
+++ b/crates/reedsail_core/src/fair_queue.rs
@@ -1,11 +1,13 @@
 //! One service's waiting requests on one daemon, ordered by workspace and inside each workspace.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::ErrorKind;
 use crate::SharePolicy;
 use crate::TimeMs;
 use crate::WorkspaceKey;
+use crate::WorkspaceTable;
 use crate::key::TableKey;
 
 /// The cost that a workspace's request is taken to have before one has ended.
@@ -132,10 +134,10 @@
 }
 
 impl<W> WorkspaceQueue<W> {
-    fn new() -> Self {
+    fn new(weight: f64, limits: QueueLimits) -> Self {
         Self {
-            weight: 1.0,
-            limits: QueueLimits::default(),
+            weight,
+            limits,
             waiting: BTreeMap::new(),
             queued_bytes: 0,
             running: 0,
@@ -217,6 +219,8 @@
 /// The queues of every workspace at one service.
 #[derive(Debug)]
 pub struct FairQueue<W> {
+    table: Arc<WorkspaceTable>,
+    /// Workspaces that have used the service here; the others take a pointer's space.
     entries: Vec<Option<Box<WorkspaceQueue<W>>>>,
     /// Workspaces with work waiting or running; kept short and scanned in full.
     active: Vec<WorkspaceKey>,
@@ -234,6 +238,7 @@
 impl<W> Default for FairQueue<W> {
     fn default() -> Self {
         Self {
+            table: Arc::default(),
             entries: Vec::new(),
             active: Vec::new(),
             floor: 0.0,
@@ -247,6 +252,18 @@
 }
 
 impl<W> FairQueue<W> {
+    /// Takes over the weights and limits of a new bundle; what waits stays.
+    pub(crate) fn configure(&mut self, table: Arc<WorkspaceTable>) {
+        for (index, entry) in self.entries.iter_mut().enumerate() {
+            if let Some(entry) = entry {
+                let workspace = WorkspaceKey::from_index(index);
+                entry.weight = table.weight(workspace);
+                entry.limits = table.limits(workspace);
+            }
+        }
+        self.table = table;
+    }
+
     /// Returns how many requests wait in all.
     pub fn queued(&self) -> u32 {
         self.queued
@@ -291,8 +308,10 @@
             self.entries.resize_with(index + 1, || None);
         }
         let floor = self.floor;
+        let table = &self.table;
         self.entries[index].get_or_insert_with(|| {
-            let mut entry = Box::new(WorkspaceQueue::new());
+            let (weight, limits) = (table.weight(workspace), table.limits(workspace));
+            let mut entry = Box::new(WorkspaceQueue::new(weight, limits));
             entry.virtual_time = floor;
             entry
         })
--- a/crates/reedsail_core/src/scheduler.rs
+++ b/crates/reedsail_core/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! One service on one daemon: who waits, which slots are held, what runs next and where.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use crate::AffinityTable;
 use crate::DemandRow;
@@ -8,7 +9,6 @@
 use crate::FairQueue;
 use crate::MemberKind;
 use crate::PreemptFlag;
-use crate::QueueLimits;
 use crate::ServerHealth;
 use crate::ServerKey;
 use crate::ServiceGrant;
@@ -19,6 +19,7 @@
 use crate::TimeMs;
 use crate::Waiting;
 use crate::WorkspaceKey;
+use crate::WorkspaceTable;
 use crate::preemption::RunEntry;
 use crate::preemption::ShareStanding;
 use crate::preemption::preempt;
@@ -37,17 +38,6 @@
     pub capacity: u32,
 }
 
-/// A workspace as the bundle in force describes it, at one service.
-#[derive(Clone, Copy, Debug)]
-pub struct WorkspaceSetup {
-    /// The workspace.
-    pub workspace: WorkspaceKey,
-    /// Its weight.
-    pub weight: f64,
-    /// Its limits at one daemon.
-    pub limits: QueueLimits,
-}
-
 /// A request that was given a slot; handed back with [`Scheduler::finish`].
 #[derive(Debug)]
 pub struct Running {
@@ -141,7 +131,7 @@
     }
 
     /// Replaces weights and limits by those of a new bundle; what waits and runs stays.
-    pub fn configure(&mut self, servers: &[ServerSetup], workspaces: &[WorkspaceSetup]) {
+    pub fn configure(&mut self, servers: &[ServerSetup], workspaces: Arc<WorkspaceTable>) {
         for server in self.servers.values_mut() {
             server.configured = false;
         }
@@ -165,11 +155,7 @@
         }
         self.servers
             .retain(|_, server| server.configured || server.in_use > 0);
-        for setup in workspaces {
-            let entry = self.queue.entry_mut(setup.workspace);
-            entry.weight = setup.weight;
-            entry.limits = setup.limits;
-        }
+        self.queue.configure(workspaces);
     }
 
     /// Queues a request.
--- a/crates/reedsail_core/tests/scheduler.rs
+++ b/crates/reedsail_core/tests/scheduler.rs
@@ -1,5 +1,7 @@
 //! One daemon's queues and slots: order, limits, leases, health, affinity.
 
+use std::sync::Arc;
+
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::any;
 use proptest::proptest;
@@ -18,6 +20,7 @@
 use reedsail_core::Waiting;
 use reedsail_core::WorkspaceKey;
 use reedsail_core::WorkspaceSetup;
+use reedsail_core::WorkspaceTable;
 
 const NOW: TimeMs = TimeMs(1_000);
 const FAR: TimeMs = TimeMs(1_000_000);
@@ -30,14 +33,12 @@
         server: ServerKey(index),
         capacity: 8,
     });
-    let setups: Vec<WorkspaceSetup> = (0..workspaces)
-        .map(|index| WorkspaceSetup {
-            workspace: WorkspaceKey(index),
-            weight: 1.0,
-            limits,
-        })
-        .collect();
-    scheduler.configure(&servers, &setups);
+    let setups = (0..workspaces).map(|index| WorkspaceSetup {
+        workspace: WorkspaceKey(index),
+        weight: 1.0,
+        limits,
+    });
+    scheduler.configure(&servers, Arc::new(WorkspaceTable::new(setups)));
     scheduler
 }
 
--- a/crates/reedsail_daemon/src/control/allocation.rs
+++ b/crates/reedsail_daemon/src/control/allocation.rs
@@ -1,5 +1,7 @@
 //! The tick, the allocators of this daemon, and who is leaving.
 
+use std::sync::Arc;
+
 use reedsail_core::Allocator;
 use reedsail_core::AllocatorConfig;
 use reedsail_core::NameHash;
@@ -123,9 +125,7 @@
         servers.sort_by_key(|server| server.server);
         if let Some(allocator) = self.allocators.get_mut(&service) {
             allocator.set_servers(servers, daemons);
-            for (workspace, settings) in view.workspaces() {
-                allocator.set_weight(workspace, settings.workspace.weight);
-            }
+            allocator.set_workspaces(Arc::clone(&view.table));
         }
     }
 
--- a/crates/reedsail_daemon/src/service_cell.rs
+++ b/crates/reedsail_daemon/src/service_cell.rs
@@ -15,7 +15,7 @@
 use reedsail_core::SharePolicy;
 use reedsail_core::Ticket;
 use reedsail_core::Waiting;
-use reedsail_core::WorkspaceSetup;
+use reedsail_core::WorkspaceTable;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
@@ -44,7 +44,7 @@
         self.scheduler.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn configure(&self, servers: &[ServerSetup], workspaces: &[WorkspaceSetup]) {
+    pub(crate) fn configure(&self, servers: &[ServerSetup], workspaces: Arc<WorkspaceTable>) {
         self.lock().configure(servers, workspaces);
     }
 
--- a/crates/reedsail_daemon/src/view.rs
+++ b/crates/reedsail_daemon/src/view.rs
@@ -18,6 +18,7 @@
 use reedsail_core::TableKey;
 use reedsail_core::WorkspaceKey;
 use reedsail_core::WorkspaceSetup;
+use reedsail_core::WorkspaceTable;
 
 use crate::service_cell::ServiceCell;
 
@@ -51,6 +52,8 @@
     pub(crate) version: u32,
     by_digest: HashMap<Digest, WorkspaceKey>,
     workspaces: HashMap<WorkspaceKey, WorkspaceView>,
+    /// Weights and limits, for every scheduler and allocator.
+    pub(crate) table: Arc<WorkspaceTable>,
     models: HashMap<String, ServiceKey>,
     /// Path prefixes, the longest first.
     prefixes: Vec<(String, ServiceKey)>,
@@ -63,6 +66,7 @@
             version: 0,
             by_digest: HashMap::new(),
             workspaces: HashMap::new(),
+            table: Arc::default(),
             models: HashMap::new(),
             prefixes: Vec::new(),
             services: Vec::new(),
@@ -91,6 +95,9 @@
             let workspace = workspace.clone();
             view.workspaces.insert(key, WorkspaceView { name, workspace });
         }
+        let setups = view.workspaces.iter();
+        let table = WorkspaceTable::new(setups.map(|(key, view)| workspace_setup(*key, &view.workspace)));
+        view.table = Arc::new(table);
         for (name, service) in &bundle.services {
             let key = directory.services.intern(name);
             let cell = match before.service(key) {
@@ -132,12 +139,7 @@
             };
             servers.insert(server_key, view);
         }
-        let workspaces: Vec<WorkspaceSetup> = self
-            .workspaces
-            .iter()
-            .map(|(key, view)| workspace_setup(*key, &view.workspace))
-            .collect();
-        cell.configure(&setups, &workspaces);
+        cell.configure(&setups, Arc::clone(&self.table));
         if self.services.len() <= key.index() {
             self.services.resize_with(key.index() + 1, || None);
         }
--- /dev/null
+++ b/crates/reedsail_daemon/tests/process.rs
@@ -0,0 +1,191 @@
+//! The real `reedsaild` process: its settings, its signals, its exit codes.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use reedsail_bench::Caller;
+use reedsail_bench::DaemonSetup;
+use reedsail_bench::Fleet;
+use reedsail_bench::FleetSetup;
+use reedsail_bench::Outcome;
+use reedsail_bench::RequestPlan;
+use reedsail_bench::ServiceSetup;
+use reedsail_bench::WorkspacePlan;
+use reedsail_daemon::PolicyChoice;
+use reedsail_standin::PlatformConfig;
+use tokio::task::JoinSet;
+
+fn setup() -> FleetSetup {
+    FleetSetup {
+        name: "process".to_owned(),
+        daemons: vec![DaemonSetup {
+            instance: "hall-a-1".to_owned(),
+            failure_domain: "hall-a".to_owned(),
+        }],
+        services: vec![ServiceSetup {
+            name: "assistant-llm".to_owned(),
+            model: Some("hut-writer".to_owned()),
+            path_prefix: None,
+            keyed_prefix: None,
+            servers_by_domain: [("hall-a".to_owned(), 2)].into(),
+            slots: 32,
+            token_interval_ms: 5,
+        }],
+        workspaces: vec![WorkspacePlan {
+            name: "labska".to_owned(),
+            weight: 1.0,
+            queued_max: None,
+        }],
+    }
+}
+
+/// Starts a process beside the fleet's own daemon, and returns where it takes callers.
+fn start_process(fleet: &Fleet, folder: &std::path::Path) -> (Child, SocketAddr) {
+    let file = folder.join("hall-a-2.yaml");
+    std::fs::write(&file, fleet.settings_yaml("hall-a-2", "hall-a")).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_reedsaild"))
+        .arg("--config")
+        .arg(&file)
+        .env("RUST_LOG", "error")
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    let stdout = child.stdout.take().unwrap();
+    BufReader::new(stdout).read_line(&mut line).unwrap();
+    let callers = line
+        .split("callers=")
+        .nth(1)
+        .and_then(|rest| rest.split(' ').next());
+    let address = callers
+        .and_then(|address| address.parse().ok())
+        .expect("the daemon tells its ports");
+    (child, address)
+}
+
+fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill")
+        .arg(name)
+        .arg(child.id().to_string())
+        .status()
+        .unwrap();
+    assert!(sent.success());
+}
+
+fn plan(number: u64) -> RequestPlan {
+    RequestPlan::Chat {
+        model: "hut-writer".to_owned(),
+        prompt: format!("prompt {number}"),
+        tokens: 60,
+        stream: true,
+        class: "interactive".to_owned(),
+    }
+}
+
+#[test]
+fn sigterm_under_200_open_streams_cuts_none_and_ends_with_zero() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let folder = tempfile::tempdir().unwrap();
+        let fleet = Fleet::start(setup(), PolicyChoice::Fleet, PlatformConfig::default(), |_| {})
+            .await
+            .unwrap();
+        let (mut child, address) = start_process(&fleet, folder.path());
+        let mut first = Outcome::Crossed;
+        for _ in 0..200 {
+            first = Caller::run(address, "labska", &plan(9_999)).await.outcome;
+            if first == Outcome::Answered {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(first, Outcome::Answered, "it gets ready");
+        let mut callers = JoinSet::new();
+        for number in 0..200 {
+            callers.spawn(async move { Caller::run(address, "labska", &plan(number)).await });
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        signal(&child, "-TERM");
+        for caller in callers.join_all().await {
+            assert_eq!(caller.outcome, Outcome::Answered);
+        }
+        let status = tokio::task::spawn_blocking(move || child.wait())
+            .await
+            .unwrap()
+            .unwrap();
+        assert_eq!(status.code(), Some(0));
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn a_paused_process_past_its_lease_does_no_harm() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let folder = tempfile::tempdir().unwrap();
+        let fleet = Fleet::start(setup(), PolicyChoice::Fleet, PlatformConfig::default(), |_| {})
+            .await
+            .unwrap();
+        let (mut child, address) = start_process(&fleet, folder.path());
+        let mut ready = false;
+        for _ in 0..200 {
+            ready = Caller::run(address, "labska", &plan(9_999)).await.outcome == Outcome::Answered;
+            if ready {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert!(ready);
+        signal(&child, "-STOP");
+        let own = fleet.callers["hall-a-1"];
+        let mut all_slots = false;
+        for _ in 0..300 {
+            all_slots = fleet.daemons["hall-a-1"].slot_counts("assistant-llm").0 == 64;
+            if all_slots {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert!(all_slots, "its slots lapse and go to the other daemon");
+        assert_eq!(
+            Caller::run(own, "labska", &plan(1)).await.outcome,
+            Outcome::Answered
+        );
+        signal(&child, "-CONT");
+        assert_eq!(
+            Caller::run(address, "labska", &plan(2)).await.outcome,
+            Outcome::Answered
+        );
+        signal(&child, "-TERM");
+        let status = tokio::task::spawn_blocking(move || child.wait())
+            .await
+            .unwrap()
+            .unwrap();
+        assert_eq!(status.code(), Some(0));
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn wrong_settings_end_with_two_and_name_the_fault() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("wrong.yaml");
+    std::fs::write(&file, "instance: hall a\n").unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_reedsaild"))
+        .args(["--check", "--config"])
+        .arg(&file)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        text.contains("line 1, column 11: `instance`: `hall a` is no name"),
+        "{text}"
+    );
+    assert!(text.contains("key `platform` is missing"), "{text}");
+}
