--- a/crates/reedsail_bench/tests/bad_input.rs
+++ b/crates/reedsail_bench/tests/bad_input.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::Full;
+use reedsail_core::ErrorKind;
+use uuid::Uuid;
+
 use common::chat_body;
 use common::new_key;
 use common::request;
 use common::run;
 use common::send;
-use http_body_util::Full;
-use reedsail_core::ErrorKind;
-use uuid::Uuid;
 
 #[test]
 fn each_bad_request_gets_its_own_answer() {
--- a/crates/reedsail_bench/tests/failures.rs
+++ b/crates/reedsail_bench/tests/failures.rs
@@ -4,11 +4,6 @@
 
 use std::time::Duration;
 
-use common::chat_body;
-use common::new_key;
-use common::request;
-use common::run;
-use common::send;
 use http_body_util::Full;
 use reedsail_bench::Caller;
 use reedsail_bench::Fleet;
@@ -17,6 +12,12 @@
 use reedsail_daemon::Stage;
 use tokio::task::JoinSet;
 
+use common::chat_body;
+use common::new_key;
+use common::request;
+use common::run;
+use common::send;
+
 fn chat_plan(number: u64, tokens: u64) -> RequestPlan {
     RequestPlan::Chat {
         model: "hut-writer".to_owned(),
--- a/crates/reedsail_bench/tests/sessions.rs
+++ b/crates/reedsail_bench/tests/sessions.rs
@@ -5,13 +5,14 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
+use http_body_util::Full;
+use reedsail_bench::Fleet;
+
 use common::chat_body;
 use common::new_key;
 use common::request;
 use common::run;
 use common::send;
-use http_body_util::Full;
-use reedsail_bench::Fleet;
 
 /// Writes a session: answers as they came, then the events, without what differs from run to run.
 fn golden(fleet: &Fleet, answers: &[common::Answer]) -> String {
--- a/crates/reedsail_core/src/allocator/mod.rs
+++ b/crates/reedsail_core/src/allocator/mod.rs
@@ -46,7 +46,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 3_000,
-            horizon_ms: 6_000,
+            horizon_ms: 4_000,
             rejoin_clamp_ms: 2_000,
         }
     }
@@ -64,7 +64,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct WorkspaceEntry {
     virtual_time: f64,
-    /// Whether it wants more slots than the last division gave it.
+    /// Whether it wanted any slot at the last division.
+    is_active: bool,
+    /// Whether it wanted more slots than the last division gave it.
     is_constrained: bool,
 }
 
@@ -206,6 +208,7 @@
         let floor = self.floor;
         self.workspaces.entry(workspace).or_insert(WorkspaceEntry {
             virtual_time: floor,
+            is_active: false,
             is_constrained: false,
         })
     }
--- a/crates/reedsail_core/src/allocator/targets.rs
+++ b/crates/reedsail_core/src/allocator/targets.rs
@@ -40,6 +40,7 @@
         }
         let mut order: Vec<WorkspaceKey> = wanted.keys().copied().collect();
         order.sort();
+        self.lift_newly_active(&order);
         let demands: Vec<ShareDemand> = order
             .iter()
             .map(|workspace| ShareDemand {
@@ -64,6 +65,22 @@
         self.settle_floor(&order, &constrained);
     }
 
+    /// Lifts whoever has come back to the floor: time spent idle, or out of sight behind a cut,
+    /// earns no claim.
+    fn lift_newly_active(&mut self, active: &[WorkspaceKey]) {
+        let floor = self.floor;
+        for (workspace, entry) in &mut self.workspaces {
+            entry.is_active &= active.binary_search(workspace).is_ok();
+        }
+        for workspace in active {
+            let entry = self.entry_mut(*workspace);
+            if !entry.is_active {
+                entry.is_active = true;
+                entry.virtual_time = entry.virtual_time.max(floor);
+            }
+        }
+    }
+
     /// Raises the floor, and everybody to it who has all that it wants.
     ///
     /// While slots are enough for all, nobody earns a claim or a debt: everybody is level when
--- a/crates/reedsail_daemon/src/settings.rs
+++ b/crates/reedsail_daemon/src/settings.rs
@@ -139,7 +139,7 @@
         Self {
             budget_bytes_per_s: 1_700,
             lease_ms: 3_000,
-            horizon_ms: 6_000,
+            horizon_ms: 4_000,
             rejoin_clamp_ms: 2_000,
             call_limit_ms: 500,
             checkpoint_every_ms: 600_000,
