Preempt for a request at once, report idle services less often, cache who is told what

Change: who is to be told what is worked out once a second or when somebody comes or goes; idle exchanges wait two fifths of a lease; idle services skip the tick's work; a queued request of a workspace short of its share calls a slot back at once. The claims bench had counted calls without a key as one key that ran twice.

--- a/crates/reedsail_bench/src/claims_bench.rs
+++ b/crates/reedsail_bench/src/claims_bench.rs
@@ -2,6 +2,7 @@
 //! loses answers; and what a claim costs when nothing is wrong.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -108,11 +109,13 @@
     fleet
         .platform
         .set_faults(|faults| faults.lost_answer_ratio = LOST_ANSWER_RATIO);
-    let runs_before = runs(&fleet).len();
-    let callers = storm(&mut fleet, keys, &mut report, &progress).await?;
+    let (sent_keys, callers) = storm(&mut fleet, keys, &mut report, &progress).await?;
     let mut ran: HashMap<String, u64> = HashMap::new();
     let mut requests: HashMap<String, u64> = HashMap::new();
-    for run in runs(&fleet).into_iter().skip(runs_before) {
+    for run in runs(&fleet)
+        .into_iter()
+        .filter(|run| sent_keys.contains(&run.idempotency_key))
+    {
         *ran.entry(run.idempotency_key).or_default() += 1;
         *requests.entry(run.request_id).or_default() += 1;
     }
@@ -179,11 +182,12 @@
     keys: u64,
     report: &mut ClaimsReport,
     progress: &impl Fn(&str),
-) -> anyhow::Result<Vec<Caller>> {
+) -> anyhow::Result<(HashSet<String>, Vec<Caller>)> {
     let mut random = StdRng::seed_from_u64(7);
     let names: Vec<String> = fleet.callers.keys().cloned().collect();
     let begun = Instant::now();
     let mut callers = JoinSet::new();
+    let mut sent_keys = HashSet::new();
     let mut away: Option<(String, Instant)> = None;
     let mut next_kill = begun + Duration::from_millis(KILL_EVERY_MS);
     for number in 0..keys {
@@ -204,6 +208,7 @@
             progress(&format!("{number} keys, {} daemons killed", report.kills));
         }
         let key = key();
+        sent_keys.insert(key.clone());
         let first = random.random_range(0..names.len());
         let second = (first + random.random_range(1..names.len())) % names.len();
         for index in [first, second] {
@@ -212,5 +217,5 @@
             callers.spawn(async move { Caller::run(address, "labska", &plan).await });
         }
     }
-    Ok(callers.join_all().await)
+    Ok((sent_keys, callers.join_all().await))
 }
--- a/crates/reedsail_bench/src/fleet.rs
+++ b/crates/reedsail_bench/src/fleet.rs
@@ -235,7 +235,9 @@
             // Writing to a string does not fail.
             let _ = writeln!(text, "  - {{name: {}, role: {role}, key: {key}}}", trusted.name);
         }
-        text.push_str("peers:\n");
+        if !self.daemons.is_empty() {
+            text.push_str("peers:\n");
+        }
         for daemon in self.daemons.values() {
             let (name, peers) = (daemon.instance(), daemon.addresses().peers);
             let domain = &self.settings[name].failure_domain;
--- a/crates/reedsail_bench/src/lib.rs
+++ b/crates/reedsail_bench/src/lib.rs
@@ -3,6 +3,7 @@
 //! The stand-ins and the daemons run inside this one process, each daemon on threads of its own.
 
 mod caller;
+mod capacity;
 mod checker;
 mod claims_bench;
 mod compare;
@@ -25,6 +26,7 @@
 pub use caller::Caller;
 pub use caller::Outcome;
 pub use caller::RequestPlan;
+pub use capacity::capacity_tables;
 pub use checker::CallerRecord;
 pub use checker::PromiseCheck;
 pub use checker::ReplayRecord;
--- a/crates/reedsail_bench/src/main.rs
+++ b/crates/reedsail_bench/src/main.rs
@@ -8,6 +8,7 @@
 use reedsail_bench::FaultScript;
 use reedsail_bench::ReplayReport;
 use reedsail_bench::Trace;
+use reedsail_bench::capacity_tables;
 use reedsail_bench::compare_policies;
 use reedsail_bench::make_trace;
 use reedsail_bench::measure_claims;
@@ -93,6 +94,11 @@
                 /// Writes the report as JSON.
                 optional --json file: PathBuf
             }
+            /// Prints the generated part of docs/CAPACITY.md.
+            cmd capacity {
+                /// The slopes, as `slopes --json` writes them.
+                required slopes: PathBuf
+            }
             /// Makes a deployment's trace.
             cmd trace {
                 /// `chatovna` or `vatuwaqa`.
@@ -153,6 +159,11 @@
             write_json(idle.json.as_deref(), &report)?;
             Ok(true)
         }
+        flags::ReedsailBenchCmd::Capacity(capacity) => {
+            let slopes = serde_json::from_str(&std::fs::read_to_string(&capacity.slopes)?)?;
+            print!("{}", capacity_tables(&slopes));
+            Ok(true)
+        }
         flags::ReedsailBenchCmd::Trace(trace) => {
             let made = make_trace(&trace.name, trace.seed.unwrap_or(7))?;
             std::fs::write(&trace.out, made.to_text())?;
--- a/crates/reedsail_core/src/allocator/mod.rs
+++ b/crates/reedsail_core/src/allocator/mod.rs
@@ -177,6 +177,13 @@
         self.members.len()
     }
 
+    /// Tells whether no member, here or in another domain, wants any slot.
+    pub fn is_idle(&self) -> bool {
+        self.members
+            .values()
+            .all(|member| member.demands().next().is_none())
+    }
+
     /// Returns how many workspaces are remembered; idle ones without a lead are not.
     pub fn workspace_count(&self) -> usize {
         self.workspaces.len()
--- a/crates/reedsail_core/src/preemption.rs
+++ b/crates/reedsail_core/src/preemption.rs
@@ -14,7 +14,7 @@
 use crate::WorkspaceKey;
 
 /// A request is left alone for so long after it got its slot.
-const RUN_MIN_MS: u64 = 200;
+const RUN_MIN_MS: u64 = 100;
 /// The most requests given up in one tick of one service on one daemon.
 const PREEMPTED_PER_TICK_MAX: usize = 16;
 /// Targets wander from report to report: so many slots over the lease are left alone, and so large
@@ -22,8 +22,6 @@
 const OVER_LEASE_SLOTS: u32 = 1;
 /// See `OVER_LEASE_SLOTS`.
 const OVER_LEASE_PART: u32 = 8;
-/// A workspace that lacks less than this much of its share waits for the next slot to come free.
-const LACKING_SLOTS_MIN: f64 = 1.0;
 
 /// Tells a running request that it is to give its slot up. Clones share their state.
 #[derive(Clone, Debug, Default)]
@@ -64,7 +62,7 @@
 
     /// Returns the slots that the workspace lacks and would use at once.
     fn lacking(&self) -> f64 {
-        let lacking = self.share - f64::from(self.running) - LACKING_SLOTS_MIN;
+        let lacking = (self.share - f64::from(self.running)).floor();
         lacking.clamp(0.0, f64::from(self.queued))
     }
 }
--- a/crates/reedsail_core/src/scheduler.rs
+++ b/crates/reedsail_core/src/scheduler.rs
@@ -277,6 +277,17 @@
         preempt(&self.preemptible, &standings, self.slot_counts(), now)
     }
 
+    /// Does the same at once for a request that was queued although its workspace has less than its
+    /// share: it need not wait for the next tick.
+    pub fn preempt_for(&mut self, workspace: WorkspaceKey, now: TimeMs) {
+        let is_short = self.queue.entry(workspace).is_some_and(|entry| {
+            entry.queued() > 0 && f64::from(entry.running) + 1.0 <= self.queue.share_of(entry)
+        });
+        if is_short {
+            self.preempt_excess(now);
+        }
+    }
+
     /// Records a failure of the server; returns `true` when it is now left to rest.
     pub fn record_failure(&mut self, server: ServerKey, now: TimeMs) -> bool {
         self.servers
@@ -309,17 +320,22 @@
 
     /// Lets lapsed leases go and takes out requests whose deadline has passed.
     pub fn tick(&mut self, now: TimeMs) -> Vec<Waiting<W>> {
-        if P::LEASED {
-            for server in self.servers.values_mut() {
-                if server.lease_deadline <= now {
-                    server.leased = 0;
-                }
-            }
-        }
+        self.drop_lapsed(now);
         self.queue.measure_rates(now);
         self.queue.take_expired(now)
     }
 
+    fn drop_lapsed(&mut self, now: TimeMs) {
+        if !P::LEASED {
+            return;
+        }
+        for server in self.servers.values_mut() {
+            if server.lease_deadline <= now {
+                server.leased = 0;
+            }
+        }
+    }
+
     /// Tells whether the allocator ought to know at once: work waits here without a free slot, or
     /// slots that it wants back have become free.
     pub fn has_urgent_news(&self) -> bool {
@@ -344,6 +360,7 @@
 
     /// Writes the report to the allocator.
     pub fn report(&mut self, now: TimeMs) -> ServiceReport {
+        self.drop_lapsed(now);
         self.starved = false;
         self.starved_reported = self.queue.queued() > 0;
         self.slots_wanted_back = 0;
--- a/crates/reedsail_core/tests/scheduler.rs
+++ b/crates/reedsail_core/tests/scheduler.rs
@@ -316,3 +316,75 @@
         assert_eq!(scheduler.slot_counts().1, 0);
     }
 }
+
+/// Fills all eight slots with streams of workspace 0.
+fn flooded() -> (TestScheduler, Vec<Running>) {
+    let mut scheduler = scheduler(2, QueueLimits::default());
+    scheduler.apply_grant(&grant(&[(0, 8)], &[(0, 4.0), (1, 4.0)]), FAR);
+    for number in 0..20 {
+        let mut waiting = request(0, number);
+        waiting.preemptible = true;
+        scheduler.submit(waiting, NOW).unwrap();
+    }
+    let running: Vec<Running> = scheduler
+        .dispatch(NOW)
+        .into_iter()
+        .map(|dispatch| dispatch.running)
+        .collect();
+    assert_eq!(running.len(), 8);
+    (scheduler, running)
+}
+
+fn raised(running: &[Running]) -> usize {
+    running
+        .iter()
+        .filter(|running| running.preempt.is_raised())
+        .count()
+}
+
+#[test]
+fn a_workspace_short_of_its_share_takes_slots_back() {
+    let (mut scheduler, mut running) = flooded();
+    let later = NOW.plus_ms(200);
+    for number in 0..4 {
+        scheduler.submit(request(1, number), later).unwrap();
+    }
+    assert_eq!(scheduler.preempt_excess(later), 4);
+    assert_eq!(raised(&running), 4);
+    assert_eq!(scheduler.preempt_excess(later), 0, "no more than are needed");
+    running.sort_by_key(|running| running.preempt.is_raised());
+    for ended in running.drain(4..) {
+        scheduler.finish(ended, 10.0, false);
+    }
+    let next = scheduler.dispatch(later);
+    assert!(
+        next.iter()
+            .all(|dispatch| dispatch.running.workspace == WorkspaceKey(1))
+    );
+    assert_eq!(next.len(), 4);
+}
+
+#[test]
+fn a_lease_that_shrinks_calls_streams_back_but_for_what_wanders() {
+    let (mut scheduler, running) = flooded();
+    scheduler.apply_grant(&grant(&[(0, 2)], &[(0, 2.0)]), FAR);
+    assert_eq!(
+        scheduler.preempt_excess(NOW.plus_ms(200)),
+        5,
+        "eight less two less one"
+    );
+    assert_eq!(raised(&running), 5);
+}
+
+#[test]
+fn nothing_is_called_back_without_a_grant_in_force_or_right_after_the_start() {
+    let (mut scheduler, running) = flooded();
+    scheduler.submit(request(1, 1), NOW).unwrap();
+    assert_eq!(
+        scheduler.preempt_excess(NOW.plus_ms(50)),
+        0,
+        "they have just begun"
+    );
+    assert_eq!(scheduler.preempt_excess(FAR), 0, "the grant has lapsed");
+    assert_eq!(raised(&running), 0);
+}
--- a/crates/reedsail_daemon/src/control/actor.rs
+++ b/crates/reedsail_daemon/src/control/actor.rs
@@ -24,6 +24,7 @@
 use xtra::Handler;
 
 use super::PeerAddress;
+use super::exchange::Errand;
 use super::exchange::PeerSchedule;
 use super::exchange::Seat;
 use super::links::LinkAction;
@@ -60,6 +61,8 @@
     pub(super) seats: HashMap<ServiceKey, Seat>,
     pub(super) domain_seats: HashMap<(ServiceKey, NameHash), Seat>,
     pub(super) peers: HashMap<NameHash, PeerSchedule>,
+    pub(super) errands: HashMap<NameHash, Errand>,
+    pub(super) errands_at: Option<TimeMs>,
     pub(super) pacer: BytePacer,
     pub(super) exchanges: u64,
     pub(super) paced_at: TimeMs,
@@ -111,6 +114,8 @@
             seats: HashMap::new(),
             domain_seats: HashMap::new(),
             peers: HashMap::new(),
+            errands: HashMap::new(),
+            errands_at: None,
             exchanges: 0,
             paced_at: shared.clock.now(),
             paced_bytes: 0,
--- a/crates/reedsail_daemon/src/control/allocation.rs
+++ b/crates/reedsail_daemon/src/control/allocation.rs
@@ -162,6 +162,7 @@
 
     /// Takes in what changed in the platform's list.
     pub(super) fn take_in_instances(&mut self, list: &InstanceList) {
+        self.forget_errands();
         let now = self.shared.clock.now();
         for instance in &list.instances {
             match instance.kind {
@@ -219,6 +220,7 @@
     /// Begins a planned stop: duties pass on with the next reports, which say so.
     pub(super) fn begin_stop(&mut self) {
         self.stopping = true;
+        self.forget_errands();
         for schedule in self.peers.values_mut() {
             schedule.make_due();
         }
--- a/crates/reedsail_daemon/src/control/exchange.rs
+++ b/crates/reedsail_daemon/src/control/exchange.rs
@@ -5,6 +5,7 @@
 use reedsail_core::Allocator;
 use reedsail_core::NameHash;
 use reedsail_core::Presence;
+use reedsail_core::ServiceGrant;
 use reedsail_core::ServiceKey;
 use reedsail_core::ServiceReport;
 use reedsail_core::SharePolicy;
@@ -27,6 +28,8 @@
 const SHORT_INTERVAL_MS: u64 = 250;
 /// What part of the due slots counts as much less.
 const SHORT_PART: f64 = 0.85;
+/// Who is to be told what is worked out anew at least this often.
+const ERRANDS_AGE_MAX_MS: u64 = 1_000;
 /// A lease lasts for so many report intervals, so that one lost report does no harm.
 const LEASE_INTERVALS: u64 = 3;
 /// How often the bytes of an exchange are measured.
@@ -58,7 +61,7 @@
 
 /// What is to be told to one peer.
 #[derive(Clone, Debug, Default)]
-struct Errand {
+pub(crate) struct Errand {
     services: Vec<ServiceKey>,
     domain_services: Vec<(ServiceKey, NameHash)>,
 }
@@ -88,18 +91,30 @@
         if !P::LEASED {
             return;
         }
-        let mut errands = self.errands(now);
-        if let Some(own) = errands.remove(&self.own_name) {
-            self.report_to_self(&own.services, now);
+        if self
+            .errands_at
+            .is_none_or(|at| now.since_ms(at) >= ERRANDS_AGE_MAX_MS)
+        {
+            self.errands = self.make_errands(now);
+            self.errands_at = Some(now);
         }
-        for (peer, errand) in errands {
-            if self.is_due(peer, &errand, now) {
-                self.send_report(peer, errand, now);
+        let errands = std::mem::take(&mut self.errands);
+        for (peer, errand) in &errands {
+            if *peer == self.own_name {
+                self.report_to_self(&errand.services, now);
+            } else if self.is_due(*peer, errand, now) {
+                self.send_report(*peer, errand, now);
             }
         }
+        self.errands = errands;
     }
 
-    fn errands(&self, now: TimeMs) -> HashMap<NameHash, Errand> {
+    /// Has the errands made anew, after who is alive has changed.
+    pub(super) fn forget_errands(&mut self) {
+        self.errands_at = None;
+    }
+
+    fn make_errands(&self, now: TimeMs) -> HashMap<NameHash, Errand> {
         let mut errands: HashMap<NameHash, Errand> = HashMap::new();
         let other_domains: Vec<NameHash> = self
             .membership
@@ -148,14 +163,14 @@
         urgent && self.pacer.may_send_urgent(now)
     }
 
-    fn send_report(&mut self, peer: NameHash, errand: Errand, now: TimeMs) {
+    fn send_report(&mut self, peer: NameHash, errand: &Errand, now: TimeMs) {
         let Some(address) = self.peer_address(peer) else {
             return;
         };
         let mut services = self.daemon_reports(peer, &errand.services, now);
-        for (service, domain) in errand.domain_services {
-            if let Some(report) = self.domain_report(service, domain, peer, now) {
-                services.push((service, report));
+        for (service, domain) in &errand.domain_services {
+            if let Some(report) = self.domain_report(*service, *domain, peer, now) {
+                services.push((*service, report));
             }
         }
         let report = self.make_report(services, now);
@@ -299,6 +314,7 @@
                 self.shared.events.emit(EventKind::PeerLeaving, &[("peer", name)]);
             }
             self.membership.leave(sender);
+            self.forget_errands();
         } else if self.membership.hear(sender, now) {
             self.emit_heard(sender);
         }
@@ -312,7 +328,8 @@
         self.note_peer_version(sender, report.bundle_version, now);
     }
 
-    fn emit_heard(&self, peer: NameHash) {
+    fn emit_heard(&mut self, peer: NameHash) {
+        self.forget_errands();
         let name = self.membership.name(peer).unwrap_or("unknown");
         self.shared.events.emit(EventKind::PeerHeard, &[("peer", name)]);
     }
@@ -360,7 +377,13 @@
                 self.borrow_slots(*service, done.peer, row, grant.incarnation, lease_deadline);
             }
         }
-        if self.is_short_of_slots(&grant) {
+        let is_idle = |(service, row): &(ServiceKey, ServiceGrant)| {
+            row.virtual_times.is_empty() && self.allocators.get(service).is_none_or(Allocator::is_idle)
+        };
+        if grant.services.iter().all(is_idle) {
+            // Nothing waits, runs or was charged: it is enough that leases do not lapse.
+            interval_ms = interval_ms.max(u64::from(grant.lease_ms) * 2 / 5);
+        } else if self.is_short_of_slots(&grant) {
             interval_ms = interval_ms.min(SHORT_INTERVAL_MS);
         }
         // Whatever the budget says, a lease is renewed before it lapses.
@@ -390,7 +413,7 @@
     fn take_leases(
         &mut self,
         service: ServiceKey,
-        grant: &reedsail_core::ServiceGrant,
+        grant: &ServiceGrant,
         incarnation: u32,
         lease_deadline: TimeMs,
     ) {
@@ -414,7 +437,7 @@
         &mut self,
         service: ServiceKey,
         peer: NameHash,
-        grant: &reedsail_core::ServiceGrant,
+        grant: &ServiceGrant,
         incarnation: u32,
         lease_deadline: TimeMs,
     ) {
@@ -432,6 +455,7 @@
     }
 
     fn note_no_answer(&mut self, peer: NameHash, error: &str, now: TimeMs) {
+        self.forget_errands();
         if self.membership.suspect(peer, now) {
             let name = self.membership.name(peer).unwrap_or("unknown");
             let fields = [("peer", name), ("error", error)];
--- a/crates/reedsail_daemon/src/control/roll_out.rs
+++ b/crates/reedsail_daemon/src/control/roll_out.rs
@@ -125,6 +125,7 @@
     }
 
     fn after_bundle_change(&mut self) {
+        self.forget_errands();
         let now = self.shared.clock.now();
         self.mark_servers_leaving(now);
         self.refresh_allocators(now);
--- a/crates/reedsail_daemon/src/service_cell.rs
+++ b/crates/reedsail_daemon/src/service_cell.rs
@@ -50,6 +50,7 @@
 
     /// Queues a request; the receiver gets its slot.
     pub(crate) fn submit(self: &Arc<Self>, waiting: Waiting<Waker<P>>) -> Result<QueuePlace<P>, ErrorKind> {
+        let workspace = waiting.workspace;
         let ticket = {
             let mut scheduler = self.lock();
             scheduler
@@ -57,6 +58,7 @@
                 .map_err(|(kind, _)| kind)?
         };
         self.dispatch();
+        self.lock().preempt_for(workspace, self.clock.now());
         Ok(QueuePlace {
             cell: Arc::clone(self),
             ticket: Some(ticket),
@@ -84,6 +86,9 @@
     pub(crate) fn tick(self: &Arc<Self>) {
         let expired = {
             let mut scheduler = self.lock();
+            if !scheduler.is_active() {
+                return;
+            }
             scheduler.preempt_excess(self.clock.now());
             scheduler.tick(self.clock.now())
         };
--- a/crates/reedsail_net/src/deflate_stream.rs
+++ b/crates/reedsail_net/src/deflate_stream.rs
@@ -47,7 +47,7 @@
     pub fn new(stream: S) -> Self {
         Self {
             stream,
-            compress: Compress::new_with_window_bits(Compression::best(), false, WINDOW_BITS),
+            compress: Compress::new_with_window_bits(Compression::default(), false, WINDOW_BITS),
             decompress: Decompress::new_with_window_bits(false, WINDOW_BITS),
             unsent: Vec::new(),
             sent: 0,
