--- a/crates/reedsail_bench/src/capacity.rs
+++ b/crates/reedsail_bench/src/capacity.rs
@@ -187,7 +187,7 @@
     let list_bytes_per_s = REPLACED_PER_DAY * 3.0 * 250.0 / DAY_S;
     let polls_bytes_per_s = 2.0 * POLL_BYTES / POLL_S;
     let other_bytes_per_s = changes_bytes_per_s + list_bytes_per_s + polls_bytes_per_s;
-    let tick_us_per_s = TICKS_PER_S * SERVICES * slopes.daemon_report_us.base / 2.0;
+    let tick_us_per_s = TICKS_PER_S * SERVICES * slopes.daemon_report_us.at(size.rows) / 2.0;
     let control_us = SERVICES
         * (slopes.daemon_report_us.at(size.rows) + slopes.exchange_cpu_us.at(size.rows))
         + SERVICES * slopes.allocator_report_us.at(size.rows);
--- a/crates/reedsail_bench/src/checker.rs
+++ b/crates/reedsail_bench/src/checker.rs
@@ -228,7 +228,10 @@
 fn check_bundles(record: &ReplayRecord) -> PromiseCheck {
     let mut last: HashMap<&str, u32> = HashMap::new();
     let mut reverted = 0;
-    for event in &record.events {
+    // Within one instance the wall clock tells its starts apart; the logical one begins anew.
+    let mut events: Vec<&Event> = record.events.iter().collect();
+    events.sort_by_key(|event| (event.unix_ms, event.clock));
+    for event in events {
         if event.number == EventKind::DaemonStarted.number() {
             last.remove(event.instance.as_str());
         }
--- a/crates/reedsail_bench/src/fleet.rs
+++ b/crates/reedsail_bench/src/fleet.rs
@@ -44,6 +44,10 @@
 
 /// How long a fleet may take to be ready.
 const READY_LIMIT_MS: u64 = 20_000;
+/// How often an append is tried.
+const APPEND_TRIES_MAX: usize = 100;
+/// The pause between two tries.
+const APPEND_PAUSE_MS: u64 = 100;
 /// The stream of bundle records.
 const BUNDLE_STREAM: &str = "bundles";
 
@@ -93,6 +97,20 @@
     ])
 }
 
+/// Appends a record, again and again until the log says that it has it; a second copy folds to
+/// nothing.
+async fn append_until_taken(client: &PlatformClient, record: &BundleRecord) -> anyhow::Result<()> {
+    let mut last = None;
+    for _ in 0..APPEND_TRIES_MAX {
+        match client.append(BUNDLE_STREAM, record.to_bytes()).await {
+            Ok(_) => return Ok(()),
+            Err(error) => last = Some(error),
+        }
+        sleep(Duration::from_millis(APPEND_PAUSE_MS)).await;
+    }
+    Err(last.map_or_else(|| anyhow::anyhow!("nothing was tried"), Into::into))
+}
+
 impl Fleet {
     /// Starts everything, publishes the first bundle and waits until all daemons are ready.
     ///
@@ -374,8 +392,8 @@
         let winner_record = self.propose(&winner);
         let rival_record = self.propose(&rival);
         let client = self.platform_client();
-        client.append(BUNDLE_STREAM, winner_record.to_bytes()).await?;
-        client.append(BUNDLE_STREAM, rival_record.to_bytes()).await?;
+        append_until_taken(&client, &winner_record).await?;
+        append_until_taken(&client, &rival_record).await?;
         self.version += 1;
         self.text = winner;
         Ok(())
@@ -392,9 +410,7 @@
     /// The log does not take the record.
     pub async fn publish_text(&mut self, text: &str) -> anyhow::Result<u32> {
         let record = self.propose(text);
-        self.platform_client()
-            .append(BUNDLE_STREAM, record.to_bytes())
-            .await?;
+        append_until_taken(&self.platform_client(), &record).await?;
         self.version += 1;
         text.clone_into(&mut self.text);
         Ok(self.version)
--- a/crates/reedsail_core/src/fair_queue.rs
+++ b/crates/reedsail_core/src/fair_queue.rs
@@ -170,6 +170,12 @@
             .max(SHARE_MIN)
     }
 
+    /// Tells whether the workspace has fewer slots than the whole ones of the share it was told.
+    fn is_below_share(&self) -> bool {
+        self.share
+            .is_some_and(|share| f64::from(self.running) + 1.0 <= share)
+    }
+
     /// Returns the local time at which the workspace stands once its running work is done.
     fn projected_local_time(&self, slots_per_weight: f64) -> f64 {
         self.local_time + self.outstanding_cost / self.share_or(slots_per_weight)
@@ -381,7 +387,7 @@
 
     /// Takes the request that goes next: the first of the workspace that is furthest behind.
     pub(crate) fn pop<P: SharePolicy>(&mut self, policy: &P) -> Option<Waiting<W>> {
-        let mut best: Option<(f64, WorkspaceKey)> = None;
+        let mut best: Option<((bool, f64), WorkspaceKey)> = None;
         for (key, entry) in self.active_entries() {
             let Some((rank, _)) = entry.waiting.first_key_value() else {
                 continue;
@@ -390,7 +396,11 @@
                 continue;
             }
             let local_time = entry.projected_local_time(self.slots_per_weight);
-            let order = policy.workspace_order(local_time, rank.2);
+            // Whoever has less than its whole slots goes first; parts of slots go by local time.
+            let order = (
+                !entry.is_below_share(),
+                policy.workspace_order(local_time, rank.2),
+            );
             if best.is_none_or(|(least, _)| order < least) {
                 best = Some((order, key));
             }
@@ -417,6 +427,14 @@
         entry.local_time += cost / entry.share_or(slots_per_weight);
     }
 
+    /// Counts what a preempted request did not receive as if it had, in the order here alone: else
+    /// the slot that it gave up would go back to its own workspace.
+    pub(crate) fn hold_back(&mut self, workspace: WorkspaceKey, cost: f64) {
+        let slots_per_weight = self.slots_per_weight;
+        let entry = self.entry_mut(workspace);
+        entry.local_time += cost / entry.share_or(slots_per_weight);
+    }
+
     /// Takes over shares from the allocator. What a workspace is ahead of its share counts on, in
     /// cost, but no further than a few requests: with a share that was tiny for a while it would
     /// else wait for hours.
--- a/crates/reedsail_core/src/scheduler.rs
+++ b/crates/reedsail_core/src/scheduler.rs
@@ -248,6 +248,9 @@
         if entry.running == 0 {
             entry.outstanding_cost = 0.0;
         }
+        if !answered && running.preempt.is_raised() {
+            self.queue.hold_back(running.workspace, still_expected);
+        }
         self.preemptible.remove(&running.number);
         self.queue.retire_if_idle(running.workspace);
         if answered && let Some(entry) = self.servers.get_mut(&running.server) {
--- a/crates/reedsail_daemon/src/control/roll_out.rs
+++ b/crates/reedsail_daemon/src/control/roll_out.rs
@@ -249,15 +249,16 @@
             // Somebody who missed nothing will speak. If nobody does, what is known here must do.
             return;
         }
-        let Some(record) = self.follower.checkpoint() else {
-            return;
-        };
         let mut daemons = self.membership.alive(None, now);
         daemons.push(self.own_name);
         let ranked = rank_by_rendezvous(CHECKPOINT_DUTY, &daemons);
         let place = ranked.iter().position(|name| *name == self.own_name).unwrap_or(0) as u64;
         let age_ms = Clock::unix_ms().saturating_sub(self.in_force_seen_unix_ms);
-        if age_ms >= every_ms + every_ms / 4 * place {
+        if age_ms < every_ms + every_ms / 4 * place {
+            return;
+        }
+        // Packing a large bundle takes milliseconds, so it comes last.
+        if let Some(record) = self.follower.checkpoint() {
             self.checkpoint_under_way = true;
             let _ = self.actions.send(LinkAction::AppendCheckpoint(record.to_bytes()));
         }
--- a/crates/reedsail_daemon/src/traffic/backend.rs
+++ b/crates/reedsail_daemon/src/traffic/backend.rs
@@ -97,7 +97,8 @@
                 last_kind = kind;
                 note_failure(shared, call, server);
                 let may_repeat = call.repeat == Repeat::Allowed && shared.clock.now() < call.deadline;
-                if !may_repeat || !call.service.cell.spend_retry() {
+                let is_owed = resume_from > 0;
+                if !may_repeat || !(is_owed || call.service.cell.spend_retry()) {
                     break;
                 }
             }
--- a/crates/reedsail_daemon/src/traffic/relay.rs
+++ b/crates/reedsail_daemon/src/traffic/relay.rs
@@ -1,21 +1,23 @@
 //! Brings a backend server's answer to the caller.
 
+use std::time::Duration;
+
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use reedsail_bundle::CostUnit;
 use reedsail_core::ErrorKind;
 use reedsail_core::ServerKey;
 use reedsail_core::SharePolicy;
-use tokio::time::timeout_at;
+use tokio::time::timeout;
 
 use super::answer::AnswerBody;
 use super::answer::RAN_HEADER;
@@ -43,25 +45,18 @@
     slot: Slot<P>,
     answering: Answering,
 ) -> Result<Response<AnswerBody>, Failure> {
-    let started = shared.clock.now();
     let (parts, body) = answering.response.into_parts();
     note_hints(shared, call, answering.server, &parts.headers);
     let limits = &shared.settings.limits;
-    let end = started.plus_ms(limits.stall_max_ms).max(call.deadline);
-    let reading = Limited::new(body, limits.answer_bytes_max).collect();
-    let body = match timeout_at(shared.clock.instant(end), reading).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return Err(answering.sent.fail(ErrorKind::AnswerTooLarge));
-        }
-        Ok(Err(_)) => {
+    let body = match read_answer(body, limits.answer_bytes_max, limits.stall_max_ms).await {
+        Ok(body) => body,
+        Err(kind) => {
             call.service
                 .cell
                 .lock()
                 .record_failure(answering.server, shared.clock.now());
-            return Err(answering.sent.fail(ErrorKind::AnswerIncomplete));
+            return Err(answering.sent.fail(kind));
         }
-        Err(_) => return Err(answering.sent.fail(ErrorKind::DeadlineAfterSend)),
     };
     pool.give_back(answering.address, answering.connection);
     let cost = whole_cost(shared, call, &body);
@@ -74,6 +69,26 @@
     ))
 }
 
+/// Reads a body to its end. A server may take its time, but not pause for longer than `stall_ms`.
+async fn read_answer(mut body: Incoming, bytes_max: usize, stall_ms: u64) -> Result<Bytes, ErrorKind> {
+    let stall = Duration::from_millis(stall_ms);
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = match timeout(stall, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => return Ok(whole.freeze()),
+            Ok(Some(Err(_))) => return Err(ErrorKind::AnswerIncomplete),
+            Err(_) => return Err(ErrorKind::DeadlineAfterSend),
+        };
+        if let Some(data) = frame.data_ref() {
+            if whole.len() + data.len() > bytes_max {
+                return Err(ErrorKind::AnswerTooLarge);
+            }
+            whole.extend_from_slice(data);
+        }
+    }
+}
+
 /// Makes an answer with the backend server's status and headers.
 pub(crate) fn answer_from(
     status: StatusCode,
--- a/crates/reedsail_daemon/src/traffic/stream.rs
+++ b/crates/reedsail_daemon/src/traffic/stream.rs
@@ -193,13 +193,24 @@
             .retries
             .with_label_values(&["preempted"])
             .inc();
+        self.take_another_slot().await?;
+        self.go_on(Vec::new()).await
+    }
+
+    /// Gives the slot back and queues for another.
+    async fn take_another_slot(&mut self) -> Option<()> {
         self.slot = None;
         self.tokens_before = self.tokens;
+        self.extend_deadline();
+        let slot = wait_for_slot(&self.shared, &self.call, self.call.deadline).await;
+        self.slot = Some(slot.ok()?);
+        Some(())
+    }
+
+    /// The caller's deadline was for the first token; a stream that has begun may wait its turn.
+    fn extend_deadline(&mut self) {
         let wait_max_ms = self.shared.settings.limits.deadline_max_ms;
-        let deadline = self.shared.clock.now().plus_ms(wait_max_ms);
-        self.slot = Some(wait_for_slot(&self.shared, &self.call, deadline).await.ok()?);
-        self.call.deadline = deadline;
-        self.go_on(Vec::new()).await
+        self.call.deadline = self.shared.clock.now().plus_ms(wait_max_ms);
     }
 
     /// Asks another server to go on after the last token that was delivered.
@@ -207,10 +218,12 @@
         let now = self.shared.clock.now();
         self.call.service.cell.lock().record_failure(broken, now);
         let tried = vec![broken];
-        let moved = self.slot.as_mut()?.restart(&tried);
-        if !moved && !self.call.service.cell.spend_retry() {
-            return None;
+        if !self.slot.as_mut()?.restart(&tried) {
+            // Every other slot is taken: queue for the next one. What was delivered is owed to its
+            // end, so no retry budget counts here.
+            self.take_another_slot().await?;
         }
+        self.extend_deadline();
         let resumed = self.go_on(tried).await?;
         self.emit(EventKind::StreamResumed);
         Some(resumed)
