Ask again for a whole answer that broke off, where the call may be repeated

Change: such a call is asked again, elsewhere if there is a slot, within deadline and retry budget; a later try that is not sent still ends as unknown (Standing::Sent).

--- a/crates/reedsail_bench/tests/failures.rs
+++ b/crates/reedsail_bench/tests/failures.rs
@@ -377,8 +377,15 @@
 #[test]
 fn crossed_and_short_answers_never_reach_a_caller() {
     run(async {
-        let fleet = common::small_fleet(1, 1).await;
+        let fleet = common::tuned_fleet(1, 1, |settings| settings.limits.stall_max_ms = 300).await;
         let address = fleet.callers["hall-a-1"];
+        first_plain(&fleet).set_faults(|faults| faults.answers_short = 1);
+        let stalled = Caller::run(address, "labska", &beds_plan()).await;
+        assert_eq!(
+            stalled.outcome,
+            Outcome::Answered,
+            "a body that never ends is asked for again"
+        );
         // What may be repeated is asked again, elsewhere or of the same server.
         first_plain(&fleet).set_faults(|faults| faults.answers_crossed = 1);
         let crossed = Caller::run(address, "labska", &beds_plan()).await;
--- a/crates/reedsail_daemon/src/traffic/backend.rs
+++ b/crates/reedsail_daemon/src/traffic/backend.rs
@@ -52,8 +52,10 @@
 }
 
 /// The proofs of a request that is tried more than once.
-enum Standing {
+pub(crate) enum Standing {
+    /// No try has written a byte.
     Unsent(Unsent),
+    /// A try may have.
     Sent(Sent),
 }
 
@@ -74,11 +76,10 @@
     pool: &Pool,
     call: &Call<P>,
     slot: &mut Slot<P>,
-    unsent: Unsent,
+    mut standing: Standing,
     resume_from: u64,
     mut tried: Vec<ServerKey>,
 ) -> Result<Answering, Failure> {
-    let mut standing = Standing::Unsent(unsent);
     let mut last_kind = ErrorKind::NoBackend;
     for _ in 0..TRIES_MAX {
         let Some(server) = slot.server() else { break };
--- a/crates/reedsail_daemon/src/traffic/relay.rs
+++ b/crates/reedsail_daemon/src/traffic/relay.rs
@@ -25,9 +25,8 @@
 use super::call::Call;
 use super::chat::whole_answer_tokens;
 use super::headers;
-use super::outcome::Failure;
+use super::outcome::Sent;
 use super::pool::Pool;
-use crate::service_cell::Slot;
 use crate::shared::Shared;
 
 /// Tells whether the answer is a stream of events that passes token by token.
@@ -37,14 +36,26 @@
     call.wants_stream && is_events && answering.response.status() == StatusCode::OK
 }
 
+/// A whole answer and what it cost.
+pub(crate) struct WholeAnswer {
+    pub(crate) answer: Response<AnswerBody>,
+    pub(crate) cost: f64,
+}
+
+/// An answer that did not come whole; nothing of it has reached the caller.
+pub(crate) struct BrokenAnswer {
+    pub(crate) sent: Sent,
+    pub(crate) kind: ErrorKind,
+    pub(crate) server: ServerKey,
+}
+
 /// Reads a whole answer, so that the caller gets all of it or an error.
 pub(crate) async fn relay_whole<P: SharePolicy>(
     shared: &Shared<P>,
     pool: &Pool,
     call: &Call<P>,
-    slot: Slot<P>,
     answering: Answering,
-) -> Result<Response<AnswerBody>, Failure> {
+) -> Result<WholeAnswer, BrokenAnswer> {
     let (parts, body) = answering.response.into_parts();
     note_hints(shared, call, answering.server, &parts.headers);
     let limits = &shared.settings.limits;
@@ -55,18 +66,18 @@
                 .cell
                 .lock()
                 .record_failure(answering.server, shared.clock.now());
-            return Err(answering.sent.fail(kind));
+            return Err(BrokenAnswer {
+                sent: answering.sent,
+                kind,
+                server: answering.server,
+            });
         }
     };
     pool.give_back(answering.address, answering.connection);
     let cost = whole_cost(shared, call, &body);
-    slot.close(cost);
-    Ok(answer_from(
-        parts.status,
-        &parts.headers,
-        &call.id,
-        Either::Left(Full::new(body)),
-    ))
+    let body = Either::Left(Full::new(body));
+    let answer = answer_from(parts.status, &parts.headers, &call.id, body);
+    Ok(WholeAnswer { answer, cost })
 }
 
 /// Reads a body to its end. A server may take its time, but not pause for longer than `stall_ms`.
--- a/crates/reedsail_daemon/src/traffic/serve.rs
+++ b/crates/reedsail_daemon/src/traffic/serve.rs
@@ -16,6 +16,7 @@
 
 use super::answer::AnswerBody;
 use super::answer::failure_answer;
+use super::backend::Standing;
 use super::backend::send_call;
 use super::call::Call;
 use super::call::read_call;
@@ -30,6 +31,9 @@
 use crate::shared::OpenRequest;
 use crate::shared::Shared;
 
+/// How often an answer that broke off is asked for again.
+const BROKEN_ANSWERS_MAX: usize = 2;
+
 /// Numbers the requests of a process.
 static REQUESTS: AtomicU64 = AtomicU64::new(1);
 
@@ -118,24 +122,55 @@
         Err(kind) => return Err(unsent.refuse(kind)),
     };
     note_dispatch(&shared, &call, slot.server());
-    let answering = send_call(&shared, &pool, &call, &mut slot, unsent, 0, Vec::new()).await?;
+    let mut standing = Standing::Unsent(unsent);
+    let mut tried = Vec::new();
+    loop {
+        let answering = send_call(&shared, &pool, &call, &mut slot, standing, 0, tried.clone()).await?;
+        note_first_byte(&shared, &call);
+        if is_stream(&call, &answering) {
+            return Ok(relay_stream(shared, pool, call, slot, answering, open));
+        }
+        let broken = match relay_whole(&shared, &pool, &call, answering).await {
+            Ok(whole) => {
+                slot.close(whole.cost);
+                note_answer(&shared, &call, &whole.answer);
+                return Ok(whole.answer);
+            }
+            Err(broken) => broken,
+        };
+        // Nothing has reached the caller, so what may be repeated is asked again, elsewhere if
+        // there is a slot.
+        let in_time = call.repeat == Repeat::Allowed && shared.clock.now() < call.deadline;
+        if !in_time || tried.len() >= BROKEN_ANSWERS_MAX || !call.service.cell.spend_retry() {
+            return Err(broken.sent.fail(broken.kind));
+        }
+        shared
+            .metrics
+            .retries
+            .with_label_values(&[broken.kind.name()])
+            .inc();
+        tried.push(broken.server);
+        slot.restart(&tried);
+        standing = Standing::Sent(broken.sent);
+    }
+}
+
+fn note_first_byte<P: SharePolicy>(shared: &Shared<P>, call: &Call<P>) {
     let first_byte_ms = shared.clock.now().since_ms(call.admitted_at);
     shared
         .metrics
         .first_byte
         .with_label_values(&[call.service.name.as_str(), call.class.name()])
         .observe(first_byte_ms as f64 / 1_000.0);
-    if is_stream(&call, &answering) {
-        return Ok(relay_stream(shared, pool, call, slot, answering, open));
-    }
-    let answer = relay_whole(&shared, &pool, &call, slot, answering).await?;
+}
+
+fn note_answer<P: SharePolicy>(shared: &Shared<P>, call: &Call<P>, answer: &Response<AnswerBody>) {
     if shared.settings.timeline.requests {
-        let status = answer.status().as_str().to_owned();
+        let status = answer.status();
         let fields = [("request", call.id.as_str()), ("status", status.as_str())];
         shared.events.emit(EventKind::RequestAnswered, &fields);
     }
     shared.metrics.answers.with_label_values(&["answered"]).inc();
-    Ok(answer)
 }
 
 fn note_dispatch<P: SharePolicy>(
--- a/crates/reedsail_daemon/src/traffic/stream.rs
+++ b/crates/reedsail_daemon/src/traffic/stream.rs
@@ -19,6 +19,7 @@
 use super::answer::AnswerBody;
 use super::answer::AnswerBroken;
 use super::backend::Answering;
+use super::backend::Standing;
 use super::backend::send_call;
 use super::call::Call;
 use super::chat::EventSplitter;
@@ -233,13 +234,13 @@
     async fn go_on(&mut self, tried: Vec<ServerKey>) -> Option<Answering> {
         self.splitter.clear();
         let slot = self.slot.as_mut()?;
-        let unsent = Unsent::new();
+        let standing = Standing::Unsent(Unsent::new());
         send_call(
             &self.shared,
             &self.pool,
             &self.call,
             slot,
-            unsent,
+            standing,
             self.tokens,
             tried,
         )
