Refuse nobody for a lull, and try on while nothing was sent

Cause: fault scripts at vatuwaqa: a workspace ahead of its part got no slots on one daemon for seconds, and the wait foretold from that passed five minutes (20 and 4 false refusals); after a cut four tries met four servers out of reach. Change: the service rate forgets a good second slowly; tries that reached nobody are bounded by 32, those that may have by four as before.

--- a/crates/reedsail_core/src/fair_queue.rs
+++ b/crates/reedsail_core/src/fair_queue.rs
@@ -16,8 +16,8 @@
 const COST_SAMPLE_WEIGHT: f64 = 0.1;
 /// The time over which a workspace's service rate is measured.
 const RATE_WINDOW_MS: u64 = 1_000;
-/// The weight of the newest window in the running service rate.
-const RATE_SAMPLE_WEIGHT: f64 = 0.3;
+/// What part of the best rate counts on for another window.
+const RATE_KEPT_PART: f64 = 0.95;
 /// A wait is predicted once so many windows in a row were backlogged; before, nobody is refused.
 const RATE_WINDOWS_MIN: u32 = 3;
 
@@ -202,13 +202,10 @@
             self.rate_per_ms = 0.0;
             return;
         }
-        let weight = if self.backlogged_windows == 0 {
-            1.0
-        } else {
-            RATE_SAMPLE_WEIGHT
-        };
         self.backlogged_windows += 1;
-        self.rate_per_ms += weight * (rate - self.rate_per_ms);
+        // A share here comes and goes with the workspace's callers elsewhere, so a good second is
+        // forgotten slowly: nobody is to be refused for a lull.
+        self.rate_per_ms = rate.max(self.rate_per_ms * RATE_KEPT_PART);
     }
 
     /// Returns how long a new request of the class would wait, if that can be told.
--- a/crates/reedsail_daemon/src/traffic/backend.rs
+++ b/crates/reedsail_daemon/src/traffic/backend.rs
@@ -30,8 +30,10 @@
 use crate::service_cell::Slot;
 use crate::shared::Shared;
 
-/// The most tries of one request, the first included.
-const TRIES_MAX: usize = 4;
+/// The most tries of one request that may have reached a server, the first included.
+const SENT_TRIES_MAX: usize = 4;
+/// The most tries in all; one that reached nobody costs little, and a cut hides many servers.
+const TRIES_MAX: usize = 32;
 
 /// The head of an answer, with all that is needed to read on.
 pub(crate) struct Answering {
@@ -81,6 +83,7 @@
     mut tried: Vec<ServerKey>,
 ) -> Result<Answering, Failure> {
     let mut last_kind = ErrorKind::NoBackend;
+    let mut sent_tries = 0;
     for _ in 0..TRIES_MAX {
         let Some(server) = slot.server() else { break };
         // A later try of a call of which bytes were sent proves nothing about the earlier one.
@@ -96,10 +99,14 @@
             Try::Failed(sent, kind) => {
                 standing = Standing::Sent(sent);
                 last_kind = kind;
+                sent_tries += 1;
                 note_failure(shared, call, server);
                 let may_repeat = call.repeat == Repeat::Allowed && shared.clock.now() < call.deadline;
                 let is_owed = resume_from > 0;
-                if !may_repeat || !(is_owed || call.service.cell.spend_retry()) {
+                if !may_repeat
+                    || sent_tries >= SENT_TRIES_MAX
+                    || !(is_owed || call.service.cell.spend_retry())
+                {
                     break;
                 }
             }
