Say once what was said twice, and drop what nobody calls

Cause: reading the whole change again: a member's need was summed in three places, the wall clock read in a copy of its own, readiness awaited twice in a test, two public functions had no caller, and a file was named after something else. Conclusion: behaviour and assertions as before.

--- a/crates/reedsail_bench/src/replay.rs
+++ b/crates/reedsail_bench/src/replay.rs
@@ -7,9 +7,8 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
+use reedsail_daemon::Clock;
 use reedsail_daemon::PolicyChoice;
 use reedsail_standin::PlatformConfig;
 use tokio::task::JoinSet;
@@ -277,7 +276,7 @@
             }
             TraceLine::Leave { server, .. } => {
                 self.fleet.set_leaving(&server);
-                self.leaving.push((server, unix_ms() + self.list_lag_ms));
+                self.leaving.push((server, Clock::unix_ms() + self.list_lag_ms));
                 Ok(())
             }
         }
@@ -481,9 +480,3 @@
     report.control_bytes_per_s_per_daemon = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
     report.control_bytes_per_s_max = rates.iter().copied().fold(0.0, f64::max);
 }
-
-fn unix_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/reedsail_bundle/src/lib.rs
+++ b/crates/reedsail_bundle/src/lib.rs
@@ -1,8 +1,9 @@
 //! Bundles: what operators decide, how it is checked, signed, recorded and followed.
 
 mod bundle;
-mod canonical_size;
+
 mod codec;
+mod content_size;
 mod diff;
 mod follower;
 mod keys;
@@ -19,9 +20,9 @@
 pub use bundle::ServiceKind;
 pub use bundle::Workspace;
 pub use bundle::WorkspaceLimits;
-pub use canonical_size::ContentSize;
 pub use codec::CodecError;
 pub use codec::digest_of;
+pub use content_size::ContentSize;
 pub use diff::BundleChange;
 pub use diff::diff_bundles;
 pub use follower::BundleFollower;
--- a/crates/reedsail_core/src/allocator/mod.rs
+++ b/crates/reedsail_core/src/allocator/mod.rs
@@ -184,11 +184,6 @@
             .all(|member| member.demands().next().is_none())
     }
 
-    /// Returns how many workspaces are remembered; idle ones without a lead are not.
-    pub fn workspace_count(&self) -> usize {
-        self.workspaces.len()
-    }
-
     /// Drops idle workspaces that would start at the floor anyway; called now and then.
     pub fn compact(&mut self) {
         let floor = self.floor;
--- a/crates/reedsail_core/src/allocator/targets.rs
+++ b/crates/reedsail_core/src/allocator/targets.rs
@@ -5,6 +5,7 @@
 use super::Allocator;
 use super::TARGETS_AGE_MAX_MS;
 use super::member::Member;
+use super::member::MemberDemand;
 use crate::NameHash;
 use crate::ShareDemand;
 use crate::TimeMs;
@@ -118,23 +119,29 @@
     /// Returns the slots that a workspace is to have at a member: its part of the fleet's, divided
     /// among the members in proportion to its demand there.
     pub(super) fn share_at(&self, member: NameHash, workspace: WorkspaceKey) -> f64 {
-        let wanted = self
+        let demand = self
             .members
             .get(&member)
-            .map_or(0, |member| member.demand_of(workspace).wanted());
-        self.shares.get(&workspace).copied().unwrap_or(0.0) * f64::from(wanted)
+            .map(|member| member.demand_of(workspace));
+        self.part_of(workspace, demand.unwrap_or_default())
+    }
+
+    /// Returns the slots that a workspace's demand at one member stands for.
+    fn part_of(&self, workspace: WorkspaceKey, demand: MemberDemand) -> f64 {
+        self.shares.get(&workspace).copied().unwrap_or(0.0) * f64::from(demand.wanted())
+    }
+
+    fn need_of(&self, member: &Member) -> f64 {
+        let parts = member
+            .demands()
+            .map(|(workspace, demand)| self.part_of(workspace, demand));
+        parts.sum()
     }
 
     fn needs_of_members(&self) -> HashMap<NameHash, f64> {
-        let need = |member: &super::Member| -> f64 {
-            let parts = member.demands().map(|(workspace, demand)| {
-                self.shares.get(&workspace).copied().unwrap_or(0.0) * f64::from(demand.wanted())
-            });
-            parts.sum()
-        };
         self.members
             .iter()
-            .map(|(name, member)| (*name, need(member)))
+            .map(|(name, member)| (*name, self.need_of(member)))
             .collect()
     }
 
@@ -154,15 +161,8 @@
 
     /// Returns how many slots the domain's daemons are to have beyond its own and borrowed ones.
     pub fn lacking_slots(&self) -> f64 {
-        let need: f64 = self
-            .members
-            .values()
-            .filter(|member| member.is_daemon())
-            .flat_map(Member::demands)
-            .map(|(workspace, demand)| {
-                self.shares.get(&workspace).copied().unwrap_or(0.0) * f64::from(demand.wanted())
-            })
-            .sum();
+        let daemons = self.members.values().filter(|member| member.is_daemon());
+        let need: f64 = daemons.map(|member| self.need_of(member)).sum();
         (need - f64::from(self.own_slots() + self.borrowed_slots())).max(0.0)
     }
 
--- a/crates/reedsail_core/src/fair_queue.rs
+++ b/crates/reedsail_core/src/fair_queue.rs
@@ -277,11 +277,6 @@
         self.entry(workspace).map_or(0, WorkspaceQueue::queued)
     }
 
-    /// Returns the bytes of bodies that wait.
-    pub fn queued_bytes(&self) -> u64 {
-        self.active_entries().map(|(_, entry)| entry.queued_bytes).sum()
-    }
-
     /// Returns the cost that the workspace has received here since the start.
     pub fn cost_ever(&self, workspace: WorkspaceKey) -> f64 {
         self.entry(workspace).map_or(0.0, |entry| entry.cost_ever)
--- a/crates/reedsail_daemon/tests/process.rs
+++ b/crates/reedsail_daemon/tests/process.rs
@@ -87,6 +87,19 @@
     }
 }
 
+/// Asks until the process answers, and returns the last outcome.
+async fn first_outcome(address: SocketAddr) -> Outcome {
+    let mut outcome = Outcome::Crossed;
+    for _ in 0..200 {
+        outcome = Caller::run(address, "labska", &plan(9_999)).await.outcome;
+        if outcome == Outcome::Answered {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    outcome
+}
+
 #[test]
 fn sigterm_under_200_open_streams_cuts_none_and_ends_with_zero() {
     let runtime = tokio::runtime::Runtime::new().unwrap();
@@ -96,15 +109,7 @@
             .await
             .unwrap();
         let (mut child, address) = start_process(&fleet, folder.path());
-        let mut first = Outcome::Crossed;
-        for _ in 0..200 {
-            first = Caller::run(address, "labska", &plan(9_999)).await.outcome;
-            if first == Outcome::Answered {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-        assert_eq!(first, Outcome::Answered, "it gets ready");
+        assert_eq!(first_outcome(address).await, Outcome::Answered, "it gets ready");
         let mut callers = JoinSet::new();
         for number in 0..200 {
             callers.spawn(async move { Caller::run(address, "labska", &plan(number)).await });
@@ -132,15 +137,7 @@
             .await
             .unwrap();
         let (mut child, address) = start_process(&fleet, folder.path());
-        let mut ready = false;
-        for _ in 0..200 {
-            ready = Caller::run(address, "labska", &plan(9_999)).await.outcome == Outcome::Answered;
-            if ready {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-        assert!(ready);
+        assert_eq!(first_outcome(address).await, Outcome::Answered, "it gets ready");
         signal(&child, "-STOP");
         let own = fleet.callers["hall-a-1"];
         let mut all_slots = false;
