Write a bundle event's fields straight

Cause: learn_bundle made each list of fields twice, once owned and once borrowed. Change: the value is made a text first and borrowed once, as elsewhere in the file. Conclusion: behaviour as before.

--- a/crates/reedsail_daemon/src/control/roll_out.rs
+++ b/crates/reedsail_daemon/src/control/roll_out.rs
@@ -177,17 +177,15 @@
         match self.follower.learn(record) {
             Ok(true) => {
                 let version = self.follower.in_force().map_or(0, |accepted| accepted.version);
-                let fields = [("version", version.to_string())];
-                let fields: Vec<(&str, &str)> =
-                    fields.iter().map(|(key, value)| (*key, value.as_str())).collect();
+                let version = version.to_string();
+                let fields = [("version", version.as_str())];
                 self.shared.events.emit(EventKind::BundleFromPeer, &fields);
                 self.apply_in_force();
             }
             Ok(false) => {}
             Err(error) => {
-                let fields = [("error", error.to_string())];
-                let fields: Vec<(&str, &str)> =
-                    fields.iter().map(|(key, value)| (*key, value.as_str())).collect();
+                let error = error.to_string();
+                let fields = [("error", error.as_str())];
                 self.shared.events.emit(EventKind::BundleInvalid, &fields);
             }
         }
