Read the store once a failure domain, spread a prompt part over two servers, bound doubt

Only records that went while this daemon could not read may be the trouble's doing.

Change: dropped records are doubted for 2 s, and only up to 1.3 s after the first read that follows trouble; the first daemon of a failure domain reads the store and the others learn its revision, freshness and departures from load messages, and fetch the list from it; whoever knows nothing fresh reads by itself. Two servers a part, 250 ms to go elsewhere (100 where it is kept). Over its share, a workspace is refused where others' prompts wait for more than a tenth of the goal.

--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -76,6 +76,8 @@
     pub unread_tokens: u32,
     /// After which time the answer is expected to begin.
     pub expected_ms: u64,
+    /// The part of that time for which the server is busy with other requests.
+    pub queue_ms: u64,
 }
 
 /// What is decided about a request.
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -25,15 +25,16 @@
 use crate::usage::UsageTable;
 
 /// How many servers a prompt part may be spread over.
-const PART_SERVERS_MAX: usize = 3;
+const PART_SERVERS_MAX: usize = 2;
 /// What it takes, in milliseconds, to send a prompt elsewhere than to its first server.
-const SPREAD_MS: f64 = 120.0;
+const SPREAD_MS: f64 = 250.0;
 /// The same where the other server keeps the prompt's shared part already.
-const SPREAD_KEPT_MS: f64 = 50.0;
+const SPREAD_KEPT_MS: f64 = 100.0;
 /// The part of the goal within which an answer is expected to begin, or the request is refused.
-const GOAL_PART: f64 = 0.9;
-/// The same for a workspace that has had its share while others want more.
-const GOAL_PART_OVER_SHARE: f64 = 0.4;
+const GOAL_PART: f64 = 0.8;
+/// The part of the goal for which a server may be busy with other requests, if the workspace has had
+/// its share while others want more.
+const GOAL_PART_OVER_SHARE: f64 = 0.1;
 /// Of the engines' joint rate, an engine that only reads does so much more.
 const READ_ONLY_GAIN: f64 = 1.4;
 /// A failure rate of one delays a server by so many goals.
@@ -129,24 +130,20 @@
                 expected_ms: None,
             };
         };
-        let over_share = self.usage.is_over_share(demand.workspace, now);
-        let part = if over_share {
-            GOAL_PART_OVER_SHARE
-        } else {
-            GOAL_PART
-        };
-        let bound_ms = demand.goal_ms as f64 * part;
-        let expected_ms = (demand.waited_ms + placement.expected_ms) as f64;
-        if expected_ms <= bound_ms {
+        let goal_ms = demand.goal_ms as f64;
+        let excess_ms = (demand.waited_ms + placement.expected_ms) as f64 - goal_ms * GOAL_PART;
+        let queue_excess_ms = placement.queue_ms as f64 - goal_ms * GOAL_PART_OVER_SHARE;
+        let is_behind_others = queue_excess_ms > 0.0 && self.usage.is_over_share(demand.workspace, now);
+        if excess_ms <= 0.0 && !is_behind_others {
             return Decision::Send(placement);
         }
         Decision::Refuse {
-            kind: if over_share {
+            kind: if is_behind_others {
                 ErrorKind::OverShare
             } else {
                 ErrorKind::WouldMissGoal
             },
-            retry_after_ms: retry_after_ms(demand.goal_ms, expected_ms - bound_ms),
+            retry_after_ms: retry_after_ms(demand.goal_ms, excess_ms.max(queue_excess_ms)),
             expected_ms: Some(placement.expected_ms),
         }
     }
@@ -311,6 +308,7 @@
             copy_from: None,
             unread_tokens: 0,
             expected_ms: estimate::plain_ms(self.servers.get(server)) as u64,
+            queue_ms: estimate::plain_queue_ms(self.servers.get(server)) as u64,
         })
     }
 
@@ -340,6 +338,7 @@
             copy_from,
             unread_tokens: own_tokens,
             expected_ms: estimate::engine_ms(self.servers.get(server), own_tokens, rate) as u64,
+            queue_ms: estimate::engine_queue_ms(self.servers.get(server), rate) as u64,
         })
     }
 
--- a/crates/reedsail_dispatch/src/estimate.rs
+++ b/crates/reedsail_dispatch/src/estimate.rs
@@ -20,19 +20,32 @@
 
 /// Returns the expected time in milliseconds until an engine's first event.
 pub(crate) fn engine_ms(server: &ServerState, unread_tokens: u32, rate: ReadRate) -> f64 {
-    let tokens = server.unread_tokens() as f64 + f64::from(unread_tokens);
+    let own_ms = ENGINE_BASE_MS + f64::from(unread_tokens) / rate.0;
+    engine_queue_ms(server, rate) + own_ms * server.slowness
+}
+
+/// Returns for how long an engine is busy before it can begin another request, in milliseconds.
+pub(crate) fn engine_queue_ms(server: &ServerState, rate: ReadRate) -> f64 {
+    let reading_ms = server.unread_tokens() as f64 / rate.0;
     let excess = (server.running() + 1).saturating_sub(server.setup.slots.max(1));
-    let reading_ms = ENGINE_BASE_MS + tokens / rate.0;
     reading_ms * server.slowness + f64::from(excess) * SLOT_WAIT_MS
 }
 
 /// Returns the expected time in milliseconds until the answer of a service without prompts.
 pub(crate) fn plain_ms(server: &ServerState) -> f64 {
-    let mean_ms = if server.mean_ms > 0.0 {
+    plain_mean_ms(server) + plain_queue_ms(server)
+}
+
+/// Returns for how long such a server is busy before it can begin another request.
+pub(crate) fn plain_queue_ms(server: &ServerState) -> f64 {
+    let rounds = f64::from(server.running() + 1) / f64::from(server.setup.slots.max(1));
+    plain_mean_ms(server) * (rounds - 1.0).max(0.0)
+}
+
+fn plain_mean_ms(server: &ServerState) -> f64 {
+    if server.mean_ms > 0.0 {
         server.mean_ms
     } else {
         PLAIN_FIRST_GUESS_MS
-    };
-    let rounds = f64::from(server.running() + 1) / f64::from(server.setup.slots.max(1));
-    mean_ms * rounds.max(1.0)
+    }
 }
--- a/crates/reedsail_router/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -6,13 +6,16 @@
 use reedsail_core::TimeMs;
 
 use crate::ServerChange;
+use crate::ServerListing;
 use crate::ServerNews;
 use crate::ServerRecord;
 
-/// How long a server whose record went while the store was troubled may still be used.
-const DOUBT_MS: u64 = 4_000;
-/// How long after trouble a dropped record may be the store's doing.
-const TROUBLE_MS: u64 = 3_000;
+/// How long a server whose record went while the store was out of reach may still be used. A server
+/// that is alive has announced itself again by then.
+const DOUBT_MS: u64 = 2_000;
+/// How long after the first read that follows trouble a dropped record may be the trouble's doing:
+/// about as long as a server takes to announce itself again.
+const AFTER_TROUBLE_MS: u64 = 1_300;
 /// How long a peer's word that a server leaves counts.
 const PEER_WORD_MS: u64 = 5_000;
 /// How long this daemon tells others of a server that has left.
@@ -27,46 +30,65 @@
 
 /// What has changed in the list.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct ListDelta {
-    pub(crate) listed: Vec<String>,
-    pub(crate) leaving: Vec<String>,
-    pub(crate) unlisted: Vec<String>,
+pub struct ListDelta {
+    /// Servers that are new.
+    pub listed: Vec<String>,
+    /// Servers that have said they will leave.
+    pub leaving: Vec<String>,
+    /// Servers that are gone.
+    pub unlisted: Vec<String>,
     /// Records that cannot be read, each with what is wrong.
-    pub(crate) unreadable: Vec<(String, String)>,
+    pub unreadable: Vec<(String, String)>,
 }
 
 impl ListDelta {
     /// Tells whether anybody has to be told.
-    pub(crate) fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.listed.is_empty() && self.leaving.is_empty() && self.unlisted.is_empty()
     }
 }
 
+/// What a peer's word of its list means for this daemon's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerView {
+    /// It knows nothing newer.
+    NothingNew,
+    /// It knows something newer, which is to be fetched.
+    Newer,
+    /// So it does, and servers are leaving that were not known to.
+    Leaving,
+}
+
 /// The list of backend servers.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct ServerList {
+pub struct ServerList {
     entries: HashMap<String, Entry>,
     /// Servers that have left or are leaving, and until when others are told.
     departures: HashMap<NameHash, TimeMs>,
     /// Servers that peers say are leaving, and until when that counts.
     peer_words: HashMap<NameHash, TimeMs>,
-    read_at: Option<TimeMs>,
-    troubled_at: Option<TimeMs>,
+    /// When this list, at its revision, was known to be the newest.
+    known_at: Option<TimeMs>,
+    revision: u64,
+    /// The store did not answer the last read.
+    is_troubled: bool,
+    /// Until when dropped records may be the doing of trouble that is over.
+    doubtful_until: TimeMs,
 }
 
 impl ServerList {
     /// Takes in what a look at the store, begun at `asked_at`, has shown.
-    pub(crate) fn apply(&mut self, news: ServerNews, asked_at: TimeMs, now: TimeMs) -> ListDelta {
-        self.read_at = Some(asked_at);
+    pub fn apply(&mut self, news: ServerNews, asked_at: TimeMs, now: TimeMs) -> ListDelta {
+        self.known_at = self.known_at.max(Some(asked_at));
+        self.revision = self.revision.max(news.revision);
+        if std::mem::take(&mut self.is_troubled) {
+            self.doubtful_until = now.plus_ms(AFTER_TROUBLE_MS);
+        }
         let mut delta = ListDelta::default();
-        let changes = match news {
-            ServerNews::Changes(changes) => changes,
-            ServerNews::Everything(changes) => {
-                self.drop_missing(&changes, now, &mut delta);
-                changes
-            }
-        };
-        for change in changes {
+        if news.is_whole {
+            self.drop_missing(&news.changes, now, &mut delta);
+        }
+        for change in news.changes {
             match change {
                 ServerChange::Announced(record) => self.announce(record, now, &mut delta),
                 ServerChange::Dropped { id } => self.drop_record(&id, now, &mut delta),
@@ -76,27 +98,50 @@
         delta
     }
 
-    /// Takes over a peer's whole list while the store cannot be read.
-    pub(crate) fn apply_peer_list(&mut self, records: Vec<ServerRecord>, now: TimeMs) -> ListDelta {
+    /// Takes over a peer's whole list, if it is newer than this daemon's.
+    pub fn apply_listing(&mut self, listing: ServerListing, now: TimeMs) -> ListDelta {
         let mut delta = ListDelta::default();
-        let known: Vec<String> = records.iter().map(|record| record.id.clone()).collect();
-        for record in records {
+        if listing.revision < self.revision || listing.records.is_empty() {
+            return delta;
+        }
+        self.revision = listing.revision;
+        self.known_at = self.known_at.max(Some(moment_before(now, listing.age_ms)));
+        let known: Vec<String> = listing.records.iter().map(|record| record.id.clone()).collect();
+        for record in listing.records {
             self.announce(record, now, &mut delta);
         }
-        let gone: Vec<String> = self.missing_from(&known);
-        for id in gone {
+        for id in self.missing_from(&known) {
             self.remove(&id, now, &mut delta);
         }
         delta
     }
 
-    /// Notes that the store did not answer.
-    pub(crate) fn note_trouble(&mut self, now: TimeMs) {
-        self.troubled_at = Some(now);
+    /// Takes in what a peer says of its own list. A list of the same revision is as fresh as the
+    /// peer's; of one that is newer, the servers that are leaving are believed before it is fetched.
+    pub fn hear_peer(&mut self, revision: u64, age_ms: u64, leaving: &[NameHash], now: TimeMs) -> PeerView {
+        if revision <= self.revision {
+            self.known_at = self.known_at.max(Some(moment_before(now, age_ms)));
+            return PeerView::NothingNew;
+        }
+        let mut is_news = false;
+        for server in leaving {
+            let until = now.plus_ms(PEER_WORD_MS);
+            is_news |= self.peer_words.insert(*server, until).is_none();
+        }
+        if is_news {
+            PeerView::Leaving
+        } else {
+            PeerView::Newer
+        }
+    }
+
+    /// Notes that the store did not answer a read.
+    pub fn note_trouble(&mut self) {
+        self.is_troubled = true;
     }
 
     /// Takes a peer's word that servers are leaving, unless this daemon's own list is fresh.
-    pub(crate) fn hear_leaving(&mut self, servers: &[NameHash], own_view_max_ms: u64, now: TimeMs) -> bool {
+    pub fn hear_leaving(&mut self, servers: &[NameHash], own_view_max_ms: u64, now: TimeMs) -> bool {
         if self.age_ms(now) <= own_view_max_ms {
             return false;
         }
@@ -111,7 +156,7 @@
     }
 
     /// Removes servers that stayed in doubt too long, and words that no longer count.
-    pub(crate) fn tick(&mut self, now: TimeMs) -> ListDelta {
+    pub fn tick(&mut self, now: TimeMs) -> ListDelta {
         let mut delta = ListDelta::default();
         self.departures.retain(|_, until| *until > now);
         self.peer_words.retain(|_, until| *until > now);
@@ -128,26 +173,35 @@
     }
 
     /// Returns all servers; those that peers say are leaving are marked so.
-    pub(crate) fn records(&self, own_view_max_ms: u64, now: TimeMs) -> Vec<ServerRecord> {
-        let is_fresh = self.age_ms(now) <= own_view_max_ms;
+    pub fn listing(&self, now: TimeMs) -> ServerListing {
         let marked = |entry: &Entry| {
             let mut record = entry.record.clone();
             let word = self.peer_words.get(&NameHash::of(&record.id));
-            record.is_leaving |= !is_fresh && word.is_some_and(|until| *until > now);
+            record.is_leaving |= word.is_some_and(|until| *until > now);
             record
         };
-        self.entries.values().map(marked).collect()
+        ServerListing {
+            revision: self.revision,
+            age_ms: self.age_ms(now),
+            records: self.entries.values().map(marked).collect(),
+        }
+    }
+
+    /// Returns the place in the store's log up to which the list is known.
+    pub fn revision(&self) -> u64 {
+        self.revision
     }
 
     /// Returns the servers that others are to be told of.
-    pub(crate) fn departures(&self) -> Vec<NameHash> {
+    pub fn departures(&self) -> Vec<NameHash> {
         self.departures.keys().copied().collect()
     }
 
-    /// Returns how old the list is, in milliseconds; very old if it was never read.
-    pub(crate) fn age_ms(&self, now: TimeMs) -> u64 {
-        self.read_at
-            .map_or(u64::from(u32::MAX), |read_at| now.since_ms(read_at))
+    /// Returns how long ago the list was known to be the newest, in milliseconds; very long if it was
+    /// never read.
+    pub fn age_ms(&self, now: TimeMs) -> u64 {
+        self.known_at
+            .map_or(u64::from(u32::MAX), |known_at| now.since_ms(known_at))
     }
 
     fn announce(&mut self, record: ServerRecord, now: TimeMs, delta: &mut ListDelta) {
@@ -175,12 +229,10 @@
         }
     }
 
-    /// A record that goes while the store is troubled says nothing of the server.
+    /// A record that went while the store was out of reach may have gone for want of an announcement
+    /// that the store did not take, and says nothing of the server.
     fn drop_record(&mut self, id: &str, now: TimeMs, delta: &mut ListDelta) {
-        let in_trouble = self
-            .troubled_at
-            .is_some_and(|troubled_at| now.since_ms(troubled_at) < TROUBLE_MS);
-        if !in_trouble {
+        if now >= self.doubtful_until {
             self.remove(id, now, delta);
             return;
         }
@@ -223,3 +275,7 @@
             .insert(NameHash::of(id), now.plus_ms(DEPARTURE_TOLD_MS));
     }
 }
+
+fn moment_before(now: TimeMs, age_ms: u64) -> TimeMs {
+    TimeMs(now.0.saturating_sub(age_ms))
+}
--- a/crates/reedsail_router/src/server_record.rs
+++ b/crates/reedsail_dispatch/src/server_record.rs
@@ -43,9 +43,23 @@
 
 /// What a look at the store has shown.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ServerNews {
-    /// Changes since the last look, in their order.
-    Changes(Vec<ServerChange>),
-    /// Every record that there is; a server without one is gone.
-    Everything(Vec<ServerChange>),
+pub struct ServerNews {
+    /// The place in the store's log up to which the records are known now.
+    pub revision: u64,
+    /// `changes` has every record that there is: a server without one is gone. Else it has those
+    /// since the last look.
+    pub is_whole: bool,
+    /// The records, in their order.
+    pub changes: Vec<ServerChange>,
+}
+
+/// A daemon's list of backend servers, as it gives it to a peer.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerListing {
+    /// The place in the store's log up to which it is known.
+    pub revision: u64,
+    /// How long ago it was known to be the newest, in milliseconds.
+    pub age_ms: u64,
+    /// The servers.
+    pub records: Vec<ServerRecord>,
 }
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -7,6 +7,11 @@
 
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
+use reedsail_dispatch::ListDelta;
+use reedsail_dispatch::PeerView;
+use reedsail_dispatch::ServerList;
+use reedsail_dispatch::ServerListing;
+use reedsail_dispatch::ServerNews;
 use reedsail_dispatch::ServerSetup;
 use reedsail_events::EventKind;
 use reedsail_wire::LoadMessage;
@@ -20,16 +25,14 @@
 use super::round::Round;
 use crate::Configuration;
 use crate::HeaderProtocol;
-use crate::ServerNews;
-use crate::ServerRecord;
 use crate::route_table::RouteTable;
-use crate::server_list::ListDelta;
-use crate::server_list::ServerList;
 use crate::shared::ServerView;
 use crate::shared::Shared;
 
-/// A list of servers younger than this needs no word from peers.
-const FRESH_LIST_MS: u64 = 1_500;
+/// Whoever does not know the newest servers for so long reads the store, whoever else does.
+const SERVERS_STALE_MS: u64 = 1_200;
+/// The same for the configuration, of which the store is asked less often.
+const CONFIGURATION_STALE_MS: u64 = 1_700;
 /// How long an errand may take before it is tried elsewhere.
 const ERRAND_MS: u64 = 500;
 /// The shortest time between two rounds of messages.
@@ -47,6 +50,8 @@
     members: MemberTable,
     servers: ServerList,
     next_round_at: TimeMs,
+    /// When the configuration in force was known to be the newest.
+    configuration_known_at: Option<TimeMs>,
     /// Until when no further errand is sent.
     errand_until: TimeMs,
     /// Sources that did not answer last time.
@@ -75,6 +80,10 @@
     pub(crate) origin: &'static str,
 }
 
+/// May the store be read now? A daemon leaves that to another one of its failure domain as long as
+/// it hears from it, and as long as what it hears is fresh.
+pub(crate) struct MayRead(pub(crate) Source);
+
 /// The store showed what has changed among the servers.
 pub(crate) struct ServersRead {
     pub(crate) news: ServerNews,
@@ -82,11 +91,13 @@
 }
 
 /// A peer gave its list of servers.
-pub(crate) struct PeerServersRead(pub(crate) Vec<ServerRecord>);
+pub(crate) struct PeerServersRead(pub(crate) ServerListing);
 
 /// A source answered, or did not.
 pub(crate) struct SourceHeard {
     pub(crate) source: Source,
+    /// When it was asked.
+    pub(crate) asked_at: TimeMs,
     /// What went wrong, if anything did.
     pub(crate) fault: Option<String>,
 }
@@ -118,6 +129,7 @@
             members,
             servers: ServerList::default(),
             next_round_at: TimeMs(0),
+            configuration_known_at: None,
             errand_until: TimeMs(0),
             lost: Vec::new(),
             shared,
@@ -148,7 +160,7 @@
 
     /// Gives the list of servers to the decisions and to the traffic threads.
     fn publish_servers(&self, now: TimeMs) {
-        let records = self.servers.records(FRESH_LIST_MS, now);
+        let records = self.servers.listing(now).records;
         let setups: Vec<ServerSetup> = records
             .iter()
             .map(|record| ServerSetup {
@@ -199,6 +211,32 @@
         }
     }
 
+    fn configuration_age_ms(&self, now: TimeMs) -> u64 {
+        self.configuration_known_at
+            .map_or(u64::from(u32::MAX), |known_at| now.since_ms(known_at))
+    }
+
+    fn may_read(&self, source: Source, now: TimeMs) -> bool {
+        let is_stale = match source {
+            Source::Configuration => self.configuration_age_ms(now) > CONFIGURATION_STALE_MS,
+            Source::Servers => self.servers.age_ms(now) > SERVERS_STALE_MS,
+        };
+        is_stale
+            || self
+                .members
+                .is_first_of_domain(self.own_name, self.own_domain, now)
+    }
+
+    /// A peer with the same configuration knows how fresh it is.
+    fn hear_configuration_age(&mut self, message: &LoadMessage, now: TimeMs) {
+        let version = self.shared.routes.load().version();
+        if version == 0 || message.configuration_version > version {
+            return;
+        }
+        let known_at = TimeMs(now.0.saturating_sub(u64::from(message.configuration_age_ms)));
+        self.configuration_known_at = self.configuration_known_at.max(Some(known_at));
+    }
+
     fn message(&mut self, now: TimeMs) -> LoadMessage {
         self.sequence = self.sequence.wrapping_add(1);
         LoadMessage {
@@ -207,6 +245,8 @@
             sequence: self.sequence,
             failure_domain: self.own_domain,
             configuration_version: self.shared.routes.load().version(),
+            configuration_age_ms: self.configuration_age_ms(now).min(u64::from(u32::MAX)) as u32,
+            servers_revision: self.servers.revision(),
             servers_age_ms: self.servers.age_ms(now).min(u64::from(u32::MAX)) as u32,
             is_stopping: self.shared.lifecycle.is_stopping(),
             load: self.shared.dispatcher().report(now),
@@ -221,7 +261,7 @@
             return Vec::new();
         }
         let own_version = self.shared.routes.load().version();
-        let own_age_ms = self.servers.age_ms(now);
+        let own_revision = self.servers.revision();
         let newer = self
             .members
             .alive()
@@ -231,9 +271,8 @@
         let fresher = self
             .members
             .alive()
-            .filter(|_| own_age_ms > FRESH_LIST_MS)
-            .filter(|member| u64::from(member.servers_age_ms) < FRESH_LIST_MS)
-            .min_by_key(|member| member.servers_age_ms)
+            .filter(|member| member.servers_revision > own_revision)
+            .max_by_key(|member| (member.failure_domain == self.own_domain, member.servers_revision))
             .map(|member| Errand::Servers(member.address));
         let errands: Vec<Errand> = newer.into_iter().chain(fresher).collect();
         if !errands.is_empty() {
@@ -289,10 +328,7 @@
 
     async fn handle(&mut self, read: PeerServersRead, _: &mut Context<Self>) {
         let now = self.shared.clock.now();
-        if self.servers.age_ms(now) <= FRESH_LIST_MS {
-            return;
-        }
-        let delta = self.servers.apply_peer_list(read.0, now);
+        let delta = self.servers.apply_listing(read.0, now);
         self.take_delta(&delta, "peer", now);
         if !delta.is_empty() {
             self.publish_servers(now);
@@ -304,13 +340,17 @@
     type Return = ();
 
     async fn handle(&mut self, heard: SourceHeard, _: &mut Context<Self>) {
-        let now = self.shared.clock.now();
         let was_lost = self.lost.contains(&heard.source);
         let outcome = if heard.fault.is_some() { "failed" } else { "read" };
         let labels = [heard.source.name(), outcome];
         self.shared.metrics.store_reads.with_label_values(&labels).inc();
+        if heard.fault.is_none() && heard.source == Source::Configuration {
+            self.configuration_known_at = self.configuration_known_at.max(Some(heard.asked_at));
+        }
         if let Some(fault) = heard.fault {
-            self.servers.note_trouble(now);
+            if heard.source == Source::Servers {
+                self.servers.note_trouble();
+            }
             if !was_lost {
                 self.lost.push(heard.source);
                 let fields = [("source", heard.source.name().to_owned()), ("fault", fault)];
@@ -349,7 +389,12 @@
                 self.next_round_at = now;
             }
         }
-        if self.servers.hear_leaving(&message.leaving, FRESH_LIST_MS, now) {
+        self.hear_configuration_age(&message, now);
+        let age_ms = u64::from(message.servers_age_ms);
+        let view = self
+            .servers
+            .hear_peer(message.servers_revision, age_ms, &message.leaving, now);
+        if view == PeerView::Leaving {
             self.publish_servers(now);
         }
         if message.is_stopping {
@@ -371,10 +416,18 @@
 }
 
 impl<H: HeaderProtocol> Handler<ListServers> for Control<H> {
-    type Return = Vec<ServerRecord>;
+    type Return = ServerListing;
+
+    async fn handle(&mut self, _: ListServers, _: &mut Context<Self>) -> ServerListing {
+        self.servers.listing(self.shared.clock.now())
+    }
+}
+
+impl<H: HeaderProtocol> Handler<MayRead> for Control<H> {
+    type Return = bool;
 
-    async fn handle(&mut self, _: ListServers, _: &mut Context<Self>) -> Vec<ServerRecord> {
-        self.servers.records(FRESH_LIST_MS, self.shared.clock.now())
+    async fn handle(&mut self, asked: MayRead, _: &mut Context<Self>) -> bool {
+        self.may_read(asked.0, self.shared.clock.now())
     }
 }
 
--- a/crates/reedsail_router/src/control/follow.rs
+++ b/crates/reedsail_router/src/control/follow.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use reedsail_core::TimeMs;
 use reedsail_net::Clock;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -9,6 +10,7 @@
 
 use super::actor::ConfigurationRead;
 use super::actor::Control;
+use super::actor::MayRead;
 use super::actor::ServersRead;
 use super::actor::Source;
 use super::actor::SourceHeard;
@@ -19,11 +21,13 @@
 
 /// How long the store may hold a call for a new configuration. A call that a cut swallowed ends
 /// after this time and `ANSWER_MS`, and only then is the store asked again.
-const WAIT_MS: u64 = 1_500;
+const WAIT_MS: u64 = 1_200;
 /// How long an answer of the store may take.
 const ANSWER_MS: u64 = 800;
 /// How often the list of servers is read.
 const SERVERS_EVERY_MS: u64 = 750;
+/// How often a daemon that leaves reading to another asks itself whether it still may.
+const DUTY_EVERY_MS: u64 = 150;
 /// The first pause after a failure.
 const PAUSE_FIRST_MS: u64 = 200;
 /// The longest pause after failures in a row.
@@ -56,9 +60,12 @@
 pub(crate) async fn follow_configuration<H: HeaderProtocol>(
     mut source: impl ConfigurationSource,
     control: Address<Control<H>>,
+    clock: Clock,
 ) {
     let mut pause = Pause::new();
     loop {
+        wait_for_duty(&control, Source::Configuration).await;
+        let asked_at = clock.now();
         let limit = Duration::from_millis(WAIT_MS + ANSWER_MS);
         let outcome = timeout(limit, source.next(WAIT_MS)).await;
         let outcome =
@@ -76,7 +83,7 @@
             Ok(None) => None,
             Err(error) => Some(error.to_string()),
         };
-        report(&control, Source::Configuration, fault, &mut pause).await;
+        report(&control, Source::Configuration, asked_at, fault, &mut pause).await;
     }
 }
 
@@ -88,6 +95,7 @@
 ) {
     let mut pause = Pause::new();
     loop {
+        wait_for_duty(&control, Source::Servers).await;
         let asked_at = clock.now();
         let outcome = timeout(Duration::from_millis(ANSWER_MS), source.poll()).await;
         let outcome =
@@ -100,21 +108,35 @@
             Err(error) => Some(error.to_string()),
         };
         let is_read = fault.is_none();
-        report(&control, Source::Servers, fault, &mut pause).await;
+        report(&control, Source::Servers, asked_at, fault, &mut pause).await;
         if is_read {
             sleep(Duration::from_millis(SERVERS_EVERY_MS)).await;
         }
     }
 }
 
+/// Waits until this daemon is the one that reads the store.
+async fn wait_for_duty<H: HeaderProtocol>(control: &Address<Control<H>>, source: Source) {
+    while let Ok(false) = control.send(MayRead(source)).await {
+        sleep(Duration::from_millis(DUTY_EVERY_MS)).await;
+    }
+}
+
 async fn report<H: HeaderProtocol>(
     control: &Address<Control<H>>,
     source: Source,
+    asked_at: TimeMs,
     fault: Option<String>,
     pause: &mut Pause,
 ) {
     let is_lost = fault.is_some();
-    let _ = control.send(SourceHeard { source, fault }).await;
+    let _ = control
+        .send(SourceHeard {
+            source,
+            asked_at,
+            fault,
+        })
+        .await;
     if is_lost {
         pause.wait().await;
     } else {
--- a/crates/reedsail_router/src/control/member_table.rs
+++ b/crates/reedsail_router/src/control/member_table.rs
@@ -10,6 +10,8 @@
 
 /// A daemon that was heard within this time counts as alive.
 pub(crate) const ALIVE_MS: u64 = 1_500;
+/// A daemon that was not heard for so long is not counted on to read the store.
+const READER_SILENT_MS: u64 = 600;
 /// How often a daemon that does not answer is told all the same.
 const SILENT_EVERY_MS: u64 = 1_000;
 /// A daemon that was not heard for so long is forgotten.
@@ -26,8 +28,9 @@
     pub(crate) is_heard: bool,
     pub(crate) incarnation: u32,
     pub(crate) sequence: u32,
+    pub(crate) failure_domain: NameHash,
     pub(crate) configuration_version: u64,
-    pub(crate) servers_age_ms: u32,
+    pub(crate) servers_revision: u64,
     told_at: TimeMs,
 }
 
@@ -80,8 +83,9 @@
             is_heard: true,
             incarnation: message.incarnation,
             sequence: message.sequence,
+            failure_domain: message.failure_domain,
             configuration_version: message.configuration_version,
-            servers_age_ms: message.servers_age_ms,
+            servers_revision: message.servers_revision,
             told_at,
         };
         self.members.insert(message.instance, member);
@@ -95,8 +99,9 @@
             is_heard: false,
             incarnation: 0,
             sequence: 0,
+            failure_domain: NameHash::default(),
             configuration_version: 0,
-            servers_age_ms: u32::MAX,
+            servers_revision: 0,
             told_at: TimeMs(0),
         });
     }
@@ -159,6 +164,17 @@
         heard
     }
 
+    /// Tells whether no daemon of the failure domain that was heard just now has a smaller name: of
+    /// each domain, that daemon reads the store and tells the others.
+    pub(crate) fn is_first_of_domain(&self, own: NameHash, domain: NameHash, now: TimeMs) -> bool {
+        !self.members.iter().any(|(instance, member)| {
+            member.is_heard
+                && member.failure_domain == domain
+                && now.since_ms(member.heard_at) < READER_SILENT_MS
+                && *instance < own
+        })
+    }
+
     /// Returns the daemons that were heard lately.
     pub(crate) fn alive(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter(|member| member.is_heard)
--- a/crates/reedsail_router/src/control/thread.rs
+++ b/crates/reedsail_router/src/control/thread.rs
@@ -62,7 +62,11 @@
         let listener = tokio::net::TcpListener::from_std(listener)?;
         spawn_local(serve_pages(listener, Arc::clone(&shared), control.clone()));
     }
-    spawn_local(follow_configuration(thread.configuration_source, control.clone()));
+    spawn_local(follow_configuration(
+        thread.configuration_source,
+        control.clone(),
+        shared.clock,
+    ));
     spawn_local(follow_servers(
         thread.server_source,
         control.clone(),
--- a/crates/reedsail_router/src/source.rs
+++ b/crates/reedsail_router/src/source.rs
@@ -2,10 +2,10 @@
 //!
 //! The adapter of a platform implements these; they translate, and decide nothing.
 
+use reedsail_dispatch::ServerNews;
 use thiserror::Error;
 
 use crate::Configuration;
-use crate::ServerNews;
 
 /// Why a source gave nothing.
 #[derive(Debug, Error)]
--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -20,6 +20,10 @@
   # Backend servers that the sender knows to be leaving or gone.
   leaving @9 :List(UInt32);
   members @10 :List(MemberRow);
+  # How long ago the sender's configuration was known to be the newest.
+  configurationAgeMs @11 :UInt32;
+  # The place in the store's log up to which the list of backend servers is known.
+  serversRevision @12 :UInt64;
 }
 
 struct ServerLoadRow {
--- a/crates/reedsail_wire/src/load_capnp.rs
+++ b/crates/reedsail_wire/src/load_capnp.rs
@@ -182,6 +182,14 @@
         pub fn has_members(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_configuration_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn get_servers_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
     }
 
     pub struct Builder<'a> {
@@ -189,7 +197,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+            ::capnp::private::layout::StructSize { data: 6, pointers: 4 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -443,6 +451,22 @@
         pub fn has_members(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_configuration_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn set_configuration_age_ms(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(8, value);
+        }
+        #[inline]
+        pub fn get_servers_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_servers_revision(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(5, value);
+        }
     }
 
     pub struct Pipeline {
@@ -455,101 +479,115 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 207] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 240] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(128, 202, 174, 37, 220, 213, 194, 191),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
             ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 224, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -663,6 +701,25 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
+            ::capnp::word(97, 116, 105, 111, 110, 65, 103, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 115, 82),
+            ::capnp::word(101, 118, 105, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -677,6 +734,8 @@
                 8 => <::capnp::struct_list::Owned<crate::load_capnp::workspace_use_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::load_capnp::member_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -695,9 +754,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 3, 1, 0, 9, 10, 2, 7, 5, 6, 8];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[11, 4, 3, 1, 0, 9, 10, 2, 7, 5, 12, 6, 8];
         pub(crate) const TYPE_ID: u64 = 0xbfc2_d5dc_25ae_ca80;
     }
 }
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -40,6 +40,10 @@
     pub failure_domain: NameHash,
     /// The configuration that the sender has in force; zero for none.
     pub configuration_version: u64,
+    /// How long ago that configuration was known to be the newest, in milliseconds.
+    pub configuration_age_ms: u32,
+    /// The place in the store's log up to which the sender knows the backend servers.
+    pub servers_revision: u64,
     /// How old the sender's list of backend servers is, in milliseconds.
     pub servers_age_ms: u32,
     /// The sender is stopping.
@@ -65,6 +69,8 @@
         root.set_sequence(self.sequence);
         root.set_failure_domain(self.failure_domain.0);
         root.set_configuration_version(self.configuration_version);
+        root.set_configuration_age_ms(self.configuration_age_ms);
+        root.set_servers_revision(self.servers_revision);
         root.set_servers_age_ms(self.servers_age_ms);
         root.set_stopping(self.is_stopping);
         let mut servers = root.reborrow().init_servers(self.load.servers.len() as u32);
@@ -124,6 +130,8 @@
             sequence: root.get_sequence(),
             failure_domain: NameHash(root.get_failure_domain()),
             configuration_version: root.get_configuration_version(),
+            configuration_age_ms: root.get_configuration_age_ms(),
+            servers_revision: root.get_servers_revision(),
             servers_age_ms: root.get_servers_age_ms(),
             is_stopping: root.get_stopping(),
             load: LoadReport {
