--- a/crates/reedsail_bench/tests/style.rs
+++ b/crates/reedsail_bench/tests/style.rs
@@ -5,9 +5,10 @@
 
 /// Returns every source file but generated ones.
 fn sources() -> Vec<(PathBuf, String)> {
-    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("..");
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
     let mut found = Vec::new();
-    collect(&root, &mut found);
+    collect(&root.join("crates"), &mut found);
+    collect(&root.join("platform"), &mut found);
     assert!(found.len() > 50, "{} sources", found.len());
     found
 }
--- /dev/null
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -0,0 +1,311 @@
+//! Where requests go, and when they are refused.
+
+use reedsail_core::ErrorKind;
+use reedsail_core::NameHash;
+use reedsail_core::TimeMs;
+use reedsail_dispatch::Decision;
+use reedsail_dispatch::Demand;
+use reedsail_dispatch::DispatchSettings;
+use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::Placement;
+use reedsail_dispatch::Prompt;
+use reedsail_dispatch::PromptPart;
+use reedsail_dispatch::RunOutcome;
+use reedsail_dispatch::ServerLoadRow;
+use reedsail_dispatch::ServerSetup;
+
+const GOAL_MS: u64 = 800;
+const START: TimeMs = TimeMs(10_000);
+
+fn engine(number: u32) -> ServerSetup {
+    ServerSetup {
+        name: NameHash::of(&format!("engine-{number}")),
+        service: NameHash::of("llm"),
+        failure_domain: NameHash::of(&format!("hall-{}", number % 3)),
+        slots: 64,
+        is_leaving: false,
+    }
+}
+
+fn engines(count: u32) -> Vec<ServerSetup> {
+    (0..count).map(engine).collect()
+}
+
+fn dispatcher(servers: &[ServerSetup]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("hall-0"));
+    dispatcher.set_servers(servers, START);
+    dispatcher
+}
+
+fn prompt(shared: u64, own_tokens: u32) -> Prompt {
+    Prompt {
+        parts: vec![
+            PromptPart {
+                id: shared,
+                tokens: 13_000,
+            },
+            PromptPart {
+                id: shared ^ 0xffff_ffff,
+                tokens: own_tokens,
+            },
+        ],
+        output_tokens: 100,
+    }
+}
+
+fn demand<'a>(workspace: &str, prompt: &'a Prompt) -> Demand<'a> {
+    Demand {
+        service: NameHash::of("llm"),
+        workspace: NameHash::of(workspace),
+        prompt: Some(prompt),
+        goal_ms: GOAL_MS,
+        waited_ms: 0,
+        tried: &[],
+    }
+}
+
+fn placed(decision: Decision) -> Placement {
+    match decision {
+        Decision::Send(placement) => placement,
+        Decision::Refuse { kind, .. } => panic!("refused as {}", kind.name()),
+    }
+}
+
+#[test]
+fn every_daemon_sends_a_prompt_part_to_the_same_server() {
+    let mut one = dispatcher(&engines(9));
+    let mut reversed = engines(9);
+    reversed.reverse();
+    let mut other = dispatcher(&reversed);
+    for shared in 0..50 {
+        let prompt = prompt(shared, 1_000);
+        let here = placed(one.decide(&demand("labska", &prompt), START)).server;
+        let there = placed(other.decide(&demand("labska", &prompt), START)).server;
+        let name = |number| NameHash::of(&format!("engine-{number}"));
+        let number = (0..9).find(|number| one.server_key(name(*number)) == Some(here));
+        assert_eq!(other.server_key(name(number.unwrap())), Some(there));
+    }
+}
+
+#[test]
+fn a_busy_first_server_sheds_to_the_second_which_copies_from_it() {
+    let mut dispatcher = dispatcher(&engines(9));
+    let prompt = prompt(7, 6_000);
+    let first = placed(dispatcher.decide(&demand("labska", &prompt), START));
+    let mut runs = Vec::new();
+    for _ in 0..8 {
+        let demand = demand("labska", &prompt);
+        let placement = placed(dispatcher.decide(&demand, START));
+        if placement.server != first.server {
+            assert_eq!(placement.copy_from, Some(first.server));
+            return;
+        }
+        runs.push(dispatcher.begin(&demand, &placement, START));
+    }
+    panic!("the first server was never left");
+}
+
+#[test]
+fn an_idle_fleet_sends_nothing_elsewhere() {
+    let mut dispatcher = dispatcher(&engines(9));
+    let prompt = prompt(7, 2_000);
+    let first = placed(dispatcher.decide(&demand("labska", &prompt), START)).server;
+    for step in 0..20 {
+        let now = START.plus_ms(step * 1_000);
+        let demand = demand("labska", &prompt);
+        let placement = placed(dispatcher.decide(&demand, now));
+        assert_eq!((placement.server, placement.copy_from), (first, None));
+        let mut run = dispatcher.begin(&demand, &placement, now);
+        dispatcher.note_answer(&mut run, now.plus_ms(placement.expected_ms));
+        dispatcher.finish(run, RunOutcome::Answered, now.plus_ms(900));
+    }
+}
+
+#[test]
+fn busy_servers_refuse_early_with_a_time_to_come_back() {
+    let mut dispatcher = dispatcher(&engines(2));
+    let prompt = prompt(7, 10_000);
+    let mut runs = Vec::new();
+    for _ in 0..100 {
+        let demand = demand("labska", &prompt);
+        match dispatcher.decide(&demand, START) {
+            Decision::Send(placement) => runs.push(dispatcher.begin(&demand, &placement, START)),
+            Decision::Refuse {
+                kind,
+                retry_after_ms,
+                expected_ms,
+            } => {
+                assert_eq!(kind, ErrorKind::WouldMissGoal);
+                assert!((100..GOAL_MS).contains(&retry_after_ms), "{retry_after_ms}");
+                assert!(expected_ms.is_some());
+                assert!(!runs.is_empty());
+                return;
+            }
+        }
+    }
+    panic!("nothing was refused");
+}
+
+#[test]
+fn what_peers_report_counts_until_it_lapses() {
+    let mut dispatcher = dispatcher(&engines(1));
+    let prompt = prompt(7, 1_000);
+    let row = ServerLoadRow {
+        server: engine(0).name,
+        running: 30,
+        failure_rate: 0,
+        unread_tokens: 200_000,
+    };
+    let report = LoadReport {
+        servers: vec![row],
+        workspaces: Vec::new(),
+    };
+    dispatcher.hear_peer(NameHash::of("daemon-2"), report.clone(), START);
+    // A report replaces the one before it.
+    dispatcher.hear_peer(NameHash::of("daemon-2"), report, START);
+    let key = dispatcher.server_key(engine(0).name).unwrap();
+    assert_eq!(dispatcher.running(key), (0, 30));
+    let refused = dispatcher.decide(&demand("labska", &prompt), START);
+    assert!(matches!(refused, Decision::Refuse { .. }));
+    let later = START.plus_ms(2_000);
+    dispatcher.tick(later);
+    assert_eq!(dispatcher.running(key), (0, 0));
+    placed(dispatcher.decide(&demand("labska", &prompt), later));
+}
+
+#[test]
+fn a_report_of_a_server_that_is_listed_later_counts_then() {
+    let mut dispatcher = dispatcher(&engines(1));
+    let row = ServerLoadRow {
+        server: engine(1).name,
+        running: 5,
+        failure_rate: 0,
+        unread_tokens: 9,
+    };
+    let report = LoadReport {
+        servers: vec![row],
+        workspaces: Vec::new(),
+    };
+    dispatcher.hear_peer(NameHash::of("daemon-2"), report, START);
+    dispatcher.set_servers(&engines(2), START);
+    let key = dispatcher.server_key(engine(1).name).unwrap();
+    assert_eq!(dispatcher.running(key), (0, 5));
+    dispatcher.forget_peer(NameHash::of("daemon-2"));
+    assert_eq!(dispatcher.running(key), (0, 0));
+}
+
+#[test]
+fn servers_that_leave_or_are_gone_get_nothing() {
+    let prompt = prompt(7, 1_000);
+    let mut dispatcher = dispatcher(&engines(3));
+    let first = placed(dispatcher.decide(&demand("labska", &prompt), START)).server;
+    let mut servers = engines(3);
+    let position = servers
+        .iter()
+        .position(|server| dispatcher.server_key(server.name) == Some(first))
+        .unwrap();
+    servers[position].is_leaving = true;
+    dispatcher.set_servers(&servers, START);
+    let second = placed(dispatcher.decide(&demand("labska", &prompt), START));
+    assert_ne!(second.server, first);
+    // A server that is leaving still gives what it keeps.
+    assert_eq!(second.copy_from, Some(first));
+    servers.remove(position);
+    dispatcher.set_servers(&servers, START);
+    let third = placed(dispatcher.decide(&demand("labska", &prompt), START));
+    assert_eq!((third.server, third.copy_from), (second.server, None));
+    dispatcher.set_servers(&[], START);
+    let none = dispatcher.decide(&demand("labska", &prompt), START);
+    assert!(matches!(
+        none,
+        Decision::Refuse {
+            kind: ErrorKind::NoBackend,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn a_server_out_of_reach_is_left_alone_for_a_while() {
+    let prompt = prompt(7, 1_000);
+    let mut dispatcher = dispatcher(&engines(3));
+    let demand = demand("labska", &prompt);
+    let first = placed(dispatcher.decide(&demand, START));
+    let run = dispatcher.begin(&demand, &first, START);
+    dispatcher.finish(run, RunOutcome::Unreachable, START);
+    let other = placed(dispatcher.decide(&demand, START));
+    assert_ne!(other.server, first.server);
+    let later = START.plus_ms(30_000);
+    assert_eq!(placed(dispatcher.decide(&demand, later)).server, first.server);
+}
+
+#[test]
+fn servers_that_fail_or_never_answer_lose_their_requests_to_others() {
+    for outcome in [Some(RunOutcome::Failed), None] {
+        let prompt = prompt(7, 1_000);
+        let mut dispatcher = dispatcher(&engines(3));
+        let demand = demand("labska", &prompt);
+        let first = placed(dispatcher.decide(&demand, START));
+        let mut now = START;
+        let mut silent = Vec::new();
+        for _ in 0..4 {
+            let run = dispatcher.begin(&demand, &first, now);
+            now = now.plus_ms(1_000);
+            match outcome {
+                Some(outcome) => dispatcher.finish(run, outcome, now),
+                None => silent.push(run),
+            }
+            dispatcher.tick(now);
+        }
+        for run in silent {
+            dispatcher.finish(run, RunOutcome::Abandoned, now);
+        }
+        assert_ne!(placed(dispatcher.decide(&demand, now)).server, first.server);
+    }
+}
+
+#[test]
+fn a_server_that_comes_later_copies_from_the_one_it_relieves() {
+    let mut dispatcher = dispatcher(&engines(4));
+    let later = START.plus_ms(20_000);
+    let mut servers = engines(5);
+    dispatcher.set_servers(&servers, later);
+    let newcomer = dispatcher.server_key(engine(4).name).unwrap();
+    let taken_over = (0..100)
+        .map(|shared| prompt(shared, 1_000))
+        .map(|prompt| placed(dispatcher.decide(&demand("labska", &prompt), later)))
+        .filter(|placement| placement.server == newcomer);
+    let copies: Vec<bool> = taken_over
+        .map(|placement| placement.copy_from.is_some())
+        .collect();
+    assert!(
+        copies.len() > 5 && copies.iter().all(|copies| *copies),
+        "{copies:?}"
+    );
+    servers.clear();
+}
+
+#[test]
+fn plain_services_spread_by_load_and_prefer_their_own_failure_domain() {
+    let mut dispatcher = dispatcher(&engines(3));
+    let demand = Demand {
+        service: NameHash::of("llm"),
+        workspace: NameHash::of("labska"),
+        prompt: None,
+        goal_ms: 150,
+        waited_ms: 0,
+        tried: &[],
+    };
+    let own = dispatcher.server_key(engine(0).name).unwrap();
+    let mut counts = std::collections::BTreeMap::new();
+    for index in 0..30 {
+        let placement = placed(dispatcher.decide(&demand, START));
+        if index == 0 {
+            assert_eq!(placement.server, own);
+        }
+        let _run = dispatcher.begin(&demand, &placement, START);
+        *counts.entry(placement.server).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|count| *count >= 8), "{counts:?}");
+}
--- /dev/null
+++ b/crates/reedsail_dispatch/tests/server_list.rs
@@ -0,0 +1,169 @@
+//! What the list of backend servers believes after trouble, and what it takes from peers.
+
+use std::net::SocketAddr;
+
+use reedsail_core::NameHash;
+use reedsail_core::TimeMs;
+use reedsail_dispatch::PeerView;
+use reedsail_dispatch::ServerChange;
+use reedsail_dispatch::ServerList;
+use reedsail_dispatch::ServerNews;
+use reedsail_dispatch::ServerRecord;
+
+fn record(id: &str, is_leaving: bool) -> ServerRecord {
+    ServerRecord {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        failure_domain: "hall-a".to_owned(),
+        slots: 64,
+        is_leaving,
+    }
+}
+
+fn announced(id: &str) -> ServerChange {
+    ServerChange::Announced(record(id, false))
+}
+
+fn leaving(id: &str) -> ServerChange {
+    ServerChange::Announced(record(id, true))
+}
+
+fn dropped(id: &str) -> ServerChange {
+    ServerChange::Dropped { id: id.to_owned() }
+}
+
+fn news(revision: u64, is_whole: bool, changes: Vec<ServerChange>) -> ServerNews {
+    ServerNews {
+        revision,
+        is_whole,
+        changes,
+    }
+}
+
+/// A list that knows two servers, read at 1,000 ms.
+fn list() -> ServerList {
+    let mut list = ServerList::default();
+    let changes = vec![announced("one"), announced("two")];
+    let delta = list.apply(news(10, true, changes), TimeMs(1_000), TimeMs(1_005));
+    assert_eq!(delta.listed.len(), 2);
+    list
+}
+
+fn ids(list: &ServerList, now: TimeMs) -> Vec<String> {
+    let records = list.listing(now).records;
+    let usable = records.into_iter().filter(|record| !record.is_leaving);
+    let mut ids: Vec<String> = usable.map(|record| record.id).collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn a_dropped_record_ends_a_server_at_once() {
+    let mut list = list();
+    let now = TimeMs(2_000);
+    let delta = list.apply(news(11, false, vec![dropped("one")]), now, now);
+    assert_eq!(delta.unlisted, ["one"]);
+    assert_eq!(ids(&list, now), ["two"]);
+    assert_eq!(list.departures(), [NameHash::of("one")]);
+}
+
+#[test]
+fn a_record_missing_from_the_whole_list_ends_a_server() {
+    let mut list = list();
+    let now = TimeMs(2_000);
+    let delta = list.apply(news(11, true, vec![announced("two")]), now, now);
+    assert_eq!(delta.unlisted, ["one"]);
+}
+
+#[test]
+fn records_dropped_while_the_store_was_away_are_doubted_not_believed() {
+    let mut list = list();
+    list.note_trouble();
+    let back = TimeMs(6_000);
+    let changes = vec![dropped("one"), dropped("two")];
+    let delta = list.apply(news(12, false, changes), back, back);
+    assert!(delta.unlisted.is_empty());
+    assert_eq!(ids(&list, back), ["one", "two"]);
+    // One announces itself again; the other does not, and is given up in time.
+    let later = TimeMs(7_000);
+    list.apply(news(13, false, vec![announced("one")]), later, later);
+    let delta = list.tick(TimeMs(8_100));
+    assert_eq!(delta.unlisted, ["two"]);
+    assert_eq!(ids(&list, TimeMs(8_100)), ["one"]);
+}
+
+#[test]
+fn a_record_dropped_well_after_trouble_is_believed() {
+    let mut list = list();
+    list.note_trouble();
+    let back = TimeMs(6_000);
+    list.apply(news(12, false, Vec::new()), back, back);
+    let later = TimeMs(8_100);
+    let delta = list.apply(news(13, false, vec![dropped("one")]), later, later);
+    assert_eq!(delta.unlisted, ["one"]);
+}
+
+#[test]
+fn an_unreadable_record_changes_nothing_else() {
+    let mut list = list();
+    let now = TimeMs(2_000);
+    let broken = ServerChange::Unreadable {
+        id: "one".to_owned(),
+        fault: "no address".to_owned(),
+    };
+    let delta = list.apply(news(11, true, vec![broken, announced("two")]), now, now);
+    assert_eq!(delta.unreadable, [("one".to_owned(), "no address".to_owned())]);
+    assert_eq!(ids(&list, now), ["one", "two"]);
+}
+
+#[test]
+fn a_peer_that_knows_more_is_believed_before_its_list_is_fetched() {
+    let mut list = list();
+    let now = TimeMs(2_000);
+    let word = [NameHash::of("one")];
+    assert_eq!(list.hear_peer(11, 40, &word, now), PeerView::Leaving);
+    assert_eq!(ids(&list, now), ["two"]);
+    assert_eq!(list.hear_peer(11, 40, &word, now), PeerView::Newer);
+    let mut peer = list.clone();
+    peer.apply(news(11, false, vec![leaving("one")]), now, now);
+    let delta = list.apply_listing(peer.listing(now), now);
+    assert_eq!(delta.leaving, ["one"]);
+    assert_eq!(list.revision(), 11);
+}
+
+#[test]
+fn a_peer_that_knows_less_is_not_believed() {
+    let mut list = list();
+    let now = TimeMs(2_000);
+    assert_eq!(
+        list.hear_peer(9, 0, &[NameHash::of("one")], now),
+        PeerView::NothingNew
+    );
+    assert_eq!(ids(&list, now), ["one", "two"]);
+    let old = ServerList::default().listing(now);
+    assert!(list.apply_listing(old, now).is_empty());
+    assert_eq!(ids(&list, now), ["one", "two"]);
+}
+
+#[test]
+fn a_list_is_as_fresh_as_that_of_a_peer_with_the_same_revision() {
+    let mut list = list();
+    let now = TimeMs(9_000);
+    assert_eq!(list.age_ms(now), 8_000);
+    list.hear_peer(10, 300, &[], now);
+    assert_eq!(list.age_ms(now), 300);
+    list.hear_peer(10, 5_000, &[], now);
+    assert_eq!(list.age_ms(now), 300);
+}
+
+#[test]
+fn departures_are_told_for_a_while_only() {
+    let mut list = list();
+    let now = TimeMs(2_000);
+    list.apply(news(11, false, vec![leaving("one")]), now, now);
+    list.tick(TimeMs(10_000));
+    assert_eq!(list.departures(), [NameHash::of("one")]);
+    list.tick(TimeMs(18_000));
+    assert!(list.departures().is_empty());
+}
--- /dev/null
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -0,0 +1,179 @@
+//! Shares among workspaces, and the budget of repeats.
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::prop;
+use proptest::proptest;
+use reedsail_core::ErrorKind;
+use reedsail_core::NameHash;
+use reedsail_core::TimeMs;
+use reedsail_dispatch::Decision;
+use reedsail_dispatch::Demand;
+use reedsail_dispatch::DispatchSettings;
+use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::Prompt;
+use reedsail_dispatch::PromptPart;
+use reedsail_dispatch::RepeatWindow;
+use reedsail_dispatch::RunOutcome;
+use reedsail_dispatch::ServerSetup;
+use reedsail_dispatch::WorkspaceUseRow;
+use reedsail_dispatch::max_min_level;
+
+fn service() -> NameHash {
+    NameHash::of("llm")
+}
+
+fn engine(number: u32) -> ServerSetup {
+    ServerSetup {
+        name: NameHash::of(&format!("engine-{number}")),
+        service: service(),
+        failure_domain: NameHash::of("hall"),
+        slots: 64,
+        is_leaving: false,
+    }
+}
+
+#[test]
+fn the_level_is_where_what_there_is_runs_out() {
+    let close = |left: f64, right: f64| (left - right).abs() < 1e-9;
+    assert!(max_min_level(&mut [1.0, 2.0, 3.0], 10.0).is_infinite());
+    assert!(close(max_min_level(&mut [9.0, 1.0, 9.0], 11.0), 5.0));
+    assert!(close(max_min_level(&mut [10.0, 10.0], 10.0), 5.0));
+    assert!(max_min_level(&mut [], 0.0).is_infinite());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn what_the_level_gives_never_exceeds_what_there_is(
+        asked in prop::collection::vec(0.0_f64..100.0, 1..20),
+        capacity in 1.0_f64..500.0,
+    ) {
+        let level = max_min_level(&mut asked.clone(), capacity);
+        if level.is_finite() {
+            let given: f64 = asked.iter().map(|asked| asked.min(level)).sum();
+            assert!((given - capacity).abs() < 1e-6, "{given} of {capacity}");
+        }
+    }
+
+    #[test]
+    fn repeats_stay_within_ratio_and_slack_in_every_window(
+        steps in prop::collection::vec((0_u64..400, 0_u8..4), 1..400),
+    ) {
+        let mut window = RepeatWindow::new(10_000);
+        let mut now = TimeMs(50_000);
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (pause_ms, kind) in steps {
+            now = now.plus_ms(pause_ms);
+            if kind == 0 {
+                if window.take(0.2, 3.0, now) {
+                    repeats.push(now);
+                }
+            } else {
+                window.count_request(now);
+                requests.push(now);
+            }
+            // As it is judged: by the requests of the window, or of one that ended up to a window
+            // earlier, whichever has most; the grain of both is a second.
+            let count = |moments: &[TimeMs], from_ms: u64, span_ms: u64| {
+                let ages = moments.iter().map(|moment| now.since_ms(*moment));
+                ages.filter(|age_ms| (from_ms..from_ms + span_ms).contains(age_ms)).count() as f64
+            };
+            let most = (0..=10).map(|second| count(&requests, second * 1_000, 12_000)).fold(0.0, f64::max);
+            assert!(count(&repeats, 0, 10_000) <= 0.2 * most + 3.0);
+        }
+    }
+}
+
+/// A prompt of its own kind, so that no two requests share a server's memory.
+fn prompt(id: u64) -> Prompt {
+    let parts = vec![
+        PromptPart { id, tokens: 100 },
+        PromptPart {
+            id: id + 1_000_000,
+            tokens: 4_000,
+        },
+    ];
+    Prompt {
+        parts,
+        output_tokens: 100,
+    }
+}
+
+/// Lets a large and a small workspace ask one daemon for more than one engine can do; returns the
+/// parts of each that were sent, and the kinds of refusal of the large one.
+fn serve_both(peer_use: Option<&LoadReport>) -> (f64, f64, Vec<ErrorKind>) {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("hall"));
+    dispatcher.set_servers(&[engine(0)], TimeMs(1_000));
+    let mut now = TimeMs(1_000);
+    let mut running = Vec::new();
+    let mut sent = [0.0, 0.0];
+    let mut asked = [0.0, 0.0];
+    let mut kinds = Vec::new();
+    for step in 0..600_u64 {
+        now = now.plus_ms(20);
+        if let Some(report) = peer_use {
+            dispatcher.hear_peer(NameHash::of("peer"), report.clone(), now);
+        }
+        // An engine reads 40 tokens a millisecond, so a prompt takes 100 ms.
+        while running.first().is_some_and(|(_, done_at)| *done_at <= now) {
+            let (mut run, done_at) = running.remove(0);
+            dispatcher.note_answer(&mut run, done_at);
+            dispatcher.finish(run, RunOutcome::Answered, done_at);
+        }
+        let is_small = step % 16 == 0;
+        let workspace = if is_small { "small" } else { "large" };
+        let prompt = prompt(step);
+        let demand = Demand {
+            service: service(),
+            workspace: NameHash::of(workspace),
+            prompt: Some(&prompt),
+            goal_ms: 800,
+            waited_ms: 0,
+            tried: &[],
+        };
+        dispatcher.count_arrival(&demand, now);
+        if step >= 200 {
+            asked[usize::from(is_small)] += 1.0;
+        }
+        match dispatcher.decide(&demand, now) {
+            Decision::Send(placement) => {
+                let free_at = running.last().map_or(now, |(_, done_at): &(_, TimeMs)| *done_at);
+                let run = dispatcher.begin(&demand, &placement, now);
+                running.push((run, free_at.max(now).plus_ms(100)));
+                if step >= 200 {
+                    sent[usize::from(is_small)] += 1.0;
+                }
+            }
+            Decision::Refuse { kind, .. } if !is_small => kinds.push(kind),
+            Decision::Refuse { .. } => {}
+        }
+    }
+    (sent[0] / asked[0], sent[1] / asked[1], kinds)
+}
+
+#[test]
+fn a_small_workspace_is_served_beside_a_large_one() {
+    let (large, small, kinds) = serve_both(None);
+    assert!(small > 0.9, "small {small}, large {large}");
+    assert!(large < 0.6, "small {small}, large {large}");
+    assert!(kinds.contains(&ErrorKind::OverShare));
+}
+
+#[test]
+fn what_a_workspace_got_from_other_daemons_counts_here() {
+    let use_elsewhere = |name: &str, cost: f32| WorkspaceUseRow {
+        workspace: NameHash::of(name),
+        asked_cost: cost * 2.0,
+        begun_cost: cost,
+    };
+    let report = LoadReport {
+        servers: Vec::new(),
+        workspaces: vec![use_elsewhere("small", 2_000_000.0)],
+    };
+    let (_, small, _) = serve_both(Some(&report));
+    let (_, small_alone, _) = serve_both(None);
+    assert!(small < small_alone, "{small} and {small_alone}");
+}
--- a/crates/reedsail_events/src/lib.rs
+++ b/crates/reedsail_events/src/lib.rs
@@ -14,4 +14,5 @@
 pub use event_kind::EventKind;
 pub use event_log::EventLog;
 pub use line_sink::LineSink;
+pub use line_sink::LineSinkEnd;
 pub use merge::merge_events;
--- a/crates/reedsail_events/src/line_sink.rs
+++ b/crates/reedsail_events/src/line_sink.rs
@@ -2,35 +2,85 @@
 
 use std::io;
 use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
 use std::time::Duration;
+use std::time::Instant;
 
 /// The most lines that wait to be written; further ones are counted and left out.
 const LINES_MAX: usize = 2_048;
 /// How long lines are gathered before they are written together.
 const GATHER_MS: u64 = 250;
+/// How often the closing side looks whether everything is written.
+const CLOSE_POLL_MS: u64 = 5;
+
+/// What the two sides and the closing one know of each other.
+#[derive(Debug, Default)]
+struct Progress {
+    taken: AtomicU64,
+    written: AtomicU64,
+    is_closing: AtomicBool,
+}
 
 /// A writer that takes whole lines, never blocks, and drops what does not fit.
 #[derive(Debug)]
 pub struct LineSink {
     lines: SyncSender<Vec<u8>>,
+    progress: Arc<Progress>,
     dropped: u64,
 }
 
+/// Waits, at the end of the program, for the lines that were taken.
+#[derive(Debug)]
+pub struct LineSinkEnd {
+    progress: Arc<Progress>,
+    writer: std::thread::Thread,
+}
+
 impl LineSink {
     /// Starts the thread that writes to standard output.
     ///
     /// # Errors
     /// The system's, if no thread can be started.
-    pub fn to_stdout() -> io::Result<Self> {
+    pub fn to_stdout() -> io::Result<(Self, LineSinkEnd)> {
         let (lines, waiting) = sync_channel(LINES_MAX);
-        std::thread::Builder::new()
+        let progress = Arc::new(Progress::default());
+        let for_writer = Arc::clone(&progress);
+        let writer = std::thread::Builder::new()
             .name("log".to_owned())
-            .spawn(move || write_lines(&waiting, &mut io::stdout()))?;
-        Ok(Self { lines, dropped: 0 })
+            .spawn(move || write_lines(&waiting, &for_writer, &mut io::stdout()))?;
+        let end = LineSinkEnd {
+            progress: Arc::clone(&progress),
+            writer: writer.thread().clone(),
+        };
+        let sink = Self {
+            lines,
+            progress,
+            dropped: 0,
+        };
+        Ok((sink, end))
+    }
+}
+
+impl LineSinkEnd {
+    /// Has the lines that wait written at once, and waits for that, but no longer than `limit_ms`
+    /// milliseconds: whoever reads the log may be gone.
+    pub fn close(self, limit_ms: u64) {
+        let limit = Duration::from_millis(limit_ms);
+        let began_at = Instant::now();
+        self.progress.is_closing.store(true, Ordering::Release);
+        self.writer.unpark();
+        while self.progress.written.load(Ordering::Acquire) < self.progress.taken.load(Ordering::Acquire)
+            && began_at.elapsed() < limit
+        {
+            std::thread::sleep(Duration::from_millis(CLOSE_POLL_MS));
+        }
     }
 }
 
@@ -41,7 +91,10 @@
             text.extend_from_slice(format!("log lines left out: {}\n", self.dropped).as_bytes());
         }
         match self.lines.try_send(text) {
-            Ok(()) => self.dropped = 0,
+            Ok(()) => {
+                self.dropped = 0;
+                self.progress.taken.fetch_add(1, Ordering::AcqRel);
+            }
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.dropped += 1,
         }
         Ok(line.len())
@@ -53,13 +106,18 @@
 }
 
 /// Writes what comes until nobody can send any more.
-fn write_lines(waiting: &Receiver<Vec<u8>>, output: &mut impl Write) {
+fn write_lines(waiting: &Receiver<Vec<u8>>, progress: &Progress, output: &mut impl Write) {
     while let Ok(mut text) = waiting.recv() {
-        std::thread::sleep(Duration::from_millis(GATHER_MS));
+        if !progress.is_closing.load(Ordering::Acquire) {
+            std::thread::park_timeout(Duration::from_millis(GATHER_MS));
+        }
+        let mut count = 1;
         for line in waiting.try_iter() {
             text.extend_from_slice(&line);
+            count += 1;
         }
         // Whoever reads the log may be gone; the daemon goes on.
         let _ = output.write_all(&text).and_then(|()| output.flush());
+        progress.written.fetch_add(count, Ordering::AcqRel);
     }
 }
--- a/crates/reedsail_router/src/control/follow.rs
+++ b/crates/reedsail_router/src/control/follow.rs
@@ -5,6 +5,7 @@
 use reedsail_core::TimeMs;
 use reedsail_net::Clock;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 use xtra::Address;
 
@@ -80,7 +81,11 @@
                 let _ = control.send(read).await;
                 None
             }
-            Ok(None) => None,
+            Ok(None) => {
+                // A store that does not hold the call is asked no more often for that.
+                sleep_until(clock.instant(asked_at.plus_ms(WAIT_MS / 2))).await;
+                None
+            }
             Err(error) => Some(error.to_string()),
         };
         report(&control, Source::Configuration, asked_at, fault, &mut pause).await;
--- a/crates/reedsail_router/src/program.rs
+++ b/crates/reedsail_router/src/program.rs
@@ -21,6 +21,9 @@
 /// Exit code of a program that could not start.
 const EXIT_UNUSABLE: u8 = 2;
 
+/// How long the program waits at its end for its last log lines to be written.
+const LAST_LINES_MS: u64 = 100;
+
 /// What a program is told on its command line.
 #[derive(Clone, Debug)]
 pub struct ProgramFlags {
@@ -73,13 +76,14 @@
         println!("{}: the settings are valid", flags.settings.display());
         return Ok(true);
     }
+    let (sink, sink_end) = LineSink::to_stdout()?;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .target(env_logger::Target::Pipe(Box::new(LineSink::to_stdout()?)))
+        .target(env_logger::Target::Pipe(Box::new(sink)))
         .init();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(async {
+    let outcome = runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut hangup = signal(SignalKind::hangup())?;
@@ -96,5 +100,7 @@
             }
         }
         Ok(router.close().await)
-    })
+    });
+    sink_end.close(LAST_LINES_MS);
+    outcome
 }
--- /dev/null
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -0,0 +1,361 @@
+//! A router before stand-ins, and callers that keep their connections.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use reedsail_dispatch::DispatchSettings;
+use reedsail_dispatch::ServerChange;
+use reedsail_dispatch::ServerNews;
+use reedsail_dispatch::ServerRecord;
+use reedsail_net::ByteCounter;
+use reedsail_net::HttpConnection;
+use reedsail_router::AnswerShape;
+use reedsail_router::Configuration;
+use reedsail_router::ConfigurationSource;
+use reedsail_router::ListenAddresses;
+use reedsail_router::NativeProtocol;
+use reedsail_router::Repetition;
+use reedsail_router::Route;
+use reedsail_router::RouteTarget;
+use reedsail_router::RouterSettings;
+use reedsail_router::RunningRouter;
+use reedsail_router::ServerSource;
+use reedsail_router::ServiceDefinition;
+use reedsail_router::SourceError;
+use reedsail_router::StopSettings;
+use reedsail_router::WorkspaceDefinition;
+use reedsail_standin::RoutedStandin;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// How long a test waits for a state before it fails.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// What a source shows; `None` while the store is out of reach.
+type Shown<T> = watch::Receiver<Option<T>>;
+
+pub struct MemoryConfiguration {
+    shown: Shown<Configuration>,
+    last: u64,
+}
+
+impl ConfigurationSource for MemoryConfiguration {
+    async fn next(&mut self, wait_ms: u64) -> Result<Option<Configuration>, SourceError> {
+        let last = self.last;
+        let is_news = |shown: &Option<Configuration>| shown.as_ref().is_none_or(|shown| shown.version > last);
+        let waited = timeout(Duration::from_millis(wait_ms), self.shown.wait_for(is_news)).await;
+        match waited {
+            Ok(Ok(shown)) => {
+                let shown = shown.clone().ok_or_else(away)?;
+                self.last = shown.version;
+                Ok(Some(shown))
+            }
+            Ok(Err(_)) => Err(away()),
+            Err(_) => Ok(None),
+        }
+    }
+}
+
+pub struct MemoryServers(Shown<Vec<ServerRecord>>);
+
+impl ServerSource for MemoryServers {
+    async fn poll(&mut self) -> Result<ServerNews, SourceError> {
+        let records = self.0.borrow().clone().ok_or_else(away)?;
+        Ok(ServerNews {
+            revision: 1,
+            is_whole: true,
+            changes: records.into_iter().map(ServerChange::Announced).collect(),
+        })
+    }
+}
+
+fn away() -> SourceError {
+    SourceError::Unreachable("the stand-in is away".to_owned())
+}
+
+/// The store as all routers of a test see it.
+pub struct Store {
+    pub configuration: watch::Sender<Option<Configuration>>,
+    pub servers: watch::Sender<Option<Vec<ServerRecord>>>,
+}
+
+impl Store {
+    pub fn new(configuration: Option<Configuration>, servers: Option<Vec<ServerRecord>>) -> Self {
+        Self {
+            configuration: watch::Sender::new(configuration),
+            servers: watch::Sender::new(servers),
+        }
+    }
+}
+
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn settings(instance: &str) -> RouterSettings {
+    RouterSettings {
+        instance: instance.to_owned(),
+        failure_domain: "hall-a".to_owned(),
+        listen: ListenAddresses {
+            callers: any_port(),
+            readiness: any_port(),
+            admin: any_port(),
+            peers: any_port(),
+        },
+        readiness_path: "/ready".to_owned(),
+        store: any_port(),
+        seeds: Vec::new(),
+        stop: StopSettings {
+            accept_ms: 3_000,
+            end_ms: 20_000,
+        },
+        dispatch: DispatchSettings {
+            repeat_slack: 1_000.0,
+            ..DispatchSettings::default()
+        },
+        log_lines_per_s: 1_000,
+    }
+}
+
+pub fn start(store: &Store, settings: RouterSettings) -> RunningRouter<NativeProtocol> {
+    let configuration = MemoryConfiguration {
+        shown: store.configuration.subscribe(),
+        last: 0,
+    };
+    let servers = MemoryServers(store.servers.subscribe());
+    RunningRouter::start(settings, NativeProtocol, move || (configuration, servers)).unwrap()
+}
+
+pub fn record(id: &str, service: &str, server: &RoutedStandin) -> ServerRecord {
+    ServerRecord {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        address: server.address(),
+        failure_domain: "hall-a".to_owned(),
+        slots: 64,
+        is_leaving: false,
+    }
+}
+
+pub fn route(prefix: &str, service: &str) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        host: "huts.example".to_owned(),
+        prefix: prefix.to_owned(),
+        repetition: Repetition::Never,
+        answer: AnswerShape::Whole,
+        timeout_ms: 10_000,
+        goal_ms: 5_000,
+        attempts: 2,
+        is_anonymous: false,
+        targets: vec![RouteTarget {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+    }
+}
+
+/// Routes for each kind of request: `/once/`, `/again/`, `/stream/`, `/resume/`, `/open/`.
+pub fn configuration(version: u64) -> Configuration {
+    let again = Route {
+        repetition: Repetition::Allowed,
+        ..route("/again/", "app")
+    };
+    let stream = Route {
+        answer: AnswerShape::Events { resumable: false },
+        ..route("/stream/", "llm")
+    };
+    let resume = Route {
+        answer: AnswerShape::Events { resumable: true },
+        ..route("/resume/", "llm")
+    };
+    let open = Route {
+        is_anonymous: true,
+        ..route("/open/", "app")
+    };
+    Configuration {
+        version,
+        routes: vec![route("/once/", "app"), again, stream, resume, open],
+        services: ["app", "llm"]
+            .map(|name| ServiceDefinition {
+                name: name.to_owned(),
+                connections_max: 100,
+                is_model: name == "llm",
+            })
+            .to_vec(),
+        workspaces: vec![WorkspaceDefinition {
+            name: "labska".to_owned(),
+            keys: vec!["key-1".to_owned(), "key-2".to_owned()],
+        }],
+        ..Configuration::default()
+    }
+}
+
+/// An answer, as far as it came.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// The body ended as the protocol wants it.
+    pub is_whole: bool,
+}
+
+impl Reply {
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap()
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |value| value.to_str().unwrap())
+    }
+}
+
+/// A caller with one connection.
+pub struct Caller {
+    connection: HttpConnection,
+}
+
+impl Caller {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let mut connection = HttpConnection::open(address, 5_000, ByteCounter::default())
+            .await
+            .unwrap();
+        assert!(connection.ready().await);
+        Self { connection }
+    }
+
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Response<Incoming> {
+        assert!(self.connection.ready().await, "the connection is closed");
+        self.connection.send(request).await.unwrap()
+    }
+
+    pub async fn ask(&mut self, path: &str, headers: &[(&str, &str)]) -> Reply {
+        let response = self.send(request(path, headers)).await;
+        read(response).await
+    }
+}
+
+/// Makes a request with a key and an id, and whatever else is given.
+pub fn request(path: &str, headers: &[(&str, &str)]) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("host", "huts.example")
+        .header("authorization", "Bearer key-1")
+        .header("reedsail-request-id", "id-1")
+        .header("reedsail-deadline-ms", "8000");
+    for (name, value) in headers {
+        builder.headers_mut().unwrap().remove(*name);
+        builder = builder.header(*name, *value);
+    }
+    builder.body(Full::new(Bytes::from_static(b"question"))).unwrap()
+}
+
+pub async fn read(response: hyper::Response<Incoming>) -> Reply {
+    let (parts, mut body) = response.into_parts();
+    let (body, is_whole) = read_body(&mut body, None).await;
+    Reply {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+        is_whole,
+    }
+}
+
+/// Reads on until a text has come, or to the end; tells whether the body ended as it should.
+pub async fn read_body(body: &mut Incoming, until: Option<&str>) -> (Bytes, bool) {
+    let mut bytes = Vec::new();
+    let mut is_whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(_) => {
+                is_whole = false;
+                break;
+            }
+        }
+        if until.is_some_and(|text| String::from_utf8_lossy(&bytes).contains(text)) {
+            break;
+        }
+    }
+    (Bytes::from(bytes), is_whole)
+}
+
+/// Asks on a fresh connection.
+pub async fn ask(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Reply {
+    Caller::connect(address).await.ask(path, headers).await
+}
+
+pub async fn is_ready(router: &RunningRouter<NativeProtocol>) -> bool {
+    let mut caller = Caller::connect(router.addresses().readiness).await;
+    caller.ask("/ready", &[]).await.status == StatusCode::OK
+}
+
+pub async fn wait_until_ready(router: &RunningRouter<NativeProtocol>) {
+    wait_for("readiness", async || is_ready(router).await).await;
+}
+
+/// Waits for a state, with a long limit.
+pub async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !holds().await {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    assert!(timeout(LIMIT, waiting).await.is_ok(), "no {what}");
+}
+
+/// One server of each service, with a ready router before them.
+pub struct Site {
+    pub store: Store,
+    pub app: RoutedStandin,
+    pub llm: RoutedStandin,
+    pub router: RunningRouter<NativeProtocol>,
+}
+
+impl Site {
+    pub async fn start() -> Self {
+        let app = RoutedStandin::start().await.unwrap();
+        let llm = RoutedStandin::start().await.unwrap();
+        let records = vec![record("app-1", "app", &app), record("llm-1", "llm", &llm)];
+        let store = Store::new(Some(configuration(1)), Some(records));
+        let router = start(&store, settings("hall-a-1"));
+        wait_until_ready(&router).await;
+        Self {
+            store,
+            app,
+            llm,
+            router,
+        }
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        self.router.addresses().callers
+    }
+
+    /// Adds a second server of a service, and waits until the router may use it.
+    pub async fn add_server(&self, id: &str, service: &str) -> RoutedStandin {
+        let server = RoutedStandin::start().await.unwrap();
+        let added = record(id, service, &server);
+        self.store.servers.send_modify(|records| {
+            records.as_mut().unwrap().push(added);
+        });
+        let admin = self.router.addresses().admin;
+        wait_for("second server", async || {
+            ask(admin, "/servers", &[]).await.text().contains(id)
+        })
+        .await;
+        server
+    }
+}
--- /dev/null
+++ b/crates/reedsail_router/tests/requests.rs
@@ -0,0 +1,254 @@
+//! One request: where it goes, what is told to the server, what comes back.
+
+mod common;
+
+use hyper::StatusCode;
+use reedsail_standin::RoutedAnswer;
+
+use common::Caller;
+use common::Site;
+use common::ask;
+use common::read;
+use common::read_body;
+use common::request;
+use common::wait_for;
+
+#[tokio::test]
+async fn a_request_passes_unchanged_but_for_what_the_router_sets() {
+    let site = Site::start().await;
+    let headers = [
+        ("x-own", "kept"),
+        ("connection", "x-hop"),
+        ("x-hop", "dropped"),
+        ("reedsail-workspace", "forged"),
+    ];
+    let reply = ask(site.callers(), "/once/a%20b?c=d", &headers).await;
+    assert_eq!((reply.status, reply.body.len()), (StatusCode::OK, 10));
+    assert_eq!(reply.header("reedsail-request-id"), "id-1");
+    let runs = site.app.runs();
+    assert_eq!(runs.len(), 1);
+    let run = &runs[0];
+    assert_eq!(run.call, "POST /once/a%20b?c=d");
+    assert_eq!(&run.body[..], b"question");
+    assert_eq!(run.header("x-own"), "kept");
+    assert_eq!(run.header("host"), "huts.example");
+    assert_eq!(run.header("reedsail-request-id"), "id-1");
+    assert_eq!(run.header("reedsail-server"), "app-1");
+    assert_eq!(run.header("reedsail-workspace"), "labska");
+    assert_eq!(run.header("authorization"), "");
+    assert_eq!(run.header("x-hop"), "");
+    let left_ms: u64 = run.header("reedsail-deadline-ms").parse().unwrap();
+    assert!(left_ms <= 8_000, "{left_ms}");
+}
+
+#[tokio::test]
+async fn refusals_name_their_kind_and_reach_no_server() {
+    let site = Site::start().await;
+    let long = "x".repeat(17_000);
+    let cases = [
+        ("/nowhere/", ("x-none", ""), 404, "unknown_route"),
+        ("/once/", ("host", "other.example"), 404, "unknown_route"),
+        ("/once/", ("authorization", "Bearer nobody"), 401, "unknown_key"),
+        ("/once/", ("reedsail-deadline-ms", "soon"), 400, "bad_header"),
+        ("/stream/", ("reedsail-prompt", "zz:1"), 400, "bad_header"),
+        ("/once/", ("x-long", &long), 431, "header_too_large"),
+    ];
+    for (path, header, status, kind) in cases {
+        let reply = ask(site.callers(), path, &[header]).await;
+        assert_eq!(reply.status.as_u16(), status, "{path} {}", header.0);
+        assert!(reply.text().starts_with(kind), "{}", reply.text());
+        assert!(reply.is_whole);
+    }
+    assert!(site.app.runs().is_empty() && site.llm.runs().is_empty());
+}
+
+#[tokio::test]
+async fn a_route_without_keys_takes_any_request() {
+    let site = Site::start().await;
+    let reply = ask(site.callers(), "/open/x", &[("authorization", "Bearer nobody")]).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(site.app.runs()[0].header("reedsail-workspace"), "");
+}
+
+#[tokio::test]
+async fn a_servers_own_failure_is_passed_on_as_it_is() {
+    let site = Site::start().await;
+    let failure = RoutedAnswer::Whole {
+        status: 500,
+        bytes: 7,
+    };
+    site.app.answer_with(&[failure]);
+    let reply = ask(site.callers(), "/once/", &[]).await;
+    assert_eq!((reply.status.as_u16(), reply.body.len()), (500, 7));
+    assert_eq!(site.app.runs().len(), 1);
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_once_is_never_sent_twice() {
+    let site = Site::start().await;
+    let second = site.add_server("app-2", "app").await;
+    for fault in [RoutedAnswer::Broken, RoutedAnswer::WrongId, RoutedAnswer::Short] {
+        site.app.answer_with(&[fault]);
+        second.answer_with(&[fault]);
+        let before = site.app.runs().len() + second.runs().len();
+        let reply = ask(site.callers(), "/once/", &[]).await;
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{fault:?}");
+        let after = site.app.runs().len() + second.runs().len();
+        assert_eq!(after, before + 1, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_again_finds_a_server_that_answers() {
+    let site = Site::start().await;
+    let second = site.add_server("app-2", "app").await;
+    let whole = RoutedAnswer::Whole {
+        status: 200,
+        bytes: 10,
+    };
+    let failure = RoutedAnswer::Whole {
+        status: 503,
+        bytes: 3,
+    };
+    for fault in [
+        RoutedAnswer::Broken,
+        RoutedAnswer::WrongId,
+        RoutedAnswer::Short,
+        failure,
+    ] {
+        for (bad, good) in [(&site.app, &second), (&second, &site.app)] {
+            bad.answer_with(&[fault]);
+            good.answer_with(&[whole]);
+            let reply = ask(site.callers(), "/again/", &[]).await;
+            assert_eq!(
+                (reply.status, reply.body.len()),
+                (StatusCode::OK, 10),
+                "{fault:?}"
+            );
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_server_that_did_not_run_a_request_is_no_reason_to_fail_it() {
+    let site = Site::start().await;
+    let second = site.add_server("app-2", "app").await;
+    site.app.answer_with(&[RoutedAnswer::NotRun]);
+    for _ in 0..10 {
+        assert_eq!(ask(site.callers(), "/once/", &[]).await.status, StatusCode::OK);
+    }
+    // Where nobody runs it, the caller is told so, and when to come back.
+    second.answer_with(&[RoutedAnswer::NotRun]);
+    let reply = ask(site.callers(), "/once/", &[]).await;
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_ne!(reply.header("retry-after"), "");
+}
+
+#[tokio::test]
+async fn a_server_that_is_not_there_is_passed_over() {
+    let site = Site::start().await;
+    let second = site.add_server("app-2", "app").await;
+    second.close();
+    for _ in 0..10 {
+        assert_eq!(ask(site.callers(), "/once/", &[]).await.status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn the_routes_time_out_has_its_own_answer() {
+    let site = Site::start().await;
+    site.store.configuration.send_modify(|shown| {
+        let shown = shown.as_mut().unwrap();
+        shown.version = 2;
+        shown.routes[0].timeout_ms = 200;
+    });
+    wait_for("version 2", async || site.router.configuration_version() == 2).await;
+    site.app.answer_with(&[RoutedAnswer::Silent]);
+    let reply = ask(site.callers(), "/once/", &[]).await;
+    assert_eq!(reply.status, StatusCode::GATEWAY_TIMEOUT);
+    wait_for("cancel", async || site.app.runs()[0].is_cancelled).await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_its_run() {
+    let site = Site::start().await;
+    site.app.answer_with(&[RoutedAnswer::Silent]);
+    let endless = RoutedAnswer::Stream {
+        events: 9,
+        pause_after: Some(2),
+    };
+    site.llm.answer_with(&[endless]);
+    for (path, server) in [
+        ("/again/", &site.app),
+        ("/stream/", &site.llm),
+        ("/resume/", &site.llm),
+    ] {
+        let before = server.runs().len();
+        let mut caller = Caller::connect(site.callers()).await;
+        let asking = tokio::spawn(async move {
+            let response = caller.send(request(path, &[])).await;
+            read(response).await
+        });
+        wait_for("run", async || server.runs().len() > before).await;
+        asking.abort();
+        wait_for("cancel", async || server.runs()[before].is_cancelled).await;
+    }
+}
+
+#[tokio::test]
+async fn a_stream_passes_piece_by_piece_and_a_broken_one_looks_broken() {
+    let site = Site::start().await;
+    let whole = RoutedAnswer::Stream {
+        events: 4,
+        pause_after: None,
+    };
+    let endless = RoutedAnswer::Stream {
+        events: 9,
+        pause_after: Some(2),
+    };
+    site.llm.answer_with(&[whole, endless]);
+    let mut caller = Caller::connect(site.callers()).await;
+    let reply = caller.ask("/stream/", &[]).await;
+    assert!(reply.is_whole);
+    assert_eq!(reply.text().matches("data:").count(), 4);
+    let response = caller.send(request("/stream/", &[])).await;
+    wait_for("second run", async || site.llm.runs().len() == 2).await;
+    site.llm.crash();
+    let reply = read(response).await;
+    assert!(!reply.is_whole);
+}
+
+#[tokio::test]
+async fn a_stream_that_may_be_resumed_goes_on_within_one_answer() {
+    let site = Site::start().await;
+    let second = site.add_server("llm-2", "llm").await;
+    let breaks = RoutedAnswer::Stream {
+        events: 6,
+        pause_after: Some(3),
+    };
+    let whole = RoutedAnswer::Stream {
+        events: 6,
+        pause_after: None,
+    };
+    site.llm.answer_with(&[breaks, whole]);
+    second.answer_with(&[breaks, whole]);
+    let mut caller = Caller::connect(site.callers()).await;
+    let mut body = caller.send(request("/resume/", &[])).await.into_body();
+    let (before, _) = read_body(&mut body, Some("id: 3")).await;
+    let (first, other) = if site.llm.runs().is_empty() {
+        (&second, &site.llm)
+    } else {
+        (&site.llm, &second)
+    };
+    other.answer_with(&[whole]);
+    first.crash();
+    let (after, is_whole) = read_body(&mut body, None).await;
+    assert!(is_whole);
+    let text = String::from_utf8([before, after].concat()).unwrap();
+    let ids: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect();
+    assert_eq!(ids, ["1", "2", "3", "4", "5", "6"]);
+    assert_eq!(other.runs()[0].header("last-event-id"), "3");
+}
--- a/crates/reedsail_standin/src/lib.rs
+++ b/crates/reedsail_standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod platform;
 mod platform_log;
 mod prefix_cache;
+mod routed_server;
 
 pub use engine::EngineConfig;
 pub use engine::EngineFaults;
@@ -24,3 +25,6 @@
 pub use platform::PlatformConfig;
 pub use platform::PlatformFaults;
 pub use platform::PlatformStandin;
+pub use routed_server::RoutedAnswer;
+pub use routed_server::RoutedRun;
+pub use routed_server::RoutedStandin;
--- /dev/null
+++ b/crates/reedsail_standin/src/routed_server.rs
@@ -0,0 +1,270 @@
+//! A backend server of the router: answers as it is told, and records what reached it.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::channel::Channel;
+use http_body_util::channel::Sender;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio::time::sleep;
+
+use crate::StandinError;
+use crate::http_server::Body;
+use crate::http_server::Handler;
+use crate::http_server::HttpServer;
+use crate::http_server::whole;
+
+/// The header that carries a request's id both ways.
+const REQUEST_ID: &str = "reedsail-request-id";
+/// The last event that the caller has.
+const LAST_EVENT: &str = "last-event-id";
+/// How long a stream pauses between two events.
+const EVENT_PAUSE_MS: u64 = 5;
+
+/// How a routed server answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoutedAnswer {
+    /// With a body of so many bytes.
+    Whole {
+        /// The status.
+        status: u16,
+        /// The length of the body.
+        bytes: usize,
+    },
+    /// With a stream of events, numbered from one, or from the one after the caller's last.
+    Stream {
+        /// The number of the last event.
+        events: u32,
+        /// After this event it pauses until the server crashes or the caller leaves.
+        pause_after: Option<u32>,
+    },
+    /// It did not run the request.
+    NotRun,
+    /// With another request's id.
+    WrongId,
+    /// With a body that is shorter than announced.
+    Short,
+    /// The connection breaks.
+    Broken,
+    /// Never.
+    Silent,
+}
+
+/// A request that reached a routed server.
+#[derive(Clone, Debug)]
+pub struct RoutedRun {
+    /// Method and path with query.
+    pub call: String,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The caller left before the answer's end.
+    pub is_cancelled: bool,
+}
+
+impl RoutedRun {
+    /// Returns a header as text; empty if it is not there.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default()
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    script: Vec<RoutedAnswer>,
+    runs: Vec<RoutedRun>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct RoutedHandler(Arc<Mutex<State>>);
+
+/// A running routed server.
+#[derive(Debug)]
+pub struct RoutedStandin {
+    server: HttpServer,
+    handler: RoutedHandler,
+}
+
+impl RoutedStandin {
+    /// Starts a server on a free loopback port; it answers with 200 and 10 bytes.
+    ///
+    /// # Errors
+    /// The system's, when no port is to be had.
+    pub async fn start() -> std::io::Result<Self> {
+        let handler = RoutedHandler::default();
+        let server = HttpServer::start(handler.clone()).await?;
+        Ok(Self { server, handler })
+    }
+
+    /// Returns where the server takes requests.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Sets the next answers, in order; the last one is given to all later requests too.
+    pub fn answer_with(&self, script: &[RoutedAnswer]) {
+        self.handler.lock().script = script.to_vec();
+    }
+
+    /// Returns every request that reached the server, in order.
+    pub fn runs(&self) -> Vec<RoutedRun> {
+        self.handler.lock().runs.clone()
+    }
+
+    /// Breaks every open connection.
+    pub fn crash(&self) {
+        self.server.break_connections();
+    }
+
+    /// Stops the server.
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+impl RoutedHandler {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record(&self, run: RoutedRun) -> (usize, RoutedAnswer) {
+        let mut state = self.lock();
+        state.runs.push(run);
+        let answer = match state.script.len() {
+            0 => RoutedAnswer::Whole {
+                status: 200,
+                bytes: 10,
+            },
+            1 => state.script[0],
+            _ => state.script.remove(0),
+        };
+        (state.runs.len() - 1, answer)
+    }
+}
+
+/// Marks its run as cancelled unless it is closed.
+struct RunMark {
+    handler: RoutedHandler,
+    index: usize,
+    is_over: bool,
+}
+
+impl Drop for RunMark {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.handler.lock().runs[self.index].is_cancelled = true;
+        }
+    }
+}
+
+impl Handler for RoutedHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, StandinError> {
+        let call = format!("{} {}", request.method(), request.uri());
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.map_err(|_| StandinError)?.to_bytes();
+        let id = parts.headers.get(REQUEST_ID).cloned();
+        let last_event = parts.headers.get(LAST_EVENT).cloned();
+        let (index, answer) = self.record(RoutedRun {
+            call,
+            headers: parts.headers,
+            body,
+            is_cancelled: false,
+        });
+        let mut mark = RunMark {
+            handler: self.clone(),
+            index,
+            is_over: false,
+        };
+        let mut response = match answer {
+            RoutedAnswer::Whole { status, bytes } => {
+                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+                whole(status, vec![b'x'; bytes])
+            }
+            RoutedAnswer::Stream { events, pause_after } => {
+                let first = last_event
+                    .and_then(|event| event.to_str().ok()?.parse::<u32>().ok())
+                    .map_or(1, |event| event + 1);
+                let (sender, body) = Channel::new(1);
+                tokio::spawn(send_events(sender, first, events, pause_after, mark));
+                let mut response = Response::new(Either::Right(body));
+                if let Some(id) = id {
+                    response.headers_mut().insert(REQUEST_ID, id);
+                }
+                return Ok(response);
+            }
+            RoutedAnswer::NotRun => {
+                let mut response = whole(StatusCode::SERVICE_UNAVAILABLE, "");
+                let not_run = "not_run".parse().expect("a valid header value");
+                response.headers_mut().insert("reedsail-ran", not_run);
+                response
+            }
+            RoutedAnswer::WrongId => {
+                let mut response = whole(StatusCode::OK, "another's");
+                let other = "another".parse().expect("a valid header value");
+                response.headers_mut().insert(REQUEST_ID, other);
+                mark.is_over = true;
+                return Ok(response);
+            }
+            RoutedAnswer::Short => {
+                let mut response = whole(StatusCode::OK, "xxxx");
+                // hyper breaks the connection when the body ends early.
+                let length = "4000".parse().expect("a valid header value");
+                response.headers_mut().insert("content-length", length);
+                response
+            }
+            RoutedAnswer::Broken => {
+                mark.is_over = true;
+                return Err(StandinError);
+            }
+            RoutedAnswer::Silent => {
+                std::future::pending::<()>().await;
+                return Err(StandinError);
+            }
+        };
+        if let Some(id) = id {
+            response.headers_mut().insert(REQUEST_ID, id);
+        }
+        mark.is_over = true;
+        Ok(response)
+    }
+}
+
+async fn send_events(
+    mut sender: Sender<Bytes, Infallible>,
+    first: u32,
+    events: u32,
+    pause_after: Option<u32>,
+    mut mark: RunMark,
+) {
+    for number in first..=events {
+        let event = Bytes::from(format!("id: {number}\ndata: token {number}\n\n"));
+        if sender.send_data(event).await.is_err() {
+            return;
+        }
+        if pause_after == Some(number) {
+            // An event without an id tells whether anybody still listens.
+            loop {
+                sleep(Duration::from_millis(EVENT_PAUSE_MS)).await;
+                if sender.send_data(Bytes::from_static(b": wait\n\n")).await.is_err() {
+                    return;
+                }
+            }
+        }
+        sleep(Duration::from_millis(EVENT_PAUSE_MS)).await;
+    }
+    mark.is_over = true;
+}
--- /dev/null
+++ b/crates/reedsail_wire/tests/load_message.rs
@@ -0,0 +1,92 @@
+//! Load messages: what is written is read, and nothing read does harm.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::proptest;
+use reedsail_core::NameHash;
+use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::ServerLoadRow;
+use reedsail_dispatch::WorkspaceUseRow;
+use reedsail_wire::LoadMessage;
+use reedsail_wire::MemberRow;
+
+fn message(rows: u32, cost: f32) -> LoadMessage {
+    LoadMessage {
+        instance: NameHash(1),
+        incarnation: 2,
+        sequence: 3,
+        failure_domain: NameHash(4),
+        configuration_version: 5,
+        configuration_age_ms: 6,
+        servers_revision: 7,
+        servers_age_ms: 8,
+        is_stopping: true,
+        load: LoadReport {
+            servers: (0..rows)
+                .map(|row| ServerLoadRow {
+                    server: NameHash(row),
+                    running: row as u16,
+                    failure_rate: row as u8,
+                    unread_tokens: row * 1_000,
+                })
+                .collect(),
+            workspaces: (0..rows)
+                .map(|row| WorkspaceUseRow {
+                    workspace: NameHash(row),
+                    asked_cost: cost,
+                    begun_cost: cost / 2.0,
+                })
+                .collect(),
+        },
+        leaving: (0..rows).map(NameHash).collect(),
+        members: (0..rows)
+            .map(|row| MemberRow {
+                instance: NameHash(row),
+                address: SocketAddrV4::new(Ipv4Addr::from(row), row as u16),
+            })
+            .collect(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn what_is_encoded_is_decoded(rows in 0_u32..200, cost in 0.0_f32..1e9) {
+        let sent = message(rows, cost);
+        let read = LoadMessage::decode(&sent.encode().unwrap()).unwrap();
+        assert_eq!(read, sent);
+    }
+
+    #[test]
+    fn bytes_of_any_kind_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        // Either outcome will do; what must not happen is a panic or an endless read.
+        let _ = LoadMessage::decode(&bytes);
+    }
+
+    #[test]
+    fn a_damaged_message_is_read_or_refused(at in 0_usize..400, value in any::<u8>()) {
+        let mut bytes = message(20, 5.0).encode().unwrap();
+        let index = at % bytes.len();
+        bytes[index] = value;
+        let _ = LoadMessage::decode(&bytes);
+    }
+}
+
+#[test]
+fn a_cost_that_is_no_amount_counts_as_nothing() {
+    for cost in [f32::NAN, f32::INFINITY, -5.0] {
+        let read = LoadMessage::decode(&message(1, cost).encode().unwrap()).unwrap();
+        assert!(read.load.workspaces[0].asked_cost.abs() < f32::EPSILON);
+    }
+}
+
+#[test]
+fn a_list_longer_than_any_daemon_sends_is_refused() {
+    let bytes = message(5_000, 1.0).encode().unwrap();
+    assert!(LoadMessage::decode(&bytes).is_err());
+}
