Believe a dropped record once a peer's list has ended the trouble; do not read twice

A daemon that had left reading to another since an outage at 12.6 s read by itself at 29.5 s, from its old place in the log: it met old announcements and a drop that was news, and held the drop for the outage's doing. Also, a peer that is stopping was forgotten and met anew with each of its messages, each time with a round of messages out of turn.

--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -16,6 +16,8 @@
 /// How long after the first read that follows trouble a dropped record may be the trouble's doing:
 /// about as long as a server takes to announce itself again.
 const AFTER_TROUBLE_MS: u64 = 1_300;
+/// A peer that read the store so lately tells that the trouble is over.
+const FRESH_MS: u64 = 1_000;
 /// How long a peer's word that a server leaves counts.
 const PEER_WORD_MS: u64 = 5_000;
 /// How long this daemon tells others of a server that has left.
@@ -104,6 +106,8 @@
         if listing.revision < self.revision || listing.records.is_empty() {
             return delta;
         }
+        // Whoever gave the list has judged what the trouble did to it.
+        self.is_troubled = false;
         self.revision = listing.revision;
         self.known_at = self.known_at.max(Some(moment_before(now, listing.age_ms)));
         let known: Vec<String> = listing.records.iter().map(|record| record.id.clone()).collect();
@@ -121,6 +125,9 @@
     pub fn hear_peer(&mut self, revision: u64, age_ms: u64, leaving: &[NameHash], now: TimeMs) -> PeerView {
         if revision <= self.revision {
             self.known_at = self.known_at.max(Some(moment_before(now, age_ms)));
+            if age_ms < FRESH_MS {
+                self.is_troubled = false;
+            }
             return PeerView::NothingNew;
         }
         let mut is_news = false;
--- a/crates/reedsail_dispatch/tests/server_list.rs
+++ b/crates/reedsail_dispatch/tests/server_list.rs
@@ -104,6 +104,30 @@
     assert_eq!(delta.unlisted, ["one"]);
 }
 
+#[test]
+fn trouble_ends_with_a_peers_list_as_with_a_read() {
+    let mut list = list();
+    let mut peer = list.clone();
+    list.note_trouble();
+    let back = TimeMs(6_000);
+    peer.apply(news(12, false, vec![announced("three")]), back, back);
+    list.apply_listing(peer.listing(back), back);
+    // Long after, this daemon reads the store by itself again.
+    let later = TimeMs(20_000);
+    let delta = list.apply(news(13, false, vec![dropped("one")]), later, later);
+    assert_eq!(delta.unlisted, ["one"]);
+}
+
+#[test]
+fn trouble_ends_with_a_peers_fresh_word_that_nothing_has_changed() {
+    let mut list = list();
+    list.note_trouble();
+    list.hear_peer(10, 50, &[], TimeMs(6_000));
+    let later = TimeMs(20_000);
+    let delta = list.apply(news(13, false, vec![dropped("one")]), later, later);
+    assert_eq!(delta.unlisted, ["one"]);
+}
+
 #[test]
 fn an_unreadable_record_changes_nothing_else() {
     let mut list = list();
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -397,9 +397,6 @@
         if view == PeerView::Leaving {
             self.publish_servers(now);
         }
-        if message.is_stopping {
-            self.members.remove(message.instance);
-        }
         self.shared
             .dispatcher()
             .hear_peer(message.instance, message.load, now);
@@ -424,10 +421,12 @@
 }
 
 impl<H: HeaderProtocol> Handler<MayRead> for Control<H> {
-    type Return = bool;
+    /// The revision of the servers' list, if the store may be read.
+    type Return = Option<u64>;
 
-    async fn handle(&mut self, asked: MayRead, _: &mut Context<Self>) -> bool {
-        self.may_read(asked.0, self.shared.clock.now())
+    async fn handle(&mut self, asked: MayRead, _: &mut Context<Self>) -> Option<u64> {
+        let may_read = self.may_read(asked.0, self.shared.clock.now());
+        may_read.then(|| self.servers.revision())
     }
 }
 
--- a/crates/reedsail_router/src/control/follow.rs
+++ b/crates/reedsail_router/src/control/follow.rs
@@ -100,9 +100,9 @@
 ) {
     let mut pause = Pause::new();
     loop {
-        wait_for_duty(&control, Source::Servers).await;
+        let known_revision = wait_for_duty(&control, Source::Servers).await;
         let asked_at = clock.now();
-        let outcome = timeout(Duration::from_millis(ANSWER_MS), source.poll()).await;
+        let outcome = timeout(Duration::from_millis(ANSWER_MS), source.poll(known_revision)).await;
         let outcome =
             outcome.unwrap_or_else(|_| Err(SourceError::Unreachable("no answer in time".to_owned())));
         let fault = match outcome {
@@ -120,10 +120,15 @@
     }
 }
 
-/// Waits until this daemon is the one that reads the store.
-async fn wait_for_duty<H: HeaderProtocol>(control: &Address<Control<H>>, source: Source) {
-    while let Ok(false) = control.send(MayRead(source)).await {
-        sleep(Duration::from_millis(DUTY_EVERY_MS)).await;
+/// Waits until this daemon is the one that reads the store; returns how much of the servers' list it
+/// has learned from peers.
+async fn wait_for_duty<H: HeaderProtocol>(control: &Address<Control<H>>, source: Source) -> u64 {
+    loop {
+        match control.send(MayRead(source)).await {
+            Ok(Some(known_revision)) => return known_revision,
+            // The actor ends only with the daemon.
+            Ok(None) | Err(_) => sleep(Duration::from_millis(DUTY_EVERY_MS)).await,
+        }
     }
 }
 
--- a/crates/reedsail_router/src/control/member_table.rs
+++ b/crates/reedsail_router/src/control/member_table.rs
@@ -31,6 +31,7 @@
     pub(crate) failure_domain: NameHash,
     pub(crate) configuration_version: u64,
     pub(crate) servers_revision: u64,
+    pub(crate) is_stopping: bool,
     told_at: TimeMs,
 }
 
@@ -86,6 +87,7 @@
             failure_domain: message.failure_domain,
             configuration_version: message.configuration_version,
             servers_revision: message.servers_revision,
+            is_stopping: message.is_stopping,
             told_at,
         };
         self.members.insert(message.instance, member);
@@ -102,15 +104,11 @@
             failure_domain: NameHash::default(),
             configuration_version: 0,
             servers_revision: 0,
+            is_stopping: false,
             told_at: TimeMs(0),
         });
     }
 
-    /// Forgets a daemon that said it is stopping.
-    pub(crate) fn remove(&mut self, instance: NameHash) {
-        self.members.remove(&instance);
-    }
-
     /// Returns the daemons that went silent since the last call, and forgets those long silent.
     pub(crate) fn drop_silent(&mut self, now: TimeMs) -> Vec<NameHash> {
         self.members
@@ -169,6 +167,7 @@
     pub(crate) fn is_first_of_domain(&self, own: NameHash, domain: NameHash, now: TimeMs) -> bool {
         !self.members.iter().any(|(instance, member)| {
             member.is_heard
+                && !member.is_stopping
                 && member.failure_domain == domain
                 && now.since_ms(member.heard_at) < READER_SILENT_MS
                 && *instance < own
--- a/crates/reedsail_router/src/source.rs
+++ b/crates/reedsail_router/src/source.rs
@@ -27,6 +27,7 @@
 
 /// Follows the list of backend servers.
 pub trait ServerSource: 'static {
-    /// Returns at once what has changed since the last call.
-    fn poll(&mut self) -> impl Future<Output = Result<ServerNews, SourceError>>;
+    /// Returns at once what has changed since the last call, or since `known_revision` if that is
+    /// later: what lies before it was learned from a peer.
+    fn poll(&mut self, known_revision: u64) -> impl Future<Output = Result<ServerNews, SourceError>>;
 }
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -44,7 +44,7 @@
 /// What a source shows; `None` while the store is out of reach.
 type Shown<T> = watch::Receiver<Option<T>>;
 
-pub struct MemoryConfiguration {
+pub(crate) struct MemoryConfiguration {
     shown: Shown<Configuration>,
     last: u64,
 }
@@ -66,10 +66,10 @@
     }
 }
 
-pub struct MemoryServers(Shown<Vec<ServerRecord>>);
+pub(crate) struct MemoryServers(Shown<Vec<ServerRecord>>);
 
 impl ServerSource for MemoryServers {
-    async fn poll(&mut self) -> Result<ServerNews, SourceError> {
+    async fn poll(&mut self, _: u64) -> Result<ServerNews, SourceError> {
         let records = self.0.borrow().clone().ok_or_else(away)?;
         Ok(ServerNews {
             revision: 1,
@@ -84,13 +84,13 @@
 }
 
 /// The store as all routers of a test see it.
-pub struct Store {
-    pub configuration: watch::Sender<Option<Configuration>>,
-    pub servers: watch::Sender<Option<Vec<ServerRecord>>>,
+pub(crate) struct Store {
+    pub(crate) configuration: watch::Sender<Option<Configuration>>,
+    pub(crate) servers: watch::Sender<Option<Vec<ServerRecord>>>,
 }
 
 impl Store {
-    pub fn new(configuration: Option<Configuration>, servers: Option<Vec<ServerRecord>>) -> Self {
+    pub(crate) fn new(configuration: Option<Configuration>, servers: Option<Vec<ServerRecord>>) -> Self {
         Self {
             configuration: watch::Sender::new(configuration),
             servers: watch::Sender::new(servers),
@@ -98,11 +98,11 @@
     }
 }
 
-pub fn any_port() -> SocketAddr {
+pub(crate) fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-pub fn settings(instance: &str) -> RouterSettings {
+pub(crate) fn settings(instance: &str) -> RouterSettings {
     RouterSettings {
         instance: instance.to_owned(),
         failure_domain: "hall-a".to_owned(),
@@ -127,7 +127,7 @@
     }
 }
 
-pub fn start(store: &Store, settings: RouterSettings) -> RunningRouter<NativeProtocol> {
+pub(crate) fn start(store: &Store, settings: RouterSettings) -> RunningRouter<NativeProtocol> {
     let configuration = MemoryConfiguration {
         shown: store.configuration.subscribe(),
         last: 0,
@@ -136,7 +136,7 @@
     RunningRouter::start(settings, NativeProtocol, move || (configuration, servers)).unwrap()
 }
 
-pub fn record(id: &str, service: &str, server: &RoutedStandin) -> ServerRecord {
+pub(crate) fn record(id: &str, service: &str, server: &RoutedStandin) -> ServerRecord {
     ServerRecord {
         id: id.to_owned(),
         service: service.to_owned(),
@@ -147,7 +147,7 @@
     }
 }
 
-pub fn route(prefix: &str, service: &str) -> Route {
+pub(crate) fn route(prefix: &str, service: &str) -> Route {
     Route {
         name: prefix.trim_matches('/').to_owned(),
         host: "huts.example".to_owned(),
@@ -166,7 +166,7 @@
 }
 
 /// Routes for each kind of request: `/once/`, `/again/`, `/stream/`, `/resume/`, `/open/`.
-pub fn configuration(version: u64) -> Configuration {
+pub(crate) fn configuration(version: u64) -> Configuration {
     let again = Route {
         repetition: Repetition::Allowed,
         ..route("/again/", "app")
@@ -203,31 +203,31 @@
 
 /// An answer, as far as it came.
 #[derive(Debug)]
-pub struct Reply {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    pub body: Bytes,
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
     /// The body ended as the protocol wants it.
-    pub is_whole: bool,
+    pub(crate) is_whole: bool,
 }
 
 impl Reply {
-    pub fn text(&self) -> &str {
+    pub(crate) fn text(&self) -> &str {
         std::str::from_utf8(&self.body).unwrap()
     }
 
-    pub fn header(&self, name: &str) -> &str {
+    pub(crate) fn header(&self, name: &str) -> &str {
         self.headers.get(name).map_or("", |value| value.to_str().unwrap())
     }
 }
 
 /// A caller with one connection.
-pub struct Caller {
+pub(crate) struct Caller {
     connection: HttpConnection,
 }
 
 impl Caller {
-    pub async fn connect(address: SocketAddr) -> Self {
+    pub(crate) async fn connect(address: SocketAddr) -> Self {
         let mut connection = HttpConnection::open(address, 5_000, ByteCounter::default())
             .await
             .unwrap();
@@ -235,19 +235,19 @@
         Self { connection }
     }
 
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Response<Incoming> {
+    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Response<Incoming> {
         assert!(self.connection.ready().await, "the connection is closed");
         self.connection.send(request).await.unwrap()
     }
 
-    pub async fn ask(&mut self, path: &str, headers: &[(&str, &str)]) -> Reply {
+    pub(crate) async fn ask(&mut self, path: &str, headers: &[(&str, &str)]) -> Reply {
         let response = self.send(request(path, headers)).await;
         read(response).await
     }
 }
 
 /// Makes a request with a key and an id, and whatever else is given.
-pub fn request(path: &str, headers: &[(&str, &str)]) -> Request<Full<Bytes>> {
+pub(crate) fn request(path: &str, headers: &[(&str, &str)]) -> Request<Full<Bytes>> {
     let mut builder = Request::builder()
         .method("POST")
         .uri(path)
@@ -262,7 +262,7 @@
     builder.body(Full::new(Bytes::from_static(b"question"))).unwrap()
 }
 
-pub async fn read(response: hyper::Response<Incoming>) -> Reply {
+pub(crate) async fn read(response: hyper::Response<Incoming>) -> Reply {
     let (parts, mut body) = response.into_parts();
     let (body, is_whole) = read_body(&mut body, None).await;
     Reply {
@@ -274,17 +274,15 @@
 }
 
 /// Reads on until a text has come, or to the end; tells whether the body ended as it should.
-pub async fn read_body(body: &mut Incoming, until: Option<&str>) -> (Bytes, bool) {
+pub(crate) async fn read_body(body: &mut Incoming, until: Option<&str>) -> (Bytes, bool) {
     let mut bytes = Vec::new();
     let mut is_whole = true;
     while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
-            Err(_) => {
-                is_whole = false;
-                break;
-            }
-        }
+        let Ok(frame) = frame else {
+            is_whole = false;
+            break;
+        };
+        bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
         if until.is_some_and(|text| String::from_utf8_lossy(&bytes).contains(text)) {
             break;
         }
@@ -293,21 +291,21 @@
 }
 
 /// Asks on a fresh connection.
-pub async fn ask(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Reply {
+pub(crate) async fn ask(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Reply {
     Caller::connect(address).await.ask(path, headers).await
 }
 
-pub async fn is_ready(router: &RunningRouter<NativeProtocol>) -> bool {
+pub(crate) async fn is_ready(router: &RunningRouter<NativeProtocol>) -> bool {
     let mut caller = Caller::connect(router.addresses().readiness).await;
     caller.ask("/ready", &[]).await.status == StatusCode::OK
 }
 
-pub async fn wait_until_ready(router: &RunningRouter<NativeProtocol>) {
+pub(crate) async fn wait_until_ready(router: &RunningRouter<NativeProtocol>) {
     wait_for("readiness", async || is_ready(router).await).await;
 }
 
 /// Waits for a state, with a long limit.
-pub async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+pub(crate) async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let waiting = async {
         while !holds().await {
             sleep(Duration::from_millis(10)).await;
@@ -317,15 +315,15 @@
 }
 
 /// One server of each service, with a ready router before them.
-pub struct Site {
-    pub store: Store,
-    pub app: RoutedStandin,
-    pub llm: RoutedStandin,
-    pub router: RunningRouter<NativeProtocol>,
+pub(crate) struct Site {
+    pub(crate) store: Store,
+    pub(crate) app: RoutedStandin,
+    pub(crate) llm: RoutedStandin,
+    pub(crate) router: RunningRouter<NativeProtocol>,
 }
 
 impl Site {
-    pub async fn start() -> Self {
+    pub(crate) async fn start() -> Self {
         let app = RoutedStandin::start().await.unwrap();
         let llm = RoutedStandin::start().await.unwrap();
         let records = vec![record("app-1", "app", &app), record("llm-1", "llm", &llm)];
@@ -340,12 +338,12 @@
         }
     }
 
-    pub fn callers(&self) -> SocketAddr {
+    pub(crate) fn callers(&self) -> SocketAddr {
         self.router.addresses().callers
     }
 
     /// Adds a second server of a service, and waits until the router may use it.
-    pub async fn add_server(&self, id: &str, service: &str) -> RoutedStandin {
+    pub(crate) async fn add_server(&self, id: &str, service: &str) -> RoutedStandin {
         let server = RoutedStandin::start().await.unwrap();
         let added = record(id, service, &server);
         self.store.servers.send_modify(|records| {
