Write the design note, the router's page and the table of rules

Change: docs/design/PLATFORM.md, docs/ROUTER.md (kept in step with the code by two tests), docs/RULES-KEPT.md.

--- a/crates/reedsail_bench/tests/docs.rs
+++ b/crates/reedsail_bench/tests/docs.rs
@@ -158,3 +158,46 @@
         assert!(page.contains(&format!("`{name}`")), "{name} is missing");
     }
 }
+
+/// Returns the first cells of the tables that follow a heading of the router's page.
+fn router_rows(heading: &str, header: &str) -> BTreeSet<String> {
+    let page = read("docs/ROUTER.md");
+    let part = page.split(heading).nth(1).unwrap_or_default();
+    let part = part.split("\n## ").next().unwrap_or_default();
+    table_rows(part)
+        .into_iter()
+        .map(|row| row[0].clone())
+        .filter(|name| name != header)
+        .collect()
+}
+
+#[test]
+fn the_routers_page_names_what_it_shows() {
+    let code = read("crates/reedsail_router/src/metrics.rs");
+    let known: BTreeSet<String> = code
+        .split('"')
+        .filter(|text| text.starts_with("reedsail_router_"))
+        .map(ToOwned::to_owned)
+        .collect();
+    assert_eq!(router_rows("## Metrics", "name"), known);
+}
+
+#[test]
+fn the_routers_page_names_every_setting() {
+    let code = read("crates/reedsail_router/src/settings.rs");
+    let code = code.split_whitespace().collect::<Vec<_>>().join(" ");
+    let mut known = BTreeSet::new();
+    for marker in ["required(\"", "optional(\"", "&mut map, \""] {
+        for part in code.split(marker).skip(1) {
+            known.extend(part.split('"').next().map(ToOwned::to_owned));
+        }
+    }
+    for section in ["listen", "stop", "dispatch"] {
+        known.remove(section);
+    }
+    let named: BTreeSet<String> = router_rows("## Settings", "key")
+        .into_iter()
+        .map(|key| key.rsplit('.').next().unwrap_or_default().to_owned())
+        .collect();
+    assert_eq!(named, known);
+}
