--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Returns the parts that other requests share; all but the last, or the only one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        match self.parts.as_slice() {
+            [] | [_] => &self.parts,
+            [shared @ .., _] => shared,
+        }
+    }
+
     /// Returns the cost in tokens: one for each token read, two for each that may be made.
     pub fn cost(&self) -> f64 {
         f64::from(self.tokens()) + 2.0 * f64::from(self.output_tokens)
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -12,6 +12,8 @@
 use crate::DispatchSettings;
 use crate::LoadReport;
 use crate::Placement;
+use crate::Prompt;
+use crate::PromptPart;
 use crate::RepeatWindow;
 use crate::Run;
 use crate::RunOutcome;
@@ -30,6 +32,8 @@
 const SPREAD_MS: f64 = 250.0;
 /// The same where the other server keeps the prompt's shared part already.
 const SPREAD_KEPT_MS: f64 = 100.0;
+/// What copying a prompt's shared parts takes, in milliseconds.
+const COPY_MS: f64 = 40.0;
 /// The part of the goal within which an answer is expected to begin, or the request is refused.
 const GOAL_PART: f64 = 0.8;
 /// The part of the goal for which a server may be busy with other requests, if the workspace has had
@@ -92,8 +96,8 @@
     }
 
     /// Takes over the list of backend servers.
-    pub fn set_servers(&mut self, setups: &[ServerSetup], now: TimeMs) {
-        self.servers.configure(setups, now);
+    pub fn set_servers(&mut self, setups: &[ServerSetup]) {
+        self.servers.configure(setups);
         self.peers.recount(&mut self.servers);
     }
 
@@ -156,10 +160,9 @@
         let load = &mut self.servers.get_mut(placement.server).own;
         load.running += 1;
         load.unread_tokens += u64::from(placement.unread_tokens);
-        if let Some(prompt) = demand.prompt {
-            for part in &prompt.parts {
-                self.prefixes.record(part.id, placement.server, now);
-            }
+        let name = self.servers.get(placement.server).setup.name;
+        for part in demand.prompt.map_or(&[][..], Prompt::shared_parts) {
+            self.prefixes.record(part.id, placement.server, name, now);
         }
         let overdue_ms = (OVERDUE_FACTOR * placement.expected_ms).max(OVERDUE_MIN_MS);
         self.unanswered
@@ -235,6 +238,11 @@
     /// Takes in a peer's report.
     pub fn hear_peer(&mut self, peer: NameHash, report: LoadReport, now: TimeMs) {
         let valid_until = now.plus_ms(self.settings.report_valid_ms);
+        for row in &report.parts {
+            if let Some(server) = self.servers.key(row.server) {
+                self.prefixes.hear(row.part, server, now);
+            }
+        }
         self.peers
             .hear(peer, report, valid_until, &mut self.servers, &mut self.usage, now);
     }
@@ -249,6 +257,7 @@
         LoadReport {
             servers: self.servers.report(now),
             workspaces: self.usage.report(now),
+            parts: self.prefixes.report(),
         }
     }
 
@@ -319,52 +328,70 @@
         let mut ranked: Vec<ServerKey> = usable.to_vec();
         self.rank(&mut ranked, part.id);
         ranked.truncate(PART_SERVERS_MAX);
-        let own_tokens = prompt.own_tokens();
-        let score = |key: &ServerKey| {
-            let server = self.servers.get(*key);
-            let spread_ms = match (*key == ranked[0], self.prefixes.has(part.id, *key, now)) {
-                (true, _) => 0.0,
-                (false, true) => SPREAD_KEPT_MS,
-                (false, false) => SPREAD_MS,
-            };
-            estimate::engine_ms(server, own_tokens, rate)
-                + spread_ms
-                + self.failure_ms(*key, demand.goal_ms, now)
+        let candidates: Vec<(Placement, f64)> = ranked
+            .iter()
+            .map(|key| {
+                let placement = self.place_prompt(prompt, part, *key, rate, now);
+                let spread_ms = match (*key == ranked[0], self.prefixes.has(part.id, *key, now)) {
+                    (true, _) => 0.0,
+                    (false, true) => SPREAD_KEPT_MS,
+                    (false, false) => SPREAD_MS,
+                };
+                let failure_ms = self.failure_ms(*key, demand.goal_ms, now);
+                (placement, placement.expected_ms as f64 + spread_ms + failure_ms)
+            })
+            .collect();
+        candidates
+            .into_iter()
+            .min_by(|(_, left), (_, right)| left.total_cmp(right))
+            .map(|(placement, _)| placement)
+    }
+
+    /// Works out what sending a prompt to a server would take.
+    fn place_prompt(
+        &self,
+        prompt: &Prompt,
+        last_shared: PromptPart,
+        key: ServerKey,
+        rate: ReadRate,
+        now: TimeMs,
+    ) -> Placement {
+        let server = self.servers.get(key);
+        let copy_from = self.copy_source(last_shared.id, key, now);
+        let (unread_tokens, copy_ms) = match copy_from {
+            Some(_) => (prompt.own_tokens(), COPY_MS),
+            None => (self.unread_tokens(prompt, key, now), 0.0),
         };
-        let server = min_by_score(&ranked, score)?;
-        let copy_from = self.copy_source(demand.service, part.id, server, now);
-        Some(Placement {
-            server,
+        Placement {
+            server: key,
             copy_from,
-            unread_tokens: own_tokens,
-            expected_ms: estimate::engine_ms(self.servers.get(server), own_tokens, rate) as u64,
-            queue_ms: estimate::engine_queue_ms(self.servers.get(server), rate) as u64,
-        })
+            unread_tokens,
+            expected_ms: (estimate::engine_ms(server, prompt.own_tokens(), rate) + copy_ms) as u64,
+            queue_ms: estimate::engine_queue_ms(server, rate) as u64,
+        }
+    }
+
+    /// Returns how much of a prompt a server has to read: its own part, and the shared ones from the
+    /// first that the server is not known to keep.
+    fn unread_tokens(&self, prompt: &Prompt, server: ServerKey, now: TimeMs) -> u32 {
+        let kept: u32 = prompt
+            .shared_parts()
+            .iter()
+            .take_while(|part| self.prefixes.has(part.id, server, now))
+            .map(|part| part.tokens)
+            .sum();
+        prompt.tokens().saturating_sub(kept).max(1)
     }
 
     /// Returns a server that is likely to keep what the chosen one is likely to lack.
-    fn copy_source(&self, service: NameHash, part: u64, chosen: ServerKey, now: TimeMs) -> Option<ServerKey> {
+    fn copy_source(&self, part: u64, chosen: ServerKey, now: TimeMs) -> Option<ServerKey> {
         if self.prefixes.has(part, chosen, now) {
             return None;
         }
-        let is_source = |key: &ServerKey| {
+        self.prefixes.holders(part, now).find(|key| {
             let server = self.servers.get(*key);
             *key != chosen && server.is_listed && server.is_reachable(now)
-        };
-        if let Some(holder) = self.prefixes.holders(part, now).find(is_source) {
-            return Some(holder);
-        }
-        let mut listed: Vec<ServerKey> = self.servers.of_service(service).to_vec();
-        self.rank(&mut listed, part);
-        if listed.first() != Some(&chosen) {
-            return listed.first().copied().filter(is_source);
-        }
-        // A server that came later than the others has taken the part over from the next in rank.
-        let came_later = self.servers.get(chosen).listed_at > TimeMs(0);
-        listed
-            .get(1)
-            .copied()
-            .filter(|next| came_later && is_source(next))
+        })
     }
 
     fn rank(&self, servers: &mut [ServerKey], part: u64) {
@@ -391,7 +418,7 @@
 }
 
 fn cost_of(demand: &Demand<'_>) -> f64 {
-    demand.prompt.map_or(1.0, crate::Prompt::cost)
+    demand.prompt.map_or(1.0, Prompt::cost)
 }
 
 fn min_by_score(servers: &[ServerKey], score: impl Fn(&ServerKey) -> f64) -> Option<ServerKey> {
--- a/crates/reedsail_dispatch/src/load_report.rs
+++ b/crates/reedsail_dispatch/src/load_report.rs
@@ -26,6 +26,15 @@
     pub begun_cost: f32,
 }
 
+/// A prompt part that was sent to a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PartRow {
+    /// The hash of the part's identity.
+    pub part: u32,
+    /// The server.
+    pub server: NameHash,
+}
+
 /// A daemon's load; each report replaces the one before it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LoadReport {
@@ -33,4 +42,6 @@
     pub servers: Vec<ServerLoadRow>,
     /// Use by workspace; a workspace that is not named has none.
     pub workspaces: Vec<WorkspaceUseRow>,
+    /// Prompt parts that were lately sent to a server for the first time, or again after a while.
+    pub parts: Vec<PartRow>,
 }
--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -4,6 +4,7 @@
 
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
+use twox_hash::XxHash64;
 
 use crate::ServerChange;
 use crate::ServerListing;
@@ -50,6 +51,19 @@
     }
 }
 
+/// What a peer says of its own list.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerWord<'a> {
+    /// The place in the store's log up to which it is known.
+    pub revision: u64,
+    /// The digest of the list.
+    pub digest: u64,
+    /// How long ago it was known to be the newest, in milliseconds.
+    pub age_ms: u64,
+    /// Servers that are leaving or gone.
+    pub leaving: &'a [NameHash],
+}
+
 /// What a peer's word of its list means for this daemon's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerView {
@@ -69,6 +83,7 @@
     departures: HashMap<NameHash, TimeMs>,
     /// Servers that peers say are leaving, and until when that counts.
     peer_words: HashMap<NameHash, TimeMs>,
+    digest: u64,
     /// When this list, at its revision, was known to be the newest.
     known_at: Option<TimeMs>,
     revision: u64,
@@ -120,18 +135,20 @@
         delta
     }
 
-    /// Takes in what a peer says of its own list. A list of the same revision is as fresh as the
-    /// peer's; of one that is newer, the servers that are leaving are believed before it is fetched.
-    pub fn hear_peer(&mut self, revision: u64, age_ms: u64, leaving: &[NameHash], now: TimeMs) -> PeerView {
-        if revision <= self.revision {
-            self.known_at = self.known_at.max(Some(moment_before(now, age_ms)));
-            if age_ms < FRESH_MS {
+    /// Takes in what a peer says of its own list. The same list, or one of the same revision, is as
+    /// fresh as the peer's; of one that is newer, the servers that are leaving are believed before it
+    /// is fetched.
+    pub fn hear_peer(&mut self, word: &PeerWord<'_>, now: TimeMs) -> PeerView {
+        if word.revision <= self.revision || word.digest == self.digest() {
+            self.revision = self.revision.max(word.revision);
+            self.known_at = self.known_at.max(Some(moment_before(now, word.age_ms)));
+            if word.age_ms < FRESH_MS {
                 self.is_troubled = false;
             }
             return PeerView::NothingNew;
         }
         let mut is_news = false;
-        for server in leaving {
+        for server in word.leaving {
             let until = now.plus_ms(PEER_WORD_MS);
             is_news |= self.peer_words.insert(*server, until).is_none();
         }
@@ -194,6 +211,11 @@
         }
     }
 
+    /// Returns a digest of the list, the same on every daemon that has the same list.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Returns the place in the store's log up to which the list is known.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -230,7 +252,11 @@
             record,
             doubted_until: None,
         };
+        self.digest = self.digest.wrapping_add(record_digest(&entry.record));
         let before = self.entries.insert(id.clone(), entry);
+        if let Some(before) = &before {
+            self.digest = self.digest.wrapping_sub(record_digest(&before.record));
+        }
         if before.is_none() {
             delta.listed.push(id);
         }
@@ -271,7 +297,8 @@
     }
 
     fn remove(&mut self, id: &str, now: TimeMs, delta: &mut ListDelta) {
-        if self.entries.remove(id).is_some() {
+        if let Some(entry) = self.entries.remove(id) {
+            self.digest = self.digest.wrapping_sub(record_digest(&entry.record));
             self.tell_departure(id, now);
             delta.unlisted.push(id.to_owned());
         }
@@ -286,3 +313,12 @@
 fn moment_before(now: TimeMs, age_ms: u64) -> TimeMs {
     TimeMs(now.0.saturating_sub(age_ms))
 }
+
+/// Digests one record; sums of these do not depend on the order of the records.
+fn record_digest(record: &ServerRecord) -> u64 {
+    let text = format!(
+        "{}\n{}\n{}\n{}\n{}\n{}",
+        record.id, record.service, record.address, record.failure_domain, record.slots, record.is_leaving
+    );
+    XxHash64::oneshot(0, text.as_bytes())
+}
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -14,8 +14,6 @@
 const UNREACHABLE_MS: u64 = 1_500;
 /// How much a peer's word of failures counts beside this daemon's own experience.
 const PEER_FAILURE_PART: f64 = 0.7;
-/// Servers listed within this time of the first ones are as old as those.
-const FIRST_LIST_MS: u64 = 3_000;
 
 /// A backend server as the service discovery describes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,8 +48,6 @@
     /// The highest failure rate that a peer reported, and until when it counts.
     peer_failures: (f64, TimeMs),
     unreachable_until: TimeMs,
-    /// Zero for the servers of the first list.
-    pub(crate) listed_at: TimeMs,
     /// Moving average of actual against expected time to the answer.
     pub(crate) slowness: f64,
     /// Moving average of the time that a request without a prompt takes.
@@ -59,7 +55,7 @@
 }
 
 impl ServerState {
-    fn new(setup: ServerSetup, listed_at: TimeMs) -> Self {
+    fn new(setup: ServerSetup) -> Self {
         Self {
             setup,
             is_listed: true,
@@ -68,7 +64,6 @@
             failures: FailureRate::default(),
             peer_failures: (0.0, TimeMs(0)),
             unreachable_until: TimeMs(0),
-            listed_at,
             slowness: 1.0,
             mean_ms: 0.0,
         }
@@ -119,18 +114,11 @@
     servers: Vec<ServerState>,
     by_name: HashMap<NameHash, ServerKey>,
     by_service: HashMap<NameHash, Vec<ServerKey>>,
-    first_list_at: Option<TimeMs>,
 }
 
 impl ServerTable {
     /// Takes over what discovery says now; servers that it no longer names get no new work.
-    pub(crate) fn configure(&mut self, setups: &[ServerSetup], now: TimeMs) {
-        if setups.is_empty() && self.servers.is_empty() {
-            return;
-        }
-        let first_list_at = *self.first_list_at.get_or_insert(now);
-        let is_first = now.since_ms(first_list_at) < FIRST_LIST_MS;
-        let listed_at = if is_first { TimeMs(0) } else { now };
+    pub(crate) fn configure(&mut self, setups: &[ServerSetup]) {
         for server in &mut self.servers {
             server.is_listed = false;
         }
@@ -142,7 +130,7 @@
                 continue;
             }
             let key = ServerKey::from_index(self.servers.len());
-            self.servers.push(ServerState::new(*setup, listed_at));
+            self.servers.push(ServerState::new(*setup));
             self.by_name.insert(setup.name, key);
         }
         self.index_services();
--- a/crates/reedsail_dispatch/tests/placement.rs
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -34,7 +34,7 @@
 
 fn dispatcher(servers: &[ServerSetup]) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("hall-0"));
-    dispatcher.set_servers(servers, START);
+    dispatcher.set_servers(servers);
     dispatcher
 }
 
@@ -72,6 +72,38 @@
     }
 }
 
+/// Serves one request to its end.
+fn serve(dispatcher: &mut Dispatcher, prompt: &Prompt, now: TimeMs) -> Placement {
+    let demand = demand("labska", prompt);
+    let placement = placed(dispatcher.decide(&demand, now));
+    let mut run = dispatcher.begin(&demand, &placement, now);
+    dispatcher.note_answer(&mut run, now.plus_ms(placement.expected_ms));
+    dispatcher.finish(run, RunOutcome::Answered, now.plus_ms(900));
+    placement
+}
+
+#[test]
+fn what_a_peer_sent_to_a_server_need_not_be_read_there_again() {
+    let mut one = dispatcher(&engines(9));
+    let mut other = dispatcher(&engines(9));
+    let prompt = prompt(7, 1_000);
+    let cold = serve(&mut one, &prompt, START);
+    assert_eq!((cold.unread_tokens, cold.copy_from), (14_000, None));
+    other.hear_peer(NameHash::of("one"), one.report(START), START);
+    let warm = placed(other.decide(&demand("labska", &prompt), START));
+    assert_eq!((warm.server, warm.unread_tokens), (cold.server, 1_000));
+    // A row stands in two reports, in case one is lost, and again only after a while of use.
+    assert_eq!(one.report(START).parts.len(), 1);
+    assert!(one.report(START).parts.is_empty());
+    serve(&mut one, &prompt, START.plus_ms(1_000));
+    assert!(one.report(START.plus_ms(1_000)).parts.is_empty());
+    serve(&mut one, &prompt, START.plus_ms(6_000));
+    assert_eq!(one.report(START.plus_ms(6_000)).parts.len(), 1);
+    // Nobody keeps a part for ever.
+    let late = placed(other.decide(&demand("labska", &prompt), START.plus_ms(60_000)));
+    assert_eq!(late.unread_tokens, 14_000);
+}
+
 #[test]
 fn every_daemon_sends_a_prompt_part_to_the_same_server() {
     let mut one = dispatcher(&engines(9));
@@ -159,7 +191,7 @@
     };
     let report = LoadReport {
         servers: vec![row],
-        workspaces: Vec::new(),
+        ..LoadReport::default()
     };
     dispatcher.hear_peer(NameHash::of("daemon-2"), report.clone(), START);
     // A report replaces the one before it.
@@ -185,10 +217,10 @@
     };
     let report = LoadReport {
         servers: vec![row],
-        workspaces: Vec::new(),
+        ..LoadReport::default()
     };
     dispatcher.hear_peer(NameHash::of("daemon-2"), report, START);
-    dispatcher.set_servers(&engines(2), START);
+    dispatcher.set_servers(&engines(2));
     let key = dispatcher.server_key(engine(1).name).unwrap();
     assert_eq!(dispatcher.running(key), (0, 5));
     dispatcher.forget_peer(NameHash::of("daemon-2"));
@@ -199,23 +231,23 @@
 fn servers_that_leave_or_are_gone_get_nothing() {
     let prompt = prompt(7, 1_000);
     let mut dispatcher = dispatcher(&engines(3));
-    let first = placed(dispatcher.decide(&demand("labska", &prompt), START)).server;
+    let first = serve(&mut dispatcher, &prompt, START).server;
     let mut servers = engines(3);
     let position = servers
         .iter()
         .position(|server| dispatcher.server_key(server.name) == Some(first))
         .unwrap();
     servers[position].is_leaving = true;
-    dispatcher.set_servers(&servers, START);
+    dispatcher.set_servers(&servers);
     let second = placed(dispatcher.decide(&demand("labska", &prompt), START));
     assert_ne!(second.server, first);
     // A server that is leaving still gives what it keeps.
     assert_eq!(second.copy_from, Some(first));
     servers.remove(position);
-    dispatcher.set_servers(&servers, START);
+    dispatcher.set_servers(&servers);
     let third = placed(dispatcher.decide(&demand("labska", &prompt), START));
     assert_eq!((third.server, third.copy_from), (second.server, None));
-    dispatcher.set_servers(&[], START);
+    dispatcher.set_servers(&[]);
     let none = dispatcher.decide(&demand("labska", &prompt), START);
     assert!(matches!(
         none,
@@ -268,9 +300,11 @@
 #[test]
 fn a_server_that_comes_later_copies_from_the_one_it_relieves() {
     let mut dispatcher = dispatcher(&engines(4));
-    let later = START.plus_ms(20_000);
-    let mut servers = engines(5);
-    dispatcher.set_servers(&servers, later);
+    for shared in 0..100 {
+        serve(&mut dispatcher, &prompt(shared, 1_000), START);
+    }
+    let later = START.plus_ms(10_000);
+    dispatcher.set_servers(&engines(5));
     let newcomer = dispatcher.server_key(engine(4).name).unwrap();
     let taken_over = (0..100)
         .map(|shared| prompt(shared, 1_000))
@@ -283,7 +317,6 @@
         copies.len() > 5 && copies.iter().all(|copies| *copies),
         "{copies:?}"
     );
-    servers.clear();
 }
 
 #[test]
--- a/crates/reedsail_dispatch/tests/server_list.rs
+++ b/crates/reedsail_dispatch/tests/server_list.rs
@@ -5,6 +5,7 @@
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::PeerView;
+use reedsail_dispatch::PeerWord;
 use reedsail_dispatch::ServerChange;
 use reedsail_dispatch::ServerList;
 use reedsail_dispatch::ServerNews;
@@ -41,6 +42,16 @@
     }
 }
 
+/// A peer's word of a list that differs from any of these tests.
+fn word(revision: u64, age_ms: u64, leaving: &[NameHash]) -> PeerWord<'_> {
+    PeerWord {
+        revision,
+        digest: 0,
+        age_ms,
+        leaving,
+    }
+}
+
 /// A list that knows two servers, read at 1,000 ms.
 fn list() -> ServerList {
     let mut list = ServerList::default();
@@ -122,7 +133,7 @@
 fn trouble_ends_with_a_peers_fresh_word_that_nothing_has_changed() {
     let mut list = list();
     list.note_trouble();
-    list.hear_peer(10, 50, &[], TimeMs(6_000));
+    list.hear_peer(&word(10, 50, &[]), TimeMs(6_000));
     let later = TimeMs(20_000);
     let delta = list.apply(news(13, false, vec![dropped("one")]), later, later);
     assert_eq!(delta.unlisted, ["one"]);
@@ -145,10 +156,13 @@
 fn a_peer_that_knows_more_is_believed_before_its_list_is_fetched() {
     let mut list = list();
     let now = TimeMs(2_000);
-    let word = [NameHash::of("one")];
-    assert_eq!(list.hear_peer(11, 40, &word, now), PeerView::Leaving);
+    let leaving_one = [NameHash::of("one")];
+    assert_eq!(
+        list.hear_peer(&word(11, 40, &leaving_one), now),
+        PeerView::Leaving
+    );
     assert_eq!(ids(&list, now), ["two"]);
-    assert_eq!(list.hear_peer(11, 40, &word, now), PeerView::Newer);
+    assert_eq!(list.hear_peer(&word(11, 40, &leaving_one), now), PeerView::Newer);
     let mut peer = list.clone();
     peer.apply(news(11, false, vec![leaving("one")]), now, now);
     let delta = list.apply_listing(peer.listing(now), now);
@@ -161,7 +175,7 @@
     let mut list = list();
     let now = TimeMs(2_000);
     assert_eq!(
-        list.hear_peer(9, 0, &[NameHash::of("one")], now),
+        list.hear_peer(&word(9, 0, &[NameHash::of("one")]), now),
         PeerView::NothingNew
     );
     assert_eq!(ids(&list, now), ["one", "two"]);
@@ -175,12 +189,38 @@
     let mut list = list();
     let now = TimeMs(9_000);
     assert_eq!(list.age_ms(now), 8_000);
-    list.hear_peer(10, 300, &[], now);
+    list.hear_peer(&word(10, 300, &[]), now);
     assert_eq!(list.age_ms(now), 300);
-    list.hear_peer(10, 5_000, &[], now);
+    list.hear_peer(&word(10, 5_000, &[]), now);
     assert_eq!(list.age_ms(now), 300);
 }
 
+#[test]
+fn the_same_list_at_a_later_revision_need_not_be_fetched() {
+    let mut list = list();
+    let now = TimeMs(9_000);
+    let mut peer = list.clone();
+    // Announcements that change nothing move the revision only.
+    peer.apply(
+        news(30, false, vec![announced("two"), announced("one")]),
+        now,
+        now,
+    );
+    let word = PeerWord {
+        revision: peer.revision(),
+        digest: peer.digest(),
+        age_ms: 100,
+        leaving: &[],
+    };
+    assert_eq!(list.hear_peer(&word, now), PeerView::NothingNew);
+    assert_eq!((list.revision(), list.age_ms(now)), (30, 100));
+    peer.apply(news(31, false, vec![leaving("one")]), now, now);
+    assert_ne!(peer.digest(), list.digest());
+    peer.apply(news(32, false, vec![dropped("one")]), now, now);
+    peer.apply(news(33, false, vec![announced("one")]), now, now);
+    assert_eq!(peer.digest(), list.digest());
+}
+
 #[test]
 fn departures_are_told_for_a_while_only() {
     let mut list = list();
--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -106,7 +106,7 @@
 /// parts of each that were sent, and the kinds of refusal of the large one.
 fn serve_both(peer_use: Option<&LoadReport>) -> (f64, f64, Vec<ErrorKind>) {
     let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("hall"));
-    dispatcher.set_servers(&[engine(0)], TimeMs(1_000));
+    dispatcher.set_servers(&[engine(0)]);
     let mut now = TimeMs(1_000);
     let mut running = Vec::new();
     let mut sent = [0.0, 0.0];
@@ -170,8 +170,8 @@
         begun_cost: cost,
     };
     let report = LoadReport {
-        servers: Vec::new(),
         workspaces: vec![use_elsewhere("small", 2_000_000.0)],
+        ..LoadReport::default()
     };
     let (_, small, _) = serve_both(Some(&report));
     let (_, small_alone, _) = serve_both(None);
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -9,6 +9,7 @@
 use reedsail_core::TimeMs;
 use reedsail_dispatch::ListDelta;
 use reedsail_dispatch::PeerView;
+use reedsail_dispatch::PeerWord;
 use reedsail_dispatch::ServerList;
 use reedsail_dispatch::ServerListing;
 use reedsail_dispatch::ServerNews;
@@ -38,7 +39,7 @@
 /// The shortest time between two rounds of messages.
 const ROUND_MS: u64 = 100;
 /// With many daemons, rounds are this much further apart for each of them.
-const ROUND_PER_MEMBER_MS: u64 = 8;
+const ROUND_PER_MEMBER_MS: u64 = 4;
 
 /// The state of the control thread.
 pub(crate) struct Control<H> {
@@ -172,7 +173,7 @@
             })
             .collect();
         let mut dispatcher = self.shared.dispatcher();
-        dispatcher.set_servers(&setups, now);
+        dispatcher.set_servers(&setups);
         let views: HashMap<_, _> = records
             .into_iter()
             .filter_map(|record| {
@@ -247,6 +248,7 @@
             configuration_version: self.shared.routes.load().version(),
             configuration_age_ms: self.configuration_age_ms(now).min(u64::from(u32::MAX)) as u32,
             servers_revision: self.servers.revision(),
+            servers_digest: self.servers.digest(),
             servers_age_ms: self.servers.age_ms(now).min(u64::from(u32::MAX)) as u32,
             is_stopping: self.shared.lifecycle.is_stopping(),
             load: self.shared.dispatcher().report(now),
@@ -390,10 +392,13 @@
             }
         }
         self.hear_configuration_age(&message, now);
-        let age_ms = u64::from(message.servers_age_ms);
-        let view = self
-            .servers
-            .hear_peer(message.servers_revision, age_ms, &message.leaving, now);
+        let word = PeerWord {
+            revision: message.servers_revision,
+            digest: message.servers_digest,
+            age_ms: u64::from(message.servers_age_ms),
+            leaving: &message.leaving,
+        };
+        let view = self.servers.hear_peer(&word, now);
         if view == PeerView::Leaving {
             self.publish_servers(now);
         }
--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -24,6 +24,9 @@
   configurationAgeMs @11 :UInt32;
   # The place in the store's log up to which the list of backend servers is known.
   serversRevision @12 :UInt64;
+  parts @13 :List(PartRow);
+  # Of the list of backend servers, whatever the order: daemons with the same digest have the same list.
+  serversDigest @14 :UInt64;
 }
 
 struct ServerLoadRow {
@@ -47,3 +50,9 @@
   ipv4 @1 :UInt32;
   port @2 :UInt16;
 }
+
+struct PartRow {
+  # A prompt part that was sent to a backend server, by the hash of its identity.
+  part @0 :UInt32;
+  server @1 :UInt32;
+}
--- a/crates/reedsail_wire/src/load_capnp.rs
+++ b/crates/reedsail_wire/src/load_capnp.rs
@@ -190,6 +190,23 @@
         pub fn get_servers_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(5)
         }
+        #[inline]
+        pub fn get_parts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::load_capnp::part_row::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_servers_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
+        }
     }
 
     pub struct Builder<'a> {
@@ -197,7 +214,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 6, pointers: 4 };
+            ::capnp::private::layout::StructSize { data: 7, pointers: 5 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -467,6 +484,45 @@
         pub fn set_servers_revision(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(5, value);
         }
+        #[inline]
+        pub fn get_parts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::load_capnp::part_row::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_parts(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::load_capnp::part_row::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(4),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_parts(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::load_capnp::part_row::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_servers_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn set_servers_digest(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(6, value);
+        }
     }
 
     pub struct Pipeline {
@@ -479,115 +535,129 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 240] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 275] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(128, 202, 174, 37, 220, 213, 194, 191),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
             ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 224, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -720,6 +790,27 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 118, 86, 204, 117, 236, 158, 193),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 115, 68),
+            ::capnp::word(105, 103, 101, 115, 116, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -736,6 +827,8 @@
                 10 => <::capnp::struct_list::Owned<crate::load_capnp::member_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::struct_list::Owned<crate::load_capnp::part_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -754,9 +847,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[11, 4, 3, 1, 0, 9, 10, 2, 7, 5, 12, 6, 8];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[11, 4, 3, 1, 0, 9, 10, 13, 2, 7, 5, 14, 12, 6, 8];
         pub(crate) const TYPE_ID: u64 = 0xbfc2_d5dc_25ae_ca80;
     }
 }
@@ -1765,3 +1858,298 @@
         pub(crate) const TYPE_ID: u64 = 0x997f_cf40_2656_1620;
     }
 }
+
+pub mod part_row {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_server(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_part(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_server(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_server(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(103, 118, 86, 204, 117, 236, 158, 193),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 82),
+            ::capnp::word(111, 119, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xc19e_ec75_cc56_7667;
+    }
+}
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -8,6 +8,7 @@
 use capnp::serialize_packed;
 use reedsail_core::NameHash;
 use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::PartRow;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::WorkspaceUseRow;
 
@@ -44,6 +45,8 @@
     pub configuration_age_ms: u32,
     /// The place in the store's log up to which the sender knows the backend servers.
     pub servers_revision: u64,
+    /// The digest of the sender's list of backend servers.
+    pub servers_digest: u64,
     /// How old the sender's list of backend servers is, in milliseconds.
     pub servers_age_ms: u32,
     /// The sender is stopping.
@@ -71,6 +74,7 @@
         root.set_configuration_version(self.configuration_version);
         root.set_configuration_age_ms(self.configuration_age_ms);
         root.set_servers_revision(self.servers_revision);
+        root.set_servers_digest(self.servers_digest);
         root.set_servers_age_ms(self.servers_age_ms);
         root.set_stopping(self.is_stopping);
         let mut servers = root.reborrow().init_servers(self.load.servers.len() as u32);
@@ -88,6 +92,12 @@
             target.set_asked_cost(row.asked_cost);
             target.set_begun_cost(row.begun_cost);
         }
+        let mut parts = root.reborrow().init_parts(self.load.parts.len() as u32);
+        for (index, row) in (0..).zip(&self.load.parts) {
+            let mut target = parts.reborrow().get(index);
+            target.set_part(row.part);
+            target.set_server(row.server.0);
+        }
         let mut leaving = root.reborrow().init_leaving(self.leaving.len() as u32);
         for (index, server) in (0..).zip(&self.leaving) {
             leaving.set(index, server.0);
@@ -117,7 +127,14 @@
         let workspaces = root.get_workspaces()?;
         let leaving = root.get_leaving()?;
         let members = root.get_members()?;
-        for rows in [servers.len(), workspaces.len(), leaving.len(), members.len()] {
+        let parts = root.get_parts()?;
+        for rows in [
+            servers.len(),
+            workspaces.len(),
+            leaving.len(),
+            members.len(),
+            parts.len(),
+        ] {
             if rows > ROWS_MAX {
                 return Err(capnp::Error::failed(format!(
                     "a load message has {rows} rows; at most {ROWS_MAX} are read"
@@ -132,6 +149,7 @@
             configuration_version: root.get_configuration_version(),
             configuration_age_ms: root.get_configuration_age_ms(),
             servers_revision: root.get_servers_revision(),
+            servers_digest: root.get_servers_digest(),
             servers_age_ms: root.get_servers_age_ms(),
             is_stopping: root.get_stopping(),
             load: LoadReport {
@@ -152,6 +170,13 @@
                         begun_cost: bounded(row.get_begun_cost()),
                     })
                     .collect(),
+                parts: parts
+                    .iter()
+                    .map(|row| PartRow {
+                        part: row.get_part(),
+                        server: NameHash(row.get_server()),
+                    })
+                    .collect(),
             },
             leaving: leaving.iter().map(NameHash).collect(),
             members: members
--- a/crates/reedsail_wire/tests/load_message.rs
+++ b/crates/reedsail_wire/tests/load_message.rs
@@ -9,6 +9,7 @@
 use proptest::proptest;
 use reedsail_core::NameHash;
 use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::PartRow;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::WorkspaceUseRow;
 use reedsail_wire::LoadMessage;
@@ -23,6 +24,7 @@
         configuration_version: 5,
         configuration_age_ms: 6,
         servers_revision: 7,
+        servers_digest: 9,
         servers_age_ms: 8,
         is_stopping: true,
         load: LoadReport {
@@ -41,6 +43,12 @@
                     begun_cost: cost / 2.0,
                 })
                 .collect(),
+            parts: (0..rows)
+                .map(|row| PartRow {
+                    part: row,
+                    server: NameHash(row),
+                })
+                .collect(),
         },
         leaving: (0..rows).map(NameHash).collect(),
         members: (0..rows)
