--- a/crates/reedsail_router/src/running.rs
+++ b/crates/reedsail_router/src/running.rs
@@ -155,10 +155,10 @@
         let shared = &self.shared;
         let stop = shared.settings.stop;
         let now = shared.clock.now();
-        shared.lifecycle.begin_stop(now, now.plus_ms(stop.accept_ms));
-        shared.emit(EventKind::StopBegun, &[]);
         let accept_until = now.plus_ms(stop.accept_ms);
         let end_at = now.plus_ms(stop.end_ms);
+        shared.lifecycle.begin_stop(now, accept_until, end_at);
+        shared.emit(EventKind::StopBegun, &[]);
         let finished = loop {
             let now = shared.clock.now();
             let open = shared.metrics.open_requests.get();
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -28,7 +28,6 @@
 use crate::CallHead;
 use crate::HeaderProtocol;
 use crate::Route;
-use crate::lifecycle::Phase;
 use crate::route_table::Identity;
 use crate::route_table::RouteTable;
 use crate::route_table::WorkspaceEntry;
@@ -100,9 +99,6 @@
         .read_call(&parts.headers)
         .map_err(|_| ErrorKind::BadHeader)?;
     let body = read_body(body, limits.body_bytes_max).await?;
-    if shared.lifecycle.phase(shared.clock.now()) == Phase::Closing {
-        return Err(ErrorKind::Stopping);
-    }
     let routes = shared.routes.load_full();
     if routes.version() == 0 {
         return Err(ErrorKind::NotReady);
@@ -118,6 +114,10 @@
     parts.headers.remove(CONTENT_LENGTH);
     parts.headers.remove(EXPECT);
     let deadline_ms = head.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS);
+    let deadline = arrived_at.plus_ms(deadline_ms.min(route.timeout_ms));
+    if !shared.lifecycle.takes_request(deadline, shared.clock.now()) {
+        return Err(ErrorKind::Stopping);
+    }
     Ok(Call {
         id: request_id(head.request_id),
         service: NameHash::of(&service_name),
@@ -130,7 +130,7 @@
         headers: parts.headers,
         body,
         arrived_at,
-        deadline: arrived_at.plus_ms(deadline_ms.min(route.timeout_ms)),
+        deadline,
         route,
     })
 }
--- a/crates/reedsail_router/tests/beliefs.rs
+++ b/crates/reedsail_router/tests/beliefs.rs
@@ -154,3 +154,32 @@
     assert_eq!(reply.text().matches("data:").count(), 150);
     assert!(stopping.await.unwrap(), "every request was finished");
 }
+
+#[tokio::test]
+async fn late_in_a_stop_only_requests_that_end_in_time_are_taken() {
+    let site = Site::start_with(|settings| settings.stop.end_ms = 15_000).await;
+    let endless = RoutedAnswer::Stream {
+        events: 9,
+        pause_after: Some(2),
+    };
+    site.llm.answer_with(&[endless]);
+    let callers = site.callers();
+    let mut streaming = Caller::connect(callers).await;
+    let long = [("reedsail-deadline-ms", "60000")];
+    let open = streaming.send(request("/stream/", &long)).await;
+    let stopping = tokio::spawn(site.router.close());
+    // The stream keeps the router from ending once new requests are no longer taken.
+    wait_for("refusal", async || {
+        ask(callers, "/open/", &long).await.text().starts_with("stopping")
+    })
+    .await;
+    let short = [("reedsail-deadline-ms", "500")];
+    let reply = ask(callers, "/once/", &short).await;
+    assert_eq!(
+        (reply.status, reply.header("connection")),
+        (StatusCode::OK, "close")
+    );
+    drop(open);
+    drop(streaming);
+    assert!(stopping.await.unwrap());
+}
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -324,11 +324,18 @@
 
 impl Site {
     pub(crate) async fn start() -> Self {
+        Self::start_with(|_| {}).await
+    }
+
+    /// Starts with settings that differ from the usual ones.
+    pub(crate) async fn start_with(change: impl FnOnce(&mut RouterSettings)) -> Self {
         let app = RoutedStandin::start().await.unwrap();
         let llm = RoutedStandin::start().await.unwrap();
         let records = vec![record("app-1", "app", &app), record("llm-1", "llm", &llm)];
         let store = Store::new(Some(configuration(1)), Some(records));
-        let router = start(&store, settings("hall-a-1"));
+        let mut settings = settings("hall-a-1");
+        change(&mut settings);
+        let router = start(&store, settings);
         wait_until_ready(&router).await;
         Self {
             store,
