Bound the requests that are open by the memory that a process may use

Change: memory_mb in the settings; beyond four open requests for each megabyte a request is refused as not run before its body is read (too_many_open, 503).

--- a/crates/reedsail_router/src/settings.rs
+++ b/crates/reedsail_router/src/settings.rs
@@ -11,6 +11,12 @@
 /// The longest span that a setting may name: a day.
 const SPAN_MAX_MS: u64 = 86_400_000;
 
+/// How much memory a process takes for granted that is not told.
+const MEMORY_DEFAULT_MB: u64 = 1_024;
+/// How many requests may be open for each megabyte: one takes about 80 kB with its two connections,
+/// and a third of the memory is theirs.
+const OPEN_REQUESTS_PER_MB: u64 = 4;
+
 /// Everything that a router is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouterSettings {
@@ -30,6 +36,8 @@
     pub stop: StopSettings,
     /// Figures of the decisions.
     pub dispatch: DispatchSettings,
+    /// How much memory the process may use, in megabytes of a million bytes.
+    pub memory_mb: u64,
     /// The most events of one kind that are logged in a second.
     pub log_lines_per_s: u32,
 }
@@ -66,6 +74,11 @@
 }
 
 impl RouterSettings {
+    /// Returns how many requests may be open at once.
+    pub fn open_requests_max(&self) -> u64 {
+        self.memory_mb * OPEN_REQUESTS_PER_MB
+    }
+
     /// Reads and checks settings.
     ///
     /// # Errors
@@ -91,6 +104,9 @@
             let log_lines_per_s = top
                 .optional("log_lines_per_s")
                 .map_or(Some(50), |value| value.number(1..=100_000));
+            let memory_mb = top
+                .optional("memory_mb")
+                .map_or(Some(MEMORY_DEFAULT_MB), |value| value.number(32..=1_000_000));
             Some(Self {
                 instance: instance?,
                 failure_domain: failure_domain?,
@@ -100,6 +116,7 @@
                 seeds,
                 stop: stop?,
                 dispatch: dispatch?,
+                memory_mb: memory_mb?,
                 log_lines_per_s: log_lines_per_s?,
             })
         })
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -89,6 +89,9 @@
     request: Request<Incoming>,
     arrived_at: TimeMs,
 ) -> Result<Call, ErrorKind> {
+    if shared.metrics.open_requests.get() as u64 > shared.settings.open_requests_max() {
+        return Err(ErrorKind::TooManyOpen);
+    }
     let limits = shared.routes.load().configuration.limits;
     let (mut parts, body) = request.into_parts();
     if header_bytes(&parts) > limits.header_bytes_max {
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -123,6 +123,7 @@
             repeat_slack: 1_000.0,
             ..DispatchSettings::default()
         },
+        memory_mb: 1_024,
         log_lines_per_s: 1_000,
     }
 }
--- a/crates/reedsail_router/tests/requests.rs
+++ b/crates/reedsail_router/tests/requests.rs
@@ -252,3 +252,28 @@
     assert_eq!(ids, ["1", "2", "3", "4", "5", "6"]);
     assert_eq!(other.runs()[0].header("last-event-id"), "3");
 }
+
+#[tokio::test]
+async fn more_requests_than_memory_allows_are_refused_as_not_run() {
+    let site = Site::start_with(|settings| settings.memory_mb = 1).await;
+    site.app.answer_with(&[RoutedAnswer::Silent]);
+    let callers = site.callers();
+    let waiting: Vec<_> = (0..4)
+        .map(|_| tokio::spawn(async move { ask(callers, "/once/", &[]).await }))
+        .collect();
+    wait_for("four runs", async || site.app.runs().len() == 4).await;
+    let reply = ask(callers, "/once/", &[]).await;
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(reply.text().starts_with("too_many_open"), "{}", reply.text());
+    for asking in waiting {
+        asking.abort();
+    }
+    site.app.answer_with(&[RoutedAnswer::Whole {
+        status: 200,
+        bytes: 10,
+    }]);
+    wait_for("room", async || {
+        ask(callers, "/once/", &[]).await.status == StatusCode::OK
+    })
+    .await;
+}
