--- a/crates/reedsail_core/src/error_kind.rs
+++ b/crates/reedsail_core/src/error_kind.rs
@@ -138,9 +138,9 @@
     /// The daemon has no bundle in force yet.
     NotReady = "not_ready", 503, NotRun, Some(1_000),
         "this daemon has no bundle in force yet; retry on another";
-    /// The daemon has as many requests open as its memory allows.
-    TooManyOpen = "too_many_open", 503, NotRun, Some(500),
-        "this daemon has as many requests open as its memory allows; retry on another";
+    /// The daemon has as many requests open as its memory allows, or more to do than its processor.
+    DaemonOverloaded = "daemon_overloaded", 503, NotRun, Some(500),
+        "this daemon has more requests than its memory or processor can take; retry on another";
     /// The daemon is stopping.
     Stopping = "stopping", 503, NotRun, Some(500),
         "this daemon is stopping; retry on another";
--- a/crates/reedsail_router/src/lib.rs
+++ b/crates/reedsail_router/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod configuration;
 mod control;
+mod lag;
 mod lifecycle;
 mod metrics;
 mod native_protocol;
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -15,6 +15,7 @@
 use reedsail_net::Clock;
 
 use crate::RouterSettings;
+use crate::lag::Lag;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::route_table::RouteTable;
@@ -35,6 +36,7 @@
     pub(crate) events: EventLog,
     pub(crate) metrics: Metrics,
     pub(crate) lifecycle: Lifecycle,
+    pub(crate) lag: Lag,
     pub(crate) routes: ArcSwap<RouteTable>,
     pub(crate) servers: ArcSwap<HashMap<ServerKey, ServerView>>,
     dispatcher: Mutex<Dispatcher>,
@@ -51,6 +53,7 @@
             clock: Clock::default(),
             metrics: Metrics::new(),
             lifecycle: Lifecycle::default(),
+            lag: Lag::default(),
             routes: ArcSwap::default(),
             servers: ArcSwap::default(),
         }
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -89,8 +89,9 @@
     request: Request<Incoming>,
     arrived_at: TimeMs,
 ) -> Result<Call, ErrorKind> {
-    if shared.metrics.open_requests.get() as u64 > shared.settings.open_requests_max() {
-        return Err(ErrorKind::TooManyOpen);
+    let open_requests = shared.metrics.open_requests.get() as u64;
+    if open_requests > shared.settings.open_requests_max() || shared.lag.is_overloaded() {
+        return Err(ErrorKind::DaemonOverloaded);
     }
     let limits = shared.routes.load().configuration.limits;
     let (mut parts, body) = request.into_parts();
--- a/crates/reedsail_router/src/traffic/thread.rs
+++ b/crates/reedsail_router/src/traffic/thread.rs
@@ -37,6 +37,8 @@
     let listener = TcpListener::from_std(thread.listener)?;
     let shared = thread.shared;
     let pool = Arc::new(Pool::default());
+    let measured = Arc::clone(&shared);
+    tokio::spawn(async move { measured.lag.measure(measured.clock).await });
     tokio::spawn(tidy_pool(Arc::clone(&shared), Arc::clone(&pool)));
     loop {
         match listener.accept().await {
