--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -97,8 +97,8 @@
 /// A source answered, or did not.
 pub(crate) struct SourceHeard {
     pub(crate) source: Source,
-    /// When it was asked.
-    pub(crate) asked_at: TimeMs,
+    /// Up to when the answer tells what there was.
+    pub(crate) known_at: TimeMs,
     /// What went wrong, if anything did.
     pub(crate) fault: Option<String>,
 }
@@ -347,7 +347,7 @@
         let labels = [heard.source.name(), outcome];
         self.shared.metrics.store_reads.with_label_values(&labels).inc();
         if heard.fault.is_none() && heard.source == Source::Configuration {
-            self.configuration_known_at = self.configuration_known_at.max(Some(heard.asked_at));
+            self.configuration_known_at = self.configuration_known_at.max(Some(heard.known_at));
         }
         if let Some(fault) = heard.fault {
             if heard.source == Source::Servers {
--- a/crates/reedsail_router/src/control/follow.rs
+++ b/crates/reedsail_router/src/control/follow.rs
@@ -22,7 +22,7 @@
 
 /// How long the store may hold a call for a new configuration. A call that a cut swallowed ends
 /// after this time and `ANSWER_MS`, and only then is the store asked again.
-const WAIT_MS: u64 = 1_200;
+const WAIT_MS: u64 = 1_000;
 /// How long an answer of the store may take.
 const ANSWER_MS: u64 = 800;
 /// How often the list of servers is read.
@@ -88,7 +88,8 @@
             }
             Err(error) => Some(error.to_string()),
         };
-        report(&control, Source::Configuration, asked_at, fault, &mut pause).await;
+        // The store answers a held call as soon as there is news: none came before its answer.
+        report(&control, Source::Configuration, clock.now(), fault, &mut pause).await;
     }
 }
 
@@ -135,7 +136,7 @@
 async fn report<H: HeaderProtocol>(
     control: &Address<Control<H>>,
     source: Source,
-    asked_at: TimeMs,
+    known_at: TimeMs,
     fault: Option<String>,
     pause: &mut Pause,
 ) {
@@ -143,7 +144,7 @@
     let _ = control
         .send(SourceHeard {
             source,
-            asked_at,
+            known_at,
             fault,
         })
         .await;
--- a/crates/reedsail_router/src/settings.rs
+++ b/crates/reedsail_router/src/settings.rs
@@ -17,6 +17,9 @@
 /// and a third of the memory is theirs.
 const OPEN_REQUESTS_PER_MB: u64 = 4;
 
+/// How many of callers' connections may be open for each megabyte; one at rest takes about 40 kB.
+const CONNECTIONS_PER_MB: u64 = 4;
+
 /// Everything that a router is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouterSettings {
@@ -74,6 +77,11 @@
 }
 
 impl RouterSettings {
+    /// Returns beyond how many connections callers are asked to close theirs.
+    pub fn connections_max(&self) -> u64 {
+        self.memory_mb * CONNECTIONS_PER_MB
+    }
+
     /// Returns how many requests may be open at once.
     pub fn open_requests_max(&self) -> u64 {
         self.memory_mb * OPEN_REQUESTS_PER_MB
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
 use reedsail_core::NameHash;
@@ -37,6 +39,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) lag: Lag,
+    /// Callers' connections that are open.
+    pub(crate) connections: AtomicUsize,
     pub(crate) routes: ArcSwap<RouteTable>,
     pub(crate) servers: ArcSwap<HashMap<ServerKey, ServerView>>,
     dispatcher: Mutex<Dispatcher>,
@@ -54,6 +58,7 @@
             metrics: Metrics::new(),
             lifecycle: Lifecycle::default(),
             lag: Lag::default(),
+            connections: AtomicUsize::new(0),
             routes: ArcSwap::default(),
             servers: ArcSwap::default(),
         }
@@ -73,6 +78,13 @@
         self.events.emit(kind, &fields);
     }
 
+    /// Tells whether connections are to be closed after their next answer: while the daemon stops,
+    /// and while callers keep more of them than its memory allows.
+    pub(crate) fn sheds_connections(&self) -> bool {
+        self.lifecycle.is_stopping()
+            || self.connections.load(Ordering::Relaxed) as u64 > self.settings.connections_max()
+    }
+
     /// Tells whether the balancer may send new connections.
     pub(crate) fn is_ready(&self) -> bool {
         !self.lifecycle.is_stopping() && self.routes.load().version() > 0 && !self.servers.load().is_empty()
--- a/crates/reedsail_router/src/traffic/thread.rs
+++ b/crates/reedsail_router/src/traffic/thread.rs
@@ -1,6 +1,7 @@
 //! Takes callers' connections on one thread.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
@@ -63,6 +64,7 @@
     let Ok(stream) = CountedStream::new(stream, ByteCounter::default()) else {
         return;
     };
+    let _open = OpenConnection::begin(&shared);
     let limits = shared.routes.load().configuration.limits;
     // Counted from the last answer on, so it bounds how long a connection rests as well.
     let head_ms = limits.idle_ms.max(limits.header_ms);
@@ -76,3 +78,19 @@
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
+
+/// Counts a caller's connection for as long as it is open.
+struct OpenConnection<H>(Arc<Shared<H>>);
+
+impl<H> OpenConnection<H> {
+    fn begin(shared: &Arc<Shared<H>>) -> Self {
+        shared.connections.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl<H> Drop for OpenConnection<H> {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
