--- a/crates/reedsail_daemon/src/running.rs
+++ b/crates/reedsail_daemon/src/running.rs
@@ -1,7 +1,6 @@
 //! A daemon that runs inside the calling process: the binary's, a test's or the bench's.
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -14,10 +13,11 @@
 use reedsail_events::Event;
 use reedsail_events::EventKind;
 use reedsail_net::NetGate;
+use reedsail_net::listen_on;
+use reedsail_net::spawn_worker;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio::task::LocalSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use xtra::Address;
@@ -212,9 +212,9 @@
     options: DaemonOptions,
     killed: watch::Receiver<bool>,
 ) -> anyhow::Result<(Handle<P>, DaemonAddresses, Vec<JoinHandle<()>>)> {
-    let callers = listen(settings.listen.callers)?;
-    let peers = listen(settings.listen.peers)?;
-    let admin = listen(settings.listen.admin)?;
+    let callers = listen_on(settings.listen.callers)?;
+    let peers = listen_on(settings.listen.peers)?;
+    let admin = listen_on(settings.listen.admin)?;
     let addresses = DaemonAddresses {
         callers: callers.local_addr()?,
         peers: peers.local_addr()?,
@@ -238,7 +238,7 @@
             stage_changed: stage_watch.clone(),
         };
         let killed = killed.clone();
-        threads.push(spawn_thread(format!("traffic-{index}"), killed, || {
+        threads.push(spawn_worker(&format!("traffic-{index}"), killed, || {
             run_traffic(thread)
         })?);
     }
@@ -250,9 +250,7 @@
         claim_jobs: claim_queue,
         started,
     };
-    threads.push(spawn_thread("control".to_owned(), killed, || {
-        run_control(thread)
-    })?);
+    threads.push(spawn_worker("control", killed, || run_control(thread))?);
     let control = control.await.context("the control thread ended at its start")?;
     let handle = Handle {
         shared,
@@ -262,59 +260,6 @@
     Ok((handle, addresses, threads))
 }
 
-fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    let socket = socket2::Socket::new(
-        socket2::Domain::for_address(address),
-        socket2::Type::STREAM,
-        Some(socket2::Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket
-        .bind(&address.into())
-        .with_context(|| format!("cannot listen on {address}; free the port or change the setting"))?;
-    socket.listen(1_024)?;
-    Ok(socket.into())
-}
-
-/// Runs a future on a thread with a runtime of its own, until it ends or the daemon is killed.
-fn spawn_thread<F, T>(
-    name: String,
-    mut killed: watch::Receiver<bool>,
-    make: F,
-) -> anyhow::Result<JoinHandle<()>>
-where
-    F: FnOnce() -> T + Send + 'static,
-    T: Future<Output = std::io::Result<()>>,
-{
-    let body = move || {
-        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-            Ok(runtime) => runtime,
-            Err(error) => {
-                log::error!("cannot start a runtime: {error}");
-                return;
-            }
-        };
-        let tasks = LocalSet::new();
-        runtime.block_on(tasks.run_until(async move {
-            tokio::select! {
-                ended = make() => {
-                    if let Err(error) = ended {
-                        log::error!("a thread of the daemon ended: {error}");
-                    }
-                }
-                _ = killed.wait_for(|killed| *killed) => {}
-            }
-        }));
-        drop(tasks);
-        runtime.shutdown_background();
-    };
-    std::thread::Builder::new()
-        .name(name)
-        .spawn(body)
-        .context("cannot start a thread")
-}
-
 /// Passes duties on, waits for the balancer to notice, then for every open request.
 async fn stop_as_planned<P: SharePolicy>(handle: &Handle<P>) -> bool {
     let shared = &handle.shared;
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -6,7 +6,9 @@
 mod deflate_stream;
 mod event_splitter;
 mod http_connection;
+mod listen;
 mod net_gate;
+mod worker_thread;
 
 pub use byte_counter::ByteCounter;
 pub use clock::Clock;
@@ -16,4 +18,6 @@
 pub use event_splitter::EventSplitter;
 pub use http_connection::HttpConnection;
 pub use http_connection::SendError;
+pub use listen::listen_on;
 pub use net_gate::NetGate;
+pub use worker_thread::spawn_worker;
--- a/crates/reedsail_router/src/lag.rs
+++ b/crates/reedsail_router/src/lag.rs
@@ -13,7 +13,7 @@
 const AVERAGE_PARTS: u64 = 3;
 /// A thread that is so late on average takes no further request. A processor that is shared out in
 /// tenths of a second makes it late by less.
-const OVERLOADED_MS: u64 = 200;
+const OVERLOADED_MS: u64 = 400;
 
 /// A moving average of the thread's lag.
 #[derive(Debug, Default)]
--- a/crates/reedsail_router/src/running.rs
+++ b/crates/reedsail_router/src/running.rs
@@ -1,7 +1,6 @@
 //! Starts a router's threads and stops them.
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -9,9 +8,10 @@
 
 use anyhow::Context as _;
 use reedsail_events::EventKind;
+use reedsail_net::listen_on;
+use reedsail_net::spawn_worker;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::task::LocalSet;
 use tokio::time::sleep;
 
 use crate::ConfigurationSource;
@@ -26,8 +26,6 @@
 
 /// How often a stopping router looks whether requests are open.
 const STOP_POLL_MS: u64 = 20;
-/// Connections that may wait to be accepted.
-const BACKLOG: i32 = 1_024;
 
 /// Where a router listens, with free ports filled in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,8 +104,8 @@
             })
         };
         let threads = vec![
-            spawn_thread("traffic", killed_watch.clone(), || run_traffic(traffic))?,
-            spawn_thread("control", killed_watch, control)?,
+            spawn_worker("traffic", killed_watch.clone(), || run_traffic(traffic))?,
+            spawn_worker("control", killed_watch, control)?,
         ];
         Ok(Self {
             shared,
@@ -189,56 +187,3 @@
         }
     }
 }
-
-fn listen_on(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    let socket = socket2::Socket::new(
-        socket2::Domain::for_address(address),
-        socket2::Type::STREAM,
-        Some(socket2::Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket
-        .bind(&address.into())
-        .with_context(|| format!("cannot listen on {address}; free the port or change the setting"))?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
-}
-
-/// Runs a future on a thread with a runtime of its own, until it ends or the router is killed.
-fn spawn_thread<F, T>(
-    name: &str,
-    mut killed: watch::Receiver<bool>,
-    make: F,
-) -> anyhow::Result<JoinHandle<()>>
-where
-    F: FnOnce() -> T + Send + 'static,
-    T: Future<Output = std::io::Result<()>>,
-{
-    let body = move || {
-        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-            Ok(runtime) => runtime,
-            Err(error) => {
-                log::error!("cannot start a runtime: {error}");
-                return;
-            }
-        };
-        let tasks = LocalSet::new();
-        runtime.block_on(tasks.run_until(async move {
-            tokio::select! {
-                ended = make() => {
-                    if let Err(error) = ended {
-                        log::error!("a thread of the router ended: {error}");
-                    }
-                }
-                _ = killed.wait_for(|killed| *killed) => {}
-            }
-        }));
-        drop(tasks);
-        runtime.shutdown_background();
-    };
-    std::thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(body)
-        .context("cannot start a thread")
-}
--- a/crates/reedsail_router/src/settings.rs
+++ b/crates/reedsail_router/src/settings.rs
@@ -17,8 +17,9 @@
 /// and a third of the memory is theirs.
 const OPEN_REQUESTS_PER_MB: u64 = 4;
 
-/// How many of callers' connections may be open for each megabyte; one at rest takes about 40 kB.
-const CONNECTIONS_PER_MB: u64 = 4;
+/// How many of callers' connections may be open for each megabyte; one at rest takes about 40 kB, so
+/// that these take less than half of the memory.
+const CONNECTIONS_PER_MB: u64 = 10;
 
 /// Everything that a router is told at its start.
 #[derive(Clone, Debug, PartialEq)]
