--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -81,6 +81,9 @@
     pub(crate) origin: &'static str,
 }
 
+/// The store has a configuration that cannot be read.
+pub(crate) struct ConfigurationUnreadable(pub(crate) String);
+
 /// May the store be read now? A daemon leaves that to another one of its failure domain as long as
 /// it hears from it, and as long as what it hears is fresh.
 pub(crate) struct MayRead(pub(crate) Source);
@@ -312,6 +315,16 @@
     }
 }
 
+impl<H: HeaderProtocol> Handler<ConfigurationUnreadable> for Control<H> {
+    type Return = ();
+
+    async fn handle(&mut self, unreadable: ConfigurationUnreadable, _: &mut Context<Self>) {
+        let in_force = self.shared.routes.load().version().to_string();
+        let fields = [("fault", unreadable.0), ("in_force", in_force)];
+        self.shared.emit(EventKind::ConfigurationInvalid, &fields);
+    }
+}
+
 impl<H: HeaderProtocol> Handler<ServersRead> for Control<H> {
     type Return = ();
 
@@ -446,9 +459,9 @@
             self.publish_servers(now);
         }
         self.shared.dispatcher().tick(now);
-        for peer in self.members.drop_silent(now) {
+        for (peer, address) in self.members.drop_silent(now) {
             self.shared.dispatcher().forget_peer(peer);
-            let fields = [("peer", format!("{:08x}", peer.0))];
+            let fields = [("peer", address.to_string())];
             self.shared.emit(EventKind::PeerSuspected, &fields);
         }
         let errands = self.errands(now);
--- a/crates/reedsail_router/src/control/follow.rs
+++ b/crates/reedsail_router/src/control/follow.rs
@@ -10,6 +10,7 @@
 use xtra::Address;
 
 use super::actor::ConfigurationRead;
+use super::actor::ConfigurationUnreadable;
 use super::actor::Control;
 use super::actor::MayRead;
 use super::actor::ServersRead;
@@ -86,7 +87,12 @@
                 sleep_until(clock.instant(asked_at.plus_ms(WAIT_MS / 2))).await;
                 None
             }
-            Err(error) => Some(error.to_string()),
+            Err(error) => {
+                if let SourceError::Unreadable(fault) = &error {
+                    let _ = control.send(ConfigurationUnreadable(fault.clone())).await;
+                }
+                Some(error.to_string())
+            }
         };
         // The store answers a held call as soon as there is news: none came before its answer.
         report(&control, Source::Configuration, clock.now(), fault, &mut pause).await;
--- a/crates/reedsail_router/src/control/member_table.rs
+++ b/crates/reedsail_router/src/control/member_table.rs
@@ -110,14 +110,14 @@
     }
 
     /// Returns the daemons that went silent since the last call, and forgets those long silent.
-    pub(crate) fn drop_silent(&mut self, now: TimeMs) -> Vec<NameHash> {
+    pub(crate) fn drop_silent(&mut self, now: TimeMs) -> Vec<(NameHash, SocketAddrV4)> {
         self.members
             .retain(|_, member| now.since_ms(member.heard_at) < FORGET_MS);
         let mut silent = Vec::new();
         for (instance, member) in &mut self.members {
             if member.is_heard && now.since_ms(member.heard_at) >= ALIVE_MS {
                 member.is_heard = false;
-                silent.push(*instance);
+                silent.push((*instance, member.address));
             }
         }
         silent
