Try another port where the one for datagrams is taken for TCP

With port 0 the router takes any port that is free for datagrams and listens on the same number for TCP, where another process may be.

Change: with port 0, up to 20 ports are tried.

Measured: a test that starts 60 routers beside 700 taken ports.

--- a/crates/reedsail_router/src/running.rs
+++ b/crates/reedsail_router/src/running.rs
@@ -1,6 +1,7 @@
 //! Starts a router's threads and stops them.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -27,6 +28,9 @@
 /// How often a stopping router looks whether requests are open.
 const STOP_POLL_MS: u64 = 20;
 
+/// How many ports are tried where any will do.
+const PORT_TRIES_MAX: u32 = 20;
+
 /// Where a router listens, with free ports filled in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RouterAddresses {
@@ -68,10 +72,7 @@
         let callers = listen_on(listen.callers)?;
         let readiness = listen_on(listen.readiness)?;
         let admin = listen_on(listen.admin)?;
-        let peer_socket = UdpSocket::bind(listen.peers)
-            .with_context(|| format!("cannot hear datagrams on {}; free the port", listen.peers))?;
-        peer_socket.set_nonblocking(true)?;
-        let peers = listen_on(peer_socket.local_addr()?)?;
+        let (peer_socket, peers) = bind_peers(listen.peers)?;
         let addresses = RouterAddresses {
             callers: callers.local_addr()?,
             readiness: readiness.local_addr()?,
@@ -187,3 +188,20 @@
         }
     }
 }
+
+/// Takes one port for datagrams and for TCP. Where any port will do, one that is free for datagrams
+/// may be taken for TCP: then another is tried.
+fn bind_peers(address: SocketAddr) -> anyhow::Result<(UdpSocket, TcpListener)> {
+    let mut tries_left = if address.port() == 0 { PORT_TRIES_MAX } else { 1 };
+    loop {
+        let socket = UdpSocket::bind(address)
+            .with_context(|| format!("cannot hear datagrams on {address}; free the port"))?;
+        socket.set_nonblocking(true)?;
+        tries_left -= 1;
+        match listen_on(socket.local_addr()?) {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(error) if tries_left == 0 => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
--- a/crates/reedsail_router/tests/beliefs.rs
+++ b/crates/reedsail_router/tests/beliefs.rs
@@ -183,3 +183,16 @@
     drop(streaming);
     assert!(stopping.await.unwrap());
 }
+
+#[tokio::test]
+async fn a_router_on_any_port_finds_one_that_is_free_for_both_protocols() {
+    // So many ports are taken for TCP that one of these starts would meet one of them.
+    let taken: Vec<_> = (0..700)
+        .map_while(|_| std::net::TcpListener::bind("127.0.0.1:0").ok())
+        .collect();
+    let store = Store::new(None, None);
+    for _ in 0..60 {
+        start(&store, settings("hall-a-1")).kill();
+    }
+    drop(taken);
+}
