Read a request's head once

Change: the head is read where the request arrives and passed on; what refuses a request, and in which order, is as before.

--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -26,6 +26,7 @@
 
 use super::answer::remove_hop_headers;
 use crate::CallHead;
+use crate::HeaderFault;
 use crate::HeaderProtocol;
 use crate::Route;
 use crate::route_table::Identity;
@@ -81,12 +82,13 @@
     }
 }
 
-/// Reads and checks a request.
+/// Checks a request whose head was read, and reads its body.
 ///
 /// The body is read first, so that the configuration that decides is the newest one.
 pub(crate) async fn read_call<H: HeaderProtocol>(
     shared: &Shared<H>,
     request: Request<Incoming>,
+    head: Result<CallHead, HeaderFault>,
     arrived_at: TimeMs,
 ) -> Result<Call, ErrorKind> {
     let open_requests = shared.metrics.open_requests.get() as u64;
@@ -98,10 +100,7 @@
     if header_bytes(&parts) > limits.header_bytes_max {
         return Err(ErrorKind::HeaderTooLarge);
     }
-    let head = shared
-        .protocol
-        .read_call(&parts.headers)
-        .map_err(|_| ErrorKind::BadHeader)?;
+    let head = head.map_err(|_| ErrorKind::BadHeader)?;
     let body = read_body(body, limits.body_bytes_max).await?;
     let routes = shared.routes.load_full();
     if routes.version() == 0 {
@@ -147,15 +146,6 @@
     })
 }
 
-/// Reads the id again from a request that was refused before it became a call.
-pub(crate) fn refused_id<H: HeaderProtocol>(shared: &Shared<H>, headers: &HeaderMap) -> Option<HeaderValue> {
-    shared
-        .protocol
-        .read_call(headers)
-        .ok()
-        .and_then(|head: CallHead| head.request_id)
-}
-
 fn header_bytes(parts: &Parts) -> usize {
     parts
         .headers
--- a/crates/reedsail_router/src/traffic/serve.rs
+++ b/crates/reedsail_router/src/traffic/serve.rs
@@ -17,7 +17,6 @@
 use super::answer::AnswerBody;
 use super::answer::failure_answer;
 use super::call::read_call;
-use super::call::refused_id;
 use super::forward::forward;
 use super::pool::Pool;
 use crate::HeaderProtocol;
@@ -30,9 +29,10 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody<H>>, Infallible> {
     let arrived_at = shared.clock.now();
-    let request_id = refused_id(&*shared, request.headers());
+    let head = shared.protocol.read_call(request.headers());
+    let request_id = head.as_ref().ok().and_then(|head| head.request_id.clone());
     let mut log = RequestLog::begin(&shared, request_id.as_ref(), arrived_at);
-    let outcome = match read_call(&*shared, request, arrived_at).await {
+    let outcome = match read_call(&*shared, request, head, arrived_at).await {
         Ok(call) => {
             log.service.clone_from(&call.service_name);
             forward(&shared, &pool, call, log).await
