--- a/crates/reedsail_router/src/lib.rs
+++ b/crates/reedsail_router/src/lib.rs
@@ -8,7 +8,6 @@
 mod admin;
 mod configuration;
 mod control;
-mod lag;
 mod lifecycle;
 mod metrics;
 mod native_protocol;
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -9,19 +9,23 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use rand::Rng;
 use reedsail_core::NameHash;
 use reedsail_core::ServerKey;
 use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::Lag;
 use reedsail_events::EventKind;
 use reedsail_events::EventLog;
 use reedsail_net::Clock;
 
 use crate::RouterSettings;
-use crate::lag::Lag;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::route_table::RouteTable;
 
+/// While callers crowd the daemon, one in so many of their connections is closed after an answer.
+const CROWDED_CLOSE_ONE_IN: u32 = 4;
+
 /// A backend server as requests need it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct ServerView {
@@ -78,15 +82,20 @@
         self.events.emit(kind, &fields);
     }
 
-    /// Tells whether connections are to be closed after their next answer: while the daemon stops,
-    /// and while callers keep more of them than its memory allows.
-    pub(crate) fn sheds_connections(&self) -> bool {
+    /// Tells whether a connection is to be closed after its next answer: while the daemon stops,
+    /// while callers keep more of them than its memory allows, and one in a few while its processor
+    /// is not enough.
+    pub(crate) fn sheds_connection(&self) -> bool {
         self.lifecycle.is_stopping()
+            || (self.lag.is_crowded() && rand::rng().random_ratio(1, CROWDED_CLOSE_ONE_IN))
             || self.connections.load(Ordering::Relaxed) as u64 > self.settings.connections_max()
     }
 
     /// Tells whether the balancer may send new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.lifecycle.is_stopping() && self.routes.load().version() > 0 && !self.servers.load().is_empty()
+        !self.lifecycle.is_stopping()
+            && !self.lag.was_crowded(self.clock.now())
+            && self.routes.load().version() > 0
+            && !self.servers.load().is_empty()
     }
 }
--- a/crates/reedsail_router/src/traffic/serve.rs
+++ b/crates/reedsail_router/src/traffic/serve.rs
@@ -45,7 +45,7 @@
     };
     let mut response =
         outcome.unwrap_or_else(|failure| failure_answer(&shared, &failure, request_id.as_ref()));
-    if shared.sheds_connections() {
+    if shared.sheds_connection() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/reedsail_router/src/traffic/thread.rs
+++ b/crates/reedsail_router/src/traffic/thread.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use reedsail_events::EventKind;
 use reedsail_net::ByteCounter;
 use reedsail_net::CountedStream;
 use tokio::net::TcpListener;
@@ -21,6 +22,8 @@
 
 /// How often idle connections to servers are looked through.
 const POOL_EVERY_MS: u64 = 2_000;
+/// How often the thread measures how late it is.
+const LAG_EVERY_MS: u64 = 100;
 /// The buffer of a connection is at least this large.
 const BUFFER_BYTES_MIN: usize = 16 << 10;
 
@@ -38,8 +41,7 @@
     let listener = TcpListener::from_std(thread.listener)?;
     let shared = thread.shared;
     let pool = Arc::new(Pool::default());
-    let measured = Arc::clone(&shared);
-    tokio::spawn(async move { measured.lag.measure(measured.clock).await });
+    tokio::spawn(measure_lag(Arc::clone(&shared)));
     tokio::spawn(tidy_pool(Arc::clone(&shared), Arc::clone(&pool)));
     loop {
         match listener.accept().await {
@@ -52,6 +54,19 @@
     }
 }
 
+/// Measures the thread's lag for as long as it runs.
+async fn measure_lag<H>(shared: Arc<Shared<H>>) {
+    loop {
+        let due_at = shared.clock.now().plus_ms(LAG_EVERY_MS);
+        sleep(Duration::from_millis(LAG_EVERY_MS)).await;
+        let now = shared.clock.now();
+        if shared.lag.note(now.since_ms(due_at), now) {
+            let lag_ms = shared.lag.average_ms().to_string();
+            shared.emit(EventKind::DaemonCrowded, &[("lag_ms", lag_ms)]);
+        }
+    }
+}
+
 async fn tidy_pool<H: HeaderProtocol>(shared: Arc<Shared<H>>, pool: Arc<Pool>) {
     loop {
         sleep(Duration::from_millis(POOL_EVERY_MS)).await;
