Count open requests as crowding too

Change: from three quarters of the open requests for which the memory is enough, a daemon counts as crowded, as with a late thread: not ready for 4 s, one answer in four closes its connection. `Lag` becomes `Crowding` with a test of both sides of the bound.

--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -6,11 +6,11 @@
 //! [`LoadReport`]s with its peers. All of it is soft state: it may be wrong for a moment, which
 //! costs time or fairness, never an answer.
 
+mod crowding;
 mod demand;
 mod dispatcher;
 mod estimate;
 mod failure_rate;
-mod lag;
 mod load_report;
 mod max_min;
 mod peer_table;
@@ -24,13 +24,14 @@
 mod settings;
 mod usage;
 
+pub use crowding::Crowding;
+pub use crowding::CrowdingMeasure;
 pub use demand::Decision;
 pub use demand::Demand;
 pub use demand::Placement;
 pub use demand::Prompt;
 pub use demand::PromptPart;
 pub use dispatcher::Dispatcher;
-pub use lag::Lag;
 pub use load_report::LoadReport;
 pub use load_report::PartRow;
 pub use load_report::ServerLoadRow;
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -51,7 +51,7 @@
     SettingsReloaded = 105, "settings_reloaded", Info, "the settings file was read again; see what became of it";
 
     /// Callers crowd the daemon.
-    DaemonCrowded = 106, "daemon_crowded", Warn, "the processor is not enough for the callers; the balancer is told not to send more, and some connections are closed";
+    DaemonCrowded = 106, "daemon_crowded", Warn, "processor or memory is not enough for more callers; the balancer is told not to send more, and some connections are closed";
 
     /// A bundle is in force.
     BundleInForce = 200, "bundle_in_force", Info, "a bundle version is in force on this daemon";
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -12,8 +12,8 @@
 use rand::Rng;
 use reedsail_core::NameHash;
 use reedsail_core::ServerKey;
+use reedsail_dispatch::Crowding;
 use reedsail_dispatch::Dispatcher;
-use reedsail_dispatch::Lag;
 use reedsail_events::EventKind;
 use reedsail_events::EventLog;
 use reedsail_net::Clock;
@@ -42,7 +42,7 @@
     pub(crate) events: EventLog,
     pub(crate) metrics: Metrics,
     pub(crate) lifecycle: Lifecycle,
-    pub(crate) lag: Lag,
+    pub(crate) crowding: Crowding,
     /// Callers' connections that are open.
     pub(crate) connections: AtomicUsize,
     pub(crate) routes: ArcSwap<RouteTable>,
@@ -61,7 +61,7 @@
             clock: Clock::default(),
             metrics: Metrics::new(),
             lifecycle: Lifecycle::default(),
-            lag: Lag::default(),
+            crowding: Crowding::default(),
             connections: AtomicUsize::new(0),
             routes: ArcSwap::default(),
             servers: ArcSwap::default(),
@@ -83,18 +83,17 @@
     }
 
     /// Tells whether a connection is to be closed after its next answer: while the daemon stops,
-    /// while callers keep more of them than its memory allows, and one in a few while its processor
-    /// is not enough.
+    /// while callers keep more of them than its memory allows, and one in a few while they crowd it.
     pub(crate) fn sheds_connection(&self) -> bool {
         self.lifecycle.is_stopping()
-            || (self.lag.is_crowded() && rand::rng().random_ratio(1, CROWDED_CLOSE_ONE_IN))
+            || (self.crowding.is_crowded() && rand::rng().random_ratio(1, CROWDED_CLOSE_ONE_IN))
             || self.connections.load(Ordering::Relaxed) as u64 > self.settings.connections_max()
     }
 
     /// Tells whether the balancer may send new connections.
     pub(crate) fn is_ready(&self) -> bool {
         !self.lifecycle.is_stopping()
-            && !self.lag.was_crowded(self.clock.now())
+            && !self.crowding.was_crowded(self.clock.now())
             && self.routes.load().version() > 0
             && !self.servers.load().is_empty()
     }
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -92,7 +92,7 @@
     arrived_at: TimeMs,
 ) -> Result<Call, ErrorKind> {
     let open_requests = shared.metrics.open_requests.get() as u64;
-    if open_requests > shared.settings.open_requests_max() || shared.lag.is_overloaded() {
+    if open_requests > shared.settings.open_requests_max() || shared.crowding.is_overloaded() {
         return Err(ErrorKind::DaemonOverloaded);
     }
     let limits = shared.routes.load().configuration.limits;
--- a/crates/reedsail_router/src/traffic/thread.rs
+++ b/crates/reedsail_router/src/traffic/thread.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use reedsail_dispatch::CrowdingMeasure;
 use reedsail_events::EventKind;
 use reedsail_net::ByteCounter;
 use reedsail_net::CountedStream;
@@ -22,8 +23,8 @@
 
 /// How often idle connections to servers are looked through.
 const POOL_EVERY_MS: u64 = 2_000;
-/// How often the thread measures how late it is.
-const LAG_EVERY_MS: u64 = 100;
+/// How often the thread measures whether callers crowd it.
+const MEASURE_EVERY_MS: u64 = 100;
 /// The buffer of a connection is at least this large.
 const BUFFER_BYTES_MIN: usize = 16 << 10;
 
@@ -41,7 +42,7 @@
     let listener = TcpListener::from_std(thread.listener)?;
     let shared = thread.shared;
     let pool = Arc::new(Pool::default());
-    tokio::spawn(measure_lag(Arc::clone(&shared)));
+    tokio::spawn(measure_crowding(Arc::clone(&shared)));
     tokio::spawn(tidy_pool(Arc::clone(&shared), Arc::clone(&pool)));
     loop {
         match listener.accept().await {
@@ -54,15 +55,23 @@
     }
 }
 
-/// Measures the thread's lag for as long as it runs.
-async fn measure_lag<H>(shared: Arc<Shared<H>>) {
+/// Measures whether callers crowd the daemon, for as long as it runs.
+async fn measure_crowding<H>(shared: Arc<Shared<H>>) {
     loop {
-        let due_at = shared.clock.now().plus_ms(LAG_EVERY_MS);
-        sleep(Duration::from_millis(LAG_EVERY_MS)).await;
+        let due_at = shared.clock.now().plus_ms(MEASURE_EVERY_MS);
+        sleep(Duration::from_millis(MEASURE_EVERY_MS)).await;
         let now = shared.clock.now();
-        if shared.lag.note(now.since_ms(due_at), now) {
-            let lag_ms = shared.lag.average_ms().to_string();
-            shared.emit(EventKind::DaemonCrowded, &[("lag_ms", lag_ms)]);
+        let measure = CrowdingMeasure {
+            late_ms: now.since_ms(due_at),
+            open_requests: shared.metrics.open_requests.get() as u64,
+            open_requests_max: shared.settings.open_requests_max(),
+        };
+        if shared.crowding.note(measure, now) {
+            let fields = [
+                ("lag_ms", shared.crowding.lag_ms().to_string()),
+                ("open_requests", measure.open_requests.to_string()),
+            ];
+            shared.emit(EventKind::DaemonCrowded, &fields);
         }
     }
 }
