--- a/crates/reedsail_bench/src/main.rs
+++ b/crates/reedsail_bench/src/main.rs
@@ -15,11 +15,17 @@
 use reedsail_bench::measure_flood;
 use reedsail_bench::measure_idle;
 use reedsail_bench::measure_overhead;
+use reedsail_bench::measure_shares;
 use reedsail_bench::measure_slopes;
 use reedsail_bench::replay_trace;
 use reedsail_bench::service_plot;
 use reedsail_daemon::PolicyChoice;
 use reedsail_document::render_faults;
+use reedsail_soak::Programs;
+use reedsail_soak::draw_schedule;
+use reedsail_soak::run_server;
+use reedsail_soak::run_soak;
+use reedsail_soak::run_store;
 use serde::Serialize;
 use stats_alloc::INSTRUMENTED_SYSTEM;
 use stats_alloc::StatsAlloc;
@@ -108,6 +114,41 @@
                 /// Where to write it.
                 required --out file: PathBuf
             }
+            /// Drives the router's decisions through a flood, with daemons that hear each other and
+            /// with each on its own.
+            cmd shares {
+                /// The seed of the arrivals (default 7).
+                optional --seed seed: u64
+                /// Writes the report as JSON.
+                optional --json file: PathBuf
+            }
+            /// Disturbs real processes of the router and checks its promises; exit code 1 if one
+            /// was broken.
+            cmd soak {
+                /// What the faults are drawn from (default 1).
+                optional --seed seed: u64
+                /// How long callers ask (default 30).
+                optional --for-s seconds: u64
+                /// How many daemons (default: drawn, 3 to 5).
+                optional --daemons count: usize
+                /// Plays a kept schedule instead.
+                optional --replay file: PathBuf
+                /// Where a run that broke a promise is kept (default: soak-failures).
+                optional --keep folder: PathBuf
+                /// The router (default: beside this program).
+                optional --router file: PathBuf
+                /// Writes the report as JSON.
+                optional --json file: PathBuf
+            }
+            /// The store of a soak; started by it.
+            cmd soak-store {}
+            /// A backend server of a soak; started by it.
+            cmd soak-server {
+                /// The server's id.
+                required --id id: String
+                /// It answers with streams.
+                optional --streams
+            }
         }
     }
 }
@@ -170,6 +211,17 @@
             println!("{} lines in {}", made.lines.len() + 1, trace.out.display());
             Ok(true)
         }
+        flags::ReedsailBenchCmd::Shares(shares) => {
+            let report = measure_shares(shares.seed.unwrap_or(7));
+            println!("{}", serde_json::to_string_pretty(&report)?);
+            write_json(shares.json.as_deref(), &report)?;
+            Ok(true)
+        }
+        flags::ReedsailBenchCmd::Soak(soak) => run_soak_command(soak).await,
+        flags::ReedsailBenchCmd::SoakStore(_) => run_store().await.map(|()| true),
+        flags::ReedsailBenchCmd::SoakServer(server) => {
+            run_server(server.id, server.streams).await.map(|()| true)
+        }
     }
 }
 
@@ -220,6 +272,35 @@
         .all(|report| report.policy != "fleet" || report.is_clean()))
 }
 
+async fn run_soak_command(soak: flags::Soak) -> anyhow::Result<bool> {
+    let standins = std::env::current_exe().context("cannot find this program")?;
+    let router = soak
+        .router
+        .unwrap_or_else(|| standins.with_file_name("reedsail-router"));
+    anyhow::ensure!(
+        router.exists(),
+        "{} is missing; build it with `cargo build -p reedsail_adapter`",
+        router.display()
+    );
+    let schedule = match soak.replay {
+        Some(file) => {
+            let text =
+                std::fs::read_to_string(&file).with_context(|| format!("cannot read {}", file.display()))?;
+            serde_json::from_str(&text).with_context(|| format!("{} is no schedule", file.display()))?
+        }
+        None => draw_schedule(
+            soak.seed.unwrap_or(1),
+            soak.for_s.unwrap_or(30) * 1_000,
+            soak.daemons,
+        ),
+    };
+    let keep = soak.keep.unwrap_or_else(|| PathBuf::from("soak-failures"));
+    let report = run_soak(&Programs { router, standins }, &schedule, Some(&keep)).await?;
+    print!("{}", report.render());
+    write_json(soak.json.as_deref(), &report)?;
+    Ok(report.is_clean())
+}
+
 fn read_trace(file: &Path) -> anyhow::Result<Trace> {
     let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
     Trace::parse(&text)
--- /dev/null
+++ b/crates/reedsail_soak/src/checker.rs
@@ -0,0 +1,356 @@
+//! Checks the promises against what was seen.
+
+use serde::Serialize;
+
+use crate::Attempt;
+use crate::History;
+use crate::Outcome;
+use crate::Probe;
+use crate::Run;
+use crate::Target;
+
+/// A version has to be in force on a daemon that nothing disturbs after this time.
+const IN_FORCE_WITHIN_MS: u64 = 6_000;
+/// A server gets no new request after its leaving was written and this time has passed.
+const LEAVING_WITHIN_MS: u64 = 5_000;
+/// The traces of a fault are allowed for, for so long after it was undone.
+const AFTERMATH_MS: u64 = 2_500;
+/// A planned stop has to be over after this time.
+const STOP_WITHIN_MS: u64 = 10_000;
+/// The last part of the soak, in which everything has to be well again.
+const RECOVERED_FOR_MS: u64 = 3_000;
+/// The part of the last attempts that has to be answered, in percent.
+const RECOVERED_PERCENT: usize = 90;
+/// How many attempts may be cut without an answer by one planned stop: requests that cross the end
+/// of their connection.
+const CROSSING_MAX: usize = 3;
+/// A workspace with fewer attempts says nothing of fairness.
+const FAIR_ATTEMPTS_MIN: usize = 30;
+/// A small workspace is served at least this part of what the best is, in percent.
+const FAIR_PERCENT: usize = 50;
+/// The workspace whose key changes.
+const CHANGING: &str = "changing";
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    /// The promise.
+    pub promise: &'static str,
+    /// What was seen, with ids and moments.
+    pub what: String,
+}
+
+impl Violation {
+    fn new(promise: &'static str, what: impl Into<String>) -> Self {
+        Self {
+            promise,
+            what: what.into(),
+        }
+    }
+}
+
+/// Returns every broken promise.
+pub fn check(history: &History) -> Vec<Violation> {
+    let mut found = Vec::new();
+    check_runs(history, &mut found);
+    check_answers(history, &mut found);
+    check_cuts(history, &mut found);
+    check_versions(history, &mut found);
+    check_keys(history, &mut found);
+    check_departures(history, &mut found);
+    check_exits(history, &mut found);
+    check_fairness(history, &mut found);
+    check_recovery(history, &mut found);
+    found
+}
+
+fn check_runs(history: &History, found: &mut Vec<Violation>) {
+    let by_attempt = history.runs_by_attempt();
+    for attempt in &history.attempts {
+        let runs = by_attempt.get(attempt.id.as_str()).map_or(&[][..], Vec::as_slice);
+        let most = if attempt.kind.runs_once() {
+            1
+        } else {
+            history.attempts_max
+        };
+        if runs.len() > most {
+            let what = format!(
+                "{} ran {} times, {most} at most: {}",
+                shown(attempt),
+                runs.len(),
+                servers(runs)
+            );
+            found.push(Violation::new("at most once", what));
+        }
+        if matches!(attempt.outcome, Outcome::NotRun { .. }) && !runs.is_empty() {
+            let what = format!("{} was said not to have run: {}", shown(attempt), servers(runs));
+            found.push(Violation::new("not run is true", what));
+        }
+        for run in runs {
+            if run.saw_key || run.workspace.as_deref() != Some(attempt.workspace.as_str()) {
+                let what = format!(
+                    "{}: the server saw workspace {:?}, key: {}",
+                    shown(attempt),
+                    run.workspace,
+                    run.saw_key
+                );
+                found.push(Violation::new("own workspace, no key", what));
+            }
+        }
+    }
+}
+
+fn check_answers(history: &History, found: &mut Vec<Violation>) {
+    for attempt in &history.attempts {
+        if let Outcome::Wrong(fault) = &attempt.outcome {
+            let what = format!("{}: {fault}", shown(attempt));
+            found.push(Violation::new("whole and own answers", what));
+        }
+    }
+}
+
+/// Whoever reaches a daemon gets an answer, unless the daemon or the link to it is struck; and an
+/// answer that has begun ends, unless a server is struck.
+fn check_cuts(history: &History, found: &mut Vec<Violation>) {
+    let mut crossings = Vec::new();
+    for attempt in &history.attempts {
+        let until_ms = attempt.ended_ms;
+        let from_ms = attempt.began_ms.saturating_sub(AFTERMATH_MS);
+        let daemon = attempt.daemon;
+        let by_own_side = |target| target == Target::Daemon(daemon) || target == Target::CallersLink(daemon);
+        if history.is_disturbed(from_ms, until_ms, by_own_side) {
+            continue;
+        }
+        let by_server = |target| matches!(target, Target::Server(_));
+        let is_stopping = history.is_disturbed(attempt.began_ms, until_ms, |target| {
+            target == Target::Stop(daemon)
+        });
+        match attempt.outcome {
+            Outcome::Cut { had_begun: true } if !history.is_disturbed(from_ms, until_ms, by_server) => {
+                let promise = if is_stopping {
+                    "planned work cuts nothing"
+                } else {
+                    "no answer breaks off"
+                };
+                found.push(Violation::new(promise, shown(attempt)));
+            }
+            Outcome::Cut { had_begun: false } if is_stopping => crossings.push(attempt),
+            Outcome::Cut { had_begun: false } | Outcome::Silent => {
+                found.push(Violation::new("a final answer for each request", shown(attempt)));
+            }
+            _ => {}
+        }
+    }
+    for exit in &history.exits {
+        let own = crossings.iter().filter(|attempt| {
+            attempt.daemon == exit.daemon
+                && attempt.ended_ms >= exit.asked_ms
+                && exit
+                    .ended_ms
+                    .is_none_or(|ended_ms| attempt.began_ms <= ended_ms + 200)
+        });
+        let own: Vec<String> = own.map(|attempt| shown(attempt)).collect();
+        if own.len() > CROSSING_MAX {
+            let what = format!("{} cut by one stop: {}", own.len(), own.join("; "));
+            found.push(Violation::new("planned work cuts nothing", what));
+        }
+    }
+}
+
+fn check_versions(history: &History, found: &mut Vec<Violation>) {
+    for daemon in 0..history.daemons {
+        let probes: Vec<&Probe> = history
+            .probes
+            .iter()
+            .filter(|probe| probe.daemon == daemon)
+            .collect();
+        for pair in probes.windows(2) {
+            let (before, after) = (pair[0], pair[1]);
+            if before.life == after.life && after.version < before.version {
+                let what = format!(
+                    "daemon {daemon} showed {} at {} ms, {} before",
+                    after.version, after.ended_ms, before.version
+                );
+                found.push(Violation::new("configuration never backwards", what));
+            }
+        }
+        for write in &history.writes {
+            let due_ms = write.at_ms + IN_FORCE_WITHIN_MS;
+            let Some(probe) = probes.iter().find(|probe| probe.began_ms >= due_ms) else {
+                continue;
+            };
+            let concerns = |target| match target {
+                Target::Daemon(struck) | Target::Stop(struck) | Target::StoreLink(struck) => struck == daemon,
+                Target::Store => true,
+                Target::CallersLink(_) | Target::Server(_) => false,
+            };
+            let from_ms = write.at_ms.saturating_sub(AFTERMATH_MS);
+            if probe.version < write.version && !history.is_disturbed(from_ms, probe.ended_ms, concerns) {
+                let what = format!(
+                    "daemon {daemon} showed {} at {} ms; {} was written at {} ms",
+                    probe.version, probe.ended_ms, write.version, write.at_ms
+                );
+                found.push(Violation::new("configuration in force in time", what));
+            }
+        }
+    }
+}
+
+/// A daemon that was seen with a version takes no key which that version has taken away, and
+/// refuses none that all versions since have.
+fn check_keys(history: &History, found: &mut Vec<Violation>) {
+    for attempt in history
+        .attempts
+        .iter()
+        .filter(|attempt| attempt.workspace == CHANGING)
+    {
+        let before = history
+            .probes
+            .iter()
+            .rev()
+            .find(|probe| probe.daemon == attempt.daemon && probe.ended_ms <= attempt.began_ms);
+        let Some(before) = before else { continue };
+        let restarted =
+            |target| target == Target::Daemon(attempt.daemon) || target == Target::Stop(attempt.daemon);
+        if history.is_disturbed(before.began_ms, attempt.ended_ms, restarted) {
+            continue;
+        }
+        let Some(seen) = history
+            .writes
+            .iter()
+            .find(|write| write.version == before.version)
+        else {
+            continue;
+        };
+        if attempt.key < seen.key && attempt.outcome == Outcome::Answered {
+            let what = format!(
+                "{}: key {} was taken away in version {}",
+                shown(attempt),
+                attempt.key,
+                seen.version
+            );
+            found.push(Violation::new("no key after it was taken away", what));
+        }
+        let is_valid = history
+            .writes
+            .iter()
+            .filter(|write| write.version >= before.version && write.at_ms <= attempt.ended_ms)
+            .all(|write| write.key == attempt.key);
+        let is_refused = matches!(attempt.outcome, Outcome::Failed { status: 401, .. });
+        if is_valid && is_refused {
+            found.push(Violation::new("no valid key refused", shown(attempt)));
+        }
+    }
+}
+
+fn check_departures(history: &History, found: &mut Vec<Violation>) {
+    for departure in &history.departures {
+        let due_ms = departure.at_ms + LEAVING_WITHIN_MS;
+        for run in history
+            .runs
+            .iter()
+            .filter(|run| run.server == departure.server && run.began_ms > due_ms)
+        {
+            // A daemon that lost the store may learn of it late.
+            let concerns = |target| !matches!(target, Target::Server(_) | Target::CallersLink(_));
+            let from_ms = departure.at_ms.saturating_sub(AFTERMATH_MS);
+            if !history.is_disturbed(from_ms, run.began_ms, concerns) {
+                let what = format!(
+                    "{} reached {} at {} ms; it left at {} ms",
+                    run.id, run.server, run.began_ms, departure.at_ms
+                );
+                found.push(Violation::new("nothing new for a server that left", what));
+            }
+        }
+    }
+}
+
+fn check_exits(history: &History, found: &mut Vec<Violation>) {
+    for exit in &history.exits {
+        let ended_ms = exit.ended_ms.unwrap_or(u64::MAX);
+        let was_struck = history.is_disturbed(exit.asked_ms, ended_ms, |target| {
+            target == Target::Daemon(exit.daemon)
+        });
+        if was_struck {
+            continue;
+        }
+        let is_late = ended_ms.saturating_sub(exit.asked_ms) > STOP_WITHIN_MS;
+        if is_late || exit.code != Some(0) {
+            let what = format!(
+                "daemon {} was asked at {} ms, ended at {:?}, code {:?}",
+                exit.daemon, exit.asked_ms, exit.ended_ms, exit.code
+            );
+            found.push(Violation::new("a planned stop ends well and in time", what));
+        }
+    }
+}
+
+fn check_fairness(history: &History, found: &mut Vec<Violation>) {
+    let served = |workspace: &str| {
+        let own = history
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.workspace == workspace);
+        let own: Vec<&Attempt> = own.collect();
+        let answered = own
+            .iter()
+            .filter(|attempt| attempt.outcome == Outcome::Answered)
+            .count();
+        (own.len(), answered)
+    };
+    let (large_asked, large_served) = served("large");
+    let (small_asked, small_served) = served("small");
+    if small_asked < FAIR_ATTEMPTS_MIN || large_asked < FAIR_ATTEMPTS_MIN {
+        return;
+    }
+    // Answered parts compared without dividing: small/asked < half of large/asked.
+    if small_served * large_asked * 100 < large_served * small_asked * FAIR_PERCENT {
+        let what = format!(
+            "small: {small_served} of {small_asked} answered, large: {large_served} of {large_asked}"
+        );
+        found.push(Violation::new("each workspace its part", what));
+    }
+}
+
+fn check_recovery(history: &History, found: &mut Vec<Violation>) {
+    let from_ms = history.for_ms.saturating_sub(RECOVERED_FOR_MS);
+    if history.is_disturbed(from_ms.saturating_sub(AFTERMATH_MS), history.for_ms, |_| true) {
+        return;
+    }
+    let last = history.attempts.iter().filter(|attempt| {
+        attempt.workspace == "small" && attempt.began_ms >= from_ms && attempt.ended_ms <= history.for_ms
+    });
+    let last: Vec<&Attempt> = last.collect();
+    let answered = last
+        .iter()
+        .filter(|attempt| attempt.outcome == Outcome::Answered)
+        .count();
+    if answered * 100 < last.len() * RECOVERED_PERCENT {
+        let what = format!(
+            "{answered} of {} answered in the last {RECOVERED_FOR_MS} ms",
+            last.len()
+        );
+        found.push(Violation::new("well again in time", what));
+    }
+}
+
+fn shown(attempt: &Attempt) -> String {
+    format!(
+        "{} ({:?}, workspace {}, daemon {}, {} to {} ms: {:?})",
+        attempt.id,
+        attempt.kind,
+        attempt.workspace,
+        attempt.daemon,
+        attempt.began_ms,
+        attempt.ended_ms,
+        attempt.outcome
+    )
+}
+
+fn servers(runs: &[&Run]) -> String {
+    let names: Vec<String> = runs
+        .iter()
+        .map(|run| format!("{} at {} ms", run.server, run.began_ms))
+        .collect();
+    names.join(", ")
+}
--- /dev/null
+++ b/crates/reedsail_soak/src/daemon.rs
@@ -0,0 +1,137 @@
+//! The daemons: processes that are started, signalled, and started again.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use anyhow::Context as _;
+use rustix::process::Signal;
+use tokio::process::Command;
+
+use crate::layout;
+use crate::layout::DaemonAddresses;
+use crate::process::Process;
+use crate::proxy::Proxy;
+
+/// How many lines a second a daemon logs in a soak, so that a failure can be traced.
+const LOG_LINES_PER_S: u32 = 1_000;
+
+/// One daemon over all its lives.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    number: usize,
+    router: PathBuf,
+    folder: PathBuf,
+    seeds: Vec<SocketAddr>,
+    /// Before the callers' port.
+    pub(crate) callers: Proxy,
+    /// Before the store.
+    pub(crate) store: Proxy,
+    process: Mutex<Option<Process>>,
+    /// How often it was started.
+    lives: AtomicU64,
+    /// Its readiness page said so when it was last asked.
+    pub(crate) is_ready: AtomicBool,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    pub(crate) async fn start(
+        number: usize,
+        router: PathBuf,
+        folder: PathBuf,
+        store: SocketAddr,
+        daemons: usize,
+    ) -> anyhow::Result<Self> {
+        let addresses = DaemonAddresses::of(number);
+        let seeds = (0..daemons).map(|seed| DaemonAddresses::of(seed).peers).collect();
+        let daemon = Self {
+            number,
+            router,
+            folder,
+            seeds,
+            callers: Proxy::start(Some(addresses.callers)).await?,
+            store: Proxy::start(Some(store)).await?,
+            process: Mutex::new(None),
+            lives: AtomicU64::new(0),
+            is_ready: AtomicBool::new(false),
+        };
+        daemon.write_settings(LOG_LINES_PER_S)?;
+        daemon.revive()?;
+        Ok(daemon)
+    }
+
+    /// Returns how often the daemon was started.
+    pub(crate) fn life(&self) -> u64 {
+        self.lives.load(Ordering::Relaxed)
+    }
+
+    /// Starts the process unless it runs; `true` if it was started.
+    pub(crate) fn revive(&self) -> anyhow::Result<bool> {
+        let mut process = self.lock();
+        if process.is_some() {
+            return Ok(false);
+        }
+        let log = self.folder.join(format!("daemon-{}.log", self.number));
+        let mut command = Command::new(&self.router);
+        command.arg("--config").arg(self.settings_file());
+        *process = Some(Process::start(&mut command, Some(&log))?);
+        self.lives.fetch_add(1, Ordering::Relaxed);
+        Ok(true)
+    }
+
+    /// Sends a signal to the process, if it runs and is still in the given life.
+    pub(crate) fn signal(&self, signal: Signal, life: u64) {
+        let process = self.lock();
+        if let Some(process) = process.as_ref()
+            && self.life() == life
+        {
+            process.signal(signal);
+        }
+    }
+
+    /// Takes the process out, so that nobody else ends it.
+    pub(crate) fn take(&self) -> Option<Process> {
+        self.lock().take()
+    }
+
+    /// Changes the settings on disk.
+    pub(crate) fn change_settings(&self) -> anyhow::Result<()> {
+        let life = self.life() as u32;
+        self.write_settings(LOG_LINES_PER_S + life)
+    }
+
+    /// Returns the resident memory in kilobytes.
+    pub(crate) fn resident_kb(&self) -> u64 {
+        self.lock().as_ref().map_or(0, Process::resident_kb)
+    }
+
+    /// Ends the daemon and its proxies.
+    pub(crate) async fn close(self) {
+        let process = self.take();
+        if let Some(process) = process {
+            process.close().await;
+        }
+        self.callers.close();
+        self.store.close();
+    }
+
+    fn write_settings(&self, log_lines_per_s: u32) -> anyhow::Result<()> {
+        let text = layout::settings(self.number, self.store.address, &self.seeds, log_lines_per_s);
+        let file = self.settings_file();
+        std::fs::write(&file, text).with_context(|| format!("cannot write {}", file.display()))
+    }
+
+    fn settings_file(&self) -> PathBuf {
+        self.folder.join(format!("daemon-{}.yaml", self.number))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Process>> {
+        self.process.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/reedsail_soak/src/draw.rs
@@ -0,0 +1,124 @@
+//! Draws a schedule from a seed.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::AnswerFault;
+use crate::Fault;
+use crate::FaultKind;
+use crate::Link;
+use crate::LinkFault;
+use crate::Schedule;
+
+/// Nothing is disturbed before everything has started and served for a while.
+const CALM_AT_FIRST_MS: u64 = 2_000;
+/// Every fault ends so long before the end.
+const CALM_AT_LAST_MS: u64 = 8_000;
+/// For each series of faults there is so much time on average.
+const SERIES_EVERY_MS: u64 = 1_500;
+/// The most faults of one series.
+const SERIES_MOST: u64 = 4;
+/// The longest fault.
+const FAULT_MOST_MS: u64 = 4_000;
+
+/// Draws a schedule; the same seed and sizes give the same one.
+pub fn draw_schedule(seed: u64, for_ms: u64, daemons: Option<usize>) -> Schedule {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut schedule = Schedule {
+        seed,
+        for_ms,
+        daemons: daemons.unwrap_or_else(|| random.random_range(3..=5)),
+        engines: random.random_range(3..=4),
+        plain_servers: 2,
+        faults: Vec::new(),
+        cause: String::new(),
+    };
+    let last_ms = for_ms.saturating_sub(CALM_AT_LAST_MS).max(CALM_AT_FIRST_MS + 1);
+    for _ in 0..(last_ms / SERIES_EVERY_MS).max(1) {
+        let series = draw_series(&mut random, &schedule, last_ms);
+        schedule.faults.extend(series);
+    }
+    schedule.faults.sort_by_key(|fault| fault.at_ms);
+    schedule
+}
+
+/// Draws faults of one kind that follow each other, on the same part or on one after the other.
+fn draw_series(random: &mut StdRng, schedule: &Schedule, last_ms: u64) -> Vec<Fault> {
+    let count = random.random_range(1..=SERIES_MOST);
+    let mut at_ms = random.random_range(CALM_AT_FIRST_MS..last_ms);
+    let kind = random.random_range(0..KINDS);
+    let first_part = random.random_range(0..64);
+    let walks = random.random_bool(0.5);
+    let mut faults = Vec::new();
+    for number in 0..count {
+        let part = first_part + if walks { number as usize } else { 0 };
+        let for_ms = random.random_range(100..=FAULT_MOST_MS).min(last_ms - at_ms);
+        faults.push(Fault {
+            at_ms,
+            for_ms,
+            kind: draw_kind(random, schedule, kind, part),
+        });
+        at_ms += random.random_range(for_ms / 2..=for_ms + 500);
+        if at_ms >= last_ms {
+            break;
+        }
+    }
+    faults
+}
+
+/// How many kinds [`draw_kind`] knows.
+const KINDS: u32 = 18;
+
+fn draw_kind(random: &mut StdRng, schedule: &Schedule, kind: u32, part: usize) -> FaultKind {
+    let daemon = part % schedule.daemons;
+    let server = part % schedule.servers();
+    match kind {
+        0..3 => FaultKind::Link(draw_link(random, daemon, server), draw_link_fault(random)),
+        3 => FaultKind::KillDaemon(daemon),
+        4 => FaultKind::FreezeDaemon(daemon),
+        5 | 6 => FaultKind::StopDaemon(daemon),
+        7 => FaultKind::ReloadDaemon(daemon),
+        8 => FaultKind::KillServer(server),
+        9 => FaultKind::FreezeServer(server),
+        10 => FaultKind::RetireServer(server),
+        11 => FaultKind::ServerAnswers(server, draw_answer_fault(random)),
+        12 => FaultKind::StoreRefuses,
+        13 => FaultKind::StoreSlow(random.random_range(50..1_500)),
+        14 => FaultKind::StoreLoses(random.random_range(1..4)),
+        15 => FaultKind::StoreForgets,
+        16 => FaultKind::Configure,
+        _ => FaultKind::ReplaceKey,
+    }
+}
+
+fn draw_link(random: &mut StdRng, daemon: usize, server: usize) -> Link {
+    match random.random_range(0..3) {
+        0 => Link::Callers(daemon),
+        1 => Link::Store(daemon),
+        _ => Link::Server(server),
+    }
+}
+
+fn draw_link_fault(random: &mut StdRng) -> LinkFault {
+    match random.random_range(0..6) {
+        0 => LinkFault::Delay(random.random_range(20..800)),
+        1 => LinkFault::Reset,
+        2 => LinkFault::LoseRequests,
+        3 => LinkFault::LoseAnswers,
+        4 => LinkFault::Silence,
+        _ => LinkFault::CutTails,
+    }
+}
+
+fn draw_answer_fault(random: &mut StdRng) -> AnswerFault {
+    match random.random_range(0..7) {
+        0 => AnswerFault::Error,
+        1 => AnswerFault::Slow(random.random_range(50..1_500)),
+        2 => AnswerFault::Hang,
+        3 => AnswerFault::Short,
+        4 => AnswerFault::WrongId,
+        5 => AnswerFault::NotRun,
+        _ => AnswerFault::Break,
+    }
+}
--- /dev/null
+++ b/crates/reedsail_soak/src/fleet.rs
@@ -0,0 +1,235 @@
+//! All processes of a soak: store, backend servers and daemons.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use anyhow::Context as _;
+use reedsail_platform_standin::ServerSpec;
+use reedsail_platform_standin::StoreCommand;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::io::Lines;
+use tokio::process::ChildStdin;
+use tokio::process::ChildStdout;
+use tokio::process::Command;
+use tokio::sync::Mutex;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::AnswerFault;
+use crate::Programs;
+use crate::Run;
+use crate::Schedule;
+use crate::daemon::Daemon;
+use crate::layout;
+use crate::process::Process;
+use crate::proxy::Proxy;
+
+/// How many requests a server says it works on at once.
+const SLOTS: u32 = 8;
+
+/// The store's process and the way to command it.
+#[derive(Debug)]
+pub(crate) struct Store {
+    process: Process,
+    input: Mutex<ChildStdin>,
+    pub(crate) address: SocketAddr,
+}
+
+impl Store {
+    async fn start(programs: &Programs) -> anyhow::Result<Self> {
+        let mut command = Command::new(&programs.standins);
+        command.arg("soak-store");
+        let (process, input, _, address) = start_standin(&mut command).await?;
+        Ok(Self {
+            process,
+            input: Mutex::new(input),
+            address,
+        })
+    }
+
+    /// Gives a command; it is done before any later one.
+    pub(crate) async fn obey(&self, command: &StoreCommand) -> anyhow::Result<()> {
+        let line = serde_json::to_string(command)? + "\n";
+        let mut input = self.input.lock().await;
+        input
+            .write_all(line.as_bytes())
+            .await
+            .context("the store is gone")
+    }
+}
+
+/// One life of a backend server.
+#[derive(Debug)]
+pub(crate) struct ServerLife {
+    pub(crate) id: String,
+    pub(crate) process: Process,
+    input: ChildStdin,
+}
+
+impl ServerLife {
+    /// Sets how the server answers; one that is gone does not care.
+    pub(crate) async fn answer_with(&mut self, fault: Option<AnswerFault>) {
+        let line = serde_json::to_string(&fault).expect("a fault can be written") + "\n";
+        let _ = self.input.write_all(line.as_bytes()).await;
+    }
+}
+
+/// A backend server over all its lives, each of which has an id of its own.
+#[derive(Debug)]
+pub(crate) struct Server {
+    number: usize,
+    service: &'static str,
+    standins: PathBuf,
+    pub(crate) proxy: Proxy,
+    pub(crate) life: Mutex<Option<ServerLife>>,
+    lives: AtomicU64,
+    runs: UnboundedSender<Run>,
+}
+
+impl Server {
+    /// Starts a process and announces it, unless one runs.
+    pub(crate) async fn revive(&self, store: &Store) -> anyhow::Result<()> {
+        let mut life = self.life.lock().await;
+        if life.is_some() {
+            return Ok(());
+        }
+        let lives = self.lives.fetch_add(1, Ordering::Relaxed);
+        let id = format!("server-{}-{lives}", self.number);
+        let mut command = Command::new(&self.standins);
+        command.arg("soak-server").arg("--id").arg(&id);
+        if self.service == layout::ENGINES {
+            command.arg("--streams");
+        }
+        let (process, input, output, address) = start_standin(&mut command).await?;
+        tokio::spawn(pass_runs(output, self.runs.clone()));
+        self.proxy.set_upstream(Some(address));
+        store.obey(&StoreCommand::Announce(self.spec(&id, false))).await?;
+        *life = Some(ServerLife { id, process, input });
+        Ok(())
+    }
+
+    /// Returns the record of a life.
+    pub(crate) fn spec(&self, id: &str, is_leaving: bool) -> ServerSpec {
+        ServerSpec {
+            id: id.to_owned(),
+            service: self.service.to_owned(),
+            address: self.proxy.address,
+            failure_domain: layout::domain(self.number),
+            slots: SLOTS,
+            is_leaving,
+        }
+    }
+}
+
+/// All processes of a soak.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) store: Store,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) daemons: Vec<Daemon>,
+}
+
+impl Fleet {
+    /// Starts everything; each run of a server is sent to `runs`.
+    pub(crate) async fn start(
+        programs: &Programs,
+        schedule: &Schedule,
+        folder: &Path,
+        runs: UnboundedSender<Run>,
+    ) -> anyhow::Result<Arc<Self>> {
+        let store = Store::start(programs).await?;
+        let configuration = layout::configuration(1, 1);
+        store.obey(&StoreCommand::Configure(configuration)).await?;
+        let mut servers = Vec::new();
+        for number in 0..schedule.servers() {
+            let server = Server {
+                number,
+                service: if number < schedule.engines {
+                    layout::ENGINES
+                } else {
+                    layout::PLAIN
+                },
+                standins: programs.standins.clone(),
+                proxy: Proxy::start(None).await?,
+                life: Mutex::new(None),
+                lives: AtomicU64::new(0),
+                runs: runs.clone(),
+            };
+            server.revive(&store).await?;
+            servers.push(server);
+        }
+        let mut daemons = Vec::new();
+        for number in 0..schedule.daemons {
+            let router = programs.router.clone();
+            let folder = folder.to_owned();
+            daemons.push(Daemon::start(number, router, folder, store.address, schedule.daemons).await?);
+        }
+        Ok(Arc::new(Self {
+            store,
+            servers,
+            daemons,
+        }))
+    }
+
+    /// Returns how many processes run at most.
+    pub(crate) fn processes(&self) -> usize {
+        1 + self.servers.len() + self.daemons.len()
+    }
+
+    /// Returns the resident memory of all processes in kilobytes.
+    pub(crate) async fn resident_kb(&self) -> u64 {
+        let mut sum_kb = self.store.process.resident_kb();
+        for server in &self.servers {
+            let life = server.life.lock().await;
+            sum_kb += life.as_ref().map_or(0, |life| life.process.resident_kb());
+        }
+        sum_kb + self.daemons.iter().map(Daemon::resident_kb).sum::<u64>()
+    }
+
+    /// Ends every process.
+    pub(crate) async fn close(self) {
+        for daemon in self.daemons {
+            daemon.close().await;
+        }
+        for server in self.servers {
+            let life = server.life.lock().await.take();
+            if let Some(life) = life {
+                life.process.close().await;
+            }
+            server.proxy.close();
+        }
+        self.store.process.close().await;
+    }
+}
+
+type Standin = (Process, ChildStdin, Lines<BufReader<ChildStdout>>, SocketAddr);
+
+/// Starts a stand-in, whose first line is its address.
+async fn start_standin(command: &mut Command) -> anyhow::Result<Standin> {
+    let mut process = Process::start(command, None)?;
+    let child = process.child();
+    let input = child.stdin.take().context("the stand-in has no input")?;
+    let output = child.stdout.take().context("the stand-in has no output")?;
+    let mut lines = BufReader::new(output).lines();
+    let first = lines.next_line().await?.context("the stand-in ended at once")?;
+    let address = first
+        .parse()
+        .with_context(|| format!("`{first}` is no address"))?;
+    Ok((process, input, lines, address))
+}
+
+async fn pass_runs(mut lines: Lines<BufReader<ChildStdout>>, runs: UnboundedSender<Run>) {
+    while let Ok(Some(line)) = lines.next_line().await {
+        // A line that was cut off by a kill belongs to a request that nobody got an answer to.
+        if let Ok(run) = serde_json::from_str(&line)
+            && runs.send(run).is_err()
+        {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/reedsail_soak/src/layout.rs
@@ -0,0 +1,151 @@
+//! Addresses, names and settings of a soak's parts.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use reedsail_platform_standin::ConfigurationSpec;
+use reedsail_platform_standin::RouteKind;
+use reedsail_platform_standin::RouteSpec;
+
+use crate::CallKind;
+
+/// How many failure domains the daemons and servers stand in.
+const DOMAINS: usize = 3;
+/// How long the router holds a request at most.
+pub(crate) const TIMEOUT_MS: u64 = 2_000;
+/// The goal of every route.
+const GOAL_MS: u64 = 800;
+/// The most servers that one attempt may go to.
+pub(crate) const ATTEMPTS_MAX: u32 = 3;
+/// When a planned stop ends at the latest.
+const STOP_MS: u64 = 6_000;
+/// The host that callers ask for.
+pub(crate) const HOST: &str = "soak.example";
+/// The host that probes ask for.
+pub(crate) const PROBE_HOST: &str = "probe.example";
+/// The workspace whose key changes.
+pub(crate) const CHANGING: &str = "changing";
+/// Answers streams.
+pub(crate) const ENGINES: &str = "engines";
+/// Answers everything else.
+pub(crate) const PLAIN: &str = "plain";
+
+/// The ports of one daemon, which it keeps over its lives.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DaemonAddresses {
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+impl DaemonAddresses {
+    /// Returns the addresses of a daemon: a loopback address of its own, so that no other program
+    /// takes its ports between two lives.
+    pub(crate) fn of(daemon: usize) -> Self {
+        let soak = std::process::id();
+        let address = Ipv4Addr::new(127, 64 + (soak >> 8) as u8 % 128, soak as u8, 1 + daemon as u8);
+        let at = |port| SocketAddr::new(IpAddr::V4(address), port);
+        Self {
+            callers: at(7_300),
+            readiness: at(7_301),
+            admin: at(7_302),
+            peers: at(7_303),
+        }
+    }
+}
+
+/// Returns the failure domain of the daemon or server with a number.
+pub(crate) fn domain(number: usize) -> String {
+    format!("domain-{}", number % DOMAINS)
+}
+
+/// Returns a daemon's settings.
+pub(crate) fn settings(
+    daemon: usize,
+    store: SocketAddr,
+    seeds: &[SocketAddr],
+    log_lines_per_s: u32,
+) -> String {
+    let addresses = DaemonAddresses::of(daemon);
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    format!(
+        "instance: daemon-{daemon}\n\
+         failure_domain: {}\n\
+         listen:\n  callers: {}\n  readiness: {}\n  admin: {}\n  peers: {}\n\
+         readiness_path: /ready\n\
+         store: {store}\n\
+         seeds: [{}]\n\
+         log_lines_per_s: {log_lines_per_s}\n\
+         stop:\n  accept_ms: 2000\n  end_ms: {STOP_MS}\n",
+        domain(daemon),
+        addresses.callers,
+        addresses.readiness,
+        addresses.admin,
+        addresses.peers,
+        seeds.join(", "),
+    )
+}
+
+/// Returns the path that callers of a kind ask for.
+pub(crate) fn path(kind: CallKind) -> &'static str {
+    match kind {
+        CallKind::Lookup => "/lookup/",
+        CallKind::Order => "/order/",
+        CallKind::Letter => "/letter/",
+        CallKind::Chat => "/chat/",
+    }
+}
+
+/// Returns the path that is routed in one version only.
+pub(crate) fn probe_path(version: u64) -> String {
+    format!("/version-{version}/")
+}
+
+/// Returns a key; no number stands for the one that never changes.
+pub(crate) fn key(workspace: &str, number: u64) -> String {
+    format!("key-{workspace}-{number}")
+}
+
+/// Returns a version of the configuration, with the number of the key that changes.
+pub(crate) fn configuration(version: u64, changing_key: u64) -> ConfigurationSpec {
+    let mut routes: Vec<RouteSpec> = CallKind::ALL.into_iter().map(route).collect();
+    routes.push(RouteSpec {
+        host: PROBE_HOST.to_owned(),
+        prefix: probe_path(version),
+        kind: RouteKind::Repeatable,
+        service: PLAIN.to_owned(),
+        is_anonymous: true,
+    });
+    ConfigurationSpec {
+        version,
+        timeout_ms: TIMEOUT_MS,
+        goal_ms: GOAL_MS,
+        attempts: ATTEMPTS_MAX,
+        routes,
+        workspaces: vec![
+            ("large".to_owned(), vec![key("large", 0)]),
+            ("small".to_owned(), vec![key("small", 0)]),
+            (CHANGING.to_owned(), vec![key(CHANGING, changing_key)]),
+        ],
+    }
+}
+
+fn route(kind: CallKind) -> RouteSpec {
+    RouteSpec {
+        host: HOST.to_owned(),
+        prefix: path(kind).to_owned(),
+        kind: match kind {
+            CallKind::Lookup => RouteKind::Repeatable,
+            CallKind::Order => RouteKind::Once,
+            CallKind::Letter => RouteKind::Stream,
+            CallKind::Chat => RouteKind::ResumableStream,
+        },
+        service: match kind {
+            CallKind::Lookup | CallKind::Order => PLAIN.to_owned(),
+            CallKind::Letter | CallKind::Chat => ENGINES.to_owned(),
+        },
+        is_anonymous: false,
+    }
+}
--- /dev/null
+++ b/crates/reedsail_soak/src/player.rs
@@ -0,0 +1,366 @@
+//! Does to the fleet what a schedule says, and notes when.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use reedsail_platform_standin::StoreCommand;
+use reedsail_platform_standin::StoreTrouble;
+use rustix::process::Signal;
+use tokio::time::sleep;
+
+use crate::AnswerFault;
+use crate::Departure;
+use crate::Exit;
+use crate::Fault;
+use crate::FaultKind;
+use crate::FaultSpan;
+use crate::Link;
+use crate::LinkFault;
+use crate::Target;
+use crate::VersionWrite;
+use crate::caller::CallerShared;
+use crate::daemon::Daemon;
+use crate::fleet::Fleet;
+use crate::fleet::Server;
+use crate::layout;
+use crate::server::unix_ms;
+
+/// A daemon that was asked to stop is killed after this time.
+const STOP_LIMIT_MS: u64 = 12_000;
+/// How long a daemon takes after its start until it serves.
+const START_MS: u64 = 1_500;
+/// How long a server's record outlives a server that was killed.
+const LAPSE_MS: u64 = 1_000;
+/// How long a server that leaves finishes its requests.
+const FINISH_MS: u64 = 3_000;
+
+/// What the player notes.
+#[derive(Debug, Default)]
+pub(crate) struct Played {
+    pub(crate) faults: Vec<FaultSpan>,
+    pub(crate) writes: Vec<VersionWrite>,
+    pub(crate) departures: Vec<Departure>,
+    pub(crate) exits: Vec<Exit>,
+    pub(crate) counts: HashMap<&'static str, u64>,
+}
+
+/// How many faults of a kind are acting, so that one that ends does not end another.
+#[derive(Debug, Default)]
+struct Acting {
+    links: HashMap<String, u64>,
+    answers: HashMap<usize, u64>,
+    store: u64,
+    number: u64,
+}
+
+/// Plays a schedule.
+#[derive(Debug)]
+pub(crate) struct Player {
+    fleet: Arc<Fleet>,
+    callers: Arc<CallerShared>,
+    newest_version: Arc<AtomicU64>,
+    played: Mutex<Played>,
+    acting: Mutex<Acting>,
+    /// One version is written after the other.
+    writing: tokio::sync::Mutex<()>,
+}
+
+impl Player {
+    pub(crate) fn new(fleet: Arc<Fleet>, callers: Arc<CallerShared>, newest_version: Arc<AtomicU64>) -> Self {
+        let first = VersionWrite {
+            version: 1,
+            at_ms: 0,
+            key: 1,
+        };
+        Self {
+            fleet,
+            callers,
+            newest_version,
+            played: Mutex::new(Played {
+                writes: vec![first],
+                ..Played::default()
+            }),
+            acting: Mutex::default(),
+            writing: tokio::sync::Mutex::new(()),
+        }
+    }
+
+    /// Returns what was noted; called once all faults are over.
+    pub(crate) fn take_played(&self) -> Played {
+        std::mem::take(&mut *self.played())
+    }
+
+    /// Waits for a fault's moment, and does it from its begin to its end.
+    pub(crate) async fn play(&self, fault: Fault) -> anyhow::Result<()> {
+        sleep(Duration::from_millis(fault.at_ms.saturating_sub(self.now_ms()))).await;
+        *self.played().counts.entry(fault.kind.name()).or_default() += 1;
+        match fault.kind {
+            FaultKind::Link(link, what) => self.disturb_link(link, what, fault.for_ms).await,
+            FaultKind::KillDaemon(daemon) => self.kill_daemon(daemon, fault.for_ms).await?,
+            FaultKind::FreezeDaemon(daemon) => self.freeze_daemon(daemon, fault.for_ms).await,
+            FaultKind::StopDaemon(daemon) => self.stop_daemon(daemon, fault.for_ms).await?,
+            FaultKind::ReloadDaemon(daemon) => {
+                let daemon = &self.fleet.daemons[daemon];
+                daemon.change_settings()?;
+                daemon.signal(Signal::HUP, daemon.life());
+            }
+            FaultKind::KillServer(server) => self.kill_server(server, fault.for_ms).await?,
+            FaultKind::FreezeServer(server) => self.freeze_server(server, fault.for_ms).await,
+            FaultKind::RetireServer(server) => self.retire_server(server, fault.for_ms).await?,
+            FaultKind::ServerAnswers(server, what) => self.disturb_answers(server, what, fault.for_ms).await,
+            FaultKind::StoreRefuses => {
+                let refusal = Some(503);
+                let trouble = StoreTrouble {
+                    refusal,
+                    ..StoreTrouble::default()
+                };
+                self.disturb_store(trouble, fault.for_ms).await?;
+            }
+            FaultKind::StoreSlow(delay_ms) => {
+                let trouble = StoreTrouble {
+                    delay_ms,
+                    ..StoreTrouble::default()
+                };
+                self.disturb_store(trouble, fault.for_ms).await?;
+            }
+            FaultKind::StoreLoses(lost_every) => {
+                let trouble = StoreTrouble {
+                    lost_every,
+                    ..StoreTrouble::default()
+                };
+                self.disturb_store(trouble, fault.for_ms).await?;
+            }
+            FaultKind::StoreForgets => self.fleet.store.obey(&StoreCommand::Forget).await?,
+            FaultKind::Configure => self.configure(false).await?,
+            FaultKind::ReplaceKey => self.configure(true).await?,
+        }
+        Ok(())
+    }
+
+    async fn disturb_link(&self, link: Link, what: LinkFault, for_ms: u64) {
+        let (proxy, target) = match link {
+            Link::Callers(daemon) => (&self.fleet.daemons[daemon].callers, Target::CallersLink(daemon)),
+            Link::Store(daemon) => (&self.fleet.daemons[daemon].store, Target::StoreLink(daemon)),
+            Link::Server(server) => (&self.fleet.servers[server].proxy, Target::Server(server)),
+        };
+        let span = self.begin(target);
+        let name = format!("{link:?}");
+        let number = self.next_number();
+        self.acting().links.insert(name.clone(), number);
+        proxy.set_fault(Some(what));
+        sleep(Duration::from_millis(for_ms)).await;
+        if self.acting().links.get(&name) == Some(&number) {
+            proxy.set_fault(None);
+        }
+        self.end(span);
+    }
+
+    async fn kill_daemon(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
+        let daemon = &self.fleet.daemons[number];
+        let Some(process) = daemon.take() else {
+            return Ok(());
+        };
+        let span = self.begin(Target::Daemon(number));
+        process.close().await;
+        sleep(Duration::from_millis(for_ms)).await;
+        self.revive(daemon).await?;
+        self.end(span);
+        Ok(())
+    }
+
+    async fn freeze_daemon(&self, number: usize, for_ms: u64) {
+        let daemon = &self.fleet.daemons[number];
+        let life = daemon.life();
+        let span = self.begin(Target::Daemon(number));
+        daemon.signal(Signal::STOP, life);
+        sleep(Duration::from_millis(for_ms)).await;
+        daemon.signal(Signal::CONT, life);
+        self.end(span);
+    }
+
+    async fn stop_daemon(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
+        let daemon = &self.fleet.daemons[number];
+        let Some(mut process) = daemon.take() else {
+            return Ok(());
+        };
+        let span = self.begin(Target::Stop(number));
+        let asked_ms = self.now_ms();
+        process.signal(Signal::TERM);
+        let code = process.wait(STOP_LIMIT_MS).await;
+        self.played().exits.push(Exit {
+            daemon: number,
+            asked_ms,
+            ended_ms: code.map(|_| self.now_ms()),
+            code: code.flatten(),
+        });
+        process.close().await;
+        sleep(Duration::from_millis(for_ms / 4)).await;
+        self.revive(daemon).await?;
+        self.end(span);
+        Ok(())
+    }
+
+    async fn revive(&self, daemon: &Daemon) -> anyhow::Result<()> {
+        if daemon.revive()? {
+            sleep(Duration::from_millis(START_MS)).await;
+        }
+        Ok(())
+    }
+
+    async fn kill_server(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
+        let server = &self.fleet.servers[number];
+        let Some(life) = server.life.lock().await.take() else {
+            return Ok(());
+        };
+        let span = self.begin(Target::Server(number));
+        server.proxy.set_upstream(None);
+        life.process.close().await;
+        sleep(Duration::from_millis(LAPSE_MS)).await;
+        self.fleet.store.obey(&StoreCommand::Drop(life.id)).await?;
+        sleep(Duration::from_millis(for_ms)).await;
+        self.revive_server(server).await?;
+        self.end(span);
+        Ok(())
+    }
+
+    async fn freeze_server(&self, number: usize, for_ms: u64) {
+        let server = &self.fleet.servers[number];
+        let span = self.begin(Target::Server(number));
+        let id = self.signal_server(server, Signal::STOP, None).await;
+        sleep(Duration::from_millis(for_ms)).await;
+        self.signal_server(server, Signal::CONT, id.as_deref()).await;
+        self.end(span);
+    }
+
+    /// Signals a server, if it is still in the life that is meant; returns its id.
+    async fn signal_server(&self, server: &Server, signal: Signal, meant: Option<&str>) -> Option<String> {
+        let life = server.life.lock().await;
+        let life = life
+            .as_ref()
+            .filter(|life| meant.is_none_or(|meant| meant == life.id))?;
+        life.process.signal(signal);
+        Some(life.id.clone())
+    }
+
+    async fn retire_server(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
+        let server = &self.fleet.servers[number];
+        let Some(life) = server.life.lock().await.take() else {
+            return Ok(());
+        };
+        let leaving = server.spec(&life.id, true);
+        self.fleet.store.obey(&StoreCommand::Announce(leaving)).await?;
+        self.played().departures.push(Departure {
+            server: life.id.clone(),
+            at_ms: self.now_ms(),
+        });
+        sleep(Duration::from_millis(FINISH_MS)).await;
+        self.fleet.store.obey(&StoreCommand::Drop(life.id)).await?;
+        // Requests that were begun before it left are over by now, and newer ones are watched for.
+        sleep(Duration::from_millis(FINISH_MS)).await;
+        let span = self.begin(Target::Server(number));
+        life.process.close().await;
+        sleep(Duration::from_millis(for_ms / 4)).await;
+        self.revive_server(server).await?;
+        self.end(span);
+        Ok(())
+    }
+
+    async fn revive_server(&self, server: &Server) -> anyhow::Result<()> {
+        server.revive(&self.fleet.store).await
+    }
+
+    async fn disturb_answers(&self, number: usize, what: AnswerFault, for_ms: u64) {
+        let span = self.begin(Target::Server(number));
+        let acting = self.next_number();
+        self.acting().answers.insert(number, acting);
+        self.set_answers(number, Some(what)).await;
+        sleep(Duration::from_millis(for_ms)).await;
+        let is_newest = self.acting().answers.get(&number) == Some(&acting);
+        if is_newest {
+            self.set_answers(number, None).await;
+        }
+        self.end(span);
+    }
+
+    async fn set_answers(&self, number: usize, what: Option<AnswerFault>) {
+        let mut life = self.fleet.servers[number].life.lock().await;
+        if let Some(life) = life.as_mut() {
+            life.answer_with(what).await;
+        }
+    }
+
+    async fn disturb_store(&self, trouble: StoreTrouble, for_ms: u64) -> anyhow::Result<()> {
+        let span = self.begin(Target::Store);
+        let number = self.next_number();
+        self.acting().store = number;
+        self.fleet.store.obey(&StoreCommand::Trouble(trouble)).await?;
+        sleep(Duration::from_millis(for_ms)).await;
+        let is_newest = self.acting().store == number;
+        if is_newest {
+            let well = StoreCommand::Trouble(StoreTrouble::default());
+            self.fleet.store.obey(&well).await?;
+        }
+        self.end(span);
+        Ok(())
+    }
+
+    /// Writes the next version; `with_new_key` gives the changing workspace another key.
+    async fn configure(&self, with_new_key: bool) -> anyhow::Result<()> {
+        let _writing = self.writing.lock().await;
+        let version = self.newest_version.load(Ordering::Relaxed) + 1;
+        let key = self.callers.newest_key.load(Ordering::Relaxed) + u64::from(with_new_key);
+        let configuration = layout::configuration(version, key);
+        // Noted first: a daemon may have it in force before the call returns.
+        self.played().writes.push(VersionWrite {
+            version,
+            at_ms: self.now_ms(),
+            key,
+        });
+        self.newest_version.store(version, Ordering::Relaxed);
+        self.fleet
+            .store
+            .obey(&StoreCommand::Configure(configuration))
+            .await?;
+        self.callers.newest_key.store(key, Ordering::Relaxed);
+        Ok(())
+    }
+
+    fn begin(&self, target: Target) -> usize {
+        let mut played = self.played();
+        played.faults.push(FaultSpan {
+            target,
+            from_ms: self.now_ms(),
+            until_ms: u64::MAX,
+        });
+        played.faults.len() - 1
+    }
+
+    fn end(&self, span: usize) {
+        let now_ms = self.now_ms();
+        self.played().faults[span].until_ms = now_ms;
+    }
+
+    fn now_ms(&self) -> u64 {
+        unix_ms().saturating_sub(self.callers.start_ms)
+    }
+
+    fn next_number(&self) -> u64 {
+        let mut acting = self.acting();
+        acting.number += 1;
+        acting.number
+    }
+
+    fn played(&self) -> MutexGuard<'_, Played> {
+        self.played.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn acting(&self) -> MutexGuard<'_, Acting> {
+        self.acting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/reedsail_soak/src/prober.rs
@@ -0,0 +1,110 @@
+//! Asks each daemon again and again whether it is ready, and which version it has in force.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header::HOST;
+use reedsail_net::ByteCounter;
+use reedsail_net::HttpConnection;
+use reedsail_platform_standin::CallerHead;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::Probe;
+use crate::fleet::Fleet;
+use crate::layout;
+use crate::layout::DaemonAddresses;
+use crate::layout::PROBE_HOST;
+use crate::server::unix_ms;
+
+/// How long passes between two probes of a daemon.
+const EVERY_MS: u64 = 200;
+/// How long an answer may take.
+const ANSWER_MS: u64 = 700;
+
+/// Probes one daemon until it is dropped.
+pub(crate) async fn run_prober(
+    fleet: Arc<Fleet>,
+    daemon: usize,
+    newest_version: Arc<AtomicU64>,
+    start_ms: u64,
+    probes: UnboundedSender<Probe>,
+) {
+    let addresses = DaemonAddresses::of(daemon);
+    let mut known = (0, 0);
+    loop {
+        sleep(Duration::from_millis(EVERY_MS)).await;
+        let state = &fleet.daemons[daemon];
+        let status = get(addresses.readiness, "localhost", "/ready").await;
+        state
+            .is_ready
+            .store(status == Some(StatusCode::OK), Ordering::Relaxed);
+        let life = state.life();
+        if known.0 != life {
+            known = (life, 1);
+        }
+        let began_ms = unix_ms().saturating_sub(start_ms);
+        let newest = newest_version.load(Ordering::Relaxed);
+        let found = find_version(addresses.callers, known.1, newest).await;
+        let Some(version) = found.filter(|_| state.life() == life) else {
+            continue;
+        };
+        known.1 = version;
+        let probe = Probe {
+            daemon,
+            life,
+            began_ms,
+            ended_ms: unix_ms().saturating_sub(start_ms),
+            version,
+        };
+        // Nobody listens once the soak has ended.
+        let _ = probes.send(probe);
+    }
+}
+
+/// Finds the one version whose path is routed: the one known, a newer one, then an older one.
+async fn find_version(callers: SocketAddr, known: u64, newest: u64) -> Option<u64> {
+    for version in (known..=newest).chain(1..known) {
+        let status = get(callers, PROBE_HOST, &layout::probe_path(version)).await?;
+        match status {
+            StatusCode::NOT_FOUND => {}
+            // The daemon does not know yet, or has nobody to ask.
+            StatusCode::SERVICE_UNAVAILABLE => return None,
+            _ => return Some(version),
+        }
+    }
+    None
+}
+
+/// Asks on a connection of its own; `None` if there is no answer in time.
+async fn get(address: SocketAddr, host: &str, path: &str) -> Option<StatusCode> {
+    let asking = async {
+        let opening = HttpConnection::open(address, ANSWER_MS, ByteCounter::default());
+        let mut connection = opening.await.ok()?;
+        let mut request = Request::get(path)
+            .header(HOST, host)
+            .body(Full::<Bytes>::default())
+            .ok()?;
+        let head = CallerHead {
+            request_id: "probe",
+            deadline_ms: ANSWER_MS,
+            key: None,
+            prompt: None,
+        };
+        head.write(request.headers_mut());
+        let response = connection.send(request).await.ok()?;
+        let status = response.status();
+        response.into_body().collect().await.ok()?;
+        Some(status)
+    };
+    timeout(Duration::from_millis(ANSWER_MS), asking).await.ok()?
+}
--- /dev/null
+++ b/crates/reedsail_soak/src/server.rs
@@ -0,0 +1,34 @@
+//! What a backend server's answer to a request has to be.
+
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use hyper::StatusCode;
+
+/// Names the server that gave an answer; the daemon's own answers have none.
+pub(crate) const SERVED_BY: &str = "soak-served-by";
+/// The answer of a server that was not meant.
+pub(crate) const MISDIRECTED: StatusCode = StatusCode::MISDIRECTED_REQUEST;
+/// How many events a stream has.
+pub(crate) const EVENTS: u32 = 10;
+
+/// Returns the answer to a plain request.
+pub(crate) fn plain_answer(request_id: &str) -> String {
+    format!("the answer to {request_id}, ").repeat(20)
+}
+
+/// Returns an event of a stream.
+pub(crate) fn event(request_id: &str, number: u32) -> String {
+    format!("id: {number}\ndata: part {number} for {request_id}\n\n")
+}
+
+/// Returns a whole stream.
+pub(crate) fn stream_answer(request_id: &str) -> String {
+    (1..=EVENTS).map(|number| event(request_id, number)).collect()
+}
+
+/// Returns the time of day, in milliseconds since 1970, which all processes of a soak share.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/reedsail_soak/src/server_program.rs
@@ -0,0 +1,232 @@
+//! A backend server as a process of its own: prints its address, then a line for each request that
+//! it runs, and obeys the lines that it reads.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::Full;
+use http_body_util::channel::Channel;
+use http_body_util::channel::Sender;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use reedsail_platform_standin::ServerHead;
+use reedsail_platform_standin::mark_answer;
+use reedsail_platform_standin::mark_not_run;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::BufReader;
+use tokio::io::stdin;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+
+use crate::AnswerFault;
+use crate::Run;
+use crate::server::EVENTS;
+use crate::server::MISDIRECTED;
+use crate::server::SERVED_BY;
+use crate::server::event;
+use crate::server::plain_answer;
+use crate::server::unix_ms;
+
+/// How many requests run at once; others wait.
+const SLOTS: usize = 8;
+/// How long a plain request runs.
+const PLAIN_MS: u64 = 10;
+/// How long a prompt is read before the first event.
+const READ_MS: u64 = 30;
+/// How long a stream pauses between two events.
+const EVENT_PAUSE_MS: u64 = 15;
+
+type Body = Either<Full<Bytes>, Channel<Bytes, Broken>>;
+
+/// Breaks the connection.
+#[derive(Debug)]
+struct Broken;
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("the server breaks the connection, as it was told to")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// What a server is, and how it answers at present.
+#[derive(Debug)]
+struct Server {
+    id: String,
+    streams: bool,
+    fault: Mutex<Option<AnswerFault>>,
+    slots: Arc<Semaphore>,
+}
+
+/// Runs a server until its input ends.
+///
+/// # Errors
+/// The system's, or a line that is no fault.
+pub async fn run_server(id: String, streams: bool) -> anyhow::Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.context("cannot listen")?;
+    println!("{}", listener.local_addr()?);
+    let server = Arc::new(Server {
+        id,
+        streams,
+        fault: Mutex::new(None),
+        slots: Arc::new(Semaphore::new(SLOTS)),
+    });
+    tokio::spawn(accept(listener, Arc::clone(&server)));
+    let mut lines = BufReader::new(stdin()).lines();
+    while let Some(line) = lines.next_line().await? {
+        let fault: Option<AnswerFault> =
+            serde_json::from_str(&line).with_context(|| format!("`{line}` is no fault"))?;
+        *server.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, server: Arc<Server>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let server = Arc::clone(&server);
+        tokio::spawn(async move {
+            let service = service_fn(|request| server.answer(request));
+            // A connection that breaks shows at its caller.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+impl Server {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
+        let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(head) = ServerHead::read(request.headers()) else {
+            return Ok(self.whole(StatusCode::BAD_REQUEST, "no id"));
+        };
+        request.into_body().collect().await.map_err(|_| Broken)?;
+        if head
+            .expected_server
+            .as_ref()
+            .is_some_and(|expected| *expected != self.id)
+        {
+            return Ok(self.not_run(MISDIRECTED));
+        }
+        if fault == Some(AnswerFault::NotRun) {
+            return Ok(self.not_run(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let slot = Arc::clone(&self.slots)
+            .acquire_owned()
+            .await
+            .map_err(|_| Broken)?;
+        self.print_run(&head);
+        match fault {
+            Some(AnswerFault::Hang) => std::future::pending::<()>().await,
+            Some(AnswerFault::Slow(late_ms)) => sleep(Duration::from_millis(late_ms)).await,
+            _ => {}
+        }
+        let mut response = if self.streams {
+            sleep(Duration::from_millis(READ_MS)).await;
+            let (sender, body) = Channel::new(1);
+            let (request_id, last) = (head.request_id.clone(), head.resume_after);
+            tokio::spawn(async move {
+                send_events(sender, &request_id, last, fault).await;
+                drop(slot);
+            });
+            let mut response = Response::new(Either::Right(body));
+            self.sign(&mut response);
+            response
+        } else {
+            sleep(Duration::from_millis(PLAIN_MS)).await;
+            self.plain(&head, fault)?
+        };
+        if fault == Some(AnswerFault::WrongId) {
+            mark_answer(response.headers_mut(), "of-another-request");
+        } else {
+            mark_answer(response.headers_mut(), &head.request_id);
+        }
+        Ok(response)
+    }
+
+    fn plain(&self, head: &ServerHead, fault: Option<AnswerFault>) -> Result<Response<Body>, Broken> {
+        match fault {
+            Some(AnswerFault::Error) => Ok(self.whole(StatusCode::INTERNAL_SERVER_ERROR, "failed")),
+            Some(AnswerFault::Break) => Err(Broken),
+            Some(AnswerFault::Short) => {
+                let mut response = self.whole(StatusCode::OK, plain_answer(&head.request_id));
+                let headers = response.headers_mut();
+                headers.insert(CONTENT_LENGTH, HeaderValue::from_static("100000"));
+                Ok(response)
+            }
+            _ => Ok(self.whole(StatusCode::OK, plain_answer(&head.request_id))),
+        }
+    }
+
+    fn whole(&self, status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+        let mut response = Response::new(Either::Left(Full::new(body.into())));
+        *response.status_mut() = status;
+        self.sign(&mut response);
+        response
+    }
+
+    fn not_run(&self, status: StatusCode) -> Response<Body> {
+        let mut response = self.whole(status, "");
+        mark_not_run(response.headers_mut());
+        response
+    }
+
+    /// Names the server in its answer, so that callers know the daemon's own answers.
+    fn sign(&self, response: &mut Response<Body>) {
+        if let Ok(id) = HeaderValue::from_str(&self.id) {
+            response.headers_mut().insert(SERVED_BY, id);
+        }
+    }
+
+    fn print_run(&self, head: &ServerHead) {
+        let run = Run {
+            id: head.request_id.clone(),
+            server: self.id.clone(),
+            workspace: head.workspace.clone(),
+            is_resumed: head.resume_after.is_some(),
+            saw_key: head.key.is_some(),
+            began_ms: unix_ms(),
+        };
+        println!("{}", serde_json::to_string(&run).expect("a run can be written"));
+    }
+}
+
+async fn send_events(
+    mut sender: Sender<Bytes, Broken>,
+    request_id: &str,
+    last: Option<u32>,
+    fault: Option<AnswerFault>,
+) {
+    let first = last.map_or(1, |last| last + 1);
+    for number in first..=EVENTS {
+        let is_faulty = number == EVENTS / 2;
+        match fault {
+            Some(AnswerFault::Error | AnswerFault::Break | AnswerFault::Short) if is_faulty => {
+                // Ends the connection before the end of the body.
+                sender.abort(Broken);
+                return;
+            }
+            _ => {}
+        }
+        let piece = Bytes::from(event(request_id, number));
+        if sender.send_data(piece).await.is_err() {
+            return;
+        }
+        sleep(Duration::from_millis(EVENT_PAUSE_MS)).await;
+    }
+}
--- /dev/null
+++ b/crates/reedsail_soak/src/soak.rs
@@ -0,0 +1,259 @@
+//! Plays one schedule from the start of all processes to the report.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::Attempt;
+use crate::History;
+use crate::Probe;
+use crate::Run;
+use crate::Schedule;
+use crate::SoakReport;
+use crate::caller::CallerProfile;
+use crate::caller::CallerShared;
+use crate::caller::run_caller;
+use crate::check;
+use crate::fleet::Fleet;
+use crate::layout;
+use crate::player::Played;
+use crate::player::Player;
+use crate::prober::run_prober;
+use crate::report::count_outcomes;
+use crate::server::unix_ms;
+
+/// How long the processes have before callers begin.
+const SETTLE_MS: u64 = 1_500;
+/// How long callers have for their last attempt.
+const LAST_ATTEMPT_MS: u64 = 4_000;
+/// How often memory is looked at.
+const MEMORY_EVERY_MS: u64 = 500;
+
+/// Which callers ask: how many, of which workspace, and how often.
+const CALLERS: [(u64, CallerProfile); 3] = [
+    (
+        16,
+        CallerProfile {
+            workspace: "large",
+            pause_ms: 20,
+        },
+    ),
+    (
+        3,
+        CallerProfile {
+            workspace: "small",
+            pause_ms: 80,
+        },
+    ),
+    (
+        3,
+        CallerProfile {
+            workspace: layout::CHANGING,
+            pause_ms: 80,
+        },
+    ),
+];
+
+/// The programs that a soak starts.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The router.
+    pub router: PathBuf,
+    /// The program with the commands `soak-store` and `soak-server`.
+    pub standins: PathBuf,
+}
+
+/// Plays a schedule. A run that breaks a promise leaves its schedule, its history and the daemons'
+/// logs in `keep`, in a folder named after the seed.
+///
+/// # Errors
+/// The system's, when processes cannot be started or files not be written.
+pub async fn run_soak(
+    programs: &Programs,
+    schedule: &Schedule,
+    keep: Option<&Path>,
+) -> anyhow::Result<SoakReport> {
+    let folder = tempfile::tempdir().context("cannot make a folder for logs")?;
+    let (runs_in, runs) = unbounded_channel();
+    let fleet = Fleet::start(programs, schedule, folder.path(), runs_in).await?;
+    sleep(Duration::from_millis(SETTLE_MS)).await;
+    let seen = play(&fleet, schedule).await?;
+    let (history, figures) = seen.into_history(schedule, runs);
+    let processes = fleet.processes();
+    let fleet = Arc::into_inner(fleet).context("a task still uses the processes")?;
+    fleet.close().await;
+    let report = SoakReport {
+        seed: schedule.seed,
+        for_ms: schedule.for_ms,
+        processes,
+        peak_memory_mb: figures.peak_memory_kb / 1_024,
+        faults: figures.faults,
+        outcomes: count_outcomes(&history),
+        runs: history.runs.len(),
+        violations: check(&history),
+    };
+    if let Some(keep) = keep.filter(|_| !report.is_clean()) {
+        keep_run(
+            &keep.join(format!("seed-{}", schedule.seed)),
+            folder.path(),
+            schedule,
+            &history,
+            &report,
+        )?;
+    }
+    Ok(report)
+}
+
+/// What was seen while a schedule was played.
+struct Seen {
+    attempts: UnboundedReceiver<Attempt>,
+    probes: UnboundedReceiver<Probe>,
+    played: Played,
+    start_ms: u64,
+    peak_memory_kb: u64,
+}
+
+/// What a report needs beside the history.
+struct Figures {
+    faults: BTreeMap<String, u64>,
+    peak_memory_kb: u64,
+}
+
+impl Seen {
+    fn into_history(mut self, schedule: &Schedule, mut runs: UnboundedReceiver<Run>) -> (History, Figures) {
+        let mut history = History {
+            for_ms: schedule.for_ms,
+            daemons: schedule.daemons,
+            attempts_max: layout::ATTEMPTS_MAX as usize,
+            faults: self.played.faults,
+            writes: self.played.writes,
+            departures: self.played.departures,
+            exits: self.played.exits,
+            ..History::default()
+        };
+        while let Ok(attempt) = self.attempts.try_recv() {
+            history.attempts.push(attempt);
+        }
+        while let Ok(probe) = self.probes.try_recv() {
+            history.probes.push(probe);
+        }
+        while let Ok(mut run) = runs.try_recv() {
+            run.began_ms = run.began_ms.saturating_sub(self.start_ms);
+            history.runs.push(run);
+        }
+        history.probes.sort_by_key(|probe| probe.ended_ms);
+        let counts = self.played.counts.into_iter();
+        let figures = Figures {
+            faults: counts.map(|(name, count)| (name.to_owned(), count)).collect(),
+            peak_memory_kb: self.peak_memory_kb,
+        };
+        (history, figures)
+    }
+}
+
+async fn play(fleet: &Arc<Fleet>, schedule: &Schedule) -> anyhow::Result<Seen> {
+    let (attempts_in, attempts) = unbounded_channel();
+    let (probes_in, probes) = unbounded_channel();
+    let start_ms = unix_ms();
+    let newest_version = Arc::new(AtomicU64::new(1));
+    let shared = Arc::new(CallerShared {
+        fleet: Arc::clone(fleet),
+        attempts: attempts_in,
+        newest_key: AtomicU64::new(1),
+        start_ms,
+        end_ms: schedule.for_ms,
+    });
+    let player = Arc::new(Player::new(
+        Arc::clone(fleet),
+        Arc::clone(&shared),
+        Arc::clone(&newest_version),
+    ));
+    let mut watchers = JoinSet::new();
+    for daemon in 0..schedule.daemons {
+        let versions = Arc::clone(&newest_version);
+        watchers.spawn(run_prober(
+            Arc::clone(fleet),
+            daemon,
+            versions,
+            start_ms,
+            probes_in.clone(),
+        ));
+    }
+    let peak_memory_kb = Arc::new(AtomicU64::new(0));
+    watchers.spawn(watch_memory(Arc::clone(fleet), Arc::clone(&peak_memory_kb)));
+    let mut callers = start_callers(&shared, schedule.seed);
+    let mut faults = JoinSet::new();
+    for fault in schedule.faults.iter().copied() {
+        let player = Arc::clone(&player);
+        faults.spawn(async move { player.play(fault).await });
+    }
+    while let Some(ended) = faults.join_next().await {
+        ended??;
+    }
+    let last_attempts = Duration::from_millis(schedule.for_ms + LAST_ATTEMPT_MS);
+    // Callers end by themselves; one that does not is dropped, and its attempt with it.
+    let _ = tokio::time::timeout(last_attempts, async {
+        while callers.join_next().await.is_some() {}
+    })
+    .await;
+    callers.shutdown().await;
+    watchers.shutdown().await;
+    Ok(Seen {
+        attempts,
+        probes,
+        played: player.take_played(),
+        start_ms,
+        peak_memory_kb: peak_memory_kb.load(Ordering::Relaxed),
+    })
+}
+
+fn start_callers(shared: &Arc<CallerShared>, seed: u64) -> JoinSet<()> {
+    let mut callers = JoinSet::new();
+    let profiles = CALLERS
+        .iter()
+        .flat_map(|(count, profile)| (0..*count).map(move |_| *profile));
+    for (number, profile) in profiles.enumerate() {
+        callers.spawn(run_caller(Arc::clone(shared), profile, number as u64, seed));
+    }
+    callers
+}
+
+async fn watch_memory(fleet: Arc<Fleet>, peak_kb: Arc<AtomicU64>) {
+    loop {
+        let now_kb = fleet.resident_kb().await;
+        peak_kb.fetch_max(now_kb, Ordering::Relaxed);
+        sleep(Duration::from_millis(MEMORY_EVERY_MS)).await;
+    }
+}
+
+/// Writes what is needed to trace a failure and to play it again.
+fn keep_run(
+    target: &Path,
+    logs: &Path,
+    schedule: &Schedule,
+    history: &History,
+    report: &SoakReport,
+) -> anyhow::Result<()> {
+    std::fs::create_dir_all(target)?;
+    std::fs::write(
+        target.join("schedule.json"),
+        serde_json::to_string_pretty(schedule)?,
+    )?;
+    std::fs::write(target.join("history.json"), serde_json::to_string(history)?)?;
+    std::fs::write(target.join("report.json"), serde_json::to_string_pretty(report)?)?;
+    for entry in std::fs::read_dir(logs)? {
+        let entry = entry?;
+        std::fs::copy(entry.path(), target.join(entry.file_name()))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/reedsail_soak/tests/checker.rs
@@ -0,0 +1,322 @@
+//! A violation of each promise is found, and a clean history has none.
+
+use reedsail_soak::Attempt;
+use reedsail_soak::CallKind;
+use reedsail_soak::Departure;
+use reedsail_soak::Exit;
+use reedsail_soak::FaultSpan;
+use reedsail_soak::History;
+use reedsail_soak::Outcome;
+use reedsail_soak::Probe;
+use reedsail_soak::Run;
+use reedsail_soak::Target;
+use reedsail_soak::VersionWrite;
+use reedsail_soak::check;
+
+fn attempt(id: &str, kind: CallKind, outcome: Outcome) -> Attempt {
+    Attempt {
+        id: id.to_owned(),
+        kind,
+        workspace: "large".to_owned(),
+        key: 0,
+        daemon: 0,
+        began_ms: 10_000,
+        ended_ms: 10_100,
+        outcome,
+    }
+}
+
+fn run(id: &str, server: &str, began_ms: u64) -> Run {
+    Run {
+        id: id.to_owned(),
+        server: server.to_owned(),
+        workspace: Some("large".to_owned()),
+        is_resumed: false,
+        saw_key: false,
+        began_ms,
+    }
+}
+
+fn probe(life: u64, at_ms: u64, version: u64) -> Probe {
+    Probe {
+        daemon: 0,
+        life,
+        began_ms: at_ms,
+        ended_ms: at_ms + 10,
+        version,
+    }
+}
+
+fn write(version: u64, at_ms: u64, key: u64) -> VersionWrite {
+    VersionWrite { version, at_ms, key }
+}
+
+fn fault(target: Target, from_ms: u64, until_ms: u64) -> FaultSpan {
+    FaultSpan {
+        target,
+        from_ms,
+        until_ms,
+    }
+}
+
+fn history() -> History {
+    History {
+        for_ms: 30_000,
+        daemons: 2,
+        attempts_max: 3,
+        ..History::default()
+    }
+}
+
+/// Returns the promises that a history breaks.
+fn broken(history: &History) -> Vec<&'static str> {
+    check(history)
+        .into_iter()
+        .map(|violation| violation.promise)
+        .collect()
+}
+
+/// Returns `count` attempts of a workspace, all with one outcome.
+fn many(workspace: &str, count: usize, began_ms: u64, outcome: &Outcome) -> Vec<Attempt> {
+    (0..count)
+        .map(|number| Attempt {
+            workspace: workspace.to_owned(),
+            began_ms,
+            ended_ms: began_ms + 10,
+            ..attempt(
+                &format!("{workspace}-{number}"),
+                CallKind::Lookup,
+                outcome.clone(),
+            )
+        })
+        .collect()
+}
+
+#[test]
+fn a_day_without_faults_and_with_every_answer_breaks_nothing() {
+    let mut history = history();
+    for kind in CallKind::ALL {
+        let id = format!("{kind:?}");
+        history.attempts.push(attempt(&id, kind, Outcome::Answered));
+        history.runs.push(run(&id, "server-1", 10_010));
+    }
+    history.writes.push(write(1, 0, 1));
+    history.probes = vec![probe(1, 1_000, 1), probe(1, 9_000, 1)];
+    assert_eq!(check(&history), []);
+}
+
+#[test]
+fn running_twice_what_runs_once_is_found() {
+    let mut history = history();
+    for kind in CallKind::ALL {
+        let id = format!("{kind:?}");
+        history.attempts.push(attempt(&id, kind, Outcome::Answered));
+        history.runs.push(run(&id, "server-1", 10_010));
+        history.runs.push(run(&id, "server-2", 10_020));
+    }
+    assert_eq!(broken(&history), ["at most once", "at most once"]);
+}
+
+#[test]
+fn more_tries_than_allowed_are_found() {
+    let mut history = history();
+    history
+        .attempts
+        .push(attempt("a", CallKind::Lookup, Outcome::Answered));
+    for number in 0..4 {
+        history.runs.push(run("a", "server-1", 10_010 + number));
+    }
+    assert_eq!(broken(&history), ["at most once"]);
+}
+
+#[test]
+fn a_run_that_was_denied_is_found() {
+    let mut history = history();
+    let denied = Outcome::NotRun { status: 503 };
+    history.attempts.push(attempt("a", CallKind::Lookup, denied));
+    history.runs.push(run("a", "server-1", 10_010));
+    assert_eq!(broken(&history), ["not run is true"]);
+}
+
+#[test]
+fn another_workspace_and_a_key_shown_to_a_server_are_found() {
+    let mut history = history();
+    history
+        .attempts
+        .push(attempt("a", CallKind::Lookup, Outcome::Answered));
+    history
+        .attempts
+        .push(attempt("b", CallKind::Lookup, Outcome::Answered));
+    history.runs.push(Run {
+        workspace: Some("small".to_owned()),
+        ..run("a", "server-1", 10_010)
+    });
+    history.runs.push(Run {
+        saw_key: true,
+        ..run("b", "server-1", 10_010)
+    });
+    assert_eq!(
+        broken(&history),
+        ["own workspace, no key", "own workspace, no key"]
+    );
+}
+
+#[test]
+fn an_answer_that_is_not_whole_is_found() {
+    let mut history = history();
+    let wrong = Outcome::Wrong("10 bytes of 20".to_owned());
+    history.attempts.push(attempt("a", CallKind::Lookup, wrong));
+    assert_eq!(broken(&history), ["whole and own answers"]);
+}
+
+#[test]
+fn a_cut_or_silent_request_is_found_unless_its_daemon_was_struck() {
+    let cut = Outcome::Cut { had_begun: false };
+    for outcome in [cut, Outcome::Silent] {
+        let mut history = history();
+        history
+            .attempts
+            .push(attempt("a", CallKind::Lookup, outcome.clone()));
+        assert_eq!(broken(&history), ["a final answer for each request"]);
+        // Another daemon's trouble excuses nothing, and neither does a server's.
+        history.faults = vec![
+            fault(Target::Daemon(1), 9_000, 11_000),
+            fault(Target::Server(0), 9_000, 11_000),
+        ];
+        assert_eq!(broken(&history), ["a final answer for each request"]);
+        history.faults.push(fault(Target::Daemon(0), 9_000, 10_050));
+        assert_eq!(broken(&history), [""; 0]);
+    }
+}
+
+#[test]
+fn an_answer_that_breaks_off_is_found_unless_a_server_was_struck() {
+    let mut history = history();
+    let cut = Outcome::Cut { had_begun: true };
+    history.attempts.push(attempt("a", CallKind::Chat, cut));
+    assert_eq!(broken(&history), ["no answer breaks off"]);
+    history.faults = vec![fault(Target::Stop(0), 9_000, 11_000)];
+    assert_eq!(broken(&history), ["planned work cuts nothing"]);
+    history.faults.push(fault(Target::Server(0), 9_000, 10_050));
+    assert_eq!(broken(&history), [""; 0]);
+}
+
+#[test]
+fn a_stop_that_cuts_more_than_crossing_requests_is_found() {
+    let mut history = history();
+    history.faults = vec![fault(Target::Stop(0), 9_000, 11_000)];
+    history.exits = vec![Exit {
+        daemon: 0,
+        asked_ms: 9_000,
+        ended_ms: Some(10_000),
+        code: Some(0),
+    }];
+    let cut = Outcome::Cut { had_begun: false };
+    history.attempts = many("large", 3, 9_990, &cut);
+    assert_eq!(broken(&history), [""; 0]);
+    history.attempts = many("large", 4, 9_990, &cut);
+    assert_eq!(broken(&history), ["planned work cuts nothing"]);
+}
+
+#[test]
+fn a_version_that_goes_backwards_is_found_within_one_life() {
+    let mut history = history();
+    history.probes = vec![probe(1, 1_000, 3), probe(1, 2_000, 2)];
+    assert_eq!(broken(&history), ["configuration never backwards"]);
+    history.probes[1].life = 2;
+    assert_eq!(broken(&history), [""; 0]);
+}
+
+#[test]
+fn a_version_that_is_late_is_found_unless_the_store_was_struck() {
+    let mut history = history();
+    history.writes = vec![write(1, 0, 1), write(2, 5_000, 1)];
+    history.probes = vec![probe(1, 11_500, 1)];
+    assert_eq!(broken(&history), ["configuration in force in time"]);
+    history.faults = vec![fault(Target::Store, 4_000, 6_000)];
+    assert_eq!(broken(&history), [""; 0]);
+}
+
+#[test]
+fn a_key_in_force_after_it_was_taken_away_is_found() {
+    let mut history = history();
+    history.writes = vec![write(1, 0, 1), write(2, 5_000, 2)];
+    history.probes = vec![probe(1, 9_000, 2)];
+    history.attempts = many("changing", 1, 10_000, &Outcome::Answered);
+    history.attempts[0].key = 1;
+    assert_eq!(broken(&history), ["no key after it was taken away"]);
+    history.attempts[0].key = 2;
+    assert_eq!(broken(&history), [""; 0]);
+}
+
+#[test]
+fn a_valid_key_that_is_refused_is_found() {
+    let mut history = history();
+    history.writes = vec![write(1, 0, 1), write(2, 5_000, 2)];
+    history.probes = vec![probe(1, 9_000, 2)];
+    let refused = Outcome::Failed {
+        status: 401,
+        by_server: false,
+    };
+    history.attempts = many("changing", 1, 10_000, &refused);
+    history.attempts[0].key = 2;
+    assert_eq!(broken(&history), ["no valid key refused"]);
+    history.attempts[0].key = 1;
+    assert_eq!(broken(&history), [""; 0]);
+}
+
+#[test]
+fn work_for_a_server_that_left_is_found() {
+    let mut history = history();
+    history.departures = vec![Departure {
+        server: "server-1".to_owned(),
+        at_ms: 4_000,
+    }];
+    history.runs = vec![run("a", "server-1", 8_900)];
+    assert_eq!(broken(&history), [""; 0]);
+    history.runs.push(run("b", "server-1", 9_100));
+    assert_eq!(broken(&history), ["nothing new for a server that left"]);
+    history.faults = vec![fault(Target::StoreLink(1), 3_000, 9_000)];
+    assert_eq!(broken(&history), [""; 0]);
+}
+
+#[test]
+fn a_stop_that_ends_badly_or_late_is_found() {
+    let exit = |ended_ms, code| Exit {
+        daemon: 0,
+        asked_ms: 5_000,
+        ended_ms,
+        code,
+    };
+    for bad in [
+        exit(Some(6_000), Some(1)),
+        exit(Some(16_000), Some(0)),
+        exit(None, None),
+    ] {
+        let mut history = history();
+        history.exits = vec![bad];
+        assert_eq!(broken(&history), ["a planned stop ends well and in time"]);
+    }
+    let mut history = history();
+    history.exits = vec![exit(Some(9_000), Some(0))];
+    assert_eq!(broken(&history), [""; 0]);
+}
+
+#[test]
+fn a_small_workspace_that_is_starved_is_found() {
+    let mut history = history();
+    let refused = Outcome::NotRun { status: 429 };
+    history.attempts = many("large", 100, 10_000, &Outcome::Answered);
+    history.attempts.extend(many("small", 40, 10_000, &refused));
+    assert_eq!(broken(&history), ["each workspace its part"]);
+}
+
+#[test]
+fn a_fleet_that_stays_unwell_is_found() {
+    let mut history = history();
+    let refused = Outcome::NotRun { status: 503 };
+    history.attempts = many("small", 10, 28_000, &refused);
+    assert_eq!(broken(&history), ["well again in time"]);
+    history.faults = vec![fault(Target::Daemon(0), 20_000, 26_000)];
+    assert_eq!(broken(&history), [""; 0]);
+}
--- /dev/null
+++ b/crates/reedsail_soak/tests/schedule.rs
@@ -0,0 +1,65 @@
+//! Schedules: the same for a seed, within their time, and the same after they were kept.
+
+use proptest::prelude::ProptestConfig;
+use proptest::proptest;
+use reedsail_soak::FaultKind;
+use reedsail_soak::Link;
+use reedsail_soak::Schedule;
+use reedsail_soak::draw_schedule;
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_seed_draws_the_same_schedule_within_its_time(seed in 0_u64..1_000_000, for_s in 12_u64..120) {
+        let schedule = draw_schedule(seed, for_s * 1_000, None);
+        assert_eq!(schedule, draw_schedule(seed, for_s * 1_000, None));
+        assert!(!schedule.faults.is_empty());
+        for fault in &schedule.faults {
+            assert!(fault.at_ms + fault.for_ms <= schedule.for_ms - 8_000, "{fault:?}");
+            let (daemon, server) = parts(fault.kind);
+            assert!(daemon < schedule.daemons && server < schedule.servers(), "{fault:?}");
+        }
+    }
+}
+
+/// Returns the daemon and the server that a fault strikes.
+fn parts(kind: FaultKind) -> (usize, usize) {
+    match kind {
+        FaultKind::Link(Link::Callers(daemon) | Link::Store(daemon), _)
+        | FaultKind::KillDaemon(daemon)
+        | FaultKind::FreezeDaemon(daemon)
+        | FaultKind::StopDaemon(daemon)
+        | FaultKind::ReloadDaemon(daemon) => (daemon, 0),
+        FaultKind::Link(Link::Server(server), _)
+        | FaultKind::KillServer(server)
+        | FaultKind::FreezeServer(server)
+        | FaultKind::RetireServer(server)
+        | FaultKind::ServerAnswers(server, _) => (0, server),
+        FaultKind::StoreRefuses
+        | FaultKind::StoreSlow(_)
+        | FaultKind::StoreLoses(_)
+        | FaultKind::StoreForgets
+        | FaultKind::Configure
+        | FaultKind::ReplaceKey => (0, 0),
+    }
+}
+
+#[test]
+fn seeds_draw_every_kind_of_fault() {
+    let mut names: Vec<&str> = (0..200)
+        .flat_map(|seed| draw_schedule(seed, 60_000, None).faults)
+        .map(|fault| fault.kind.name())
+        .collect();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), 20, "{names:?}");
+}
+
+#[test]
+fn a_kept_schedule_reads_as_it_was() {
+    let schedule = draw_schedule(7, 30_000, Some(4));
+    let text = serde_json::to_string_pretty(&schedule).unwrap();
+    let read: Schedule = serde_json::from_str(&text).unwrap();
+    assert_eq!(read, schedule);
+}
