Send on one pool and one exchange in both daemons

Cause: the pool of idle connections and the sending of one request stood twice, in the product's own daemon and in the router; the daemon's never gave up a connection that had rested for long.

Change: `ConnectionPool` (by any key, with the server's keep-alive) and `exchange` move to reedsail_net; reedsaild's request path uses both.

--- a/crates/reedsail_daemon/src/traffic/backend.rs
+++ b/crates/reedsail_daemon/src/traffic/backend.rs
@@ -19,17 +19,19 @@
 use reedsail_core::SharePolicy;
 use reedsail_core::Unsent;
 use reedsail_events::EventKind;
+use reedsail_net::Exchange;
 use reedsail_net::HttpConnection;
-use reedsail_net::SendError;
-use tokio::time::timeout_at;
+use reedsail_net::exchange;
 
+use super::Pool;
 use super::call::Call;
 use super::headers::REQUEST_ID_HEADER;
-use super::pool::Pool;
 use super::queueing::wait_for_slot;
 use crate::service_cell::Slot;
 use crate::shared::Shared;
 
+/// How long connecting to a server may take.
+const CONNECT_LIMIT_MS: u64 = 500;
 /// The most tries of one request that may have reached a server, the first included.
 const SENT_TRIES_MAX: usize = 4;
 /// The most tries in all; one that reached nobody costs little, and a cut hides many servers.
@@ -178,53 +180,32 @@
     if shared.gate.is_cut(&shared.settings.instance, &view.name) {
         return Try::NotSent(unsent);
     }
-    let Ok((connection, was_idle)) = pool.take(view.address).await else {
+    let address = view.address;
+    let deadline = shared.clock.instant(call.deadline);
+    let request = build_request(call, address, resume_from);
+    let (request, unsent) = match pool.take(address, shared.clock.now()) {
+        Some(connection) => match exchange(connection, request, unsent, deadline).await {
+            // An idle connection that the server has closed says nothing about the server.
+            Exchange::HandedBack(unsent, request) => (*request, unsent),
+            Exchange::Head(sent, response, connection) => {
+                return check_head(call, sent, *response, connection, address, server);
+            }
+            Exchange::Failed(sent, kind) => return Try::Failed(sent, kind),
+        },
+        None => (request, unsent),
+    };
+    let Some(connection) = HttpConnection::open_ready(address, CONNECT_LIMIT_MS).await else {
         return Try::NotSent(unsent);
     };
-    let request = build_request(call, view.address, resume_from);
-    match send_on(shared, call, connection, request, unsent).await {
-        // An idle connection that the server has closed says nothing about the server.
-        Exchange::HandedBack(unsent, request) if was_idle => match pool.open(view.address).await {
-            Ok(connection) => match send_on(shared, call, connection, *request, unsent).await {
-                Exchange::HandedBack(unsent, _) => Try::NotSent(unsent),
-                Exchange::Head(sent, response, connection) => {
-                    check_head(call, sent, *response, connection, view.address, server)
-                }
-                Exchange::Failed(sent, kind) => Try::Failed(sent, kind),
-            },
-            Err(_) => Try::NotSent(unsent),
-        },
+    match exchange(connection, request, unsent, deadline).await {
         Exchange::HandedBack(unsent, _) => Try::NotSent(unsent),
         Exchange::Head(sent, response, connection) => {
-            check_head(call, sent, *response, connection, view.address, server)
+            check_head(call, sent, *response, connection, address, server)
         }
         Exchange::Failed(sent, kind) => Try::Failed(sent, kind),
     }
 }
 
-enum Exchange {
-    HandedBack(Unsent, Box<Request<Full<Bytes>>>),
-    Head(Sent, Box<Response<Incoming>>, HttpConnection),
-    Failed(Sent, ErrorKind),
-}
-
-async fn send_on<P: SharePolicy>(
-    shared: &Shared<P>,
-    call: &Call<P>,
-    mut connection: HttpConnection,
-    request: Request<Full<Bytes>>,
-    unsent: Unsent,
-) -> Exchange {
-    let sent = unsent.send();
-    let deadline = shared.clock.instant(call.deadline);
-    match timeout_at(deadline, connection.send(request)).await {
-        Ok(Ok(response)) => Exchange::Head(sent, Box::new(response), connection),
-        Ok(Err(SendError::NotWritten(request))) => Exchange::HandedBack(sent.handed_back(), request),
-        Ok(Err(SendError::AfterWrite(_))) => Exchange::Failed(sent, ErrorKind::BackendFailed),
-        Err(_) => Exchange::Failed(sent, ErrorKind::DeadlineAfterSend),
-    }
-}
-
 /// Matches the answer to the request by the id that went along.
 fn check_head<P: SharePolicy>(
     call: &Call<P>,
--- a/crates/reedsail_daemon/src/traffic/relay.rs
+++ b/crates/reedsail_daemon/src/traffic/relay.rs
@@ -20,13 +20,13 @@
 use reedsail_core::SharePolicy;
 use tokio::time::timeout;
 
+use super::Pool;
 use super::answer::AnswerBody;
 use super::answer::RAN_HEADER;
 use super::backend::Answering;
 use super::call::Call;
 use super::chat::whole_answer_tokens;
 use super::headers;
-use super::pool::Pool;
 use crate::shared::Shared;
 
 /// Tells whether the answer is a stream of events that passes token by token.
@@ -73,7 +73,12 @@
             });
         }
     };
-    pool.give_back(answering.address, answering.connection);
+    pool.give_back(
+        answering.address,
+        answering.connection,
+        &parts.headers,
+        shared.clock.now(),
+    );
     let cost = whole_cost(shared, call, &body);
     let body = Either::Left(Full::new(body));
     let answer = answer_from(parts.status, &parts.headers, &call.id, body);
--- a/crates/reedsail_daemon/src/traffic/serve.rs
+++ b/crates/reedsail_daemon/src/traffic/serve.rs
@@ -16,6 +16,7 @@
 use reedsail_core::Unsent;
 use reedsail_events::EventKind;
 
+use super::Pool;
 use super::answer::AnswerBody;
 use super::answer::failure_answer;
 use super::backend::Standing;
@@ -23,7 +24,6 @@
 use super::call::Call;
 use super::call::read_call;
 use super::claim::claim_key;
-use super::pool::Pool;
 use super::queueing::wait_for_slot;
 use super::relay::is_stream;
 use super::relay::relay_whole;
--- a/crates/reedsail_daemon/src/traffic/stream.rs
+++ b/crates/reedsail_daemon/src/traffic/stream.rs
@@ -18,6 +18,7 @@
 use reedsail_net::EventSplitter;
 use tokio::time::timeout;
 
+use super::Pool;
 use super::answer::AnswerBody;
 use super::answer::AnswerBroken;
 use super::backend::Answering;
@@ -26,7 +27,6 @@
 use super::call::Call;
 use super::chat::StreamEvent;
 use super::chat::read_event;
-use super::pool::Pool;
 use super::queueing::wait_for_slot;
 use super::relay::answer_from;
 use super::relay::note_hints;
@@ -112,10 +112,12 @@
         let mut breaks = 0;
         loop {
             let server = answering.server;
-            let mut body = answering.response.into_body();
+            let (parts, mut body) = answering.response.into_parts();
             let end = self.pass_part(&mut body).await;
             if matches!(end, PartEnd::Whole) {
-                self.pool.give_back(answering.address, answering.connection);
+                let now = self.shared.clock.now();
+                self.pool
+                    .give_back(answering.address, answering.connection, &parts.headers, now);
                 self.finish();
                 return;
             }
--- a/crates/reedsail_daemon/src/traffic/thread.rs
+++ b/crates/reedsail_daemon/src/traffic/thread.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use super::pool::Pool;
+use super::Pool;
 use super::serve::serve_request;
 use crate::shared::Shared;
 use crate::stage::Stage;
@@ -24,13 +24,16 @@
     pub(crate) stage_changed: watch::Receiver<Stage>,
 }
 
+/// The most idle connections to one server.
+const IDLE_MAX: usize = 256;
+
 /// Serves callers until the daemon closes.
 ///
 /// # Errors
 /// The system's, when the listener cannot be used.
 pub(crate) async fn run_traffic<P: SharePolicy>(thread: TrafficThread<P>) -> std::io::Result<()> {
     let listener = TcpListener::from_std(thread.listener)?;
-    let pool = Arc::new(Pool::default());
+    let pool = Arc::new(Pool::new(IDLE_MAX));
     let mut closing = thread.stage_changed.clone();
     loop {
         tokio::select! {
--- a/crates/reedsail_router/src/traffic/pool.rs
+++ b/crates/reedsail_net/src/connection_pool.rs
@@ -1,16 +1,15 @@
 //! Connections to backend servers that wait for their next request; one pool for each thread.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
 use hyper::HeaderMap;
-use reedsail_core::ServerKey;
 use reedsail_core::TimeMs;
-use reedsail_net::HttpConnection;
 
-/// The most idle connections to one server.
-const IDLE_MAX: usize = 32;
+use crate::HttpConnection;
+
 /// How long a connection rests at most where the server does not say.
 const IDLE_DEFAULT_MS: u64 = 4_000;
 /// A connection is given up so long before the server would close it.
@@ -22,17 +21,26 @@
     use_until: TimeMs,
 }
 
-/// Keeps connections whose last answer was read to its end, under the server's key: an address may
-/// come back with another server. No other connection comes back, so an answer that arrives late
-/// can meet nobody else's request.
-#[derive(Debug, Default)]
-pub(crate) struct Pool {
-    idle: Mutex<HashMap<ServerKey, Vec<Idle>>>,
+/// Keeps connections whose last answer was read to its end, under the server's key. No other
+/// connection comes back, so an answer that arrives late can meet nobody else's request. Where an
+/// address may come back with another server, the key must not be the address.
+#[derive(Debug)]
+pub struct ConnectionPool<K> {
+    idle: Mutex<HashMap<K, Vec<Idle>>>,
+    idle_max: usize,
 }
 
-impl Pool {
+impl<K: Copy + Eq + Hash> ConnectionPool<K> {
+    /// Makes an empty pool that keeps at most `idle_max` connections to one server.
+    pub fn new(idle_max: usize) -> Self {
+        Self {
+            idle: Mutex::new(HashMap::new()),
+            idle_max,
+        }
+    }
+
     /// Takes the connection that rested for the shortest time.
-    pub(crate) fn take(&self, server: ServerKey, now: TimeMs) -> Option<HttpConnection> {
+    pub fn take(&self, server: K, now: TimeMs) -> Option<HttpConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&server)?;
         connections.retain(|idle| idle.use_until > now && idle.connection.is_ready());
@@ -40,18 +48,12 @@
     }
 
     /// Gives a connection back whose answer was read to its end.
-    pub(crate) fn give_back(
-        &self,
-        server: ServerKey,
-        connection: HttpConnection,
-        answer_headers: &HeaderMap,
-        now: TimeMs,
-    ) {
+    pub fn give_back(&self, server: K, connection: HttpConnection, answer_headers: &HeaderMap, now: TimeMs) {
         let rest_ms = keep_alive_ms(answer_headers).unwrap_or(IDLE_DEFAULT_MS);
         let use_until = now.plus_ms(rest_ms.saturating_sub(IDLE_MARGIN_MS));
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(server).or_default();
-        if connections.len() < IDLE_MAX {
+        if connections.len() < self.idle_max {
             connections.push(Idle {
                 connection,
                 use_until,
@@ -60,7 +62,7 @@
     }
 
     /// Closes connections that rested too long, and those to servers that are no longer known.
-    pub(crate) fn drop_old(&self, is_known: impl Fn(ServerKey) -> bool, now: TimeMs) {
+    pub fn drop_old(&self, is_known: impl Fn(K) -> bool, now: TimeMs) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|server, connections| {
             connections.retain(|idle| idle.use_until > now);
--- a/crates/reedsail_net/src/http_connection.rs
+++ b/crates/reedsail_net/src/http_connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,6 +12,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
+use tokio::time::timeout;
 
 use crate::ByteCounter;
 use crate::connect;
@@ -49,6 +51,15 @@
         Ok(Self { sender })
     }
 
+    /// Connects within `limit_ms` milliseconds, until a request can be sent; `None` if that fails.
+    pub async fn open_ready(address: SocketAddr, limit_ms: u64) -> Option<Self> {
+        let opening = async {
+            let mut connection = Self::open(address, limit_ms, ByteCounter::default()).await.ok()?;
+            connection.ready().await.then_some(connection)
+        };
+        timeout(Duration::from_millis(limit_ms), opening).await.ok()?
+    }
+
     /// Tells whether the connection can take a request now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -2,9 +2,11 @@
 
 mod byte_counter;
 mod clock;
+mod connection_pool;
 mod counted_stream;
 mod deflate_stream;
 mod event_splitter;
+mod exchange;
 mod http_connection;
 mod listen;
 mod net_gate;
@@ -12,10 +14,13 @@
 
 pub use byte_counter::ByteCounter;
 pub use clock::Clock;
+pub use connection_pool::ConnectionPool;
 pub use counted_stream::CountedStream;
 pub use counted_stream::connect;
 pub use deflate_stream::DeflateStream;
 pub use event_splitter::EventSplitter;
+pub use exchange::Exchange;
+pub use exchange::exchange;
 pub use http_connection::HttpConnection;
 pub use http_connection::SendError;
 pub use listen::listen_on;
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -1,7 +1,6 @@
 //! One try: a request sent to one backend server, up to the head of its answer.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,14 +12,12 @@
 use reedsail_core::Unsent;
 use reedsail_dispatch::Placement;
 use reedsail_dispatch::RunOutcome;
-use reedsail_net::ByteCounter;
+use reedsail_net::Exchange;
 use reedsail_net::HttpConnection;
-use reedsail_net::SendError;
-use tokio::time::timeout;
-use tokio::time::timeout_at;
+use reedsail_net::exchange;
 
+use super::Pool;
 use super::call::Call;
-use super::pool::Pool;
 use super::run_guard::RunGuard;
 use crate::AnswerHead;
 use crate::ForwardHead;
@@ -70,8 +67,9 @@
         return Try::NotSent(unsent);
     };
     let now = shared.clock.now();
+    let deadline = shared.clock.instant(call.deadline);
     let (request, unsent) = match pool.take(placement.server, now) {
-        Some(connection) => match send_on(shared, call, connection, request, unsent).await {
+        Some(connection) => match exchange(connection, request, unsent, deadline).await {
             // An idle connection that the server has closed says nothing about the server.
             Exchange::HandedBack(unsent, request) => (*request, unsent),
             Exchange::Head(sent, response, connection) => {
@@ -85,7 +83,7 @@
         guard.close(RunOutcome::Unreachable);
         return Try::NotSent(unsent);
     };
-    match send_on(shared, call, connection, request, unsent).await {
+    match exchange(connection, request, unsent, deadline).await {
         Exchange::HandedBack(unsent, _) => {
             guard.close(RunOutcome::Unreachable);
             Try::NotSent(unsent)
@@ -111,44 +109,12 @@
 async fn open<H>(shared: &Shared<H>, call: &Call, server: &ServerView) -> Option<HttpConnection> {
     let left_ms = call.deadline.since_ms(shared.clock.now());
     let limit_ms = CONNECT_MS.min(left_ms);
-    let opening = async {
-        let mut connection = HttpConnection::open(server.address, limit_ms, ByteCounter::default())
-            .await
-            .ok()?;
-        connection.ready().await.then_some(connection)
-    };
-    let connection = timeout(Duration::from_millis(limit_ms), opening)
-        .await
-        .ok()
-        .flatten();
+    let connection = HttpConnection::open_ready(server.address, limit_ms).await;
     let outcome = if connection.is_some() { "opened" } else { "failed" };
     shared.metrics.connects.with_label_values(&[outcome]).inc();
     connection
 }
 
-enum Exchange {
-    HandedBack(Unsent, Box<Request<Full<Bytes>>>),
-    Head(Sent, Box<Response<Incoming>>, HttpConnection),
-    Failed(Sent, ErrorKind),
-}
-
-async fn send_on<H>(
-    shared: &Shared<H>,
-    call: &Call,
-    mut connection: HttpConnection,
-    request: Request<Full<Bytes>>,
-    unsent: Unsent,
-) -> Exchange {
-    let sent = unsent.send();
-    let deadline = shared.clock.instant(call.deadline);
-    match timeout_at(deadline, connection.send(request)).await {
-        Ok(Ok(response)) => Exchange::Head(sent, Box::new(response), connection),
-        Ok(Err(SendError::NotWritten(request))) => Exchange::HandedBack(sent.handed_back(), request),
-        Ok(Err(SendError::AfterWrite(_))) => Exchange::Failed(sent, ErrorKind::BackendFailed),
-        Err(_) => Exchange::Failed(sent, ErrorKind::DeadlineAfterSend),
-    }
-}
-
 /// Matches the answer to the request.
 fn read_head<H: HeaderProtocol>(
     shared: &Shared<H>,
--- a/crates/reedsail_router/src/traffic/forward.rs
+++ b/crates/reedsail_router/src/traffic/forward.rs
@@ -13,12 +13,12 @@
 use reedsail_dispatch::Placement;
 use reedsail_events::EventKind;
 
+use super::Pool;
 use super::answer::AnswerBody;
 use super::call::Call;
 use super::exchange::Answering;
 use super::exchange::Try;
 use super::exchange::try_once;
-use super::pool::Pool;
 use super::relay::RelayBody;
 use super::relay::relay_whole;
 use super::resume::relay_resumable;
@@ -187,6 +187,7 @@
     let failure = match standing {
         Standing::Answered(response) => {
             log.note_part();
+            log.failure_status = Some(response.status());
             log.end("answered_with_failure");
             return Ok(*response);
         }
--- a/crates/reedsail_router/src/traffic/mod.rs
+++ b/crates/reedsail_router/src/traffic/mod.rs
@@ -4,12 +4,17 @@
 mod call;
 mod exchange;
 mod forward;
-mod pool;
 mod relay;
 mod resume;
 mod run_guard;
 mod serve;
 mod thread;
 
+use reedsail_core::ServerKey;
+use reedsail_net::ConnectionPool;
+
 pub(crate) use thread::TrafficThread;
 pub(crate) use thread::run_traffic;
+
+/// Connections under the server's key, since an address may come back with another server.
+type Pool = ConnectionPool<ServerKey>;
--- a/crates/reedsail_router/src/traffic/relay.rs
+++ b/crates/reedsail_router/src/traffic/relay.rs
@@ -26,12 +26,12 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
+use super::Pool;
 use super::answer::AnswerBody;
 use super::answer::AnswerBroken;
 use super::answer::remove_hop_headers;
 use super::call::Call;
 use super::exchange::Answering;
-use super::pool::Pool;
 use super::run_guard::RunGuard;
 use super::serve::RequestLog;
 use crate::HeaderProtocol;
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -19,6 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout_at;
 
+use super::Pool;
 use super::answer::AnswerBody;
 use super::answer::AnswerBroken;
 use super::answer::remove_hop_headers;
@@ -26,7 +27,6 @@
 use super::exchange::Answering;
 use super::exchange::Try;
 use super::exchange::try_once;
-use super::pool::Pool;
 use super::relay::answer_from;
 use super::run_guard::RunGuard;
 use super::serve::RequestLog;
--- a/crates/reedsail_router/src/traffic/serve.rs
+++ b/crates/reedsail_router/src/traffic/serve.rs
@@ -5,6 +5,7 @@
 
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -14,11 +15,11 @@
 use reedsail_core::Unsent;
 use reedsail_events::EventKind;
 
+use super::Pool;
 use super::answer::AnswerBody;
 use super::answer::failure_answer;
 use super::call::read_call;
 use super::forward::forward;
-use super::pool::Pool;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
 
@@ -61,6 +62,8 @@
     pub(crate) service: String,
     /// The server that was tried last.
     pub(crate) server: String,
+    /// The status of a server's answer that is no success.
+    pub(crate) failure_status: Option<StatusCode>,
     arrived_at: TimeMs,
     first_part_ms: Option<u64>,
     has_ended: bool,
@@ -75,6 +78,7 @@
             id: id.to_owned(),
             service: String::new(),
             server: String::new(),
+            failure_status: None,
             arrived_at,
             first_part_ms: None,
             has_ended: false,
@@ -137,13 +141,16 @@
         let first_part_ms = self
             .first_part_ms
             .map_or("none".to_owned(), |first_ms| first_ms.to_string());
-        let fields = [
+        let mut fields = vec![
             ("outcome", outcome.to_owned()),
             ("service", self.service.clone()),
             ("server", self.server.clone()),
             ("first_part_ms", first_part_ms),
             ("took_ms", took_ms.to_string()),
         ];
+        if let Some(status) = self.failure_status {
+            fields.push(("status", status.as_u16().to_string()));
+        }
         self.note(EventKind::RequestEnded, &fields);
     }
 }
--- a/crates/reedsail_router/src/traffic/thread.rs
+++ b/crates/reedsail_router/src/traffic/thread.rs
@@ -16,11 +16,13 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use super::pool::Pool;
+use super::Pool;
 use super::serve::serve_request;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
 
+/// The most idle connections to one server.
+const IDLE_MAX: usize = 32;
 /// How often idle connections to servers are looked through.
 const POOL_EVERY_MS: u64 = 2_000;
 /// How often the thread measures whether callers crowd it.
@@ -41,7 +43,7 @@
 pub(crate) async fn run_traffic<H: HeaderProtocol>(thread: TrafficThread<H>) -> std::io::Result<()> {
     let listener = TcpListener::from_std(thread.listener)?;
     let shared = thread.shared;
-    let pool = Arc::new(Pool::default());
+    let pool = Arc::new(Pool::new(IDLE_MAX));
     tokio::spawn(measure_crowding(Arc::clone(&shared)));
     tokio::spawn(tidy_pool(Arc::clone(&shared), Arc::clone(&pool)));
     loop {
