--- a/crates/reedsail_core/src/scheduler.rs
+++ b/crates/reedsail_core/src/scheduler.rs
@@ -1,20 +1,17 @@
 //! One service on one daemon: who waits, which slots are held, what runs next and where.
 
+mod leases;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::AffinityTable;
-use crate::DemandRow;
 use crate::ErrorKind;
 use crate::FairQueue;
-use crate::MemberKind;
 use crate::PreemptFlag;
 use crate::ServerHealth;
 use crate::ServerKey;
-use crate::ServiceGrant;
-use crate::ServiceReport;
 use crate::SharePolicy;
-use crate::SlotRow;
 use crate::Ticket;
 use crate::TimeMs;
 use crate::Waiting;
@@ -352,124 +349,6 @@
         self.queue.active_entries().next().is_some()
     }
 
-    /// Starts the cost counters again, for an allocator that does not know them.
-    pub fn begin_session(&mut self, session: u32) {
-        self.session = session;
-        for entry in self.queue.all_entries_mut() {
-            entry.cost_total = 0.0;
-            entry.cost_reported = 0.0;
-        }
-    }
-
-    /// Writes the report to the allocator.
-    pub fn report(&mut self, now: TimeMs) -> ServiceReport {
-        self.drop_lapsed(now);
-        self.starved = false;
-        self.starved_reported = self.queue.queued() > 0;
-        self.slots_wanted_back = 0;
-        let base = self.queue.floor();
-        let mut demands = Vec::new();
-        let session = self.session;
-        for (workspace, entry) in self.queue.active_entries() {
-            demands.push(DemandRow {
-                workspace,
-                queued: entry.queued(),
-                running: entry.running,
-                cost_total: wrapping_cost(entry.cost_total),
-                lead: entry.virtual_time - base,
-            });
-        }
-        self.add_unreported(&mut demands, base);
-        for demand in &demands {
-            let entry = self.queue.entry_mut(demand.workspace);
-            entry.cost_reported = entry.cost_total;
-        }
-        ServiceReport {
-            kind: MemberKind::Daemon,
-            session,
-            own_slots: 0,
-            base,
-            slots: self.slot_rows(),
-            resting: self.resting(now),
-            demands,
-        }
-    }
-
-    /// Adds idle workspaces that received cost since the last report.
-    fn add_unreported(&mut self, demands: &mut Vec<DemandRow>, base: f64) {
-        for (workspace, entry) in self.queue.idle_entries() {
-            if entry.cost_total > entry.cost_reported {
-                demands.push(DemandRow {
-                    workspace,
-                    queued: 0,
-                    running: 0,
-                    cost_total: wrapping_cost(entry.cost_total),
-                    lead: entry.virtual_time - base,
-                });
-            }
-        }
-    }
-
-    fn slot_rows(&self) -> Vec<SlotRow> {
-        let mut rows: Vec<SlotRow> = self
-            .servers
-            .iter()
-            .filter(|(_, server)| server.leased > 0 || server.in_use > 0)
-            .map(|(key, server)| SlotRow {
-                server: *key,
-                held: server.leased.max(server.in_use),
-                in_use: server.in_use,
-            })
-            .collect();
-        rows.sort_by_key(|row| row.server);
-        rows
-    }
-
-    fn resting(&self, now: TimeMs) -> Vec<ServerKey> {
-        let mut resting: Vec<ServerKey> = self
-            .servers
-            .iter()
-            .filter(|(_, server)| server.health.is_resting(now))
-            .map(|(key, _)| *key)
-            .collect();
-        resting.sort();
-        resting
-    }
-
-    /// Takes over the allocator's leases and virtual times.
-    ///
-    /// `lease_deadline` counts from when the report was sent, so that a daemon that was paused in
-    /// between finds its lease lapsed and not renewed.
-    pub fn apply_grant(&mut self, grant: &ServiceGrant, lease_deadline: TimeMs) {
-        self.grant_deadline = lease_deadline;
-        for server in self.servers.values_mut() {
-            server.leased = 0;
-        }
-        for lease in &grant.leases {
-            if let Some(server) = self.servers.get_mut(&lease.server) {
-                server.leased = lease.slots.min(server.capacity);
-                server.lease_deadline = lease_deadline;
-            }
-        }
-        let (leased, in_use) = self.slot_counts();
-        self.slots_wanted_back = if in_use > leased { in_use } else { 0 };
-        self.queue.raise_floor(grant.base);
-        for row in &grant.virtual_times {
-            let entry = self.queue.entry_mut(row.workspace);
-            let charged_since = entry.cost_total - entry.cost_reported;
-            entry.virtual_time = grant.base + row.lead + charged_since / entry.weight;
-        }
-        let shares: Vec<(WorkspaceKey, f64)> = grant.shares().collect();
-        self.queue.set_shares(&shares);
-    }
-
-    /// Gives back every lease, for a planned stop; what runs keeps its slot to the end.
-    pub fn release_leases(&mut self) {
-        for server in self.servers.values_mut() {
-            server.leased = server.in_use.min(server.leased);
-        }
-    }
-
     /// Returns the slots that are leased, in use, and configured.
     pub fn slot_counts(&self) -> (u32, u32) {
         let leased = self.servers.values().map(|server| server.leased).sum();
--- a/crates/reedsail_daemon/src/control/exchange.rs
+++ b/crates/reedsail_daemon/src/control/exchange.rs
@@ -19,6 +19,7 @@
 use super::PeerAddress;
 use super::actor::ExchangeDone;
 use super::links::LinkAction;
+use super::thread_time::thread_cpu_s;
 
 /// How often this daemon reports to itself where it is allocator; that costs no message.
 const OWN_REPORT_EVERY_MS: u64 = 200;
@@ -497,10 +498,3 @@
         })
     }
 }
-
-/// Returns the processor time of this thread: the first field of its `schedstat`, in nanoseconds.
-fn thread_cpu_s() -> Option<f64> {
-    let text = std::fs::read_to_string("/proc/thread-self/schedstat").ok()?;
-    let nanoseconds: f64 = text.split_whitespace().next()?.parse().ok()?;
-    Some(nanoseconds / 1e9)
-}
--- a/crates/reedsail_daemon/src/control/mod.rs
+++ b/crates/reedsail_daemon/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod platform_tasks;
 mod roll_out;
 mod thread;
+mod thread_time;
 
 pub(crate) use actor::BeginStop;
 pub(crate) use actor::Control;
