Bound from below how fast an engine is taken to read

It has 300 to 3,000 engines and the operators' figure of tokens a second for 140: divided by the engines it left each 1.9 to 19 tokens a millisecond, so prompts were refused `would_miss_goal` on idle engines.

Change: an engine is taken to read at least half of the default.

--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -410,7 +410,8 @@
         self.engines_most = self.engines_most.max(engines);
         match self.engine_tokens_per_s {
             Some(per_s) if per_s > 0.0 => {
-                ReadRate(READ_ONLY_GAIN * per_s / 1_000.0 / self.engines_most as f64)
+                let told = READ_ONLY_GAIN * per_s / 1_000.0 / self.engines_most as f64;
+                ReadRate(told.max(ReadRate::LEAST.0))
             }
             _ => ReadRate::DEFAULT,
         }
--- a/crates/reedsail_dispatch/src/estimate.rs
+++ b/crates/reedsail_dispatch/src/estimate.rs
@@ -16,6 +16,9 @@
 impl ReadRate {
     /// Used where nothing is known.
     pub(crate) const DEFAULT: Self = Self(40.0);
+    /// Where the operators' figure leaves an engine less, engines have been added since it was
+    /// written. Ones that are slower all the same are learned of by their answers.
+    pub(crate) const LEAST: Self = Self(20.0);
 }
 
 /// Returns the expected time in milliseconds until an engine's first event.
--- a/crates/reedsail_dispatch/tests/placement.rs
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -342,3 +342,36 @@
     }
     assert!(counts.values().all(|count| *count >= 8), "{counts:?}");
 }
+
+#[test]
+fn a_rate_that_was_not_kept_in_step_with_the_engines_refuses_nothing_on_an_idle_fleet() {
+    let mut dispatcher = dispatcher(&engines(1_000));
+    // What 140 engines produce; by it each of 1,000 would read six tokens a millisecond.
+    dispatcher.set_engine_rate(Some(4_000_000.0));
+    let prompt = prompt(7, 9_000);
+    placed(dispatcher.decide(&demand("labska", &prompt), START));
+}
+
+#[test]
+fn engines_that_read_slower_than_the_least_rate_are_learned_of() {
+    let mut dispatcher = dispatcher(&engines(1));
+    dispatcher.set_engine_rate(Some(10_000.0));
+    let mut now = START;
+    for _ in 0..20 {
+        let small = prompt(7, 1_000);
+        let demand = demand("labska", &small);
+        let placement = placed(dispatcher.decide(&demand, now));
+        let mut run = dispatcher.begin(&demand, &placement, now);
+        now = now.plus_ms(placement.expected_ms.max(1) * 3);
+        dispatcher.note_answer(&mut run, now);
+        dispatcher.finish(run, RunOutcome::Answered, now);
+        now = now.plus_ms(1_000);
+        if matches!(
+            dispatcher.decide(&self::demand("labska", &prompt(7, 9_000)), now),
+            Decision::Refuse { .. }
+        ) {
+            return;
+        }
+    }
+    panic!("a prompt that takes three times as long as expected is still sent");
+}
