Count silence in rounds, so that a large fleet's daemons do not lose each other

Cause: rounds of messages are 4 ms apart for each daemon that is heard, but silence meant something after fixed times: with more than 150 daemons nobody hears the reader of its failure domain within 600 ms, so that each reads the store by itself; with more than 375 every report lapses before the next one.

Nothing changes up to 25 daemons.

--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -15,6 +15,7 @@
 use crate::Prompt;
 use crate::PromptPart;
 use crate::RepeatWindow;
+use crate::RoundTimes;
 use crate::Run;
 use crate::RunOutcome;
 use crate::ServerSetup;
@@ -237,7 +238,8 @@
 
     /// Takes in a peer's report.
     pub fn hear_peer(&mut self, peer: NameHash, report: LoadReport, now: TimeMs) {
-        let valid_until = now.plus_ms(self.settings.report_valid_ms);
+        let silent_ms = RoundTimes::of(self.peers.count()).silent_ms;
+        let valid_until = now.plus_ms(self.settings.report_valid_ms.max(silent_ms));
         for row in &report.parts {
             if let Some(server) = self.servers.key(row.server) {
                 self.prefixes.hear(row.part, server, now);
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -10,6 +10,7 @@
 use reedsail_dispatch::ListDelta;
 use reedsail_dispatch::PeerView;
 use reedsail_dispatch::PeerWord;
+use reedsail_dispatch::RoundTimes;
 use reedsail_dispatch::ServerList;
 use reedsail_dispatch::ServerListing;
 use reedsail_dispatch::ServerNews;
@@ -30,16 +31,13 @@
 use crate::shared::ServerView;
 use crate::shared::Shared;
 
-/// Whoever does not know the newest servers for so long reads the store, whoever else does.
+/// Whoever does not know the newest servers for so long reads the store, whoever else does; longer
+/// by what news take in a large fleet.
 const SERVERS_STALE_MS: u64 = 1_200;
 /// The same for the configuration, of which the store is asked less often.
 const CONFIGURATION_STALE_MS: u64 = 1_700;
 /// How long an errand may take before it is tried elsewhere.
 const ERRAND_MS: u64 = 500;
-/// The shortest time between two rounds of messages.
-const ROUND_MS: u64 = 100;
-/// With many daemons, rounds are this much further apart for each of them.
-const ROUND_PER_MEMBER_MS: u64 = 4;
 
 /// The state of the control thread.
 pub(crate) struct Control<H> {
@@ -221,10 +219,11 @@
     }
 
     fn may_read(&self, source: Source, now: TimeMs) -> bool {
-        let is_stale = match source {
-            Source::Configuration => self.configuration_age_ms(now) > CONFIGURATION_STALE_MS,
-            Source::Servers => self.servers.age_ms(now) > SERVERS_STALE_MS,
+        let (age_ms, most_ms) = match source {
+            Source::Configuration => (self.configuration_age_ms(now), CONFIGURATION_STALE_MS),
+            Source::Servers => (self.servers.age_ms(now), SERVERS_STALE_MS),
         };
+        let is_stale = age_ms > most_ms + self.members.times().news_late_ms;
         is_stale
             || self
                 .members
@@ -473,8 +472,7 @@
         }
         let alive = self.members.alive().count();
         self.shared.metrics.peers_alive.set(alive as i64);
-        let pause_ms = (alive as u64 * ROUND_PER_MEMBER_MS).max(ROUND_MS);
-        self.next_round_at = now.plus_ms(pause_ms);
+        self.next_round_at = now.plus_ms(RoundTimes::of(alive).pause_ms);
         let datagram = self.message(now).encode().unwrap_or_default();
         Round {
             datagram,
--- a/crates/reedsail_router/src/control/member_table.rs
+++ b/crates/reedsail_router/src/control/member_table.rs
@@ -5,13 +5,10 @@
 
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
+use reedsail_dispatch::RoundTimes;
 use reedsail_wire::LoadMessage;
 use reedsail_wire::MemberRow;
 
-/// A daemon that was heard within this time counts as alive.
-pub(crate) const ALIVE_MS: u64 = 1_500;
-/// A daemon that was not heard for so long is not counted on to read the store.
-const READER_SILENT_MS: u64 = 600;
 /// How often a daemon that does not answer is told all the same.
 const SILENT_EVERY_MS: u64 = 1_000;
 /// A daemon that was not heard for so long is forgotten.
@@ -66,9 +63,10 @@
         for row in &message.members {
             self.learn(*row, now);
         }
+        let silent_ms = self.times().silent_ms;
         let known = self.members.get(&message.instance);
         let is_alive =
-            known.is_some_and(|member| member.is_heard && now.since_ms(member.heard_at) < ALIVE_MS);
+            known.is_some_and(|member| member.is_heard && now.since_ms(member.heard_at) < silent_ms);
         let is_stale = known.is_some_and(|member| {
             member.is_heard
                 && member.incarnation == message.incarnation
@@ -113,9 +111,10 @@
     pub(crate) fn drop_silent(&mut self, now: TimeMs) -> Vec<(NameHash, SocketAddrV4)> {
         self.members
             .retain(|_, member| now.since_ms(member.heard_at) < FORGET_MS);
+        let silent_ms = self.times().silent_ms;
         let mut silent = Vec::new();
         for (instance, member) in &mut self.members {
-            if member.is_heard && now.since_ms(member.heard_at) >= ALIVE_MS {
+            if member.is_heard && now.since_ms(member.heard_at) >= silent_ms {
                 member.is_heard = false;
                 silent.push((*instance, member.address));
             }
@@ -165,15 +164,21 @@
     /// Tells whether no daemon of the failure domain that was heard just now has a smaller name: of
     /// each domain, that daemon reads the store and tells the others.
     pub(crate) fn is_first_of_domain(&self, own: NameHash, domain: NameHash, now: TimeMs) -> bool {
+        let silent_ms = self.times().reader_silent_ms;
         !self.members.iter().any(|(instance, member)| {
             member.is_heard
                 && !member.is_stopping
                 && member.failure_domain == domain
-                && now.since_ms(member.heard_at) < READER_SILENT_MS
+                && now.since_ms(member.heard_at) < silent_ms
                 && *instance < own
         })
     }
 
+    /// Returns the times that follow from how many daemons are heard.
+    pub(crate) fn times(&self) -> RoundTimes {
+        RoundTimes::of(self.alive().count())
+    }
+
     /// Returns the daemons that were heard lately.
     pub(crate) fn alive(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter(|member| member.is_heard)
