Let a server's record go missing in the soak while it serves

Cause: the grown sites have health that lies either way. Nobody asks a server how it is; what the store says is the only word, and it may be wrong: a server listed that hangs was drawn, one that is missing and serves was not.

--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -113,6 +113,7 @@
             FaultKind::KillServer(server) => self.kill_server(server, fault.for_ms).await?,
             FaultKind::FreezeServer(server) => self.freeze_server(server, fault.for_ms).await,
             FaultKind::RetireServer(server) => self.retire_server(server, fault.for_ms).await?,
+            FaultKind::HideServer(server) => self.hide_server(server, fault.for_ms).await?,
             FaultKind::ServerAnswers(server, what) => self.disturb_answers(server, what, fault.for_ms).await,
             FaultKind::StoreRefuses => {
                 let refusal = Some(503);
@@ -271,6 +272,24 @@
         Ok(())
     }
 
+    async fn hide_server(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
+        let server = &self.fleet.servers[number];
+        let life = server.life.lock().await;
+        let Some(id) = life.as_ref().map(|life| life.id.clone()) else {
+            return Ok(());
+        };
+        drop(life);
+        self.fleet.store.obey(&StoreCommand::Drop(id.clone())).await?;
+        sleep(Duration::from_millis(for_ms)).await;
+        // It may have been killed or have left meanwhile.
+        let life = server.life.lock().await;
+        if life.as_ref().is_some_and(|life| life.id == id) {
+            let record = server.spec(&id, false);
+            self.fleet.store.obey(&StoreCommand::Announce(record)).await?;
+        }
+        Ok(())
+    }
+
     async fn revive_server(&self, server: &Server) -> anyhow::Result<()> {
         server.revive(&self.fleet.store).await
     }
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -69,6 +69,8 @@
     FreezeServer(usize),
     /// A server leaves in an orderly way, and another one comes at the fault's end.
     RetireServer(usize),
+    /// A server's record is gone until the fault's end, though it serves.
+    HideServer(usize),
     /// A server answers wrongly.
     ServerAnswers(usize, AnswerFault),
     /// The store refuses every call.
@@ -102,6 +104,7 @@
             Self::KillServer(_) => "server killed",
             Self::FreezeServer(_) => "server paused",
             Self::RetireServer(_) => "server leaving",
+            Self::HideServer(_) => "server's record missing",
             Self::ServerAnswers(_, _) => "server answering wrongly",
             Self::StoreRefuses => "store down",
             Self::StoreSlow(_) => "store slow",
