Tell a list with doubted servers from one without

The store was away from 4 to 9 s and ten servers' records lapsed. hall-b-2, hall-c-1 and hall-c-2 held them for doubtful, heard of a later revision with the same digest from a peer that had seen them announced again, took over its revision without its list, and removed all but one engine 2 s later. From then on they knew nothing older than anybody, so fetched no list: they sent everything to one engine until they were restarted at 32 s.

Change: a doubted server counts otherwise in the digest, so a list with doubts is never the same as one without. A test with two lists (failed before).

--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -252,10 +252,10 @@
             record,
             doubted_until: None,
         };
-        self.digest = self.digest.wrapping_add(record_digest(&entry.record));
+        self.digest = self.digest.wrapping_add(entry_digest(&entry));
         let before = self.entries.insert(id.clone(), entry);
         if let Some(before) = &before {
-            self.digest = self.digest.wrapping_sub(record_digest(&before.record));
+            self.digest = self.digest.wrapping_sub(entry_digest(before));
         }
         if before.is_none() {
             delta.listed.push(id);
@@ -270,7 +270,9 @@
             return;
         }
         if let Some(entry) = self.entries.get_mut(id) {
+            self.digest = self.digest.wrapping_sub(entry_digest(entry));
             entry.doubted_until.get_or_insert(now.plus_ms(DOUBT_MS));
+            self.digest = self.digest.wrapping_add(entry_digest(entry));
         }
     }
 
@@ -298,7 +300,7 @@
 
     fn remove(&mut self, id: &str, now: TimeMs, delta: &mut ListDelta) {
         if let Some(entry) = self.entries.remove(id) {
-            self.digest = self.digest.wrapping_sub(record_digest(&entry.record));
+            self.digest = self.digest.wrapping_sub(entry_digest(&entry));
             self.tell_departure(id, now);
             delta.unlisted.push(id.to_owned());
         }
@@ -314,11 +316,19 @@
     TimeMs(now.0.saturating_sub(age_ms))
 }
 
-/// Digests one record; sums of these do not depend on the order of the records.
-fn record_digest(record: &ServerRecord) -> u64 {
+/// Digests one server; sums of these do not depend on the order of the servers. One that is in doubt
+/// differs from one that is not: its list is not the same as that of a peer who knows better.
+fn entry_digest(entry: &Entry) -> u64 {
+    let record = &entry.record;
     let text = format!(
-        "{}\n{}\n{}\n{}\n{}\n{}",
-        record.id, record.service, record.address, record.failure_domain, record.slots, record.is_leaving
+        "{}\n{}\n{}\n{}\n{}\n{}\n{}",
+        record.id,
+        record.service,
+        record.address,
+        record.failure_domain,
+        record.slots,
+        record.is_leaving,
+        entry.doubted_until.is_some()
     );
     XxHash64::oneshot(0, text.as_bytes())
 }
--- a/crates/reedsail_dispatch/tests/server_list.rs
+++ b/crates/reedsail_dispatch/tests/server_list.rs
@@ -231,3 +231,32 @@
     list.tick(TimeMs(18_000));
     assert!(list.departures().is_empty());
 }
+
+/// Two daemons with the same list lose the store; both doubt what lapsed meanwhile, and one hears
+/// the servers announce themselves again.
+#[test]
+fn a_peer_that_no_longer_doubts_is_asked_for_its_list() {
+    let mut doubting = list();
+    let mut sure = list();
+    let after_trouble = TimeMs(5_000);
+    for list in [&mut doubting, &mut sure] {
+        list.note_trouble();
+        let lapsed = vec![dropped("one"), dropped("two")];
+        list.apply(news(12, false, lapsed), after_trouble, after_trouble);
+    }
+    assert_eq!(doubting.digest(), sure.digest());
+    let back = vec![announced("one"), announced("two")];
+    let now = TimeMs(5_500);
+    sure.apply(news(14, false, back), now, now);
+    let word = PeerWord {
+        revision: sure.revision(),
+        digest: sure.digest(),
+        age_ms: 0,
+        leaving: &[],
+    };
+    assert_eq!(doubting.hear_peer(&word, now), PeerView::Newer);
+    doubting.apply_listing(sure.listing(now), now);
+    assert_eq!(doubting.digest(), sure.digest());
+    assert!(doubting.tick(TimeMs(9_000)).is_empty());
+    assert_eq!(ids(&doubting, TimeMs(9_000)), ["one", "two"]);
+}
