--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -105,11 +105,7 @@
             FaultKind::KillDaemon(daemon) => self.kill_daemon(daemon, fault.for_ms).await?,
             FaultKind::FreezeDaemon(daemon) => self.freeze_daemon(daemon, fault.for_ms).await,
             FaultKind::StopDaemon(daemon) => self.stop_daemon(daemon, fault.for_ms).await?,
-            FaultKind::ReloadDaemon(daemon) => {
-                let daemon = &self.fleet.daemons[daemon];
-                daemon.change_settings()?;
-                daemon.signal(Signal::HUP, daemon.life());
-            }
+            FaultKind::ReloadDaemon(daemon) => self.reload_daemon(daemon).await?,
             FaultKind::KillServer(server) => self.kill_server(server, fault.for_ms).await?,
             FaultKind::FreezeServer(server) => self.freeze_server(server, fault.for_ms).await,
             FaultKind::RetireServer(server) => self.retire_server(server, fault.for_ms).await?,
@@ -185,6 +181,17 @@
         self.end(span);
     }
 
+    /// A process that has just started does not know the signal yet, and would end by it.
+    async fn reload_daemon(&self, number: usize) -> anyhow::Result<()> {
+        let daemon = &self.fleet.daemons[number];
+        let life = daemon.life();
+        let age_ms = unix_ms().saturating_sub(daemon.started_unix_ms.load(Ordering::Relaxed));
+        sleep(Duration::from_millis(START_MS.saturating_sub(age_ms))).await;
+        daemon.change_settings()?;
+        daemon.signal(Signal::HUP, life);
+        Ok(())
+    }
+
     async fn stop_daemon(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
         let daemon = &self.fleet.daemons[number];
         let Some(mut process) = daemon.take() else {
