--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -201,6 +201,8 @@
         let asked_ms = self.now_ms();
         let started_unix_ms = daemon.started_unix_ms.load(Ordering::Relaxed);
         process.signal(Signal::TERM);
+        // A pause that is under way ends here: its end no longer finds the process.
+        process.signal(Signal::CONT);
         let code = process.wait(STOP_LIMIT_MS).await;
         self.played().exits.push(Exit {
             daemon: number,
