Wait for the lost platform before the request that meets it

Change: the test waits for the event, as another one did; both by one function that fails if it never comes.

--- a/crates/reedsail_bench/tests/sessions.rs
+++ b/crates/reedsail_bench/tests/sessions.rs
@@ -85,11 +85,23 @@
     });
 }
 
+/// Waits until a daemon has reported an event, so that what comes after stands after it.
+async fn wait_for_event(fleet: &Fleet, name: &str) {
+    for _ in 0..1_000 {
+        if fleet.events().iter().any(|event| event.name == name) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("no `{name}` was reported");
+}
+
 #[test]
 fn a_refusal_that_did_not_run() {
     run(async {
         let fleet = common::small_fleet(1, 1).await;
         fleet.platform.set_faults(|faults| faults.outage = true);
+        wait_for_event(&fleet, "platform_lost").await;
         let deposit =
             request("POST", "/booking/deposits/confirm", "labska").header("idempotency-key", new_key());
         let refused = send(fleet.callers["hall-a-1"], deposit.body(Full::default()).unwrap()).await;
@@ -112,12 +124,7 @@
         let mut fleet = common::small_fleet(1, 1).await;
         fleet.publish_rivals().await.unwrap();
         fleet.wait_for_version(2, 5_000).await.unwrap();
-        for _ in 0..200 {
-            if fleet.events().iter().any(|event| event.name == "bundle_stale") {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
+        wait_for_event(&fleet, "bundle_stale").await;
         insta::assert_snapshot!(golden(&fleet, &[]));
         fleet.close().await;
     });
