Let both daemons start threads and serve pages by one piece, and count peers once a tick

The router's and reedsaild's `running.rs` each kept the threads and the word that ends them; their `admin.rs` each had the loop that serves pages.

Change: `reedsail_net::Workers` (with `spawn_worker` inside it) and `reedsail_net::serve_pages` serve both daemons; the table of members settles its times where it drops silent ones, at each tick of 50 ms. Nothing else decides otherwise; the tests are as they were.

--- a/crates/reedsail_daemon/src/admin.rs
+++ b/crates/reedsail_daemon/src/admin.rs
@@ -13,11 +13,9 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use reedsail_core::SharePolicy;
+use reedsail_net::serve_pages;
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 use xtra::Address;
 
 use crate::control::Control;
@@ -33,36 +31,24 @@
     shared: Arc<Shared<P>>,
     control: Address<Control<P>>,
 ) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let shared = Arc::clone(&shared);
-        let control = control.clone();
-        spawn_local(async move {
-            let service = service_fn(|request| answer(&shared, &control, request));
-            // A reader that goes away needs no answer.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    let answer = move |request| answer(Arc::clone(&shared), control.clone(), request);
+    serve_pages(listener, http1::Builder::new(), answer).await;
 }
 
 async fn answer<P: SharePolicy>(
-    shared: &Shared<P>,
-    control: &Address<Control<P>>,
+    shared: Arc<Shared<P>>,
+    control: Address<Control<P>>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     Ok(match request.uri().path() {
         "/health" => text(StatusCode::OK, "text/plain", "alive\n".to_owned()),
-        "/ready" => ready(shared),
+        "/ready" => ready(&shared),
         "/metrics" => text(
             StatusCode::OK,
             "text/plain; version=0.0.4",
-            render_metrics(shared),
+            render_metrics(&shared),
         ),
-        "/events" => text(StatusCode::OK, "application/x-ndjson", render_events(shared)),
+        "/events" => text(StatusCode::OK, "application/x-ndjson", render_events(&shared)),
         "/bundle" => match control.send(ReadContent).await {
             Ok(Some(content)) => text(StatusCode::OK, "application/yaml", content),
             Ok(None) | Err(_) => text(StatusCode::NOT_FOUND, "text/plain", "no bundle yet\n".to_owned()),
--- a/crates/reedsail_daemon/src/running.rs
+++ b/crates/reedsail_daemon/src/running.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use anyhow::Context as _;
@@ -13,8 +12,8 @@
 use reedsail_events::Event;
 use reedsail_events::EventKind;
 use reedsail_net::NetGate;
+use reedsail_net::Workers;
 use reedsail_net::listen_on;
-use reedsail_net::spawn_worker;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -62,8 +61,7 @@
     instance: String,
     addresses: DaemonAddresses,
     probe: Probe,
-    killed: watch::Sender<bool>,
-    threads: Vec<JoinHandle<()>>,
+    workers: Workers,
 }
 
 /// What can be asked of a daemon in the same process, by policy.
@@ -106,30 +104,26 @@
     /// Names the address that cannot be listened on, or the thread that cannot be started.
     pub async fn start(settings: Settings, options: DaemonOptions) -> anyhow::Result<Self> {
         let instance = settings.instance.clone();
-        let (killed, killed_watch) = watch::channel(false);
-        let (probe, addresses, threads) = match settings.policy {
+        let (probe, addresses, workers) = match settings.policy {
             PolicyChoice::Fifo => {
-                let (handle, addresses, threads) =
-                    launch(settings, FifoPolicy, options, killed_watch).await?;
-                (Probe::Fifo(handle), addresses, threads)
+                let (handle, addresses, workers) = launch(settings, FifoPolicy, options).await?;
+                (Probe::Fifo(handle), addresses, workers)
             }
             PolicyChoice::Split { daemons } => {
                 let policy = SplitPolicy { daemons };
-                let (handle, addresses, threads) = launch(settings, policy, options, killed_watch).await?;
-                (Probe::Split(handle), addresses, threads)
+                let (handle, addresses, workers) = launch(settings, policy, options).await?;
+                (Probe::Split(handle), addresses, workers)
             }
             PolicyChoice::Fleet => {
-                let (handle, addresses, threads) =
-                    launch(settings, FleetPolicy, options, killed_watch).await?;
-                (Probe::Fleet(handle), addresses, threads)
+                let (handle, addresses, workers) = launch(settings, FleetPolicy, options).await?;
+                (Probe::Fleet(handle), addresses, workers)
             }
         };
         Ok(Self {
             instance,
             addresses,
             probe,
-            killed,
-            threads,
+            workers,
         })
     }
 
@@ -188,21 +182,13 @@
     /// Stops as planned: every open request is finished first. Returns whether all were.
     pub async fn close(self) -> bool {
         let finished = with_handle!(&self.probe, handle => stop_as_planned(handle).await);
-        self.end();
+        self.workers.close();
         finished
     }
 
     /// Ends at once, as a crash would.
     pub fn kill(self) {
-        self.end();
-    }
-
-    fn end(self) {
-        self.killed.send_replace(true);
-        for thread in self.threads {
-            // A thread that panicked is over as well.
-            let _ = thread.join();
-        }
+        self.workers.close();
     }
 }
 
@@ -210,8 +196,7 @@
     settings: Settings,
     policy: P,
     options: DaemonOptions,
-    killed: watch::Receiver<bool>,
-) -> anyhow::Result<(Handle<P>, DaemonAddresses, Vec<JoinHandle<()>>)> {
+) -> anyhow::Result<(Handle<P>, DaemonAddresses, Workers)> {
     let callers = listen_on(settings.listen.callers)?;
     let peers = listen_on(settings.listen.peers)?;
     let admin = listen_on(settings.listen.admin)?;
@@ -228,7 +213,7 @@
         .events
         .emit(EventKind::DaemonStarted, &[("failure_domain", domain)]);
     let (stage_changed, stage_watch) = watch::channel(Stage::Starting);
-    let mut threads = Vec::new();
+    let mut workers = Workers::default();
     for index in 0..traffic_threads {
         let thread = TrafficThread {
             shared: Arc::clone(&shared),
@@ -237,10 +222,7 @@
                 .context("cannot share the callers' listener")?,
             stage_changed: stage_watch.clone(),
         };
-        let killed = killed.clone();
-        threads.push(spawn_worker(&format!("traffic-{index}"), killed, || {
-            run_traffic(thread)
-        })?);
+        workers.start(&format!("traffic-{index}"), || run_traffic(thread))?;
     }
     let (started, control) = oneshot::channel();
     let thread = ControlThread {
@@ -250,14 +232,14 @@
         claim_jobs: claim_queue,
         started,
     };
-    threads.push(spawn_worker("control", killed, || run_control(thread))?);
+    workers.start("control", || run_control(thread))?;
     let control = control.await.context("the control thread ended at its start")?;
     let handle = Handle {
         shared,
         control,
         stage_changed,
     };
-    Ok((handle, addresses, threads))
+    Ok((handle, addresses, workers))
 }
 
 /// Passes duties on, waits for the balancer to notice, then for every open request.
--- a/crates/reedsail_dispatch/src/round_times.rs
+++ b/crates/reedsail_dispatch/src/round_times.rs
@@ -27,6 +27,13 @@
     pub news_late_ms: u64,
 }
 
+impl Default for RoundTimes {
+    /// Those of a daemon that hears nobody.
+    fn default() -> Self {
+        Self::of(0)
+    }
+}
+
 impl RoundTimes {
     /// Works them out for a daemon that hears so many peers.
     pub fn of(peers: usize) -> Self {
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -10,7 +10,8 @@
 mod http_connection;
 mod listen;
 mod net_gate;
-mod worker_thread;
+mod pages;
+mod workers;
 
 pub use byte_counter::ByteCounter;
 pub use clock::Clock;
@@ -25,4 +26,5 @@
 pub use http_connection::SendError;
 pub use listen::listen_on;
 pub use net_gate::NetGate;
-pub use worker_thread::spawn_worker;
+pub use pages::serve_pages;
+pub use workers::Workers;
--- a/crates/reedsail_net/src/worker_thread.rs
+++ b/crates/reedsail_net/src/workers.rs
@@ -6,11 +6,49 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-/// Runs a future on a thread with a runtime of its own, until it ends or `killed` turns true.
-///
-/// # Errors
-/// The system's, if no thread can be started.
-pub fn spawn_worker<F, T>(
+/// The threads of one daemon, which end together.
+#[derive(Debug)]
+pub struct Workers {
+    killed: watch::Sender<bool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Default for Workers {
+    fn default() -> Self {
+        Self {
+            killed: watch::Sender::new(false),
+            threads: Vec::new(),
+        }
+    }
+}
+
+impl Workers {
+    /// Runs a future on a thread with a runtime of its own, until it or all of them end.
+    ///
+    /// # Errors
+    /// The system's, if no thread can be started.
+    pub fn start<F, T>(&mut self, name: &str, make: F) -> anyhow::Result<()>
+    where
+        F: FnOnce() -> T + Send + 'static,
+        T: Future<Output = std::io::Result<()>>,
+    {
+        let thread = spawn_worker(name, self.killed.subscribe(), make)?;
+        self.threads.push(thread);
+        Ok(())
+    }
+
+    /// Ends every thread at once, and waits for that.
+    pub fn close(self) {
+        self.killed.send_replace(true);
+        for thread in self.threads {
+            // A thread that panicked is over as well.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Runs a future on a thread, until it ends or `killed` turns true.
+fn spawn_worker<F, T>(
     name: &str,
     mut killed: watch::Receiver<bool>,
     make: F,
--- a/crates/reedsail_router/src/admin.rs
+++ b/crates/reedsail_router/src/admin.rs
@@ -12,11 +12,9 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use reedsail_net::serve_pages;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 use xtra::Address;
 
 use crate::HeaderProtocol;
@@ -32,32 +30,21 @@
 const METRICS_PATH: &str = "/metrics";
 
 /// Serves the pages on one listener until the daemon ends.
-pub(crate) async fn serve_pages<H: HeaderProtocol>(
+pub(crate) async fn serve_admin<H: HeaderProtocol>(
     listener: TcpListener,
     shared: Arc<Shared<H>>,
     control: Address<Control<H>>,
 ) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let shared = Arc::clone(&shared);
-        let control = control.clone();
-        spawn_local(async move {
-            let service = service_fn(|request| answer(request, &shared, &control));
-            // A connection that breaks concerns only whoever asked.
-            let _ = http1::Builder::new()
-                .auto_date_header(false)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    let mut server = http1::Builder::new();
+    server.auto_date_header(false);
+    let answer = move |request| answer(request, Arc::clone(&shared), control.clone());
+    serve_pages(listener, server, answer).await;
 }
 
 async fn answer<H: HeaderProtocol>(
     request: Request<Incoming>,
-    shared: &Shared<H>,
-    control: &Address<Control<H>>,
+    shared: Arc<Shared<H>>,
+    control: Address<Control<H>>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let path = request.uri().path();
     let response = if path == shared.settings.readiness_path {
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -10,7 +10,6 @@
 use reedsail_dispatch::ListDelta;
 use reedsail_dispatch::PeerView;
 use reedsail_dispatch::PeerWord;
-use reedsail_dispatch::RoundTimes;
 use reedsail_dispatch::ServerList;
 use reedsail_dispatch::ServerListing;
 use reedsail_dispatch::ServerNews;
@@ -472,7 +471,7 @@
         }
         let alive = self.members.alive().count();
         self.shared.metrics.peers_alive.set(alive as i64);
-        self.next_round_at = now.plus_ms(RoundTimes::of(alive).pause_ms);
+        self.next_round_at = now.plus_ms(self.members.times().pause_ms);
         let datagram = self.message(now).encode().unwrap_or_default();
         Round {
             datagram,
--- a/crates/reedsail_router/src/control/member_table.rs
+++ b/crates/reedsail_router/src/control/member_table.rs
@@ -50,6 +50,7 @@
     seeds: Vec<SocketAddrV4>,
     seeds_told_at: TimeMs,
     rows_from: usize,
+    times: RoundTimes,
 }
 
 impl MemberTable {
@@ -63,7 +64,7 @@
         for row in &message.members {
             self.learn(*row, now);
         }
-        let silent_ms = self.times().silent_ms;
+        let silent_ms = self.times.silent_ms;
         let known = self.members.get(&message.instance);
         let is_alive =
             known.is_some_and(|member| member.is_heard && now.since_ms(member.heard_at) < silent_ms);
@@ -111,7 +112,7 @@
     pub(crate) fn drop_silent(&mut self, now: TimeMs) -> Vec<(NameHash, SocketAddrV4)> {
         self.members
             .retain(|_, member| now.since_ms(member.heard_at) < FORGET_MS);
-        let silent_ms = self.times().silent_ms;
+        let silent_ms = self.times.silent_ms;
         let mut silent = Vec::new();
         for (instance, member) in &mut self.members {
             if member.is_heard && now.since_ms(member.heard_at) >= silent_ms {
@@ -119,6 +120,7 @@
                 silent.push((*instance, member.address));
             }
         }
+        self.times = RoundTimes::of(self.alive().count());
         silent
     }
 
@@ -164,7 +166,7 @@
     /// Tells whether no daemon of the failure domain that was heard just now has a smaller name: of
     /// each domain, that daemon reads the store and tells the others.
     pub(crate) fn is_first_of_domain(&self, own: NameHash, domain: NameHash, now: TimeMs) -> bool {
-        let silent_ms = self.times().reader_silent_ms;
+        let silent_ms = self.times.reader_silent_ms;
         !self.members.iter().any(|(instance, member)| {
             member.is_heard
                 && !member.is_stopping
@@ -174,9 +176,10 @@
         })
     }
 
-    /// Returns the times that follow from how many daemons are heard.
+    /// Returns the times that follow from how many daemons were heard at the last tick: messages are
+    /// far more frequent.
     pub(crate) fn times(&self) -> RoundTimes {
-        RoundTimes::of(self.alive().count())
+        self.times
     }
 
     /// Returns the daemons that were heard lately.
--- a/crates/reedsail_router/src/control/thread.rs
+++ b/crates/reedsail_router/src/control/thread.rs
@@ -25,7 +25,7 @@
 use crate::ConfigurationSource;
 use crate::HeaderProtocol;
 use crate::ServerSource;
-use crate::admin::serve_pages;
+use crate::admin::serve_admin;
 use crate::shared::Shared;
 
 /// How often the actor looks at the time.
@@ -60,7 +60,7 @@
     spawn_local(xtra::run(mailbox, Control::new(Arc::clone(&shared))));
     for listener in thread.page_listeners {
         let listener = tokio::net::TcpListener::from_std(listener)?;
-        spawn_local(serve_pages(listener, Arc::clone(&shared), control.clone()));
+        spawn_local(serve_admin(listener, Arc::clone(&shared), control.clone()));
     }
     spawn_local(follow_configuration(
         thread.configuration_source,
--- a/crates/reedsail_router/src/running.rs
+++ b/crates/reedsail_router/src/running.rs
@@ -4,15 +4,13 @@
 use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use anyhow::Context as _;
 use reedsail_events::EventKind;
+use reedsail_net::Workers;
 use reedsail_net::listen_on;
-use reedsail_net::spawn_worker;
 use tokio::sync::mpsc;
-use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::ConfigurationSource;
@@ -50,8 +48,7 @@
     shared: Arc<Shared<H>>,
     addresses: RouterAddresses,
     seeds: mpsc::Sender<Vec<SocketAddr>>,
-    killed: watch::Sender<bool>,
-    threads: Vec<JoinHandle<()>>,
+    workers: Workers,
 }
 
 impl<H: HeaderProtocol> RunningRouter<H> {
@@ -86,7 +83,6 @@
             ("peers", addresses.peers.to_string()),
         ];
         shared.emit(EventKind::DaemonStarted, &fields);
-        let (killed, killed_watch) = watch::channel(false);
         let (seeds, seeds_heard) = mpsc::channel(1);
         let traffic = TrafficThread {
             shared: Arc::clone(&shared),
@@ -104,16 +100,14 @@
                 seeds: seeds_heard,
             })
         };
-        let threads = vec![
-            spawn_worker("traffic", killed_watch.clone(), || run_traffic(traffic))?,
-            spawn_worker("control", killed_watch, control)?,
-        ];
+        let mut workers = Workers::default();
+        workers.start("traffic", || run_traffic(traffic))?;
+        workers.start("control", control)?;
         Ok(Self {
             shared,
             addresses,
             seeds,
-            killed,
-            threads,
+            workers,
         })
     }
 
@@ -171,21 +165,13 @@
             }
             sleep(Duration::from_millis(STOP_POLL_MS)).await;
         };
-        self.end();
+        self.workers.close();
         finished
     }
 
     /// Ends at once, as a crash would.
     pub fn kill(self) {
-        self.end();
-    }
-
-    fn end(self) {
-        self.killed.send_replace(true);
-        for thread in self.threads {
-            // A thread that panicked is over as well.
-            let _ = thread.join();
-        }
+        self.workers.close();
     }
 }
 
