Serve every stand-in by one HTTP server, and say once in the soak what it said three times

In the soak the time since the start was worked out in four places beside `Clock::unix_ms`, the newest fault of a link, of a server and of the store were kept in three ways, one outcome was never given, and one function only called another. `shares` looked each engine up by hashing its name anew for each request.

Assertions are as they were.

--- a/crates/reedsail_bench/src/shares.rs
+++ b/crates/reedsail_bench/src/shares.rs
@@ -103,6 +103,8 @@
 struct Simulation {
     random: StdRng,
     daemons: Vec<Dispatcher>,
+    /// Alike on every daemon, since all were given the same list.
+    engine_keys: Vec<ServerKey>,
     engines_free_at: Vec<TimeMs>,
     open: Vec<Open>,
     tallies: Vec<Tally>,
@@ -134,9 +136,14 @@
             daemon.set_servers(&engines);
             daemon
         });
+        let daemons: Vec<Dispatcher> = daemons.collect();
+        let keys = engines
+            .iter()
+            .filter_map(|engine| daemons[0].server_key(engine.name));
         Self {
             random: StdRng::seed_from_u64(seed),
-            daemons: daemons.collect(),
+            engine_keys: keys.collect(),
+            daemons,
             engines_free_at: vec![TimeMs(0); ENGINES],
             open: Vec::new(),
             tallies: vec![Tally::default(); WORKSPACES + 1],
@@ -220,10 +227,8 @@
     }
 
     fn engine_number(&self, key: ServerKey) -> usize {
-        let dispatcher = &self.daemons[0];
-        (0..ENGINES)
-            .find(|number| dispatcher.server_key(engine(*number).name) == Some(key))
-            .expect("every engine was configured")
+        let number = self.engine_keys.iter().position(|engine| *engine == key);
+        number.expect("every engine was configured")
     }
 
     fn finish_runs(&mut self, now: TimeMs) {
--- a/crates/reedsail_soak/src/caller.rs
+++ b/crates/reedsail_soak/src/caller.rs
@@ -35,7 +35,7 @@
 use crate::server::SERVED_BY;
 use crate::server::plain_answer;
 use crate::server::stream_answer;
-use crate::server::unix_ms;
+use crate::soak_clock::SoakClock;
 
 /// How long a caller waits for its answer.
 const DEADLINE_MS: u64 = layout::TIMEOUT_MS;
@@ -65,18 +65,11 @@
     pub(crate) attempts: UnboundedSender<Attempt>,
     /// The number of the newest key of the workspace whose key changes.
     pub(crate) newest_key: AtomicU64,
-    /// When the soak began.
-    pub(crate) start_ms: u64,
+    pub(crate) clock: SoakClock,
     /// When callers stop asking.
     pub(crate) end_ms: u64,
 }
 
-impl CallerShared {
-    fn now_ms(&self) -> u64 {
-        unix_ms().saturating_sub(self.start_ms)
-    }
-}
-
 struct Connection {
     http: HttpConnection,
     daemon: usize,
@@ -87,7 +80,7 @@
     let mut random = StdRng::seed_from_u64(seed ^ (number << 32));
     let mut connection = None;
     let mut count = 0_u64;
-    while shared.now_ms() < shared.end_ms {
+    while shared.clock.now_ms() < shared.end_ms {
         let pause_ms = random.random_range(0..=profile.pause_ms * 2);
         sleep(Duration::from_millis(pause_ms)).await;
         if connection.is_none() {
@@ -135,7 +128,7 @@
         return None;
     }
     let request = build_request(&id, kind, &layout::key(profile.workspace, key), random);
-    let began_ms = shared.now_ms();
+    let began_ms = shared.clock.now_ms();
     let limit = Duration::from_millis(DEADLINE_MS + GRACE_MS);
     let asking = ask(&mut connection.http, request, &id, kind);
     let (outcome, stays_open) = timeout(limit, asking).await.unwrap_or((Outcome::Silent, false));
@@ -146,7 +139,7 @@
         key,
         daemon: connection.daemon,
         began_ms,
-        ended_ms: shared.now_ms(),
+        ended_ms: shared.clock.now_ms(),
         outcome,
     };
     // Nobody listens once the soak has ended.
--- a/crates/reedsail_soak/src/daemon.rs
+++ b/crates/reedsail_soak/src/daemon.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 
 use anyhow::Context as _;
+use reedsail_net::Clock;
 use rustix::process::Signal;
 use tokio::process::Command;
 
@@ -17,7 +18,6 @@
 use crate::layout::DaemonAddresses;
 use crate::process::Process;
 use crate::proxy::Proxy;
-use crate::server::unix_ms;
 
 /// How many lines a second a daemon logs in a soak, so that a failure can be traced.
 const LOG_LINES_PER_S: u32 = 1_000;
@@ -85,7 +85,7 @@
         let mut command = Command::new(&self.router);
         command.arg("--config").arg(self.settings_file());
         *process = Some(Process::start(&mut command, Some(&log))?);
-        self.started_unix_ms.store(unix_ms(), Ordering::Relaxed);
+        self.started_unix_ms.store(Clock::unix_ms(), Ordering::Relaxed);
         self.lives.fetch_add(1, Ordering::Relaxed);
         Ok(true)
     }
--- a/crates/reedsail_soak/src/history.rs
+++ b/crates/reedsail_soak/src/history.rs
@@ -54,8 +54,6 @@
         /// The answer had begun.
         had_begun: bool,
     },
-    /// There was no connection.
-    NotConnected,
     /// Nothing came within the caller's time.
     Silent,
 }
--- a/crates/reedsail_soak/src/lib.rs
+++ b/crates/reedsail_soak/src/lib.rs
@@ -17,6 +17,7 @@
 mod server;
 mod server_program;
 mod soak;
+mod soak_clock;
 mod store_program;
 
 pub use checker::Violation;
--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use reedsail_net::Clock;
 use reedsail_platform_standin::StoreCommand;
 use reedsail_platform_standin::StoreTrouble;
 use rustix::process::Signal;
@@ -29,7 +30,6 @@
 use crate::fleet::Fleet;
 use crate::fleet::Server;
 use crate::layout;
-use crate::server::unix_ms;
 
 /// A daemon that was asked to stop is killed after this time.
 const STOP_LIMIT_MS: u64 = 12_000;
@@ -50,12 +50,18 @@
     pub(crate) counts: HashMap<&'static str, u64>,
 }
 
-/// How many faults of a kind are acting, so that one that ends does not end another.
+/// What can be disturbed in one way at a time: a later fault replaces an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Place {
+    Link(Link),
+    Answers(usize),
+    Store,
+}
+
+/// The newest fault of each place, by number, so that one that ends does not end a later one.
 #[derive(Debug, Default)]
 struct Acting {
-    links: HashMap<String, u64>,
-    answers: HashMap<usize, u64>,
-    store: u64,
+    newest: HashMap<Place, u64>,
     number: u64,
 }
 
@@ -147,12 +153,10 @@
             Link::Server(server) => (&self.fleet.servers[server].proxy, Target::Server(server)),
         };
         let span = self.begin(target);
-        let name = format!("{link:?}");
-        let number = self.next_number();
-        self.acting().links.insert(name.clone(), number);
+        let number = self.begin_at(Place::Link(link));
         proxy.set_fault(Some(what));
         sleep(Duration::from_millis(for_ms)).await;
-        if self.acting().links.get(&name) == Some(&number) {
+        if self.is_newest(Place::Link(link), number) {
             proxy.set_fault(None);
         }
         self.end(span);
@@ -185,7 +189,7 @@
     async fn reload_daemon(&self, number: usize) -> anyhow::Result<()> {
         let daemon = &self.fleet.daemons[number];
         let life = daemon.life();
-        let age_ms = unix_ms().saturating_sub(daemon.started_unix_ms.load(Ordering::Relaxed));
+        let age_ms = Clock::unix_ms().saturating_sub(daemon.started_unix_ms.load(Ordering::Relaxed));
         sleep(Duration::from_millis(START_MS.saturating_sub(age_ms))).await;
         daemon.change_settings()?;
         daemon.signal(Signal::HUP, life);
@@ -206,7 +210,7 @@
         let code = process.wait(STOP_LIMIT_MS).await;
         self.played().exits.push(Exit {
             daemon: number,
-            started_ms: started_unix_ms.saturating_sub(self.callers.start_ms),
+            started_ms: self.callers.clock.since_start_ms(started_unix_ms),
             asked_ms,
             ended_ms: code.map(|_| self.now_ms()),
             code: code.flatten(),
@@ -236,7 +240,7 @@
         sleep(Duration::from_millis(LAPSE_MS)).await;
         self.fleet.store.obey(&StoreCommand::Drop(life.id)).await?;
         sleep(Duration::from_millis(for_ms)).await;
-        self.revive_server(server).await?;
+        server.revive(&self.fleet.store).await?;
         self.end(span);
         Ok(())
     }
@@ -278,7 +282,7 @@
         let span = self.begin(Target::Server(number));
         life.process.close().await;
         sleep(Duration::from_millis(for_ms / 4)).await;
-        self.revive_server(server).await?;
+        server.revive(&self.fleet.store).await?;
         self.end(span);
         Ok(())
     }
@@ -301,18 +305,13 @@
         Ok(())
     }
 
-    async fn revive_server(&self, server: &Server) -> anyhow::Result<()> {
-        server.revive(&self.fleet.store).await
-    }
-
     async fn disturb_answers(&self, number: usize, what: AnswerFault, for_ms: u64) {
         let span = self.begin(Target::Server(number));
-        let acting = self.next_number();
-        self.acting().answers.insert(number, acting);
+        let place = Place::Answers(number);
+        let acting = self.begin_at(place);
         self.set_answers(number, Some(what)).await;
         sleep(Duration::from_millis(for_ms)).await;
-        let is_newest = self.acting().answers.get(&number) == Some(&acting);
-        if is_newest {
+        if self.is_newest(place, acting) {
             self.set_answers(number, None).await;
         }
         self.end(span);
@@ -327,12 +326,10 @@
 
     async fn disturb_store(&self, trouble: StoreTrouble, for_ms: u64) -> anyhow::Result<()> {
         let span = self.begin(Target::Store);
-        let number = self.next_number();
-        self.acting().store = number;
+        let number = self.begin_at(Place::Store);
         self.fleet.store.obey(&StoreCommand::Trouble(trouble)).await?;
         sleep(Duration::from_millis(for_ms)).await;
-        let is_newest = self.acting().store == number;
-        if is_newest {
+        if self.is_newest(Place::Store, number) {
             let well = StoreCommand::Trouble(StoreTrouble::default());
             self.fleet.store.obey(&well).await?;
         }
@@ -377,13 +374,20 @@
     }
 
     fn now_ms(&self) -> u64 {
-        unix_ms().saturating_sub(self.callers.start_ms)
+        self.callers.clock.now_ms()
     }
 
-    fn next_number(&self) -> u64 {
+    /// Notes a fault as the newest of its place, and returns its number.
+    fn begin_at(&self, place: Place) -> u64 {
         let mut acting = self.acting();
         acting.number += 1;
-        acting.number
+        let number = acting.number;
+        acting.newest.insert(place, number);
+        number
+    }
+
+    fn is_newest(&self, place: Place, number: u64) -> bool {
+        self.acting().newest.get(&place) == Some(&number)
     }
 
     fn played(&self) -> MutexGuard<'_, Played> {
--- a/crates/reedsail_soak/src/prober.rs
+++ b/crates/reedsail_soak/src/prober.rs
@@ -24,7 +24,7 @@
 use crate::layout;
 use crate::layout::DaemonAddresses;
 use crate::layout::PROBE_HOST;
-use crate::server::unix_ms;
+use crate::soak_clock::SoakClock;
 
 /// How long passes between two probes of a daemon.
 const EVERY_MS: u64 = 200;
@@ -36,7 +36,7 @@
     fleet: Arc<Fleet>,
     daemon: usize,
     newest_version: Arc<AtomicU64>,
-    start_ms: u64,
+    clock: SoakClock,
     probes: UnboundedSender<Probe>,
 ) {
     let addresses = DaemonAddresses::of(daemon);
@@ -52,7 +52,7 @@
         if known.0 != life {
             known = (life, 1);
         }
-        let began_ms = unix_ms().saturating_sub(start_ms);
+        let began_ms = clock.now_ms();
         let newest = newest_version.load(Ordering::Relaxed);
         let found = find_version(addresses.callers, known.1, newest).await;
         let Some(version) = found.filter(|_| state.life() == life) else {
@@ -63,7 +63,7 @@
             daemon,
             life,
             began_ms,
-            ended_ms: unix_ms().saturating_sub(start_ms),
+            ended_ms: clock.now_ms(),
             version,
         };
         // Nobody listens once the soak has ended.
--- a/crates/reedsail_soak/src/report.rs
+++ b/crates/reedsail_soak/src/report.rs
@@ -81,7 +81,6 @@
             Outcome::Wrong(_) => "wrong".to_owned(),
             Outcome::Cut { had_begun: true } => "cut in the answer".to_owned(),
             Outcome::Cut { had_begun: false } => "cut without an answer".to_owned(),
-            Outcome::NotConnected => "not connected".to_owned(),
             Outcome::Silent => "silent".to_owned(),
         };
         *counts.entry(name).or_default() += 1;
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 /// A connection on which a loopback proxy sits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Link {
     /// Between callers and a daemon.
     Callers(usize),
--- a/crates/reedsail_soak/src/server.rs
+++ b/crates/reedsail_soak/src/server.rs
@@ -1,8 +1,5 @@
 //! What a backend server's answer to a request has to be.
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
-
 use hyper::StatusCode;
 
 /// Names the server that gave an answer; the daemon's own answers have none.
@@ -26,9 +23,3 @@
 pub(crate) fn stream_answer(request_id: &str) -> String {
     (1..=EVENTS).map(|number| event(request_id, number)).collect()
 }
-
-/// Returns the time of day, in milliseconds since 1970, which all processes of a soak share.
-pub(crate) fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/reedsail_soak/src/server_program.rs
+++ b/crates/reedsail_soak/src/server_program.rs
@@ -19,16 +19,17 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderValue;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use reedsail_net::Clock;
 use reedsail_platform_standin::ServerHead;
 use reedsail_platform_standin::mark_answer;
 use reedsail_platform_standin::mark_not_run;
+use reedsail_standin::Body;
+use reedsail_standin::Handler;
+use reedsail_standin::HttpServer;
+use reedsail_standin::StandinError;
 use tokio::io::AsyncBufReadExt;
 use tokio::io::BufReader;
 use tokio::io::stdin;
-use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
@@ -39,7 +40,6 @@
 use crate::server::SERVED_BY;
 use crate::server::event;
 use crate::server::plain_answer;
-use crate::server::unix_ms;
 
 /// How many requests run at once; others wait.
 const SLOTS: usize = 8;
@@ -50,20 +50,6 @@
 /// How long a stream pauses between two events.
 const EVENT_PAUSE_MS: u64 = 15;
 
-type Body = Either<Full<Bytes>, Channel<Bytes, Broken>>;
-
-/// Breaks the connection.
-#[derive(Debug)]
-struct Broken;
-
-impl std::fmt::Display for Broken {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str("the server breaks the connection, as it was told to")
-    }
-}
-
-impl std::error::Error for Broken {}
-
 /// What a server is, and how it answers at present.
 #[derive(Debug)]
 struct Server {
@@ -78,44 +64,43 @@
 /// # Errors
 /// The system's, or a line that is no fault.
 pub async fn run_server(id: String, streams: bool) -> anyhow::Result<()> {
-    let listener = TcpListener::bind("127.0.0.1:0").await.context("cannot listen")?;
-    println!("{}", listener.local_addr()?);
     let server = Arc::new(Server {
         id,
         streams,
         fault: Mutex::new(None),
         slots: Arc::new(Semaphore::new(SLOTS)),
     });
-    tokio::spawn(accept(listener, Arc::clone(&server)));
+    let http = HttpServer::start(ServerHandler(Arc::clone(&server)))
+        .await
+        .context("cannot listen")?;
+    println!("{}", http.address);
     let mut lines = BufReader::new(stdin()).lines();
     while let Some(line) = lines.next_line().await? {
         let fault: Option<AnswerFault> =
             serde_json::from_str(&line).with_context(|| format!("`{line}` is no fault"))?;
         *server.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
+    http.close();
     Ok(())
 }
 
-async fn accept(listener: TcpListener, server: Arc<Server>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let server = Arc::clone(&server);
-        tokio::spawn(async move {
-            let service = service_fn(|request| server.answer(request));
-            // A connection that breaks shows at its caller.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
+/// Answers for a server.
+#[derive(Clone, Debug)]
+struct ServerHandler(Arc<Server>);
+
+impl Handler for ServerHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, StandinError> {
+        self.0.answer(request).await
     }
 }
 
 impl Server {
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, StandinError> {
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(head) = ServerHead::read(request.headers()) else {
             return Ok(self.whole(StatusCode::BAD_REQUEST, "no id"));
         };
-        request.into_body().collect().await.map_err(|_| Broken)?;
+        request.into_body().collect().await.map_err(|_| StandinError)?;
         if head
             .expected_server
             .as_ref()
@@ -129,7 +114,7 @@
         let slot = Arc::clone(&self.slots)
             .acquire_owned()
             .await
-            .map_err(|_| Broken)?;
+            .map_err(|_| StandinError)?;
         self.print_run(&head);
         match fault {
             Some(AnswerFault::Hang) => std::future::pending::<()>().await,
@@ -159,10 +144,10 @@
         Ok(response)
     }
 
-    fn plain(&self, head: &ServerHead, fault: Option<AnswerFault>) -> Result<Response<Body>, Broken> {
+    fn plain(&self, head: &ServerHead, fault: Option<AnswerFault>) -> Result<Response<Body>, StandinError> {
         match fault {
             Some(AnswerFault::Error) => Ok(self.whole(StatusCode::INTERNAL_SERVER_ERROR, "failed")),
-            Some(AnswerFault::Break) => Err(Broken),
+            Some(AnswerFault::Break) => Err(StandinError),
             Some(AnswerFault::Short) => {
                 let mut response = self.whole(StatusCode::OK, plain_answer(&head.request_id));
                 let headers = response.headers_mut();
@@ -200,14 +185,14 @@
             workspace: head.workspace.clone(),
             is_resumed: head.resume_after.is_some(),
             saw_key: head.key.is_some(),
-            began_ms: unix_ms(),
+            began_ms: Clock::unix_ms(),
         };
         println!("{}", serde_json::to_string(&run).expect("a run can be written"));
     }
 }
 
 async fn send_events(
-    mut sender: Sender<Bytes, Broken>,
+    mut sender: Sender<Bytes, StandinError>,
     request_id: &str,
     last: Option<u32>,
     fault: Option<AnswerFault>,
@@ -218,7 +203,7 @@
         match fault {
             Some(AnswerFault::Error | AnswerFault::Break | AnswerFault::Short) if is_faulty => {
                 // Ends the connection before the end of the body.
-                sender.abort(Broken);
+                sender.abort(StandinError);
                 return;
             }
             _ => {}
--- a/crates/reedsail_soak/src/soak.rs
+++ b/crates/reedsail_soak/src/soak.rs
@@ -30,7 +30,7 @@
 use crate::player::Player;
 use crate::prober::run_prober;
 use crate::report::count_outcomes;
-use crate::server::unix_ms;
+use crate::soak_clock::SoakClock;
 
 /// How long the processes have before callers begin.
 const SETTLE_MS: u64 = 1_500;
@@ -123,7 +123,7 @@
     probes: UnboundedReceiver<Probe>,
     played: Played,
     ended_by_themselves: Vec<usize>,
-    start_ms: u64,
+    clock: SoakClock,
     peak_memory_kb: u64,
 }
 
@@ -154,7 +154,7 @@
             history.probes.push(probe);
         }
         while let Ok(mut run) = runs.try_recv() {
-            run.began_ms = run.began_ms.saturating_sub(self.start_ms);
+            run.began_ms = self.clock.since_start_ms(run.began_ms);
             history.runs.push(run);
         }
         history.probes.sort_by_key(|probe| probe.ended_ms);
@@ -170,13 +170,13 @@
 async fn play(fleet: &Arc<Fleet>, schedule: &Schedule) -> anyhow::Result<Seen> {
     let (attempts_in, attempts) = unbounded_channel();
     let (probes_in, probes) = unbounded_channel();
-    let start_ms = unix_ms();
+    let clock = SoakClock::start();
     let newest_version = Arc::new(AtomicU64::new(1));
     let shared = Arc::new(CallerShared {
         fleet: Arc::clone(fleet),
         attempts: attempts_in,
         newest_key: AtomicU64::new(1),
-        start_ms,
+        clock,
         end_ms: schedule.for_ms,
     });
     let player = Arc::new(Player::new(
@@ -191,7 +191,7 @@
             Arc::clone(fleet),
             daemon,
             versions,
-            start_ms,
+            clock,
             probes_in.clone(),
         ));
     }
@@ -221,7 +221,7 @@
         ended_by_themselves: (0..schedule.daemons)
             .filter(|daemon| fleet.daemons[*daemon].has_ended())
             .collect(),
-        start_ms,
+        clock,
         peak_memory_kb: peak_memory_kb.load(Ordering::Relaxed),
     })
 }
--- a/crates/reedsail_standin/src/engine.rs
+++ b/crates/reedsail_standin/src/engine.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -376,7 +375,7 @@
     }
 }
 
-async fn stream_tokens(mut generation: Generation, mut sender: Sender<Bytes, Infallible>) {
+async fn stream_tokens(mut generation: Generation, mut sender: Sender<Bytes, StandinError>) {
     let mut ticks = generation.state.ticks();
     while let Some(text) = generation.next_token(&mut ticks).await {
         let event = format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n");
--- a/crates/reedsail_standin/src/http_server.rs
+++ b/crates/reedsail_standin/src/http_server.rs
@@ -1,6 +1,5 @@
 //! The HTTP/1.1 server that every stand-in runs on.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -19,7 +18,7 @@
 use tokio::task::JoinHandle;
 
 /// A body that is whole or comes in parts.
-pub(crate) type Body = Either<Full<Bytes>, Channel<Bytes, Infallible>>;
+pub type Body = Either<Full<Bytes>, Channel<Bytes, StandinError>>;
 
 /// Breaks the connection without an answer.
 #[derive(Debug)]
@@ -34,7 +33,8 @@
 impl std::error::Error for StandinError {}
 
 /// What a stand-in does with a request.
-pub(crate) trait Handler: Clone + Send + Sync + 'static {
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Answers a request, or breaks its connection.
     fn handle(
         &self,
         request: Request<Incoming>,
@@ -43,15 +43,19 @@
 
 /// A running server, whose connections can all be broken at once.
 #[derive(Debug)]
-pub(crate) struct HttpServer {
-    pub(crate) address: SocketAddr,
+pub struct HttpServer {
+    /// Where it takes requests.
+    pub address: SocketAddr,
     task: JoinHandle<()>,
     breaker: watch::Sender<u64>,
 }
 
 impl HttpServer {
     /// Serves on a free loopback port.
-    pub(crate) async fn start<H: Handler>(handler: H) -> std::io::Result<Self> {
+    ///
+    /// # Errors
+    /// The system's, when no port is to be had.
+    pub async fn start<H: Handler>(handler: H) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (breaker, broken) = watch::channel(0);
@@ -64,12 +68,12 @@
     }
 
     /// Breaks every open connection; new ones are taken.
-    pub(crate) fn break_connections(&self) {
+    pub fn break_connections(&self) {
         self.breaker.send_modify(|count| *count += 1);
     }
 
     /// Stops the server and breaks its connections.
-    pub(crate) fn close(self) {
+    pub fn close(self) {
         self.break_connections();
         self.task.abort();
     }
--- a/crates/reedsail_standin/src/routed_server.rs
+++ b/crates/reedsail_standin/src/routed_server.rs
@@ -1,6 +1,5 @@
 //! A backend server of the router: answers as it is told, and records what reached it.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -244,7 +243,7 @@
 }
 
 async fn send_events(
-    mut sender: Sender<Bytes, Infallible>,
+    mut sender: Sender<Bytes, StandinError>,
     first: u32,
     events: u32,
     pause_after: Option<u32>,
