--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -24,6 +24,7 @@
     pub(crate) prefill_tokens: u32,
     /// What the engine had to do when it began.
     pub(crate) work: EngineWork,
+    /// Expected wait for anything but prefill, in milliseconds.
     pub(crate) other_wait_ms: u64,
     pub(crate) expected_ms: u64,
     pub(crate) began_at: TimeMs,
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -131,6 +131,7 @@
             let model = self.models.entry(attempt.service).or_default();
             model.learn(attempt.work, engine_ms.max(0.0));
         } else {
+            // What it waited for a slot says nothing of the server's speed.
             server.health.learn_plain_time(took_ms / attempt.rounds);
         }
     }
