Work out an engine's work once a candidate, and the two lag averages by one function

Placement worked out what an engine has to do twice for each candidate, on the request's path; overload had the same moving average twice; the model's own-token coefficient was a bare index; and tokens_per_ms was public for one test alone.

Change: the work is passed on, one moving_average, a named index, tokens_per_ms removed; its test asserts the same of prefill_ms, of which it was the inverse. Decisions are the same: the digests of decision_trace are unchanged. Run: tests of reedsail_dispatch, clippy of it and the router, fmt.

--- a/crates/reedsail_dispatch/src/first_event_model.rs
+++ b/crates/reedsail_dispatch/src/first_event_model.rs
@@ -19,6 +19,8 @@
 
 /// Coefficients of the model.
 const TERMS: usize = 4;
+/// The place of the request's own tokens among them.
+const OWN_TOKENS: usize = 1;
 /// Tokens are counted in thousands, which keeps the sums of one size.
 const TOKENS_PER_UNIT: f64 = 1_000.0;
 /// The coefficients until answers were seen, and what each is drawn to where answers do not tell it: the
@@ -106,12 +108,7 @@
 
     /// Returns the time that prefilling so many tokens takes, in milliseconds.
     pub fn prefill_ms(&self, tokens: f64) -> f64 {
-        tokens / TOKENS_PER_UNIT * self.coefficients[1]
-    }
-
-    /// Returns the prefill rate, in tokens a millisecond.
-    pub fn tokens_per_ms(&self) -> f64 {
-        TOKENS_PER_UNIT / self.coefficients[1]
+        tokens / TOKENS_PER_UNIT * self.coefficients[OWN_TOKENS]
     }
 
     /// Fits the coefficients to the sums, each drawn a little to its first guess, which keeps the fit
--- a/crates/reedsail_dispatch/src/latency_estimate.rs
+++ b/crates/reedsail_dispatch/src/latency_estimate.rs
@@ -23,10 +23,9 @@
 /// Wait of each request beyond an engine's slots, in milliseconds. Chosen, not measured.
 const SLOT_WAIT_MS: f64 = 40.0;
 
-/// Returns the expected time in milliseconds until an engine's first event.
-pub(crate) fn engine_ms(server: &ServerState, prefill_tokens: u32, model: &FirstEventModel) -> f64 {
-    let expected_ms = model.expected_ms(engine_work(server, prefill_tokens));
-    expected_ms * server.health.slowness() + slot_wait_ms(server)
+/// Returns the expected time in milliseconds until an engine's first event, with this to do.
+pub(crate) fn engine_ms(server: &ServerState, work: EngineWork, model: &FirstEventModel) -> f64 {
+    model.expected_ms(work) * server.health.slowness() + slot_wait_ms(server)
 }
 
 /// Returns for how long an engine is busy before it can begin another request, in milliseconds: what was
--- a/crates/reedsail_dispatch/src/overload.rs
+++ b/crates/reedsail_dispatch/src/overload.rs
@@ -80,6 +80,11 @@
     memory_mb * CONNECTIONS_PER_MB
 }
 
+/// Returns an average in which the newest sample is one in `samples`.
+fn moving_average(before: u64, sample: u64, samples: u64) -> u64 {
+    (before * (samples - 1) + sample) / samples
+}
+
 /// What an instance measures of itself every tenth of a second.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OverloadSample {
@@ -104,11 +109,11 @@
 impl OverloadMonitor {
     /// Takes in a sample; `true` if shedding begins with it.
     pub fn record(&self, sample: OverloadSample, now: TimeMs) -> bool {
-        let lag_ms = (self.lag_ms() * (AVERAGE_SAMPLES - 1) + sample.late_ms) / AVERAGE_SAMPLES;
+        let lag_ms = moving_average(self.lag_ms(), sample.late_ms, AVERAGE_SAMPLES);
         self.lag_ms.store(lag_ms, Ordering::Relaxed);
         let sample_us = sample.late_ms.min(SHED_SAMPLE_MAX_MS) * 1_000;
         let before_us = self.shed_lag_us.load(Ordering::Relaxed);
-        let shed_lag_us = (before_us * (SHED_SAMPLES - 1) + sample_us) / SHED_SAMPLES;
+        let shed_lag_us = moving_average(before_us, sample_us, SHED_SAMPLES);
         self.shed_lag_us.store(shed_lag_us, Ordering::Relaxed);
         let is_nearly_full = sample.open_requests * 100 >= sample.open_requests_max * SHED_OPEN_PERCENT;
         self.is_nearly_full.store(is_nearly_full, Ordering::Relaxed);
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -141,14 +141,15 @@
             Some(_) => (prompt.own_tokens(), TRANSFER_MS),
             None => (self.prefill_tokens(prompt, key), 0.0),
         };
-        let first_event_ms = latency_estimate::engine_ms(server, prefill_tokens, &self.model);
+        let work = latency_estimate::engine_work(server, prefill_tokens);
+        let first_event_ms = latency_estimate::engine_ms(server, work, &self.model);
         let queue_ms = latency_estimate::engine_queue_ms(server, &self.model);
         let other_wait_ms = transfer_ms + latency_estimate::slot_wait_ms(server);
         Placement {
             server: key,
             cache_source,
             prefill_tokens,
-            work: latency_estimate::engine_work(server, prefill_tokens),
+            work,
             other_wait_ms: other_wait_ms as u64,
             expected_ms: (first_event_ms + transfer_ms) as u64,
             queue_ms: queue_ms as u64,
--- a/crates/reedsail_dispatch/tests/first_event_model.rs
+++ b/crates/reedsail_dispatch/tests/first_event_model.rs
@@ -146,7 +146,7 @@
         model.learn(idle(0.0), 55.0);
     }
     assert!(
-        model.expected_ms(idle(0.0)).is_finite() && model.tokens_per_ms() > 0.0,
+        model.expected_ms(idle(0.0)).is_finite() && 1.0 / model.prefill_ms(1.0) > 0.0,
         "{model:?}"
     );
 }
