Count and follow requests from routers' log lines

Cause: from a log to what was lost, by reason, server and second, there was no tool; one request's lines were searched by hand over all instances. Change: `reedsail requests FILE...` counts ends by reason, by server and by second, and shows how the measured times compare with the expected ones and how old the load was; `--request ID` prints one request's lines. Reading of log lines is shared with `timeline`. Tested on recorded lines (golden.rs: requests*).

--- a/crates/reedsail_cli/src/flags.rs
+++ b/crates/reedsail_cli/src/flags.rs
@@ -3,4 +3,5 @@
 pub(crate) mod bundle;
 pub(crate) mod fleet;
 pub(crate) mod keys;
+pub(crate) mod requests;
 pub(crate) mod timeline;
--- a/crates/reedsail_cli/src/main.rs
+++ b/crates/reedsail_cli/src/main.rs
@@ -7,7 +7,10 @@
 mod fleet_command;
 mod key_file;
 mod keys_command;
+mod log_lines;
 mod publish_command;
+mod request_summary;
+mod requests_command;
 mod signed_file;
 mod table;
 mod timeline_command;
@@ -23,6 +26,7 @@
 use flags::fleet::FleetCmd;
 use flags::keys::Keys;
 use flags::keys::KeysCmd;
+use flags::requests::Requests;
 use flags::timeline::Timeline;
 
 const HELP: &str = "\
@@ -31,6 +35,7 @@
   reedsail bundle    makes, checks, signs, publishes bundles; shows which is in force
   reedsail fleet     looks at the fleet
   reedsail timeline  merges the events of several daemons into one order
+  reedsail requests  counts what became of requests in routers' log lines, or follows one
   reedsail keys      makes keys for authors and approvers
 
 `reedsail COMMAND --help` tells more.
@@ -64,6 +69,7 @@
             FleetCmd::Status(status) => fleet_command::fleet_status(&status.daemon, status.json).await,
         },
         Some("timeline") => timeline_command::run(&parsed(Timeline::from_vec(rest))).await,
+        Some("requests") => requests_command::run(&parsed(Requests::from_vec(rest))),
         Some("keys") => match parsed(Keys::from_vec(rest)).subcommand {
             KeysCmd::New(new) => keys_command::new(&new.name, &new.out),
         },
--- a/crates/reedsail_cli/src/timeline_command.rs
+++ b/crates/reedsail_cli/src/timeline_command.rs
@@ -6,9 +6,10 @@
 
 use crate::admin_client;
 use crate::failure::Failure;
-use crate::failure::read_file;
 use crate::failure::write_file;
 use crate::flags::timeline::Timeline;
+use crate::log_lines::parse_events;
+use crate::log_lines::read_events;
 use crate::table::render_table;
 
 /// Merges the events of daemons and files into one order.
@@ -16,10 +17,10 @@
     let mut events = Vec::new();
     for daemon in &flags.daemon {
         let (_, body) = admin_client::get(*daemon, "/events").await?;
-        parse_lines(&String::from_utf8_lossy(&body), &daemon.to_string(), &mut events)?;
+        parse_events(&String::from_utf8_lossy(&body), &daemon.to_string(), &mut events)?;
     }
     for file in &flags.file {
-        parse_lines(&read_file(file)?, &file.display().to_string(), &mut events)?;
+        read_events(file, &mut events)?;
     }
     let events = merge_events(events);
     if let Some(file) = &flags.chrome {
@@ -39,19 +40,6 @@
     Ok(())
 }
 
-fn parse_lines(text: &str, source: &str, events: &mut Vec<Event>) -> Result<(), Failure> {
-    for (index, line) in text.lines().enumerate() {
-        // Log files have a prefix before the event.
-        let Some(start) = line.find("{\"clock\"") else {
-            continue;
-        };
-        let event = Event::parse(&line[start..])
-            .map_err(|error| Failure::Usage(format!("{source}, line {}: {error}", index + 1)))?;
-        events.push(event);
-    }
-    Ok(())
-}
-
 fn event_row(event: &Event) -> Vec<String> {
     let about: Vec<String> = event
         .fields
--- a/crates/reedsail_cli/tests/golden.rs
+++ b/crates/reedsail_cli/tests/golden.rs
@@ -18,11 +18,20 @@
 #[test]
 fn help_texts_keep_their_form() {
     insta::assert_snapshot!("help", run(&["--help"]));
-    for command in ["bundle", "fleet", "timeline", "keys"] {
+    for command in ["bundle", "fleet", "timeline", "requests", "keys"] {
         insta::assert_snapshot!(format!("help_{command}"), run(&[command, "--help"]));
     }
 }
 
+#[test]
+fn requests_are_counted_and_followed() {
+    let log = "tests/recorded/router.log";
+    insta::assert_snapshot!("requests", run(&["requests", log]));
+    insta::assert_snapshot!("requests_one", run(&["requests", log, "--request", "id-2"]));
+    insta::assert_snapshot!("requests_unknown", run(&["requests", log, "--request", "id-9"]));
+    insta::assert_snapshot!("requests_without_lines", run(&["requests", "Cargo.toml"]));
+}
+
 #[test]
 fn wrong_use_and_unreachable_daemons_keep_their_exit_codes() {
     insta::assert_snapshot!("unknown_command", run(&["colour"]));
