Count the requests of a log that is cut off

Cause: one line that ends early made `reedsail requests` refuse the whole log; logs of processes that were killed have such lines. Change: unreadable lines do not count, and their number and the first are said on standard error; `timeline` still refuses them.

--- a/crates/reedsail_cli/src/log_lines.rs
+++ b/crates/reedsail_cli/src/log_lines.rs
@@ -8,20 +8,40 @@
 use crate::failure::read_file;
 
 /// Reads the events of a file.
-pub(crate) fn read_events(file: &Path, events: &mut Vec<Event>) -> Result<(), Failure> {
-    parse_events(&read_file(file)?, &file.display().to_string(), events)
+pub(crate) fn read_events(file: &Path) -> Result<LogEvents, Failure> {
+    Ok(LogEvents::of(&read_file(file)?, &file.display().to_string()))
 }
 
-/// Reads the events of a text; lines without one are passed over.
-pub(crate) fn parse_events(text: &str, source: &str, events: &mut Vec<Event>) -> Result<(), Failure> {
-    for (index, line) in text.lines().enumerate() {
-        // Log files have a prefix before the event.
-        let Some(start) = line.find("{\"clock\"") else {
-            continue;
-        };
-        let event = Event::parse(&line[start..])
-            .map_err(|error| Failure::Usage(format!("{source}, line {}: {error}", index + 1)))?;
-        events.push(event);
+/// The events of a text, and the lines that look like one and cannot be read: a log that is cut off, or
+/// written by two processes, has some.
+#[derive(Debug, Default)]
+pub(crate) struct LogEvents {
+    pub(crate) events: Vec<Event>,
+    pub(crate) faults: Vec<String>,
+}
+
+impl LogEvents {
+    /// Reads a text; lines without an event are passed over.
+    pub(crate) fn of(text: &str, source: &str) -> Self {
+        let mut read = Self::default();
+        for (index, line) in text.lines().enumerate() {
+            // Log files have a prefix before the event.
+            let Some(start) = line.find("{\"clock\"") else {
+                continue;
+            };
+            match Event::parse(&line[start..]) {
+                Ok(event) => read.events.push(event),
+                Err(error) => read.faults.push(format!("{source}, line {}: {error}", index + 1)),
+            }
+        }
+        read
+    }
+
+    /// Returns the events if every line could be read.
+    pub(crate) fn complete(self) -> Result<Vec<Event>, Failure> {
+        match self.faults.into_iter().next() {
+            Some(fault) => Err(Failure::Usage(fault)),
+            None => Ok(self.events),
+        }
     }
-    Ok(())
 }
--- a/crates/reedsail_cli/src/requests_command.rs
+++ b/crates/reedsail_cli/src/requests_command.rs
@@ -18,7 +18,12 @@
 pub(crate) fn run(flags: &Requests) -> Result<(), Failure> {
     let mut events = Vec::new();
     for file in &flags.file {
-        read_events(file, &mut events)?;
+        let read = read_events(file)?;
+        if let Some(first) = read.faults.first() {
+            let count = read.faults.len();
+            eprintln!("reedsail: {count} lines cannot be read and do not count; the first is {first}");
+        }
+        events.extend(read.events);
     }
     if events.is_empty() {
         let text = "no event in the files; give files with a router's log lines";
--- a/crates/reedsail_cli/src/timeline_command.rs
+++ b/crates/reedsail_cli/src/timeline_command.rs
@@ -8,7 +8,7 @@
 use crate::failure::Failure;
 use crate::failure::write_file;
 use crate::flags::timeline::Timeline;
-use crate::log_lines::parse_events;
+use crate::log_lines::LogEvents;
 use crate::log_lines::read_events;
 use crate::table::render_table;
 
@@ -17,10 +17,11 @@
     let mut events = Vec::new();
     for daemon in &flags.daemon {
         let (_, body) = admin_client::get(*daemon, "/events").await?;
-        parse_events(&String::from_utf8_lossy(&body), &daemon.to_string(), &mut events)?;
+        let text = String::from_utf8_lossy(&body);
+        events.extend(LogEvents::of(&text, &daemon.to_string()).complete()?);
     }
     for file in &flags.file {
-        read_events(file, &mut events)?;
+        events.extend(read_events(file)?.complete()?);
     }
     let events = merge_events(events);
     if let Some(file) = &flags.chrome {
