Keep the newer half of the cached segments when their memory is full

Cause: with more than 8,192 segments in use within 20 s everything was forgotten at once, so every prompt was taken to be read anew. Change: the half used longest ago is dropped. Test more_segments_than_are_remembered… failed before (13,100 tokens to read instead of 100).

--- a/crates/reedsail_dispatch/src/prefix_memory.rs
+++ b/crates/reedsail_dispatch/src/prefix_memory.rs
@@ -116,12 +116,19 @@
         });
     }
 
-    /// Makes room: drops segments that nobody has cached any more, or all where none has expired.
+    /// Makes room: drops segments that nobody has cached any more, or the half that was used longest ago
+    /// where none has expired. Dropping all would have every prompt read anew at once.
     fn drop_old(&mut self, now: TimeMs) {
         self.segments
             .retain(|_, known| known.iter().any(|known| now.since_ms(known.used_at) < CACHED_MS));
-        if self.segments.len() >= SEGMENTS_MAX {
-            self.segments.clear();
+        if self.segments.len() < SEGMENTS_MAX {
+            return;
         }
+        let used_at = |known: &Vec<Use>| known.iter().map(|known| known.used_at).max();
+        let mut moments: Vec<Option<TimeMs>> = self.segments.values().map(used_at).collect();
+        let middle = moments.len() / 2;
+        let (_, median, _) = moments.select_nth_unstable(middle);
+        let median = *median;
+        self.segments.retain(|_, known| used_at(known) > median);
     }
 }
--- a/crates/reedsail_dispatch/tests/placement.rs
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -82,6 +82,21 @@
     placement
 }
 
+#[test]
+fn more_segments_than_are_remembered_cost_the_oldest_alone() {
+    let mut dispatcher = dispatcher(&engines(9));
+    let mut now = START;
+    for segment in 0..9_000 {
+        now = now.plus_ms(1);
+        serve(&mut dispatcher, &prompt(segment, 100), now);
+    }
+    for segment in 5_000..9_000 {
+        let prompt = prompt(segment, 100);
+        let placement = placed(dispatcher.decide(&demand("labska", &prompt), now));
+        assert_eq!(placement.prefill_tokens, 100, "segment {segment}");
+    }
+}
+
 #[test]
 fn what_a_peer_sent_to_a_server_need_not_be_read_there_again() {
     let mut one = dispatcher(&engines(9));
