Sum load every 25 ms, and say which aggregator an instance reports to

Change: reports and sums to members every 25 ms by the tick that is nearest to their moment; sums between aggregators stay at 50 ms, since they cross failure domains. A failure domain has as many aggregators as keep the members' messages within a tenth of the best one's share of processor. Fleets of up to 25 instances tick every 50 ms as before.

--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -93,6 +93,8 @@
     ServerUnlisted = 309, "server_unlisted", Info, "a backend server is no longer listed and gets no new work";
     /// A record of a backend server cannot be read.
     ServerRecordInvalid = 310, "server_record_invalid", Warn, "a record of a backend server cannot be read and is skipped; see its error";
+    /// A router reports its load to another aggregator, or aggregates itself.
+    AggregatorChanged = 311, "aggregator_changed", Info, "the instance reports its load to another aggregator, or aggregates itself";
 
     /// The platform cannot be reached.
     PlatformLost = 400, "platform_lost", Error, "the platform cannot be reached; calls that need a claim are refused as not run";
--- a/crates/reedsail_gossip/src/aggregator_choice.rs
+++ b/crates/reedsail_gossip/src/aggregator_choice.rs
@@ -1,8 +1,8 @@
 //! Aggregator choice: which instance of the own failure domain this one reports to.
 //!
 //! **Rule.** The instances of a failure domain are ranked by their share of processor, then by name hash.
-//! The first ones, one for each [`MEMBERS_PER_AGGREGATOR`] instances, are its aggregators, and rendezvous
-//! hashing divides the others among them. One that was sent reports and stays silent is passed over for
+//! The first ones, as many as their share of processor allows ([`aggregators_of`]), are its aggregators, and
+//! rendezvous hashing divides the others among them. One that was sent reports and stays silent is passed over for
 //! a while, and so is one that stops.
 //!
 //! **Why.** Every instance comes to the same choice from what it knows, without a message. A wrong choice
@@ -21,13 +21,22 @@
 use crate::exchange_timing::PASSED_OVER_MS;
 use crate::peer::DutyRank;
 
-/// Members of one aggregator: with a report from each in 50 ms it receives 1,600 messages a second, some
-/// 15 ms of processor time at 9 us each (docs/CAPACITY.md).
-pub const MEMBERS_PER_AGGREGATOR: usize = 80;
+/// What a member costs its aggregator, in microseconds of processor time a second: 40 reports received at
+/// 9 us each (docs/CAPACITY.md) and as many sums sent at some 6 us (chosen, not measured).
+const MEMBER_US_PER_S: u32 = 600;
+/// Part of its share of processor that an aggregator spends on its members at most, as a divisor. Chosen, not
+/// measured.
+const DUTY_DIVISOR: u32 = 10;
+/// Members of one aggregator at least, so that few aggregators tell each other; and at most, so that a large
+/// instance is not missed by a whole failure domain. Chosen, not measured.
+const MEMBERS_RANGE: (u32, u32) = (16, 80);
 
-/// Returns how many aggregators a failure domain of so many instances has.
-pub(crate) fn aggregators_of(domain_instances: usize) -> usize {
-    domain_instances.div_ceil(MEMBERS_PER_AGGREGATOR).max(1)
+/// Returns how many aggregators a failure domain of so many instances has, if the best ranked one may use
+/// so much of a core, in thousandths.
+pub(crate) fn aggregators_of(domain_instances: usize, processor_milli: u32) -> usize {
+    let members = processor_milli * 1_000 / DUTY_DIVISOR / MEMBER_US_PER_S;
+    let members = members.clamp(MEMBERS_RANGE.0, MEMBERS_RANGE.1) as usize;
+    domain_instances.div_ceil(members).max(1)
 }
 
 /// The aggregator that this instance reports to, and those that it passes over.
@@ -68,7 +77,8 @@
             .collect();
         ranked.push(own);
         ranked.sort_unstable();
-        ranked.truncate(aggregators_of(domain_instances));
+        let best_milli = ranked[0].processor_milli();
+        ranked.truncate(aggregators_of(domain_instances, best_milli));
         let key = u64::from(own.instance().0);
         let chosen = if ranked.contains(&own) {
             None
--- a/crates/reedsail_gossip/src/exchange_timing.rs
+++ b/crates/reedsail_gossip/src/exchange_timing.rs
@@ -9,8 +9,14 @@
 /// requests a second from 295 instances to five plain servers with 30 slots in all, 0.999 are answered in
 /// time with sums every 50 ms and 0.788 with sums every 1,180 ms (simulation, `tests/herd.rs` of
 /// `reedsail_dispatch`, seed 1).
-pub const AGGREGATE_INTERVAL_MS: u64 = 50;
-/// Silence after which an aggregator is passed over, in milliseconds: six intervals, of which a few
+pub const AGGREGATE_INTERVAL_MS: u64 = 25;
+/// Interval between two sums that an aggregator sends to other aggregators, in milliseconds: twice the above,
+/// since these cross failure domains, where bytes are charged. Chosen, not measured.
+pub(crate) const BETWEEN_AGGREGATORS_MS: u64 = 50;
+/// Interval at which an instance looks for what is to be sent while everyone sends to everyone, in
+/// milliseconds: half of the interval of direct messages. Chosen, not measured.
+pub(crate) const DIRECT_TICK_MS: u64 = 50;
+/// Silence after which an aggregator is passed over, in milliseconds: twelve intervals, of which a few
 /// messages may be lost. Chosen, not measured.
 pub(crate) const AGGREGATOR_SILENT_MS: u64 = 300;
 /// How long a silent aggregator is passed over before it is tried again, in milliseconds. Chosen, not
--- a/crates/reedsail_gossip/src/known_aggregators.rs
+++ b/crates/reedsail_gossip/src/known_aggregators.rs
@@ -12,7 +12,7 @@
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
 
-use crate::exchange_timing::AGGREGATE_INTERVAL_MS;
+use crate::exchange_timing::BETWEEN_AGGREGATORS_MS;
 
 /// Ranks of a failure domain that a sum is sent to while none comes from there: with half of the instances
 /// gone, one in eight failure domains has none of them left. Chosen, not measured.
@@ -50,7 +50,7 @@
         if is_found {
             return ranked.iter().take(self.of_each_domain).copied().collect();
         }
-        let interval = (now.0 / AGGREGATE_INTERVAL_MS) as usize;
+        let interval = (now.0 / BETWEEN_AGGREGATORS_MS) as usize;
         let first = ranked.iter().take(self.of_each_domain.max(RANKS_TRIED));
         let next = ranked.iter().cycle().skip(interval % ranked.len()).take(1);
         first.chain(next).copied().collect()
--- a/crates/reedsail_gossip/src/lib.rs
+++ b/crates/reedsail_gossip/src/lib.rs
@@ -24,7 +24,6 @@
 mod prefix_relay;
 mod sent_reports;
 
-pub use aggregator_choice::MEMBERS_PER_AGGREGATOR;
 pub use exchange_messages::Identity;
 pub use exchange_messages::MessageHead;
 pub use exchange_messages::Outgoing;
--- a/crates/reedsail_gossip/src/load_exchange.rs
+++ b/crates/reedsail_gossip/src/load_exchange.rs
@@ -26,7 +26,9 @@
 use crate::aggregator_choice::AggregatorChoice;
 use crate::aggregator_choice::aggregators_of;
 use crate::exchange_timing::AGGREGATE_INTERVAL_MS;
+use crate::exchange_timing::BETWEEN_AGGREGATORS_MS;
 use crate::exchange_timing::DIRECT_INSTANCES_MAX;
+use crate::exchange_timing::DIRECT_TICK_MS;
 use crate::fleet_view::FleetView;
 use crate::known_aggregators::KnownAggregators;
 use crate::member_reports::MemberReports;
@@ -60,15 +62,17 @@
     choice: AggregatorChoice,
     reports: MemberReports,
     sent: SentReports,
-    /// Rows for other aggregators and members.
-    relay_from_members: PrefixRelay,
-    /// Rows for members alone.
-    relay_from_aggregators: PrefixRelay,
+    /// Rows of members, for other aggregators.
+    relay_to_aggregators: PrefixRelay,
+    /// Rows of members and of other aggregators.
+    relay_to_members: PrefixRelay,
     sources: HashMap<NameHash, Source>,
     fleet: FleetView,
     new_peers: Vec<NewPeer>,
     next_message_at: TimeMs,
     next_direct_at: TimeMs,
+    next_aggregate_at: TimeMs,
+    is_aggregator_changed: bool,
 }
 
 impl LoadExchange {
@@ -83,13 +87,15 @@
             choice: AggregatorChoice::default(),
             reports: MemberReports::default(),
             sent: SentReports::default(),
-            relay_from_members: PrefixRelay::default(),
-            relay_from_aggregators: PrefixRelay::default(),
+            relay_to_aggregators: PrefixRelay::default(),
+            relay_to_members: PrefixRelay::default(),
             sources: HashMap::new(),
             fleet: FleetView::default(),
             new_peers: Vec::new(),
             next_message_at: TimeMs(0),
             next_direct_at: TimeMs(0),
+            next_aggregate_at: TimeMs(0),
+            is_aggregator_changed: false,
         }
     }
 
@@ -157,7 +163,8 @@
         now: TimeMs,
     ) {
         self.reports.receive_member(&message, from, now);
-        self.relay_from_members.take(&message.load.prefixes, now);
+        self.relay_to_aggregators.take(&message.load.prefixes, now);
+        self.relay_to_members.take(&message.load.prefixes, now);
         self.drop_sources(receipt, |_, source| source.scope == LoadScope::Fleet);
         self.count(message, receipt);
     }
@@ -170,7 +177,7 @@
         now: TimeMs,
     ) {
         self.reports.receive_aggregate(&message, from, now);
-        self.relay_from_aggregators.take(&message.load.prefixes, now);
+        self.relay_to_members.take(&message.load.prefixes, now);
         if !self.aggregates(now) {
             return;
         }
@@ -263,9 +270,19 @@
         })
     }
 
-    /// Tells whether the next load report is due.
+    /// Returns after what time to look again for what is to be sent, in milliseconds.
+    pub fn tick_ms(&self, now: TimeMs) -> u64 {
+        if self.is_aggregated(now) {
+            AGGREGATE_INTERVAL_MS
+        } else {
+            DIRECT_TICK_MS
+        }
+    }
+
+    /// Tells whether the next load report is due: by the tick that is nearest to its moment, or an early tick
+    /// would double the interval.
     pub fn is_due(&self, now: TimeMs) -> bool {
-        now >= self.next_message_at
+        now.plus_ms(self.tick_ms(now) / 2) >= self.next_message_at
     }
 
     /// Returns the messages to send now; `load` is this instance's report if it is due.
@@ -351,26 +368,24 @@
     }
 
     fn send_sums(&mut self, head: &MessageHead, own: &LoadReport, outgoing: &mut Vec<Outgoing>, now: TimeMs) {
-        self.relay_from_members.take(&own.prefixes, now);
-        let rows_from_members = self.relay_from_members.rows();
+        self.relay_to_aggregators.take(&own.prefixes, now);
+        self.relay_to_members.take(&own.prefixes, now);
         let mut summed = self.reports.member_sum(own, now);
         let domain = self.identity.failure_domain;
         let domain_instances = self.reports.instances_in(domain);
 
-        let mut to_aggregators = self.sum_message(head, LoadScope::Aggregate, &summed, domain_instances);
-        to_aggregators.load.prefixes.clone_from(&rows_from_members);
-        to_aggregators.members = self.peers.rows();
-        let targets = self.other_aggregators(now);
-        outgoing.push(Outgoing {
-            message: to_aggregators,
-            targets,
-        });
+        if now.plus_ms(AGGREGATE_INTERVAL_MS / 2) >= self.next_aggregate_at {
+            self.next_aggregate_at = now.plus_ms(BETWEEN_AGGREGATORS_MS);
+            let mut message = self.sum_message(head, LoadScope::Aggregate, &summed, domain_instances);
+            message.load.prefixes = self.relay_to_aggregators.rows();
+            message.members = self.peers.rows();
+            let targets = self.other_aggregators(now);
+            outgoing.push(Outgoing { message, targets });
+        }
 
         self.reports.add_aggregates(&mut summed, now);
         let mut to_members = self.sum_message(head, LoadScope::Fleet, &summed, domain_instances);
-        let rows_from_aggregators = self.relay_from_aggregators.rows();
-        to_members.load.prefixes = rows_from_members;
-        to_members.load.prefixes.extend(rows_from_aggregators);
+        to_members.load.prefixes = self.relay_to_members.rows();
         to_members.members = self.rows_for_members();
         self.fleet.receive(&to_members, 0, now);
         outgoing.push(Outgoing {
@@ -417,11 +432,21 @@
                 .peers
                 .ranked_by_domain(self.identity.failure_domain, self.own_rank(), now),
             own_domain: self.identity.failure_domain,
-            of_each_domain: aggregators_of(self.fleet.domain_instances(now)),
+            of_each_domain: self.aggregators_of_domain(now),
         };
         known.targets(now)
     }
 
+    /// Returns how many aggregators this failure domain has, by which the others are judged.
+    fn aggregators_of_domain(&self, now: TimeMs) -> usize {
+        let domain = self.identity.failure_domain;
+        let of_domain = self.peers.candidates(now);
+        let ranks = of_domain.filter(|(_, peer)| peer.failure_domain == domain);
+        let best = ranks.map(|(rank, _)| rank).chain([self.own_rank()]).min();
+        let best_milli = best.map_or(0, DutyRank::processor_milli);
+        aggregators_of(self.fleet.domain_instances(now), best_milli)
+    }
+
     fn own_rank(&self) -> DutyRank {
         DutyRank::of(self.identity.instance, self.identity.processor_milli)
     }
@@ -436,10 +461,25 @@
         let ranks: Vec<DutyRank> = of_domain.map(|(rank, _)| rank).collect();
         let domain_instances = self.fleet.domain_instances(now);
         let own_rank = self.own_rank();
+        let before = self.choice.chosen();
         let chosen = self
             .choice
-            .choose(own_rank, ranks.into_iter(), domain_instances, now)?;
-        self.peers.get(chosen).map(|peer| peer.address)
+            .choose(own_rank, ranks.into_iter(), domain_instances, now);
+        self.is_aggregator_changed |= chosen != before;
+        let peer = chosen.and_then(|name| self.peers.get(name))?;
+        Some(peer.address)
+    }
+
+    /// Returns whom this instance reports to, if that has changed since the last call; `None` within for
+    /// itself.
+    pub fn take_aggregator_change(&mut self) -> Option<Option<SocketAddrV4>> {
+        let is_changed = std::mem::take(&mut self.is_aggregator_changed);
+        let chosen = self.choice.chosen();
+        is_changed.then(|| {
+            chosen
+                .and_then(|name| self.peers.get(name))
+                .map(|peer| peer.address)
+        })
     }
 
     /// Tells whether this instance sends sums: it has members, or nobody to report to.
--- a/crates/reedsail_gossip/src/peer.rs
+++ b/crates/reedsail_gossip/src/peer.rs
@@ -56,6 +56,10 @@
         Self(Reverse(processor_milli), instance)
     }
 
+    pub(crate) fn processor_milli(self) -> u32 {
+        self.0.0
+    }
+
     pub(crate) fn instance(self) -> NameHash {
         self.1
     }
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -182,6 +182,11 @@
         let load = is_due.then(|| self.shared.dispatcher().report(now));
         let head = self.message_head(now);
         let outgoing = self.exchange.outgoing(&head, load, now);
+        if let Some(aggregator) = self.exchange.take_aggregator_change() {
+            let aggregator = aggregator.map_or("this instance".to_owned(), |address| address.to_string());
+            let fields = [("aggregator", aggregator)];
+            self.shared.emit(EventKind::AggregatorChanged, &fields);
+        }
         outgoing.into_iter().filter_map(encode).collect()
     }
 }
@@ -343,6 +348,7 @@
         Outbox {
             datagrams: self.due_messages(now),
             fetches,
+            next_tick_ms: self.exchange.tick_ms(now),
         }
     }
 }
--- a/crates/reedsail_router/src/control/messages.rs
+++ b/crates/reedsail_router/src/control/messages.rs
@@ -80,6 +80,8 @@
     pub(crate) datagrams: Vec<Datagram>,
     /// What to fetch from peers.
     pub(crate) fetches: Vec<PeerFetch>,
+    /// After what time the next tick is due, in milliseconds.
+    pub(crate) next_tick_ms: u64,
 }
 
 /// An encoded load message, and whom to send it to.
--- a/crates/reedsail_router/src/control/thread.rs
+++ b/crates/reedsail_router/src/control/thread.rs
@@ -10,8 +10,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
+use tokio::time::sleep;
 use xtra::Address;
 use xtra::Mailbox;
 
@@ -28,8 +27,6 @@
 use crate::admin::serve_admin;
 use crate::shared::Shared;
 
-/// Interval between two ticks of the actor, in milliseconds. Chosen, not measured.
-const TICK_MS: u64 = 50;
 /// Size of a datagram at most, in bytes: as large as UDP allows.
 const DATAGRAM_BYTES_MAX: usize = 64 << 10;
 
@@ -84,10 +81,7 @@
     socket: &UdpSocket,
     control: &Address<Control<H>>,
 ) {
-    let mut ticks = interval(Duration::from_millis(TICK_MS));
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
         let Ok(outbox) = control.send(Tick).await else {
             return;
         };
@@ -106,6 +100,7 @@
                 }
             }
         }
+        sleep(Duration::from_millis(outbox.next_tick_ms)).await;
     }
 }
 
