--- a/crates/reedsail_dispatch/src/gossip_timing.rs
+++ b/crates/reedsail_dispatch/src/gossip_timing.rs
@@ -1,9 +1,11 @@
-//! Gossip timing: how often instances send load messages, and from when on silence means something.
+//! Gossip timing: how often instances send load messages to each peer directly, and from when on silence
+//! means something. In larger fleets load goes through aggregators (`reedsail_gossip`), and these times hold
+//! for the few peers that are sent direct messages.
 //!
 //! **Rule.** Messages go out every [`INTERVAL_MIN_MS`], or [`INTERVAL_PER_PEER_MS`] for each peer where
 //! that is longer. Every time limit on silence is at least [`SILENT_INTERVALS`] intervals.
 //!
-//! **Inputs.** The number of peers that are alive.
+//! **Inputs.** The number of peers that are sent direct messages.
 //!
 //! **Why.** What an instance sends in a second must not grow with the fleet, and limits that do not
 //! follow the interval would lose peers that are alive: beyond 150 instances every one would read the
--- a/crates/reedsail_dispatch/src/peer_reports.rs
+++ b/crates/reedsail_dispatch/src/peer_reports.rs
@@ -1,4 +1,5 @@
-//! The latest load report of each peer, and until when it counts.
+//! The latest load report of each peer, and until when it counts. An aggregator's report stands for all
+//! instances that it sums up.
 //!
 //! Owns the reports; their sums stand in the tables of servers and of workspaces, from which a report is
 //! taken off again before the next one is added.
--- a/crates/reedsail_gossip/src/fleet_view.rs
+++ b/crates/reedsail_gossip/src/fleet_view.rs
@@ -48,14 +48,11 @@
         }
     }
 
-    /// Returns how many instances the fleet has: those of the last sum, or the greater of what peers say and
-    /// of the `known` ones.
-    pub(crate) fn instances(&self, known: usize, now: TimeMs) -> usize {
-        self.summed_instances(now).unwrap_or_else(|| {
-            let (heard, heard_at) = self.size_heard;
-            let is_recent = now.since_ms(heard_at) < FLEET_SIZE_VALID_MS;
-            known.max(if is_recent { heard as usize } else { 0 })
-        })
+    /// Returns how many instances peers say that there are; zero if none said so lately.
+    pub(crate) fn instances_heard(&self, now: TimeMs) -> usize {
+        let (heard, heard_at) = self.size_heard;
+        let is_recent = now.since_ms(heard_at) < FLEET_SIZE_VALID_MS;
+        if is_recent { heard as usize } else { 0 }
     }
 
     /// Returns how many instances the last sum is over, if it is recent.
--- a/crates/reedsail_gossip/src/load_exchange.rs
+++ b/crates/reedsail_gossip/src/load_exchange.rs
@@ -250,7 +250,10 @@
 
     /// Returns how many instances the fleet has, this one included, as far as is known.
     pub fn instances(&self, now: TimeMs) -> usize {
-        self.fleet.instances(self.peers.known_count(now) + 1, now)
+        self.fleet.summed_instances(now).unwrap_or_else(|| {
+            let known = self.peers.known_count(now) + 1;
+            known.max(self.fleet.instances_heard(now))
+        })
     }
 
     /// Returns the mean age of the load that counts, in milliseconds; `None` while it comes directly.
@@ -487,9 +490,13 @@
         self.is_aggregated(now) && (self.reports.has_members() || self.choice.chosen().is_none())
     }
 
-    /// Tells whether the fleet is too large for everyone to send to everyone.
+    /// Tells whether the fleet is too large for everyone to send to everyone. Asked for each message, so the
+    /// peers are counted only where no sum says it.
     fn is_aggregated(&self, now: TimeMs) -> bool {
-        self.instances(now).max(self.peers.known_count(now) + 1) > DIRECT_INSTANCES_MAX
+        let is_large = |instances: usize| instances > DIRECT_INSTANCES_MAX;
+        self.fleet.summed_instances(now).is_some_and(is_large)
+            || is_large(self.instances(now))
+            || is_large(self.peers.known_count(now) + 1)
     }
 
     /// Returns how many instances this one knows of by itself: what direct messages say of the size may come
