--- a/crates/reedsail_gossip/src/exchange_messages.rs
+++ b/crates/reedsail_gossip/src/exchange_messages.rs
@@ -60,3 +60,30 @@
     /// Sources whose load counts no more.
     pub dropped: Vec<NameHash>,
 }
+
+/// A source whose load counts no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostSource {
+    /// The peer that it came from.
+    pub instance: NameHash,
+    /// Its address, if its messages were expected and stayed away; `None` if it reports elsewhere now.
+    pub silent_at: Option<SocketAddrV4>,
+}
+
+/// Whom this instance reports its load to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportsTo {
+    /// Nobody: it aggregates itself.
+    Itself,
+    /// The aggregator at this address.
+    Aggregator(SocketAddrV4),
+}
+
+/// An instance's place among those of its failure domain, which have an order that all agree on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DomainPlace {
+    /// How many come before it.
+    pub position: usize,
+    /// How many there are, this one included.
+    pub instances: usize,
+}
--- a/crates/reedsail_gossip/src/fleet_view.rs
+++ b/crates/reedsail_gossip/src/fleet_view.rs
@@ -6,6 +6,7 @@
 use reedsail_core::TimeMs;
 use reedsail_wire::LoadMessage;
 
+use crate::DomainPlace;
 use crate::exchange_timing::AGGREGATE_VALID_MS;
 use crate::exchange_timing::FLEET_SIZE_VALID_MS;
 
@@ -16,8 +17,8 @@
     instances: u32,
     domain_instances: u32,
     load_age_ms: u32,
-    /// This instance's place among the members that the sum includes, and their number.
-    position: (usize, usize),
+    /// This instance's place among the members that the sum includes.
+    place: DomainPlace,
 }
 
 /// The last sum, and what direct messages say of the size.
@@ -29,14 +30,17 @@
 }
 
 impl FleetView {
-    /// Takes in a sum over the fleet, in which this instance has a place among the members.
-    pub(crate) fn receive(&mut self, sum: &LoadMessage, place: usize, now: TimeMs) {
+    /// Takes in a sum over the fleet, in which so many members come before this instance.
+    pub(crate) fn receive(&mut self, sum: &LoadMessage, position: usize, now: TimeMs) {
         self.sum = Some(FleetSum {
             received_at: now,
             instances: sum.instances,
             domain_instances: sum.domain_instances,
             load_age_ms: sum.load_age_ms,
-            position: (place, sum.included.len().max(1)),
+            place: DomainPlace {
+                position,
+                instances: sum.included.len().max(1),
+            },
         });
     }
 
@@ -71,10 +75,10 @@
         Some(u64::from(sum.load_age_ms) + now.since_ms(sum.received_at))
     }
 
-    /// Returns this instance's place among the members of its aggregator, and their number, while sums come.
-    pub(crate) fn position(&self, now: TimeMs) -> Option<(usize, usize)> {
+    /// Returns this instance's place among the members of its aggregator, while sums come.
+    pub(crate) fn place(&self, now: TimeMs) -> Option<DomainPlace> {
         let sum = self.sum?;
-        (now.since_ms(sum.received_at) < AGGREGATE_VALID_MS).then_some(sum.position)
+        (now.since_ms(sum.received_at) < AGGREGATE_VALID_MS).then_some(sum.place)
     }
 
     fn recent(&self, now: TimeMs) -> Option<FleetSum> {
--- a/crates/reedsail_gossip/src/lib.rs
+++ b/crates/reedsail_gossip/src/lib.rs
@@ -24,10 +24,13 @@
 mod prefix_relay;
 mod sent_reports;
 
+pub use exchange_messages::DomainPlace;
 pub use exchange_messages::Identity;
+pub use exchange_messages::LostSource;
 pub use exchange_messages::MessageHead;
 pub use exchange_messages::Outgoing;
 pub use exchange_messages::Receipt;
+pub use exchange_messages::ReportsTo;
 pub use exchange_timing::AGGREGATE_INTERVAL_MS;
 pub use exchange_timing::DIRECT_INSTANCES_MAX;
 pub use load_exchange::LoadExchange;
--- a/crates/reedsail_gossip/src/load_exchange.rs
+++ b/crates/reedsail_gossip/src/load_exchange.rs
@@ -16,12 +16,15 @@
 use reedsail_wire::MemberRow;
 
 use crate::Arrival;
+use crate::DomainPlace;
 use crate::Identity;
+use crate::LostSource;
 use crate::MessageHead;
 use crate::Outgoing;
 use crate::PeerTable;
 use crate::PrefixRelay;
 use crate::Receipt;
+use crate::ReportsTo;
 use crate::SentReports;
 use crate::aggregator_choice::AggregatorChoice;
 use crate::aggregator_choice::aggregators_of;
@@ -227,25 +230,32 @@
         });
     }
 
-    /// Returns the sources that count no more: silent peers, with the addresses of those whose messages were
-    /// expected, and members and aggregators whose last sum has expired.
-    pub fn drop_silent(&mut self, now: TimeMs) -> Vec<(NameHash, Option<SocketAddrV4>)> {
-        let mut dropped = Vec::new();
+    /// Returns the sources that count no more: silent peers, and members and aggregators whose last sum has
+    /// expired.
+    pub fn drop_silent(&mut self, now: TimeMs) -> Vec<LostSource> {
+        let mut lost = Vec::new();
         for instance in self.reports.drop_expired(now) {
             if self.sources.remove(&instance).is_some() {
-                dropped.push((instance, None));
+                let silent_at = None;
+                lost.push(LostSource { instance, silent_at });
             }
         }
         for (instance, address) in self.peers.drop_silent(now) {
             if self.sources.remove(&instance).is_some() {
-                dropped.push((instance, Some(address)));
+                let silent_at = Some(address);
+                lost.push(LostSource { instance, silent_at });
             }
         }
+        self.count_direct_peers(now);
+        lost
+    }
+
+    /// Works the times of direct messages out anew.
+    fn count_direct_peers(&mut self, now: TimeMs) {
         let is_aggregated = self.is_aggregated(now);
         let alive = self.peers.alive();
         let direct = alive.filter(|peer| !is_aggregated || peer.protocol == 0).count();
         self.peers.set_direct_peers(direct);
-        dropped
     }
 
     /// Returns how many instances the fleet has, this one included, as far as is known.
@@ -262,14 +272,15 @@
         self.is_aggregated(now).then_some(age_ms)
     }
 
-    /// Returns this instance's place among those of its failure domain, and their number.
-    pub fn position_in_domain(&self, now: TimeMs) -> (usize, usize) {
-        self.fleet.position(now).unwrap_or_else(|| {
+    /// Returns this instance's place among those of its failure domain.
+    pub fn place_in_domain(&self, now: TimeMs) -> DomainPlace {
+        self.fleet.place(now).unwrap_or_else(|| {
             let own = self.identity.instance;
-            let alive = self.peers.alive_in(self.identity.failure_domain);
-            alive.fold((0, 1), |(before, all), peer| {
-                (before + usize::from(peer < own), all + 1)
-            })
+            let alive: Vec<NameHash> = self.peers.alive_in(self.identity.failure_domain).collect();
+            DomainPlace {
+                position: alive.iter().filter(|peer| **peer < own).count(),
+                instances: alive.len() + 1,
+            }
         })
     }
 
@@ -473,16 +484,13 @@
         Some(peer.address)
     }
 
-    /// Returns whom this instance reports to, if that has changed since the last call; `None` within for
-    /// itself.
-    pub fn take_aggregator_change(&mut self) -> Option<Option<SocketAddrV4>> {
-        let is_changed = std::mem::take(&mut self.is_aggregator_changed);
-        let chosen = self.choice.chosen();
-        is_changed.then(|| {
-            chosen
-                .and_then(|name| self.peers.get(name))
-                .map(|peer| peer.address)
-        })
+    /// Returns whom this instance reports to, if that has changed since the last call.
+    pub fn take_aggregator_change(&mut self) -> Option<ReportsTo> {
+        if !std::mem::take(&mut self.is_aggregator_changed) {
+            return None;
+        }
+        let aggregator = self.choice.chosen().and_then(|name| self.peers.get(name));
+        Some(aggregator.map_or(ReportsTo::Itself, |peer| ReportsTo::Aggregator(peer.address)))
     }
 
     /// Tells whether this instance sends sums: it has members, or nobody to report to.
--- a/crates/reedsail_gossip/tests/simulated_network/mod.rs
+++ b/crates/reedsail_gossip/tests/simulated_network/mod.rs
@@ -273,8 +273,8 @@
             node.exchange.tick_ms(now) + u64::from(self.random.random_bool(0.5))
         };
         node.ticks_at = self.now + tick_ms;
-        for (source, _) in node.exchange.drop_silent(now) {
-            node.counted.remove(&source);
+        for lost in node.exchange.drop_silent(now) {
+            node.counted.remove(&lost.instance);
         }
         let load = node.exchange.is_due(now).then(|| LoadReport {
             servers: vec![ServerLoadRow {
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -21,6 +21,7 @@
 use reedsail_gossip::LoadExchange;
 use reedsail_gossip::MessageHead;
 use reedsail_gossip::Outgoing;
+use reedsail_gossip::ReportsTo;
 use xtra::Actor;
 use xtra::Context;
 use xtra::Handler;
@@ -116,9 +117,9 @@
         ) {
             return true;
         }
-        let (position, instances) = self.exchange.position_in_domain(now);
+        let place = self.exchange.place_in_domain(now);
         stale_for_ms(topic, age_ms, timing)
-            .is_some_and(|stale_for_ms| is_turn(position, instances, stale_for_ms))
+            .is_some_and(|stale_for_ms| is_turn(place.position, place.instances, stale_for_ms))
     }
 
     /// Makes what each message says of this instance.
@@ -155,9 +156,9 @@
 
     /// Drops the load of peers that went silent.
     fn drop_silent_peers(&mut self, now: TimeMs) {
-        for (peer, address) in self.exchange.drop_silent(now) {
-            self.shared.dispatcher().drop_peer(peer);
-            if let Some(address) = address {
+        for lost in self.exchange.drop_silent(now) {
+            self.shared.dispatcher().drop_peer(lost.instance);
+            if let Some(address) = lost.silent_at {
                 let fields = [("peer", address.to_string())];
                 self.shared.emit(EventKind::PeerSuspected, &fields);
             }
@@ -182,8 +183,11 @@
         let load = is_due.then(|| self.shared.dispatcher().report(now));
         let head = self.message_head(now);
         let outgoing = self.exchange.outgoing(&head, load, now);
-        if let Some(aggregator) = self.exchange.take_aggregator_change() {
-            let aggregator = aggregator.map_or("this instance".to_owned(), |address| address.to_string());
+        if let Some(reports_to) = self.exchange.take_aggregator_change() {
+            let aggregator = match reports_to {
+                ReportsTo::Itself => "this instance".to_owned(),
+                ReportsTo::Aggregator(address) => address.to_string(),
+            };
             let fields = [("aggregator", aggregator)];
             self.shared.emit(EventKind::AggregatorChanged, &fields);
         }
