Say once what a report without segments is, who of a failure domain may aggregate, and who was heard of lately

Change: LoadReport::without_prefixes, PeerTable::ranks_in, is_recent. Behaviour is the same: clippy, tests/load_exchange.rs (14) green.

--- a/crates/reedsail_dispatch/src/load_report.rs
+++ b/crates/reedsail_dispatch/src/load_report.rs
@@ -45,3 +45,15 @@
     /// Segments that were recently sent to a server for the first time, or again after a while.
     pub prefixes: Vec<PrefixRow>,
 }
+
+impl LoadReport {
+    /// Returns a copy of the amounts, without the segments: those are news and enter no sum.
+    #[must_use]
+    pub fn without_prefixes(&self) -> Self {
+        Self {
+            servers: self.servers.clone(),
+            workspaces: self.workspaces.clone(),
+            prefixes: Vec::new(),
+        }
+    }
+}
--- a/crates/reedsail_gossip/src/load_exchange.rs
+++ b/crates/reedsail_gossip/src/load_exchange.rs
@@ -453,10 +453,8 @@
 
     /// Returns how many aggregators this failure domain has, by which the others are judged.
     fn aggregators_of_domain(&self, now: TimeMs) -> usize {
-        let domain = self.identity.failure_domain;
-        let of_domain = self.peers.candidates(now);
-        let ranks = of_domain.filter(|(_, peer)| peer.failure_domain == domain);
-        let best = ranks.map(|(rank, _)| rank).chain([self.own_rank()]).min();
+        let ranks = self.peers.ranks_in(self.identity.failure_domain, now);
+        let best = ranks.chain([self.own_rank()]).min();
         let best_milli = best.map_or(0, DutyRank::processor_milli);
         aggregators_of(self.fleet.domain_instances(now), best_milli)
     }
@@ -467,18 +465,11 @@
 
     /// Returns the address of the aggregator to report to; `None` if this instance is to aggregate.
     fn choose_aggregator(&mut self, now: TimeMs) -> Option<SocketAddrV4> {
-        let domain = self.identity.failure_domain;
-        let of_domain = self
-            .peers
-            .candidates(now)
-            .filter(|(_, peer)| peer.failure_domain == domain);
-        let ranks: Vec<DutyRank> = of_domain.map(|(rank, _)| rank).collect();
         let domain_instances = self.fleet.domain_instances(now);
         let own_rank = self.own_rank();
         let before = self.choice.chosen();
-        let chosen = self
-            .choice
-            .choose(own_rank, ranks.into_iter(), domain_instances, now);
+        let ranks = self.peers.ranks_in(self.identity.failure_domain, now);
+        let chosen = self.choice.choose(own_rank, ranks, domain_instances, now);
         self.is_aggregator_changed |= chosen != before;
         let peer = chosen.and_then(|name| self.peers.get(name))?;
         Some(peer.address)
--- a/crates/reedsail_gossip/src/member_reports.rs
+++ b/crates/reedsail_gossip/src/member_reports.rs
@@ -71,13 +71,9 @@
 impl MemberReports {
     /// Takes in a member's report.
     pub(crate) fn receive_member(&mut self, message: &LoadMessage, from: SocketAddrV4, now: TimeMs) {
-        let load = LoadReport {
-            prefixes: Vec::new(),
-            ..message.load.clone()
-        };
         let report = MemberReport {
             address: from,
-            load,
+            load: message.load.without_prefixes(),
             sequence: message.sequence,
             received_at: now,
         };
@@ -93,13 +89,9 @@
                 self.members.remove(&row.instance);
             }
         }
-        let load = LoadReport {
-            prefixes: Vec::new(),
-            ..message.load.clone()
-        };
         let aggregate = Aggregate {
             address: from,
-            load,
+            load: message.load.without_prefixes(),
             failure_domain: message.failure_domain,
             included: message.included.iter().map(|row| row.instance).collect(),
             instances: message.instances,
--- a/crates/reedsail_gossip/src/peer_table.rs
+++ b/crates/reedsail_gossip/src/peer_table.rs
@@ -229,12 +229,18 @@
     pub(crate) fn candidates(&self, now: TimeMs) -> impl Iterator<Item = (DutyRank, &Peer)> {
         self.peers.iter().filter_map(move |(instance, peer)| {
             let is_known = peer.failure_domain != NameHash::default() && peer.protocol > 0;
-            let is_recent = peer.is_alive || now.since_ms(peer.heard_at) < NAMED_VALID_MS;
-            let may_aggregate = is_known && is_recent && !peer.is_stopping;
+            let may_aggregate = is_known && is_recent(peer, now) && !peer.is_stopping;
             may_aggregate.then_some((DutyRank::of(*instance, peer.processor_milli), peer))
         })
     }
 
+    /// Returns the ranks of the peers of a failure domain that may aggregate.
+    pub(crate) fn ranks_in(&self, failure_domain: NameHash, now: TimeMs) -> impl Iterator<Item = DutyRank> {
+        let candidates = self.candidates(now);
+        let of_domain = candidates.filter(move |(_, peer)| peer.failure_domain == failure_domain);
+        of_domain.map(|(rank, _)| rank)
+    }
+
     /// Returns the addresses of the peers that may aggregate, by failure domain, best rank first; of the own
     /// failure domain those alone that rank before the own rank.
     pub(crate) fn ranked_by_domain(
@@ -260,10 +266,7 @@
 
     /// Returns how many peers were heard of lately.
     pub(crate) fn known_count(&self, now: TimeMs) -> usize {
-        let recent = self
-            .peers
-            .values()
-            .filter(|peer| peer.is_alive || now.since_ms(peer.heard_at) < NAMED_VALID_MS);
+        let recent = self.peers.values().filter(|peer| is_recent(peer, now));
         recent.count()
     }
 
@@ -320,6 +323,11 @@
     sent_at.is_none_or(|sent_at| now.since_ms(sent_at) >= SILENT_EVERY_MS)
 }
 
+/// Tells whether a peer speaks, or was named lately.
+fn is_recent(peer: &Peer, now: TimeMs) -> bool {
+    peer.is_alive || now.since_ms(peer.heard_at) < NAMED_VALID_MS
+}
+
 fn member_row(instance: NameHash, peer: &Peer) -> MemberRow {
     MemberRow {
         instance,
--- a/crates/reedsail_gossip/src/sent_reports.rs
+++ b/crates/reedsail_gossip/src/sent_reports.rs
@@ -22,11 +22,7 @@
         if self.reports.len() >= REPORTS_MAX {
             self.reports.pop_front();
         }
-        let kept = LoadReport {
-            prefixes: Vec::new(),
-            ..report.clone()
-        };
-        self.reports.push_back((sequence, kept));
+        self.reports.push_back((sequence, report.without_prefixes()));
     }
 
     /// Takes the report of a message off a sum that includes it. One that is not kept any more leaves the
