Say in a refused request's lines whom it counted against, and why its workspace was over its share

Cause: a refusal named no workspace and no amount; nobody could tell from logs which workspace was starved or why it was taken to be over its share. Change: 510 to 512 name workspace, tokens, target, the server that was chosen, its queue, and what the workspace requested and was sent against the level, as the instance knew it. Line 514 once a workspace crosses its share; the metric reedsail_router_workspace_tokens_total, bounded in workspaces; fields are worked out only for lines that are written. reedsail_fairness measures how near a workspace came to far less than its share; `reedsail requests` prints it by workspace. Golden forms of lines, metrics and events grow by these; no field is renamed. No decision is changed: the digests of decision_trace are the same.

--- a/crates/reedsail_cli/src/main.rs
+++ b/crates/reedsail_cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin_client;
 mod bundle_command;
+mod event_fields;
 mod failure;
 mod flags;
 mod fleet_command;
@@ -14,6 +15,7 @@
 mod signed_file;
 mod table;
 mod timeline_command;
+mod workspace_summary;
 
 use std::ffi::OsStr;
 use std::ffi::OsString;
--- a/crates/reedsail_cli/src/request_summary.rs
+++ b/crates/reedsail_cli/src/request_summary.rs
@@ -10,6 +10,9 @@
 use reedsail_events::Event;
 use reedsail_events::EventKind;
 
+use crate::event_fields::number;
+use crate::event_fields::text;
+
 /// Counts of one second, server or reason.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct RequestCounts {
@@ -75,7 +78,7 @@
                 counts.retried += 1;
             }
         } else if event.number == EventKind::RequestEnded.number() {
-            let outcome = field(event, "outcome");
+            let outcome = text(event, "outcome");
             let is_answered = outcome == "answered";
             for counts in counts {
                 counts.answered += u64::from(is_answered);
@@ -83,19 +86,19 @@
             }
             *self.reasons.entry(outcome).or_default() += 1;
         } else if event.number == EventKind::RequestRefused.number() {
-            let has_not_run = field(event, "ran") == "not_run";
+            let has_not_run = text(event, "ran") == "not_run";
             for counts in counts {
                 counts.refused += u64::from(has_not_run);
                 counts.failed += u64::from(!has_not_run);
             }
-            *self.reasons.entry(field(event, "kind")).or_default() += 1;
+            *self.reasons.entry(text(event, "kind")).or_default() += 1;
         }
     }
 
     /// Compares the times of requests that were placed once: of others the first event came after more than
     /// one attempt.
     fn compare_times(&mut self, event: &Event, expected_ms: &mut HashMap<String, Option<u64>>) {
-        let request = field(event, "request");
+        let request = text(event, "request");
         if event.number == EventKind::RequestPlaced.number() {
             let expected = number(event, "expected_ms");
             expected_ms
@@ -128,12 +131,3 @@
         high: at(0.9),
     })
 }
-
-fn field(event: &Event, name: &str) -> String {
-    event.fields.get(name).cloned().unwrap_or_default()
-}
-
-/// Reads a number; a field such as `none` or `direct` has none.
-fn number(event: &Event, name: &str) -> Option<u64> {
-    event.fields.get(name)?.parse().ok()
-}
--- a/crates/reedsail_cli/src/requests_command.rs
+++ b/crates/reedsail_cli/src/requests_command.rs
@@ -2,6 +2,8 @@
 
 use reedsail_events::Event;
 use reedsail_events::merge_events;
+use reedsail_fairness::SECONDS;
+use reedsail_fairness::ShareWindow;
 
 use crate::failure::Failure;
 use crate::flags::requests::Requests;
@@ -10,6 +12,7 @@
 use crate::request_summary::RequestSummary;
 use crate::request_summary::spread;
 use crate::table::render_table;
+use crate::workspace_summary::WorkspaceSummary;
 
 /// Servers that the summary shows, those with the most failures first.
 const SERVERS_SHOWN: usize = 20;
@@ -79,6 +82,8 @@
         .collect();
     println!("{}\n", counts_table("second", &seconds));
 
+    print_workspaces(&WorkspaceSummary::of(events));
+
     let spreads = [
         ("measured by expected time", &summary.ratios),
         ("age of load, ms", &summary.load_ages_ms),
@@ -99,6 +104,55 @@
     }
 }
 
+/// Prints the tokens of each workspace and its worst window, the worst of all first.
+fn print_workspaces(summary: &WorkspaceSummary) {
+    let windows = summary.worst_windows();
+    let window_of = |name: &String| windows.iter().find(|window| window.workspace == *name);
+    let mut tokens: Vec<_> = summary.tokens.iter().collect();
+    let ratio_of = |name: &String| window_of(name).map_or(f64::INFINITY, ShareWindow::ratio);
+    tokens.sort_by(|(left, _), (right, _)| ratio_of(left).total_cmp(&ratio_of(right)));
+    let rows: Vec<Vec<String>> = tokens
+        .into_iter()
+        .map(|(name, tokens)| {
+            let counts = [
+                tokens.requested,
+                tokens.sent,
+                tokens.begun,
+                tokens.refused,
+                tokens.over_share,
+            ];
+            let counts = counts.iter().map(ToString::to_string);
+            let worst = window_of(name).map_or_else(
+                || vec!["none".to_owned()],
+                |window| {
+                    let begins = format!("{:.2}", window.from_ms as f64 / 1_000.0);
+                    vec![format!("{:.2}", window.ratio()), begins, window.best.clone()]
+                },
+            );
+            std::iter::once(name.clone()).chain(counts).chain(worst).collect()
+        })
+        .collect();
+    if rows.is_empty() {
+        return;
+    }
+    let header = [
+        "workspace",
+        "tokens requested",
+        "sent",
+        "begun",
+        "refused",
+        "over share",
+        "worst ratio",
+        "at s",
+        "best",
+    ];
+    println!("{}", render_table(&header, &rows));
+    println!(
+        "worst ratio: what a workspace got by half of what it was owed, over {SECONDS} s in each of which it was \
+         refused or late; below 1 it got far less than its share\n"
+    );
+}
+
 fn counts_table(first: &str, rows: &[Vec<String>]) -> String {
     render_table(
         &[first, "placed", "answered", "refused", "failed", "retried"],
--- a/crates/reedsail_cli/tests/golden.rs
+++ b/crates/reedsail_cli/tests/golden.rs
@@ -32,6 +32,11 @@
     insta::assert_snapshot!("requests_without_lines", run(&["requests", "Cargo.toml"]));
 }
 
+#[test]
+fn workspaces_that_get_too_little_come_first() {
+    insta::assert_snapshot!("shares", run(&["requests", "tests/recorded/shares.log"]));
+}
+
 #[test]
 fn wrong_use_and_unreachable_daemons_keep_their_exit_codes() {
     insta::assert_snapshot!("unknown_command", run(&["colour"]));
--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -59,7 +59,7 @@
         return Decision::Refuse {
             kind: ErrorKind::NoBackend,
             retry_after_ms: retry_after_ms(demand.latency_target_ms, f64::INFINITY),
-            expected_ms: None,
+            placement: None,
         };
     };
     let excess_ms = (demand.waited_ms + placement.expected_ms) as f64 - target_ms * TARGET_FRACTION;
@@ -76,7 +76,7 @@
             ErrorKind::WouldMissTarget
         },
         retry_after_ms: retry_after_ms(demand.latency_target_ms, excess_ms.max(queue_excess_ms)),
-        expected_ms: Some(placement.expected_ms),
+        placement: Some(placement),
     }
 }
 
--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -63,6 +63,11 @@
     }
 }
 
+/// Returns the cost in tokens of a request with or without a prompt, by which shares are judged.
+pub fn request_cost(prompt: Option<&Prompt>) -> f64 {
+    prompt.map_or(PLAIN_COST, Prompt::cost)
+}
+
 /// A request that wants a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
@@ -94,7 +99,7 @@
 
     /// Returns the cost in tokens.
     pub(crate) fn cost(&self) -> f64 {
-        self.prompt.map_or(PLAIN_COST, Prompt::cost)
+        request_cost(self.prompt)
     }
 
     /// Returns the prompt, if it has segments: only such a request needs an engine's prefill.
@@ -133,7 +138,7 @@
         kind: ErrorKind,
         /// When a retry is likely to be served, in milliseconds from now.
         retry_after_ms: u64,
-        /// Expected time to its first event in milliseconds, if there was a server for it.
-        expected_ms: Option<u64>,
+        /// Where it would have gone, if there was a server for it.
+        placement: Option<Placement>,
     },
 }
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -20,6 +20,7 @@
 use crate::Placement;
 use crate::Prompt;
 use crate::ServerSetup;
+use crate::WorkspaceShare;
 use crate::admission::admit;
 use crate::attempt::UnansweredAttempts;
 use crate::fair_share::UsageTable;
@@ -108,7 +109,17 @@
         };
         let placement = placer.choose(demand);
         let usage = &mut self.usage;
-        admit(demand, placement, || usage.is_over_share(demand.workspace, now))
+        admit(demand, placement, || usage.share(demand.workspace, now).is_over())
+    }
+
+    /// Returns what a workspace requested and was sent within the window, and the level that it is judged by.
+    pub fn workspace_share(&mut self, workspace: NameHash, now: TimeMs) -> WorkspaceShare {
+        self.usage.share(workspace, now)
+    }
+
+    /// Returns the same of each workspace that asked this instance within the window.
+    pub fn own_workspace_shares(&mut self, now: TimeMs) -> Vec<(NameHash, WorkspaceShare)> {
+        self.usage.own_shares(now)
     }
 
     /// Records that a request is being sent where it was decided.
--- a/crates/reedsail_dispatch/src/fair_share.rs
+++ b/crates/reedsail_dispatch/src/fair_share.rs
@@ -69,6 +69,34 @@
                 (requested + bucket.requested, sent + bucket.sent)
             })
     }
+
+    /// Returns the cost requested and sent on all instances within the window.
+    fn total(&self, number: u64) -> (f64, f64) {
+        let (own_requested, own_sent) = self.own(number);
+        (
+            f64::from(own_requested) + self.peers_requested,
+            f64::from(own_sent) + self.peers_sent,
+        )
+    }
+}
+
+/// What one workspace requested and was sent within the window over the whole fleet, as one instance knows
+/// it, and the level that its share is judged by. In tokens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WorkspaceShare {
+    /// Cost of its requests.
+    pub requested_cost: f64,
+    /// Cost of those that were sent.
+    pub sent_cost: f64,
+    /// What no workspace gets more of while others want more; infinite where there is enough for all.
+    pub level_cost: f64,
+}
+
+impl WorkspaceShare {
+    /// Tells whether the workspace was sent more than its share.
+    pub fn is_over(&self) -> bool {
+        self.sent_cost > self.level_cost
+    }
 }
 
 /// The use of every workspace within the window.
@@ -114,15 +142,32 @@
         }
     }
 
-    /// Tells whether a workspace got more than its max-min share of what the fleet sent within the
-    /// window while others requested more than they got.
-    pub(crate) fn is_over_share(&mut self, workspace: NameHash, now: TimeMs) -> bool {
+    /// Returns the share of a workspace: it is over if it got more than its max-min share of what the fleet
+    /// sent within the window while others requested more than they got.
+    pub(crate) fn share(&mut self, workspace: NameHash, now: TimeMs) -> WorkspaceShare {
         self.refresh_level(now);
         let number = now.0 / self.bucket_ms;
-        self.workspaces.get(&workspace).is_some_and(|entry| {
-            let (_, own_sent) = entry.own(number);
-            f64::from(own_sent) + entry.peers_sent > self.level
-        })
+        let entry = self.workspaces.get(&workspace);
+        let (requested_cost, sent_cost) = entry.map_or((0.0, 0.0), |entry| entry.total(number));
+        WorkspaceShare {
+            requested_cost,
+            sent_cost,
+            level_cost: self.level,
+        }
+    }
+
+    /// Returns the workspaces that asked on this instance within the window, each with its share.
+    pub(crate) fn own_shares(&mut self, now: TimeMs) -> Vec<(NameHash, WorkspaceShare)> {
+        let number = now.0 / self.bucket_ms;
+        let own = self.workspaces.iter();
+        let names: Vec<NameHash> = own
+            .filter(|(_, entry)| entry.own(number).0 > 0.0)
+            .map(|(workspace, _)| *workspace)
+            .collect();
+        names
+            .into_iter()
+            .map(|workspace| (workspace, self.share(workspace, now)))
+            .collect()
     }
 
     /// Returns this instance's rows for its load report.
@@ -151,9 +196,9 @@
         let mut requested = Vec::with_capacity(self.workspaces.len());
         let mut sent = 0.0;
         for entry in self.workspaces.values() {
-            let (own_requested, own_sent) = entry.own(number);
-            requested.push(f64::from(own_requested) + entry.peers_requested);
-            sent += f64::from(own_sent) + entry.peers_sent;
+            let (entry_requested, entry_sent) = entry.total(number);
+            requested.push(entry_requested);
+            sent += entry_sent;
         }
         self.level = max_min_level(&mut requested, sent);
     }
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -322,8 +322,11 @@
         Decision::Refuse {
             kind,
             retry_after_ms,
-            expected_ms,
-        } => format!("{} after {retry_after_ms} expected {expected_ms:?}", kind.name()),
+            placement,
+        } => {
+            let expected_ms = placement.map(|placement| placement.expected_ms);
+            format!("{} after {retry_after_ms} expected {expected_ms:?}", kind.name())
+        }
     };
     let (workspace, target_ms) = (demand.workspace.0, demand.latency_target_ms);
     format!(
--- a/crates/reedsail_dispatch/tests/placement.rs
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -181,11 +181,11 @@
             Decision::Refuse {
                 kind,
                 retry_after_ms,
-                expected_ms,
+                placement,
             } => {
                 assert_eq!(kind, ErrorKind::WouldMissTarget);
                 assert!((100..GOAL_MS).contains(&retry_after_ms), "{retry_after_ms}");
-                assert!(expected_ms.is_some());
+                assert!(placement.is_some());
                 assert!(!runs.is_empty());
                 return;
             }
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -134,4 +134,6 @@
     RequestRefused = 512, "request_refused", Info, "a request was refused; see its error kind and what decided it";
     /// A request is sent once more.
     RequestRepeated = 513, "request_repeated", Info, "a request is sent once more; see what became of the try before";
+    /// A workspace has had more than its share, or no longer has.
+    ShareCrossed = 514, "workspace_share_crossed", Info, "a workspace that sends requests here went over its fair share, or came back under it";
 }
--- a/crates/reedsail_events/src/event_log.rs
+++ b/crates/reedsail_events/src/event_log.rs
@@ -1,5 +1,6 @@
 //! A process's own events: logged as they come, and kept for a while for `reedsail timeline`.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -61,6 +62,16 @@
 
     /// Reports an event.
     pub fn emit(&self, kind: EventKind, fields: &[(&str, &str)]) {
+        self.emit_with(kind, || {
+            let owned = fields.iter();
+            owned
+                .map(|(key, value)| ((*key).to_owned(), (*value).to_owned()))
+                .collect()
+        });
+    }
+
+    /// Reports an event whose fields are worked out only if it is not left out.
+    pub fn emit_with(&self, kind: EventKind, fields: impl FnOnce() -> BTreeMap<String, String>) {
         let unix_ms = unix_ms();
         let Some(left_out) = self.take_from_budget(kind, unix_ms) else {
             return;
@@ -72,10 +83,7 @@
             instance: self.0.instance.clone(),
             number: kind.number(),
             name: kind.name().to_owned(),
-            fields: fields
-                .iter()
-                .map(|(key, value)| ((*key).to_owned(), (*value).to_owned()))
-                .collect(),
+            fields: fields(),
         };
         if left_out > 0 {
             event.fields.insert("left_out".to_owned(), left_out.to_string());
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -46,6 +46,7 @@
 use super::seeds::peer_addresses;
 use super::server_publication::publish_servers;
 use super::server_publication::take_delta;
+use super::share_watch::ShareWatch;
 use super::store_status::StoreStatus;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
@@ -66,6 +67,7 @@
     servers: ServerList,
     configuration: ConfigurationState,
     store: StoreStatus,
+    shares: ShareWatch,
     next_fetch_at: TimeMs,
 }
 
@@ -85,6 +87,7 @@
             servers: ServerList::default(),
             configuration: ConfigurationState::default(),
             store: StoreStatus::default(),
+            shares: ShareWatch::default(),
             next_fetch_at: TimeMs(0),
             shared,
         }
@@ -341,6 +344,7 @@
         let delta = self.servers.tick(now);
         take_delta(&self.shared, &self.servers, &delta, Origin::GraceOver, now);
         self.shared.dispatcher().tick(now);
+        self.shares.tick(&self.shared, now);
         self.drop_silent_peers(now);
         self.publish_fleet(now);
         let fetches = self.plan_fetches(now);
--- a/crates/reedsail_router/src/lib.rs
+++ b/crates/reedsail_router/src/lib.rs
@@ -15,9 +15,11 @@
 mod route_table;
 mod running;
 mod settings;
+mod share_fields;
 mod shared;
 mod source;
 mod traffic;
+mod workspace_tokens;
 
 pub use configuration::AnswerShape;
 pub use configuration::CallerLimits;
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus::TextEncoder;
 use prometheus::core::Collector;
 
+use crate::workspace_tokens::WorkspaceTokens;
+
 /// Upper ends of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: &[f64] = &[
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
@@ -29,6 +31,8 @@
     pub(crate) retries: IntCounterVec,
     /// Connections opened to backend servers, by outcome.
     pub(crate) connects: IntCounterVec,
+    /// Tokens of requests, by workspace and by what became of them.
+    pub(crate) workspace_tokens: WorkspaceTokens,
     /// Reads of the store, by what was read and outcome.
     pub(crate) store_reads: IntCounterVec,
     /// Load messages to and from peers.
@@ -68,6 +72,12 @@
                 "Connections opened to backend servers, by outcome.",
                 &["outcome"],
             ),
+            workspace_tokens: WorkspaceTokens::new(counters(
+                &registry,
+                "reedsail_router_workspace_tokens_total",
+                "Tokens of requests, by workspace and by what became of them.",
+                &["workspace", "what"],
+            )),
             store_reads: counters(
                 &registry,
                 "reedsail_router_store_reads_total",
--- a/crates/reedsail_router/src/route_table.rs
+++ b/crates/reedsail_router/src/route_table.rs
@@ -33,6 +33,7 @@
     /// Routes by host, the longest prefix first.
     by_host: HashMap<String, Vec<Arc<Route>>>,
     by_key: HashMap<String, Arc<WorkspaceEntry>>,
+    by_hash: HashMap<NameHash, Arc<WorkspaceEntry>>,
 }
 
 impl RouteTable {
@@ -46,11 +47,13 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let mut by_key = HashMap::new();
+        let mut by_hash = HashMap::new();
         for workspace in &configuration.workspaces {
             let entry = Arc::new(WorkspaceEntry {
                 name: workspace.name.clone(),
                 hash: NameHash::of(&workspace.name),
             });
+            by_hash.insert(entry.hash, Arc::clone(&entry));
             for key in &workspace.keys {
                 by_key.insert(key.clone(), Arc::clone(&entry));
             }
@@ -59,9 +62,15 @@
             configuration,
             by_host,
             by_key,
+            by_hash,
         }
     }
 
+    /// Returns the name of a workspace of this configuration.
+    pub(crate) fn workspace_name(&self, hash: NameHash) -> Option<&str> {
+        self.by_hash.get(&hash).map(|workspace| workspace.name.as_str())
+    }
+
     /// Returns the version; zero while none is in force.
     pub(crate) fn version(&self) -> u64 {
         self.configuration.version
@@ -77,9 +86,14 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Finds the workspace that has a key.
+    pub(crate) fn workspace(&self, key: &str) -> Option<&Arc<WorkspaceEntry>> {
+        self.by_key.get(key)
+    }
+
     /// Finds whom a request of the route counts against.
     pub(crate) fn identify(&self, route: &Route, key: Option<&str>) -> Identity {
-        if let Some(workspace) = key.and_then(|key| self.by_key.get(key)) {
+        if let Some(workspace) = key.and_then(|key| self.workspace(key)) {
             return Identity::Workspace(Arc::clone(workspace));
         }
         if route.is_anonymous || self.configuration.workspaces.is_empty() {
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -101,6 +101,14 @@
         self.events.emit(kind, &fields);
     }
 
+    /// Reports an event whose fields are worked out only if it is not left out of the log.
+    pub(crate) fn emit_with(&self, kind: EventKind, fields: impl FnOnce() -> Vec<(&'static str, String)>) {
+        self.events.emit_with(kind, || {
+            let fields = fields().into_iter();
+            fields.map(|(name, value)| (name.to_owned(), value)).collect()
+        });
+    }
+
     /// Tells whether a connection is to be closed after its next answer: while the instance stops, while
     /// callers keep more of them than its memory allows, and for some of them while it sheds callers.
     pub(crate) fn sheds_connection(&self) -> bool {
--- a/crates/reedsail_router/src/traffic/forward.rs
+++ b/crates/reedsail_router/src/traffic/forward.rs
@@ -102,7 +102,8 @@
 struct Refusal {
     kind: ErrorKind,
     retry_after_ms: Option<u64>,
-    expected_ms: Option<u64>,
+    /// Where it would have gone.
+    placement: Option<Placement>,
 }
 
 impl Refusal {
@@ -110,7 +111,7 @@
         Self {
             kind,
             retry_after_ms: None,
-            expected_ms: None,
+            placement: None,
         }
     }
 }
@@ -139,17 +140,17 @@
             Decision::Refuse {
                 kind,
                 retry_after_ms,
-                expected_ms,
+                placement,
             } => Err(Refusal {
                 kind,
                 retry_after_ms: Some(retry_after_ms),
-                expected_ms,
+                placement,
             }),
         }
     }
 
     async fn attempt(&mut self, placement: &Placement) -> Attempted<H> {
-        self.log.placed(&self.call, placement);
+        self.log.placed(placement);
         let demand = self.call.demand(&self.tried, self.shared.clock.now());
         let guard = AttemptGuard::begin(&self.shared, &demand, placement);
         self.tried.push(placement.server);
@@ -244,10 +245,7 @@
                 }
             }
         };
-        let expected_ms = refusal
-            .expected_ms
-            .map_or("unknown".to_owned(), |expected_ms| expected_ms.to_string());
-        self.log.refuse(&failure, Some(expected_ms));
+        self.log.refuse(&failure, refusal.placement.as_ref());
         Err(failure)
     }
 }
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -6,15 +6,19 @@
 use std::sync::Arc;
 
 use hyper::StatusCode;
-use hyper::header::HeaderValue;
 use reedsail_core::ErrorKind;
 use reedsail_core::Failure;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::Placement;
+use reedsail_dispatch::request_cost;
 use reedsail_events::EventKind;
 
 use super::call::Call;
+use crate::CallHead;
+use crate::route_table::WorkspaceEntry;
+use crate::share_fields::share_fields;
 use crate::shared::Shared;
+use crate::workspace_tokens::TokensOf;
 
 /// How a request ended that was sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +73,9 @@
     }
 }
 
+/// A field of a line: its name, and its value as text.
+type Field = (&'static str, String);
+
 /// Writes what is logged and counted of one request. Dropped before an end was recorded, it records that
 /// the caller went away.
 #[derive(Debug)]
@@ -76,7 +83,13 @@
     shared: Arc<Shared<H>>,
     id: String,
     service: String,
-    /// The server that was tried last.
+    workspace: Option<Arc<WorkspaceEntry>>,
+    configuration_version: u64,
+    /// What it counts against its workspace, in tokens.
+    cost_tokens: u64,
+    /// Its route's target for the first event, in milliseconds; zero until the request was read.
+    latency_target_ms: u64,
+    /// The server that was tried last, or chosen when the request was refused.
     server: String,
     arrived_at: TimeMs,
     first_event_ms: Option<u64>,
@@ -84,75 +97,81 @@
 }
 
 impl<H> RequestLog<H> {
-    /// Begins the log of a request as it arrives.
-    pub(crate) fn begin(shared: &Arc<Shared<H>>, id: Option<&HeaderValue>, arrived_at: TimeMs) -> Self {
+    /// Begins the log of a request as it arrives. What its head says of its workspace is taken at its word
+    /// until the request was read, so that one refused unread has a workspace as well.
+    pub(crate) fn begin(shared: &Arc<Shared<H>>, head: Option<&CallHead>, arrived_at: TimeMs) -> Self {
         shared.metrics.open_requests.inc();
+        let id = head.and_then(|head| head.request_id.as_ref());
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
-        Self {
+        let key = head.and_then(|head| head.key.as_deref());
+        let routes = shared.routes.load();
+        let log = Self {
             shared: Arc::clone(shared),
             id: id.to_owned(),
             service: String::new(),
+            workspace: key.and_then(|key| routes.workspace(key)).cloned(),
+            configuration_version: routes.version(),
+            cost_tokens: request_cost(head.and_then(|head| head.prompt.as_ref())) as u64,
+            latency_target_ms: 0,
             server: String::new(),
             arrived_at,
             first_event_ms: None,
             has_ended: false,
-        }
+        };
+        log.count_tokens(TokensOf::Requested);
+        log
     }
 
-    /// Records the service, once the request was read.
-    pub(crate) fn set_service(&mut self, service: &str) {
-        service.clone_into(&mut self.service);
+    /// Records what the request calls and whom it counts against, once it was read.
+    pub(crate) fn set_call(&mut self, call: &Call) {
+        self.service.clone_from(&call.service_name);
+        self.workspace.clone_from(&call.workspace);
+        self.configuration_version = call.configuration_version;
+        self.latency_target_ms = call.route.latency_target_ms;
     }
 
     /// Logs where the request was placed, with what decided it.
-    pub(crate) fn placed(&mut self, call: &Call, placement: &Placement) {
+    pub(crate) fn placed(&mut self, placement: &Placement) {
         self.set_server(placement);
-        let (own, all) = self.shared.dispatcher().running(placement.server);
-        let workspace = call.workspace.as_ref();
-        let load_age_ms = self.shared.load_age_ms();
-        if let Some(age_ms) = load_age_ms {
+        self.count_tokens(TokensOf::Sent);
+        if let Some(age_ms) = self.shared.load_age_ms() {
             let load_age = &self.shared.metrics.load_age;
             load_age
-                .with_label_values(&[&call.service_name])
+                .with_label_values(&[&self.service])
                 .observe(age_ms as f64 / 1_000.0);
         }
-        let load_age_ms = load_age_ms.map_or("direct".to_owned(), |age_ms| age_ms.to_string());
-        let fields = [
-            ("service", call.service_name.clone()),
-            (
-                "workspace",
-                workspace.map_or("none".to_owned(), |workspace| workspace.name.clone()),
-            ),
-            ("configuration", call.configuration_version.to_string()),
-            ("server", self.server.clone()),
-            ("expected_ms", placement.expected_ms.to_string()),
-            ("unread_tokens", placement.prefill_tokens.to_string()),
-            ("running_own", own.to_string()),
-            ("running_all", all.to_string()),
-            ("load_age_ms", load_age_ms),
-        ];
-        self.emit(EventKind::RequestPlaced, &fields);
+        self.emit(EventKind::RequestPlaced, || {
+            let mut fields = self.placement_fields(placement);
+            fields.push(("unread_tokens", placement.prefill_tokens.to_string()));
+            fields.push(("configuration", self.configuration_version.to_string()));
+            fields.extend(self.request_fields());
+            fields.extend(self.decision_fields());
+            fields
+        });
     }
 
     /// Logs and counts that the request is attempted again.
     pub(crate) fn retried(&self, cause: RetryCause) {
         let retries = &self.shared.metrics.retries;
         retries.with_label_values(&[cause.name()]).inc();
-        let fields = [
-            ("cause", cause.name().to_owned()),
-            ("server", self.server.clone()),
-        ];
-        self.emit(EventKind::RequestRepeated, &fields);
+        self.emit(EventKind::RequestRepeated, || {
+            vec![
+                ("cause", cause.name().to_owned()),
+                ("server", self.server.clone()),
+            ]
+        });
     }
 
     /// Logs that a stream goes on elsewhere, after the last event that the caller has.
     pub(crate) fn resumed(&mut self, placement: &Placement, last_event: Option<&str>) {
         self.set_server(placement);
-        let fields = [
-            ("server", self.server.clone()),
-            ("after_event", last_event.unwrap_or("").to_owned()),
-        ];
-        self.emit(EventKind::StreamResumed, &fields);
+        self.count_tokens(TokensOf::Sent);
+        self.emit(EventKind::StreamResumed, || {
+            vec![
+                ("server", self.server.clone()),
+                ("after_event", last_event.unwrap_or("").to_owned()),
+            ]
+        });
     }
 
     /// Records that a piece of the answer goes to the caller; the first one counts.
@@ -162,6 +181,7 @@
         }
         let first_event_ms = self.waited_ms();
         self.first_event_ms = Some(first_event_ms);
+        self.count_tokens(TokensOf::Begun);
         self.shared
             .metrics
             .first_event
@@ -169,26 +189,45 @@
             .observe(first_event_ms as f64 / 1_000.0);
     }
 
-    /// Records that the request was refused, or failed with an answer of this instance's own.
-    pub(crate) fn refuse(mut self, failure: &Failure, expected_ms: Option<String>) {
+    /// Records that the request was refused before a server was chosen.
+    pub(crate) fn refuse_unplaced(self, failure: &Failure) {
+        self.end_refused(failure, |_| Vec::new());
+    }
+
+    /// Records that the request was refused, or failed with an answer of this instance's own; `placement` is
+    /// where it would have gone when that was decided.
+    pub(crate) fn refuse(mut self, failure: &Failure, placement: Option<&Placement>) {
+        if let Some(placement) = placement {
+            self.set_server(placement);
+        }
+        self.end_refused(failure, |log| {
+            let expected_ms = ("expected_ms", "unknown".to_owned());
+            let mut fields = placement.map_or(vec![expected_ms], |placement| log.placement_fields(placement));
+            fields.extend(log.decision_fields());
+            fields
+        });
+    }
+
+    fn end_refused(mut self, failure: &Failure, decided_by: impl FnOnce(&Self) -> Vec<Field>) {
         self.has_ended = true;
         let kind = failure.kind();
         let answers = &self.shared.metrics.answers;
         answers.with_label_values(&[kind.name()]).inc();
-        let mut fields = vec![
-            ("kind", kind.name().to_owned()),
-            ("ran", failure.ran().as_str().to_owned()),
-            ("service", self.service.clone()),
-            ("server", self.server.clone()),
-            ("waited_ms", self.waited_ms().to_string()),
-        ];
-        if let Some(after_ms) = failure.retry_after_ms() {
-            fields.push(("retry_after_ms", after_ms.to_string()));
-        }
-        if let Some(expected_ms) = expected_ms {
-            fields.push(("expected_ms", expected_ms));
-        }
-        self.emit(EventKind::RequestRefused, &fields);
+        self.count_tokens(TokensOf::Refused);
+        self.emit(EventKind::RequestRefused, || {
+            let mut fields = vec![
+                ("kind", kind.name().to_owned()),
+                ("ran", failure.ran().as_str().to_owned()),
+                ("waited_ms", self.waited_ms().to_string()),
+            ];
+            if let Some(after_ms) = failure.retry_after_ms() {
+                fields.push(("retry_after_ms", after_ms.to_string()));
+            }
+            fields.extend(self.request_fields());
+            fields.push(("configuration", self.configuration_version.to_string()));
+            fields.extend(decided_by(&self));
+            fields
+        });
     }
 
     /// Records that the caller gets a server's own failure.
@@ -209,18 +248,67 @@
         self.has_ended = true;
         let answers = &self.shared.metrics.answers;
         answers.with_label_values(&[outcome.name()]).inc();
-        let first_event_ms = self
-            .first_event_ms
-            .map_or("none".to_owned(), |first_ms| first_ms.to_string());
-        let mut fields = vec![
-            ("outcome", outcome.name().to_owned()),
+        self.emit(EventKind::RequestEnded, || {
+            let first_event_ms = self
+                .first_event_ms
+                .map_or("none".to_owned(), |first_ms| first_ms.to_string());
+            let mut fields = vec![
+                ("outcome", outcome.name().to_owned()),
+                ("first_part_ms", first_event_ms),
+                ("took_ms", self.waited_ms().to_string()),
+            ];
+            fields.extend(self.request_fields());
+            fields.extend(status);
+            fields
+        });
+    }
+
+    /// Returns what every end of a request says of it.
+    fn request_fields(&self) -> [Field; 5] {
+        [
             ("service", self.service.clone()),
+            ("workspace", self.workspace_name().to_owned()),
+            ("tokens", self.cost_tokens.to_string()),
+            ("target_ms", self.latency_target_ms.to_string()),
             ("server", self.server.clone()),
-            ("first_part_ms", first_event_ms),
-            ("took_ms", self.waited_ms().to_string()),
-        ];
-        fields.extend(status);
-        self.emit(EventKind::RequestEnded, &fields);
+        ]
+    }
+
+    /// Returns what was expected of the server that was chosen.
+    fn placement_fields(&self, placement: &Placement) -> Vec<Field> {
+        let (own, all) = self.shared.dispatcher().running(placement.server);
+        vec![
+            ("expected_ms", placement.expected_ms.to_string()),
+            ("queue_ms", placement.queue_ms.to_string()),
+            ("running_own", own.to_string()),
+            ("running_all", all.to_string()),
+        ]
+    }
+
+    /// Returns what a decision knew of the workspace's share, and how old that was.
+    fn decision_fields(&self) -> Vec<Field> {
+        let load_age_ms = self.shared.load_age_ms();
+        let workspace = self.workspace.as_ref().map(|workspace| workspace.hash);
+        let now = self.shared.clock.now();
+        let share = self
+            .shared
+            .dispatcher()
+            .workspace_share(workspace.unwrap_or_default(), now);
+        let mut fields = share_fields(&share).to_vec();
+        let age = load_age_ms.map_or("direct".to_owned(), |age_ms| age_ms.to_string());
+        fields.push(("load_age_ms", age));
+        fields
+    }
+
+    fn workspace_name(&self) -> &str {
+        self.workspace
+            .as_ref()
+            .map_or("none", |workspace| &workspace.name)
+    }
+
+    fn count_tokens(&self, of: TokensOf) {
+        let tokens = &self.shared.metrics.workspace_tokens;
+        tokens.add(self.workspace_name(), of, self.cost_tokens);
     }
 
     fn set_server(&mut self, placement: &Placement) {
@@ -233,10 +321,12 @@
         self.shared.clock.now().since_ms(self.arrived_at)
     }
 
-    fn emit(&self, kind: EventKind, fields: &[(&'static str, String)]) {
-        let mut all = vec![("request", self.id.clone())];
-        all.extend_from_slice(fields);
-        self.shared.emit(kind, &all);
+    fn emit(&self, kind: EventKind, fields: impl FnOnce() -> Vec<Field>) {
+        self.shared.emit_with(kind, || {
+            let mut all = fields();
+            all.push(("request", self.id.clone()));
+            all
+        });
     }
 }
 
--- a/crates/reedsail_router/src/traffic/serve.rs
+++ b/crates/reedsail_router/src/traffic/serve.rs
@@ -28,15 +28,15 @@
     let arrived_at = shared.clock.now();
     let head = shared.protocol.read_call(request.headers());
     let request_id = head.as_ref().ok().and_then(|head| head.request_id.clone());
-    let mut log = RequestLog::begin(&shared, request_id.as_ref(), arrived_at);
+    let mut log = RequestLog::begin(&shared, head.as_ref().ok(), arrived_at);
     let outcome = match read_call(&*shared, request, head, arrived_at).await {
         Ok(call) => {
-            log.set_service(&call.service_name);
+            log.set_call(&call);
             forward(&shared, &pool, call, log).await
         }
         Err(kind) => {
             let failure = Unsent::new().refuse(kind);
-            log.refuse(&failure, None);
+            log.refuse_unplaced(&failure);
             Err(failure)
         }
     };
