Starve workspaces beside a flood in a simulated fleet, and charge attempts that came to nothing, as tests that fail

A flood (4.8 M tokens its level, 9.3 M sent, 173 M asked) keeps engines' queues beyond the target of workspaces within their share; a workspace that enters at late instances is charged 12.7 M tokens in twelve seconds, of which 2.5 M were begun.

--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -162,6 +162,63 @@
     assert!(kinds.contains(&ErrorKind::OverShare));
 }
 
+/// A workspace whose callers entered at instances that were late got 2.5 of the 12.7 million tokens that were
+/// counted as sent for it in twelve seconds, and was refused as over its share meanwhile: an attempt counted from
+/// its beginning on, whether it reached a server or its caller left first. A line of a second in which 0.2 million
+/// tokens of it were begun: `"kind":"over_share", "sent_tokens":"3105835", "level_tokens":"2024903"`, with 642
+/// lines `request_repeated`, all of `"cause":"not_sent"`, besides.
+#[test]
+#[ignore = "known to fail: KNOWN-RED.txt"]
+fn attempts_that_came_to_nothing_are_not_charged() {
+    let prompt = prompt(7);
+    let demand = Demand {
+        service: service(),
+        workspace: NameHash::of("late"),
+        prompt: Some(&prompt),
+        latency_target_ms: 800,
+        waited_ms: 0,
+        tried: &[],
+    };
+    let charged = |outcome: AttemptOutcome, has_begun: bool| {
+        let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("hall"));
+        dispatcher.set_servers(&[engine(0)]);
+        let now = TimeMs(1_000);
+        dispatcher.record_arrival(&demand, now);
+        let Decision::Send(placement) = dispatcher.decide(&demand, now) else {
+            panic!("refused on an idle server");
+        };
+        let mut attempt = dispatcher.begin_attempt(&demand, &placement, now);
+        let later = now.plus_ms(700);
+        if has_begun {
+            dispatcher.record_first_event(&mut attempt, later);
+        }
+        dispatcher.finish_attempt(attempt, outcome, later);
+        let told: f32 = dispatcher
+            .report(later)
+            .workspaces
+            .iter()
+            .map(|row| row.sent_cost)
+            .sum();
+        let known = dispatcher.workspace_share(demand.workspace, later).sent_cost;
+        assert!((known - f64::from(told)).abs() < 1.0, "{known} and {told}");
+        known
+    };
+    for outcome in [
+        AttemptOutcome::Unreachable,
+        AttemptOutcome::Rejected,
+        AttemptOutcome::Abandoned,
+    ] {
+        assert!(
+            charged(outcome, false) < 1.0,
+            "{outcome:?} before its first event"
+        );
+    }
+    // What may have run is charged, and so is what began and broke off.
+    assert!(charged(AttemptOutcome::Failed, false) > 1.0);
+    assert!(charged(AttemptOutcome::Abandoned, true) > 1.0);
+    assert!(charged(AttemptOutcome::Answered, true) > 1.0);
+}
+
 #[test]
 fn what_a_workspace_got_from_other_daemons_counts_here() {
     let use_elsewhere = |name: &str, cost: f32| WorkspaceUseRow {
--- /dev/null
+++ b/crates/reedsail_simulation/src/fleet.rs
@@ -0,0 +1,294 @@
+//! Plays a scenario: the instances, engines and callers, event by event.
+
+use std::collections::HashMap;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use reedsail_core::ErrorKind;
+use reedsail_core::NameHash;
+use reedsail_core::ServerKey;
+use reedsail_core::TableKey;
+use reedsail_core::TimeMs;
+use reedsail_dispatch::Attempt;
+use reedsail_dispatch::AttemptOutcome;
+use reedsail_dispatch::Decision;
+use reedsail_dispatch::Demand;
+use reedsail_dispatch::DispatchSettings;
+use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::Placement;
+use reedsail_dispatch::ServerSetup;
+
+use crate::Outcome;
+use crate::Scenario;
+use crate::WorkspaceOutcome;
+use crate::callers::entry;
+use crate::callers::next_request_us;
+use crate::engine::Engine;
+use crate::engine::Job;
+use crate::engine::Started;
+use crate::event_queue::EventQueue;
+use crate::exchange::Exchange;
+use crate::requests::PromptSource;
+use crate::requests::Request;
+
+/// Failure domains that instances and engines are spread over.
+const FAILURE_DOMAINS: usize = 3;
+/// Interval at which instances judge overdue answers, in milliseconds.
+const TICK_MS: u64 = 50;
+/// Part of a caller's time that it waits at most before it comes back, as the users' callers do.
+const COME_BACK_DIVISOR: u64 = 3;
+
+/// What happens next.
+#[derive(Debug)]
+enum Event {
+    /// A workspace's next request arrives.
+    Arrival { workspace: usize },
+    /// A refused request comes back.
+    ComesBack(Box<Request>),
+    /// A request's first event comes.
+    Begins { number: u64 },
+    /// A request's answer ends.
+    Ends { number: u64 },
+    /// Load is exchanged.
+    Exchange,
+    /// Instances judge overdue answers.
+    Tick,
+}
+
+/// A request that was sent.
+#[derive(Debug)]
+struct Run {
+    request: Request,
+    attempt: Option<Attempt>,
+    engine: usize,
+    arrived_us: u64,
+}
+
+struct Fleet<'a> {
+    scenario: &'a Scenario,
+    random: StdRng,
+    prompts: PromptSource,
+    instances: Vec<Dispatcher>,
+    engines: Vec<Engine>,
+    exchange: Exchange,
+    events: EventQueue<Event>,
+    runs: HashMap<u64, Run>,
+    sent: u64,
+    outcome: Outcome,
+}
+
+/// Plays a scenario to its end.
+pub fn simulate(scenario: &Scenario) -> Outcome {
+    let mut fleet = Fleet::new(scenario);
+    fleet.begin();
+    let end_us = scenario.length_ms * 1_000;
+    while let Some((now_us, event)) = fleet.events.next() {
+        if now_us >= end_us {
+            break;
+        }
+        fleet.handle(event, now_us);
+    }
+    fleet.outcome
+}
+
+fn service() -> NameHash {
+    NameHash::of("engines")
+}
+
+fn engine_setup(number: usize, slots: u32) -> ServerSetup {
+    ServerSetup {
+        name: NameHash::of(&format!("engine-{number}")),
+        service: service(),
+        failure_domain: NameHash::of(&format!("domain-{}", number % FAILURE_DOMAINS)),
+        slots,
+        is_draining: false,
+    }
+}
+
+fn now_of(now_us: u64) -> TimeMs {
+    // Begins at a second, so that no moment is zero, which stands for never.
+    TimeMs(1_000 + now_us / 1_000)
+}
+
+impl<'a> Fleet<'a> {
+    fn new(scenario: &'a Scenario) -> Self {
+        let setups: Vec<ServerSetup> = (0..scenario.engines)
+            .map(|number| engine_setup(number, scenario.speed.slots))
+            .collect();
+        let instances = (0..scenario.instances).map(|number| {
+            let domain = NameHash::of(&format!("domain-{}", number % FAILURE_DOMAINS));
+            let mut instance = Dispatcher::new(DispatchSettings::default(), domain);
+            instance.set_servers(&setups);
+            instance.set_instances(scenario.instances);
+            instance
+        });
+        Self {
+            scenario,
+            random: StdRng::seed_from_u64(scenario.seed),
+            prompts: PromptSource::new(&scenario.kinds, scenario.workspaces.len()),
+            instances: instances.collect(),
+            engines: (0..scenario.engines)
+                .map(|_| Engine::new(scenario.speed))
+                .collect(),
+            exchange: Exchange::new(scenario.instances, scenario.report_delay_ms),
+            events: EventQueue::default(),
+            runs: HashMap::new(),
+            sent: 0,
+            outcome: Outcome {
+                workspaces: vec![WorkspaceOutcome::default(); scenario.workspaces.len()],
+                ..Outcome::default()
+            },
+        }
+    }
+
+    fn begin(&mut self) {
+        for workspace in 0..self.scenario.workspaces.len() {
+            let at_us = next_request_us(self.scenario, workspace, 0, &mut self.random);
+            self.events.add(at_us, Event::Arrival { workspace });
+        }
+        self.events.add(0, Event::Exchange);
+        self.events.add(0, Event::Tick);
+    }
+
+    fn handle(&mut self, event: Event, now_us: u64) {
+        match event {
+            Event::Arrival { workspace } => {
+                let at_us = next_request_us(self.scenario, workspace, now_us, &mut self.random);
+                self.events.add(at_us, Event::Arrival { workspace });
+                let instance = entry(self.scenario, workspace, &mut self.random);
+                let request = self.prompts.draw(workspace, instance, &mut self.random);
+                self.arrive(request, now_us);
+            }
+            Event::ComesBack(request) => self.arrive(*request, now_us),
+            Event::Begins { number } => self.record_first_event(number, now_us),
+            Event::Ends { number } => self.end(number, now_us),
+            Event::Exchange => {
+                self.exchange.tick(&mut self.instances, now_of(now_us));
+                let next_us = now_us + self.scenario.report_every_ms * 1_000;
+                self.events.add(next_us, Event::Exchange);
+            }
+            Event::Tick => {
+                for instance in &mut self.instances {
+                    instance.tick(now_of(now_us));
+                }
+                self.events.add(now_us + TICK_MS * 1_000, Event::Tick);
+            }
+        }
+    }
+
+    /// Brings a request before its instance.
+    fn arrive(&mut self, request: Request, now_us: u64) {
+        let now = now_of(now_us);
+        let cost = request.prompt.cost();
+        let workspace = request.workspace;
+        let name = &self.scenario.workspaces[workspace].name;
+        let demand = Demand {
+            service: service(),
+            workspace: NameHash::of(name),
+            prompt: Some(&request.prompt),
+            latency_target_ms: request.latency_target_ms,
+            waited_ms: 0,
+            tried: &[],
+        };
+        self.outcome.workspaces[workspace].requested += cost;
+        self.outcome.ledger.record_request(name, cost, now_us / 1_000);
+        let instance = &mut self.instances[request.instance];
+        instance.record_arrival(&demand, now);
+        match instance.decide(&demand, now) {
+            Decision::Send(placement) => {
+                let attempt = instance.begin_attempt(&demand, &placement, now);
+                self.send(request, attempt, &placement, now_us);
+            }
+            Decision::Refuse {
+                kind, retry_after_ms, ..
+            } => self.refuse(request, kind, retry_after_ms, now_us),
+        }
+    }
+
+    fn send(&mut self, request: Request, attempt: Attempt, placement: &Placement, now_us: u64) {
+        self.sent += 1;
+        let number = self.sent;
+        let engine = engine_index(placement.server);
+        let job = Job {
+            number,
+            prompt: request.prompt.clone(),
+            is_transferred: placement.cache_source.is_some(),
+        };
+        let run = Run {
+            request,
+            attempt: Some(attempt),
+            engine,
+            arrived_us: now_us,
+        };
+        self.runs.insert(number, run);
+        let started = self.engines[engine].accept(job, now_us);
+        self.schedule(started);
+    }
+
+    /// Counts a refusal; the caller comes back once, by another instance.
+    fn refuse(&mut self, mut request: Request, kind: ErrorKind, retry_after_ms: u64, now_us: u64) {
+        let workspace = &mut self.outcome.workspaces[request.workspace];
+        match kind {
+            ErrorKind::OverShare => workspace.over_share += 1,
+            _ => workspace.would_miss_target += 1,
+        }
+        let name = &self.scenario.workspaces[request.workspace].name;
+        self.outcome.ledger.record_disappointed(name, now_us / 1_000);
+        if request.has_come_back {
+            return;
+        }
+        request.has_come_back = true;
+        request.instance = self.random.random_range(0..self.instances.len());
+        let after_ms = retry_after_ms.min(request.deadline_ms / COME_BACK_DIVISOR);
+        let at_us = now_us + after_ms * 1_000;
+        self.events.add(at_us, Event::ComesBack(Box::new(request)));
+    }
+
+    fn schedule(&mut self, started: Option<Started>) {
+        if let Some(started) = started {
+            let number = started.number;
+            self.events.add(started.first_event_us, Event::Begins { number });
+            self.events.add(started.end_us, Event::Ends { number });
+        }
+    }
+
+    fn record_first_event(&mut self, number: u64, now_us: u64) {
+        let Some(run) = self.runs.get_mut(&number) else {
+            return;
+        };
+        let request = &run.request;
+        if let Some(attempt) = &mut run.attempt {
+            self.instances[request.instance].record_first_event(attempt, now_of(now_us));
+        }
+        let cost = request.prompt.cost();
+        let name = &self.scenario.workspaces[request.workspace].name;
+        let outcome = &mut self.outcome.workspaces[request.workspace];
+        outcome.got += cost;
+        self.outcome.ledger.record_begun(name, cost, now_us / 1_000);
+        let is_late = now_us - run.arrived_us > request.latency_target_ms * 1_000;
+        if is_late {
+            outcome.late += 1;
+            self.outcome.ledger.record_disappointed(name, now_us / 1_000);
+        } else {
+            outcome.in_target += 1;
+        }
+    }
+
+    fn end(&mut self, number: u64, now_us: u64) {
+        let Some(run) = self.runs.remove(&number) else {
+            return;
+        };
+        if let Some(attempt) = run.attempt {
+            let instance = &mut self.instances[run.request.instance];
+            instance.finish_attempt(attempt, AttemptOutcome::Answered, now_of(now_us));
+        }
+        let started = self.engines[run.engine].end(now_us);
+        self.schedule(started);
+    }
+}
+
+/// Returns the engine of a key: all instances were given the same list, in the order of the engines.
+fn engine_index(server: ServerKey) -> usize {
+    server.index()
+}
--- /dev/null
+++ b/crates/reedsail_simulation/src/lib.rs
@@ -0,0 +1,26 @@
+//! A simulated fleet: the router's own decisions on many instances, before simulated engines and callers, in
+//! simulated time and without sockets.
+//!
+//! A [`Scenario`] says what there is and who asks for how much; [`simulate`] plays it and returns what each
+//! workspace got. The same scenario gives the same outcome. What is real: decisions, sums of load and their
+//! way into the decisions. What is simulated: the network (a delay), engines (a slot, a prefill unit, a
+//! cache) and callers. It is for policies that only show under load of many workspaces; whether messages
+//! reach everyone is tested in `reedsail_gossip`.
+
+mod callers;
+mod engine;
+mod event_queue;
+mod exchange;
+mod fleet;
+mod outcome;
+mod requests;
+mod scenario;
+
+pub use fleet::simulate;
+pub use outcome::Outcome;
+pub use outcome::WorkspaceOutcome;
+pub use scenario::EngineSpeed;
+pub use scenario::Flood;
+pub use scenario::PromptKind;
+pub use scenario::Scenario;
+pub use scenario::WorkspacePlan;
