Charge a workspace only for attempts that a server may have worked on

Cause: an attempt counted as sent from its beginning, and stayed counted when no server had it: the connection failed, the server rejected it, or the caller left before a byte was written. Up to six attempts of one request counted. A workspace whose callers entered at late instances was over its share with little begun. Change: such an attempt is taken back from the bucket that it was counted in. One that was written is charged whatever came of it: the server may have read its prompt.

--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -19,6 +19,9 @@
     number: u64,
     pub(crate) server: ServerKey,
     pub(crate) service: NameHash,
+    /// The workspace that it was charged to, and what it costs in tokens.
+    pub(crate) workspace: NameHash,
+    pub(crate) cost: f64,
     /// Rounds of requests that the server's slots needed when it began, itself included.
     pub(crate) rounds: f64,
     pub(crate) prefill_tokens: u32,
@@ -30,6 +33,7 @@
     pub(crate) began_at: TimeMs,
     pub(crate) has_answered: bool,
     pub(crate) has_prompt: bool,
+    is_written: bool,
 }
 
 impl Attempt {
@@ -37,6 +41,20 @@
     pub fn server(&self) -> ServerKey {
         self.server
     }
+
+    /// Records whether the server may have the request by now, or is known not to have it.
+    pub fn set_written(&mut self, is_written: bool) {
+        self.is_written = is_written;
+    }
+
+    /// Tells whether the server may have worked on the request, given how the attempt ended.
+    pub(crate) fn may_have_run(&self, outcome: AttemptOutcome) -> bool {
+        match outcome {
+            AttemptOutcome::Answered | AttemptOutcome::Failed => true,
+            AttemptOutcome::Rejected | AttemptOutcome::Unreachable => self.has_answered,
+            AttemptOutcome::Abandoned => self.has_answered || self.is_written,
+        }
+    }
 }
 
 /// What became of an attempt, as far as it speaks of the server.
@@ -77,6 +95,8 @@
             number: self.begun,
             server: placement.server,
             service: demand.service,
+            workspace: demand.workspace,
+            cost: demand.cost(),
             rounds,
             prefill_tokens: placement.prefill_tokens,
             work: placement.work,
@@ -85,6 +105,7 @@
             began_at: now,
             has_answered: false,
             has_prompt: demand.engine_prompt().is_some(),
+            is_written: false,
         }
     }
 
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -157,6 +157,10 @@
 
     /// Ends an attempt, and judges the server by its outcome.
     pub fn finish_attempt(&mut self, mut attempt: Attempt, outcome: AttemptOutcome, now: TimeMs) {
+        if !attempt.may_have_run(outcome) {
+            self.usage
+                .take_back(attempt.workspace, attempt.cost, attempt.began_at);
+        }
         if !attempt.has_answered {
             self.end_prefill(&mut attempt);
         }
--- a/crates/reedsail_dispatch/src/fair_share.rs
+++ b/crates/reedsail_dispatch/src/fair_share.rs
@@ -133,6 +133,20 @@
         entry.bucket(number).sent += cost as f32;
     }
 
+    /// Takes back what was counted as sent at a moment, since no server had it: callers that enter at a late
+    /// instance would put their workspace over its share by attempts that it never got.
+    pub(crate) fn take_back(&mut self, workspace: NameHash, cost: f64, sent_at: TimeMs) {
+        let number = sent_at.0 / self.bucket_ms;
+        let Some(entry) = self.workspaces.get_mut(&workspace) else {
+            return;
+        };
+        let bucket = &mut entry.buckets[(number % BUCKETS as u64) as usize];
+        // Another number: the window has moved on, and the amount with it.
+        if bucket.number == number {
+            bucket.sent = (bucket.sent - cost as f32).max(0.0);
+        }
+    }
+
     /// Adds or, with a negative sign, takes away what a peer reported.
     pub(crate) fn add_peer(&mut self, rows: &[WorkspaceUseRow], sign: f64) {
         for row in rows {
--- a/crates/reedsail_router/src/traffic/attempt_guard.rs
+++ b/crates/reedsail_router/src/traffic/attempt_guard.rs
@@ -31,6 +31,13 @@
         }
     }
 
+    /// Records whether the server may have the request by now, or is known not to have it.
+    pub(crate) fn set_written(&mut self, is_written: bool) {
+        if let Some(attempt) = &mut self.attempt {
+            attempt.set_written(is_written);
+        }
+    }
+
     /// Records the first event of the answer; later calls do nothing.
     pub(crate) fn record_first_event(&mut self) {
         if let Some(attempt) = &mut self.attempt {
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -57,7 +57,7 @@
     call: &Call,
     placement: &Placement,
     resume_after: Option<&str>,
-    guard: AttemptGuard<H>,
+    mut guard: AttemptGuard<H>,
 ) -> AttemptResult<H> {
     let unsent = Unsent::new();
     let Some(server) = shared.servers.load().get(&placement.server).cloned() else {
@@ -71,20 +71,25 @@
     let now = shared.clock.now();
     let deadline = shared.clock.instant(call.deadline);
     let (request, unsent) = match pool.take(placement.server, now) {
-        Some(connection) => match exchange(connection, request, unsent, deadline).await {
-            // An idle connection that the server has closed says nothing about the server.
-            Exchange::HandedBack(unsent, request) => (*request, unsent),
-            Exchange::Head(sent, response, connection) => {
-                return read_head(shared, call, sent, *response, connection, guard);
+        Some(connection) => {
+            guard.set_written(true);
+            match exchange(connection, request, unsent, deadline).await {
+                // An idle connection that the server has closed says nothing about the server.
+                Exchange::HandedBack(unsent, request) => (*request, unsent),
+                Exchange::Head(sent, response, connection) => {
+                    return read_head(shared, call, sent, *response, connection, guard);
+                }
+                Exchange::Failed(sent, kind) => return fail(guard, sent, kind),
             }
-            Exchange::Failed(sent, kind) => return fail(guard, sent, kind),
-        },
+        }
         None => (request, unsent),
     };
+    guard.set_written(false);
     let Some(connection) = open(shared, call, &server).await else {
         guard.close(AttemptOutcome::Unreachable);
         return AttemptResult::NotSent(unsent);
     };
+    guard.set_written(true);
     match exchange(connection, request, unsent, deadline).await {
         Exchange::HandedBack(unsent, _) => {
             guard.close(AttemptOutcome::Unreachable);
