--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -4,7 +4,8 @@
 //! that is dropped counts at once, unless it may have lapsed only because the store was out: then the
 //! server stays usable as a suspect for [`SUSPECT_GRACE_MS`]. A server that a peer with a newer list
 //! advertises as departed gets no new work before the list is fetched. A suspect of a peer is one here too,
-//! but for a server that this instance knows to have departed.
+//! but for a server that this instance knows to have departed. A server that started again under its id is
+//! another one: the earlier incarnation has departed. A record that cannot be read ends its server.
 //!
 //! **Inputs.** The store's records with their place in its log (the revision) and the time of asking;
 //! peers' revision, digest, age (milliseconds) and departures; failed reads.
@@ -50,6 +51,8 @@
     record: ServerRecord,
     /// Set while its record is missing and may have lapsed because the store was out.
     suspect_until: Option<TimeMs>,
+    /// Until when it is cold by its record; `None` for a warm one.
+    cold_until: Option<TimeMs>,
 }
 
 /// What has changed in the list.
@@ -57,6 +60,10 @@
 pub struct ListDelta {
     /// Servers that are new.
     pub listed: Vec<String>,
+    /// Servers that started again under their id.
+    pub restarted: Vec<String>,
+    /// Servers that turned cold, are cold for longer than was known, or are warm again.
+    pub cold: Vec<String>,
     /// Servers that began to drain.
     pub draining: Vec<String>,
     /// Servers that departed.
@@ -68,7 +75,14 @@
 impl ListDelta {
     /// Tells whether the list stayed the same.
     pub fn is_empty(&self) -> bool {
-        self.listed.is_empty() && self.draining.is_empty() && self.unlisted.is_empty()
+        let changes = [
+            &self.listed,
+            &self.restarted,
+            &self.cold,
+            &self.draining,
+            &self.unlisted,
+        ];
+        changes.iter().all(|ids| ids.is_empty())
     }
 }
 
@@ -130,7 +144,11 @@
             match change {
                 ServerChange::Announced(record) => self.announce(record, now, &mut delta),
                 ServerChange::Dropped { id } => self.drop_record(&id, now, &mut delta),
-                ServerChange::Unreadable { id, fault } => delta.unreadable.push((id, fault)),
+                ServerChange::Unreadable { id, fault } => {
+                    // Whoever wrote it, it names no server any more, and the server writes its own again.
+                    self.remove(&id, now, &mut delta);
+                    delta.unreadable.push((id, fault));
+                }
             }
         }
         delta
@@ -164,7 +182,7 @@
     /// departed: the peer was cut off while it left, and would bring it back into use everywhere.
     fn take_suspect(&mut self, record: ServerRecord, now: TimeMs, delta: &mut ListDelta) {
         let id = record.id.clone();
-        let is_departed = self.departures.contains_key(&NameHash::of(&id));
+        let is_departed = self.departures.contains_key(&record.name());
         if !self.entries.contains_key(&id) {
             if is_departed {
                 return;
@@ -216,15 +234,29 @@
         for id in lapsed {
             self.remove(&id, now, &mut delta);
         }
+        self.end_cold(now);
         delta
     }
 
+    /// Marks servers as warm whose time is over: every instance does so at about the same moment, so that the
+    /// digests of equal lists stay equal. The decisions know the moment and need no news of it.
+    fn end_cold(&mut self, now: TimeMs) {
+        for entry in self.entries.values_mut() {
+            if entry.cold_until.is_some_and(|until| until <= now) {
+                self.digest = self.digest.wrapping_sub(entry_digest(entry));
+                entry.cold_until = None;
+                self.digest = self.digest.wrapping_add(entry_digest(entry));
+            }
+        }
+    }
+
     /// Returns all servers; those whose departure a peer advertised count as draining.
     pub fn listing(&self, now: TimeMs) -> ServerListing {
         let marked = |entry: &Entry| {
             let mut record = entry.record.clone();
-            let advertised_until = self.advertised_departures.get(&NameHash::of(&record.id));
+            let advertised_until = self.advertised_departures.get(&record.name());
             record.is_draining |= advertised_until.is_some_and(|until| *until > now);
+            record.cold_left_ms = entry.cold_until.map_or(0, |until| until.since_ms(now));
             record
         };
         ServerListing {
@@ -266,32 +298,38 @@
     }
 
     fn announce(&mut self, record: ServerRecord, now: TimeMs, delta: &mut ListDelta) {
-        let was_draining = self
-            .entries
-            .get(&record.id)
-            .is_some_and(|entry| entry.record.is_draining);
-        if record.is_draining && !was_draining {
-            self.advertise_departure(&record.id, now);
-            delta.draining.push(record.id.clone());
-        }
-        if !record.is_draining {
-            let hash = NameHash::of(&record.id);
-            self.advertised_departures.remove(&hash);
-            self.departures.remove(&hash);
-        }
         let id = record.id.clone();
+        let name = record.name();
+        let before = self.entries.remove(&id);
+        if let Some(before) = &before {
+            self.digest = self.digest.wrapping_sub(entry_digest(before));
+        }
+        let same = before.as_ref().filter(|entry| entry.record.name() == name);
+        let was_draining = same.is_some_and(|entry| entry.record.is_draining);
+        let was_cold_until = same.and_then(|entry| entry.cold_until);
         let entry = Entry {
+            cold_until: (record.cold_left_ms > 0).then(|| now.plus_ms(record.cold_left_ms)),
             record,
             suspect_until: None,
         };
-        self.digest = self.digest.wrapping_add(entry_digest(&entry));
-        let before = self.entries.insert(id.clone(), entry);
-        if let Some(before) = &before {
-            self.digest = self.digest.wrapping_sub(entry_digest(before));
+        match &before {
+            None => delta.listed.push(id.clone()),
+            Some(earlier) if same.is_none() => {
+                self.advertise_departure(earlier.record.name(), now);
+                delta.restarted.push(id.clone());
+            }
+            Some(_) if was_cold_until != entry.cold_until => delta.cold.push(id.clone()),
+            Some(_) => {}
         }
-        if before.is_none() {
-            delta.listed.push(id);
+        if !entry.record.is_draining {
+            self.advertised_departures.remove(&name);
+            self.departures.remove(&name);
+        } else if !was_draining {
+            self.advertise_departure(name, now);
+            delta.draining.push(id.clone());
         }
+        self.digest = self.digest.wrapping_add(entry_digest(&entry));
+        self.entries.insert(id, entry);
     }
 
     /// Takes a record out; one that may have lapsed only because the store did not take the server's
@@ -338,14 +376,13 @@
     fn remove(&mut self, id: &str, now: TimeMs, delta: &mut ListDelta) {
         if let Some(entry) = self.entries.remove(id) {
             self.digest = self.digest.wrapping_sub(entry_digest(&entry));
-            self.advertise_departure(id, now);
+            self.advertise_departure(entry.record.name(), now);
             delta.unlisted.push(id.to_owned());
         }
     }
 
-    fn advertise_departure(&mut self, id: &str, now: TimeMs) {
-        self.departures
-            .insert(NameHash::of(id), now.plus_ms(ADVERTISE_MS));
+    fn advertise_departure(&mut self, name: NameHash, now: TimeMs) {
+        self.departures.insert(name, now.plus_ms(ADVERTISE_MS));
     }
 }
 
@@ -358,14 +395,16 @@
 fn entry_digest(entry: &Entry) -> u64 {
     let record = &entry.record;
     let text = format!(
-        "{}\n{}\n{}\n{}\n{}\n{}\n{}",
+        "{}\n{}\n{}\n{}\n{}\n{}\n{}\n{}\n{:?}",
         record.id,
         record.service,
         record.address,
         record.failure_domain,
         record.slots,
         record.is_draining,
-        entry.suspect_until.is_some()
+        entry.suspect_until.is_some(),
+        entry.cold_until.is_some(),
+        record.born_ms
     );
     XxHash64::oneshot(0, text.as_bytes())
 }
--- a/crates/reedsail_dispatch/src/server_record.rs
+++ b/crates/reedsail_dispatch/src/server_record.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 
+use reedsail_core::NameHash;
 use serde::Deserialize;
 use serde::Serialize;
 
 /// A backend server, as it announced itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerRecord {
-    /// Its id; each start of a server has a new one.
+    /// Its id. A server may start again under the id that it had; see [`ServerRecord::name`].
     pub id: String,
     /// The service that it belongs to.
     pub service: String,
@@ -22,6 +23,25 @@
     /// under its old name.
     #[serde(rename = "is_leaving")]
     pub is_draining: bool,
+    /// How long it is still cold, in milliseconds from the reading of the record: after a start a server bears
+    /// few requests. Zero for a warm one.
+    #[serde(default)]
+    pub cold_left_ms: u64,
+    /// When it started, in milliseconds of Unix time by its own clock; `None` where it does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born_ms: Option<u64>,
+}
+
+impl ServerRecord {
+    /// Returns the name of this incarnation of the server, by which all that is believed of it is kept: load,
+    /// cached segments, failures, connections, departures. A server that started again has another name, so
+    /// nothing of the earlier incarnation is ever taken for its own, and no old report brings that one back.
+    pub fn name(&self) -> NameHash {
+        match self.born_ms {
+            Some(born_ms) => NameHash::of(&format!("{}@{born_ms}", self.id)),
+            None => NameHash::of(&self.id),
+        }
+    }
 }
 
 /// A change in the list of backend servers.
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -21,7 +21,7 @@
 /// A backend server as the service discovery describes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerSetup {
-    /// Its name; each start of a server has a new one.
+    /// Its name; each start of a server has a new one (see `ServerRecord::name`).
     pub name: NameHash,
     /// The service that it belongs to.
     pub service: NameHash,
@@ -31,6 +31,8 @@
     pub slots: u32,
     /// It is draining: it finishes what it runs and gets no new work.
     pub is_draining: bool,
+    /// Until when it is cold by its own word; `None` for a warm one.
+    pub cold_until: Option<TimeMs>,
 }
 
 /// Requests, and prompt tokens still to be prefilled, on a server.
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -103,6 +103,7 @@
         failure_domain: NameHash::of(&format!("hall-{}", index % 3)),
         slots: if is_engine { 16 } else { 4 },
         is_draining: false,
+        cold_until: None,
     }
 }
 
@@ -372,6 +373,8 @@
         failure_domain: "hall-a".to_owned(),
         slots: 16,
         is_draining,
+        cold_left_ms: 0,
+        born_ms: None,
     }
 }
 
--- a/crates/reedsail_dispatch/tests/flood_simulation/mod.rs
+++ b/crates/reedsail_dispatch/tests/flood_simulation/mod.rs
@@ -281,5 +281,6 @@
         failure_domain: NameHash::of(&format!("domain-{}", number % 3)),
         slots: SLOTS,
         is_draining: false,
+        cold_until: None,
     }
 }
--- a/crates/reedsail_dispatch/tests/herd.rs
+++ b/crates/reedsail_dispatch/tests/herd.rs
@@ -52,6 +52,7 @@
             failure_domain: NameHash::of(&format!("hall-{index}")),
             slots: SLOTS as u32,
             is_draining: false,
+            cold_until: None,
         })
         .collect()
 }
--- a/crates/reedsail_dispatch/tests/placement.rs
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -25,6 +25,7 @@
         failure_domain: NameHash::of(&format!("hall-{}", number % 3)),
         slots: 64,
         is_draining: false,
+        cold_until: None,
     }
 }
 
@@ -399,3 +400,25 @@
     let (as_expected, slow) = (sent_before_a_refusal(1), sent_before_a_refusal(3));
     assert!(slow * 2 < as_expected, "{slow} of {as_expected}");
 }
+
+#[test]
+fn nothing_is_believed_of_a_server_that_started_again() {
+    let mut servers = engines(1);
+    let mut instance = dispatcher(&servers);
+    let prompt = prompt(7, 1_000);
+    let before = serve(&mut instance, &prompt, START);
+    let again = placed(instance.decide(&demand("labska", &prompt), START));
+    assert_eq!(again.prefill_tokens, 1_000);
+    let report_of_before = instance.report(START);
+    // The server fails, and starts again.
+    let demand = demand("labska", &prompt);
+    let attempt = instance.begin_attempt(&demand, &again, START);
+    instance.finish_attempt(attempt, AttemptOutcome::Unreachable, START);
+    servers[0].name = NameHash::of("engine-0, started again");
+    instance.set_servers(&servers);
+    // An old report of a peer speaks of the earlier start.
+    instance.receive_report(NameHash::of("peer"), report_of_before, START);
+    let after = placed(instance.decide(&demand, START));
+    assert_ne!(after.server, before.server);
+    assert_eq!((after.prefill_tokens, after.queue_ms), (14_000, 0));
+}
--- a/crates/reedsail_dispatch/tests/plain_services.rs
+++ b/crates/reedsail_dispatch/tests/plain_services.rs
@@ -30,6 +30,7 @@
         failure_domain: NameHash::of("hall-a"),
         slots: 4,
         is_draining: false,
+        cold_until: None,
     }]);
     dispatcher
 }
--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -30,6 +30,7 @@
         failure_domain: NameHash::of("hall"),
         slots: 64,
         is_draining: false,
+        cold_until: None,
     }
 }
 
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -95,6 +95,14 @@
     ServerRecordInvalid = 310, "server_record_invalid", Warn, "a record of a backend server cannot be read and is skipped; see its error";
     /// A router reports its load to another aggregator, or aggregates itself.
     AggregatorChanged = 311, "aggregator_changed", Info, "the instance reports its load to another aggregator, or aggregates itself";
+    /// A backend server started again under its id.
+    ServerRestarted = 312, "server_restarted", Info, "a backend server started again under its id; what was known of its earlier start is forgotten";
+    /// A backend server turned cold, or is warm.
+    ServerCold = 313, "server_cold", Info, "a backend server says that it is cold after a start, or warm again; a cold one gets few requests, from few instances";
+    /// A failure domain is evacuated.
+    DomainEvacuated = 314, "domain_evacuated", Warn, "the operator evacuates a failure domain: its backend servers get nothing new";
+    /// A failure domain is no longer evacuated.
+    DomainReturned = 315, "domain_returned", Info, "the operator has taken a failure domain back; its backend servers count as cold at first";
 
     /// The platform cannot be reached.
     PlatformLost = 400, "platform_lost", Error, "the platform cannot be reached; calls that need a claim are refused as not run";
--- a/crates/reedsail_router/src/control/server_publication.rs
+++ b/crates/reedsail_router/src/control/server_publication.rs
@@ -32,13 +32,13 @@
 /// Gives the list to the decisions and to the traffic thread.
 pub(crate) fn publish_servers<H>(shared: &Shared<H>, list: &ServerList, now: TimeMs) {
     let records = list.listing(now).records;
-    let setups: Vec<ServerSetup> = records.iter().map(setup_of).collect();
+    let setups: Vec<ServerSetup> = records.iter().map(|record| setup_of(record, now)).collect();
     let mut dispatcher = shared.dispatcher();
     dispatcher.set_servers(&setups);
     let views: HashMap<_, _> = records
         .into_iter()
         .filter_map(|record| {
-            let key = dispatcher.server_key(NameHash::of(&record.id))?;
+            let key = dispatcher.server_key(record.name())?;
             let view = ServerView {
                 id: record.id,
                 address: record.address,
@@ -50,19 +50,22 @@
     shared.servers.store(Arc::new(views));
 }
 
-fn setup_of(record: &ServerRecord) -> ServerSetup {
+fn setup_of(record: &ServerRecord, now: TimeMs) -> ServerSetup {
     ServerSetup {
-        name: NameHash::of(&record.id),
+        name: record.name(),
         service: NameHash::of(&record.service),
         failure_domain: NameHash::of(&record.failure_domain),
         slots: record.slots,
         is_draining: record.is_draining,
+        cold_until: (record.cold_left_ms > 0).then(|| now.plus_ms(record.cold_left_ms)),
     }
 }
 
 fn log_delta<H>(shared: &Shared<H>, delta: &ListDelta, origin: Origin, age_ms: u64) {
     let changes = [
         (EventKind::ServerListed, &delta.listed),
+        (EventKind::ServerRestarted, &delta.restarted),
+        (EventKind::ServerCold, &delta.cold),
         (EventKind::ServerDraining, &delta.draining),
         (EventKind::ServerUnlisted, &delta.unlisted),
     ];
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -152,6 +152,8 @@
         failure_domain: "hall-a".to_owned(),
         slots: 64,
         is_draining: false,
+        cold_left_ms: 0,
+        born_ms: None,
     }
 }
 
--- a/crates/reedsail_router/tests/golden.rs
+++ b/crates/reedsail_router/tests/golden.rs
@@ -260,6 +260,8 @@
         failure_domain: "hall-a".to_owned(),
         slots: 4,
         is_draining,
+        cold_left_ms: 0,
+        born_ms: None,
     }
 }
 
--- a/crates/reedsail_simulation/src/fleet.rs
+++ b/crates/reedsail_simulation/src/fleet.rs
@@ -103,6 +103,7 @@
         failure_domain: NameHash::of(&format!("domain-{}", number % FAILURE_DOMAINS)),
         slots,
         is_draining: false,
+        cold_until: None,
     }
 }
 
