--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -20,6 +20,7 @@
 use crate::Placement;
 use crate::Prompt;
 use crate::ServerSetup;
+use crate::SlowStartLimit;
 use crate::WorkspaceShare;
 use crate::admission::admit;
 use crate::attempt::UnansweredAttempts;
@@ -30,6 +31,7 @@
 use crate::prefix_memory::PrefixMemory;
 use crate::retry::RetryBudgets;
 use crate::server_table::ServerTable;
+use crate::slow_start::Senders;
 
 /// Decides where requests go; one for each instance.
 #[derive(Debug)]
@@ -71,6 +73,22 @@
         self.peers.recount(&mut self.servers);
     }
 
+    /// Replaces what the operators state of cold servers, by service.
+    pub fn set_slow_starts(&mut self, limits: HashMap<NameHash, SlowStartLimit>) {
+        self.servers.set_limits(limits);
+    }
+
+    /// Replaces the failure domains whose servers get nothing new.
+    pub fn set_evacuated(&mut self, failure_domains: &[NameHash], now: TimeMs) {
+        self.servers.set_evacuated(failure_domains, now);
+    }
+
+    /// Sets this instance's name and the known instances, this one included, each with its failure domain.
+    /// Until then this instance sends nothing to cold servers.
+    pub fn set_members(&mut self, own: NameHash, members: &[(NameHash, NameHash)]) {
+        self.servers.set_senders(Senders::new(own, members));
+    }
+
     /// Returns what was learned of the speed of a service's engines, or the first guess.
     pub fn first_event_model(&self, service: NameHash) -> FirstEventModel {
         self.models.get(&service).copied().unwrap_or_default()
@@ -125,7 +143,9 @@
     /// Records that a request is being sent where it was decided.
     pub fn begin_attempt(&mut self, demand: &Demand<'_>, placement: &Placement, now: TimeMs) -> Attempt {
         self.usage.record_sent(demand.workspace, demand.cost(), now);
+        let limit = self.servers.limit(demand.service);
         let server = self.servers.get_mut(placement.server);
+        server.record_sent(limit, now);
         let rounds = plain_rounds(server);
         server.own.running += 1;
         server.own.prefill_tokens += u64::from(placement.prefill_tokens);
@@ -164,6 +184,9 @@
         if !attempt.has_answered {
             self.end_prefill(&mut attempt);
         }
+        if outcome == AttemptOutcome::Unreachable {
+            self.servers.record_unreachable(attempt.server, true, now);
+        }
         let server = self.servers.get_mut(attempt.server);
         server.own.running = server.own.running.saturating_sub(1);
         server.health.record_outcome(outcome, now);
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -14,6 +14,9 @@
 //! | `overload` | does this instance refuse requests or shed callers |
 //! | `shutdown` | which requests are taken while stopping |
 //! | `server_list` | which records are believed after a store outage |
+//! | `server_life` | may a server get new work, by all that is known of it |
+//! | `slow_start` | who sends to a cold server, and how much |
+//! | `evacuations` | which failure domains get nothing new |
 //! | `store_reader`, with `duty_rank` | which instance of a failure domain reads the store |
 //! | `gossip_timing` | intervals and silence by fleet size |
 //!
@@ -24,6 +27,7 @@
 mod demand;
 mod dispatcher;
 mod duty_rank;
+mod evacuations;
 mod failure_rate;
 mod fair_share;
 mod first_event_model;
@@ -37,11 +41,13 @@
 mod prefix_memory;
 mod retry;
 mod server_health;
+mod server_life;
 mod server_list;
 mod server_record;
 mod server_table;
 mod settings;
 mod shutdown;
+mod slow_start;
 mod store_reader;
 
 pub use admission::time_left_ms;
@@ -55,6 +61,9 @@
 pub use demand::request_cost;
 pub use dispatcher::Dispatcher;
 pub use duty_rank::DutyRank;
+pub use evacuations::EvacuationRow;
+pub use evacuations::EvacuationUpdate;
+pub use evacuations::Evacuations;
 pub use fair_share::WorkspaceShare;
 pub use first_event_model::EngineWork;
 pub use first_event_model::FirstEventModel;
@@ -75,6 +84,9 @@
 pub use retry::RetryPolicy;
 pub use retry::RetryVerdict;
 pub use retry::RetryWindow;
+pub use server_life::LifeEvent;
+pub use server_life::LifeState;
+pub use server_life::ServerLife;
 pub use server_list::ListComparison;
 pub use server_list::ListDelta;
 pub use server_list::PeerListState;
@@ -86,6 +98,7 @@
 pub use server_table::ServerSetup;
 pub use settings::DispatchSettings;
 pub use shutdown::Shutdown;
+pub use slow_start::SlowStartLimit;
 pub use store_reader::ReaderCandidate;
 pub use store_reader::StoreTopic;
 pub use store_reader::is_reader;
--- a/crates/reedsail_dispatch/src/peer_reports.rs
+++ b/crates/reedsail_dispatch/src/peer_reports.rs
@@ -47,6 +47,9 @@
                     .get_mut(key)
                     .health
                     .receive_failures(rate, now, valid_until);
+                if row.is_unreachable {
+                    servers.record_unreachable(key, false, now);
+                }
             }
         }
         self.reports.insert(peer, PeerReport { report, valid_until });
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -3,8 +3,8 @@
 //! **Rule.** A prompt goes to one of the two servers that rank first for its last shared segment by
 //! rendezvous hashing, to the one whose first event is expected earliest; the second one pays a spread
 //! penalty. A request without a prompt goes to the server with the least expected time of its service.
-//! Servers already tried, draining or not listed are left out; unreachable ones are used only if there
-//! is no other.
+//! Servers already tried are left out, and those whose life or slow start lets nothing be sent to them
+//! (`server_life`, `slow_start`); unreachable ones are used only if there is no other.
 //!
 //! **Inputs.** Requests and prefill tokens on each server from all instances, slots, health, the
 //! segments each server has cached, the service's first-event model; times in milliseconds.
@@ -72,12 +72,13 @@
 
     /// Returns the servers that may be tried; unreachable ones only if there is no other.
     fn usable_servers(&self, demand: &Demand<'_>) -> Vec<ServerKey> {
+        let limit = self.servers.limit(demand.service);
         let open: Vec<ServerKey> = self
             .servers
             .of_service(demand.service)
             .iter()
             .copied()
-            .filter(|key| self.servers.get(*key).takes_work() && !demand.tried.contains(key))
+            .filter(|key| self.servers.get(*key).takes_work(limit, self.now) && !demand.tried.contains(key))
             .collect();
         let reachable: Vec<ServerKey> = open
             .iter()
@@ -175,7 +176,7 @@
         }
         self.prefixes.holders(segment, self.now).find(|key| {
             let server = self.servers.get(*key);
-            *key != chosen && server.is_listed && server.health.is_reachable(self.now)
+            *key != chosen && server.life.is_listed() && server.health.is_reachable(self.now)
         })
     }
 
--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -267,6 +267,12 @@
         }
     }
 
+    /// Returns the name of a failure domain that has a server.
+    pub fn failure_domain_name(&self, failure_domain: NameHash) -> Option<String> {
+        let mut names = self.entries.values().map(|entry| &entry.record.failure_domain);
+        names.find(|name| NameHash::of(name) == failure_domain).cloned()
+    }
+
     fn suspects(&self) -> Vec<String> {
         let suspects = self
             .entries
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -1,7 +1,8 @@
 //! Backend servers that this instance knows, with the load and the health of each.
 //!
 //! Owns the arena of servers behind `ServerKey`s, which stay valid for the life of the process. Relies
-//! on the server list for what is listed, and on load reports for the load of other instances.
+//! on the server list for what is listed, and on load reports for the load of other instances. What may be
+//! sent to a server follows from its life (`server_life`) and, while it is cold, from `slow_start`.
 
 use std::collections::HashMap;
 
@@ -10,13 +11,22 @@
 use reedsail_core::TableKey;
 use reedsail_core::TimeMs;
 
+use crate::LifeEvent;
+use crate::LifeState;
+use crate::ServerLife;
 use crate::ServerLoadRow;
+use crate::SlowStartLimit;
 use crate::server_health::ServerHealth;
+use crate::slow_start::ColdAllowance;
+use crate::slow_start::Senders;
 
 /// How a load report writes a failure rate of one, in a byte.
 pub(crate) const FAILURE_RATE_ONE: f64 = 255.0;
 /// A lower failure rate, in the unit above, is not reported for an idle server. Chosen, not measured.
 const FAILURE_RATE_REPORTED_MIN: u8 = 8;
+/// How long a failed connect is reported to peers, in milliseconds: some reports may be lost. Chosen, not
+/// measured.
+const UNREACHABLE_REPORTED_MS: u64 = 1_000;
 
 /// A backend server as the service discovery describes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,8 +55,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ServerState {
     pub(crate) setup: ServerSetup,
-    /// `false` once discovery no longer lists it.
-    pub(crate) is_listed: bool,
+    pub(crate) life: ServerLife,
+    pub(crate) cold: ColdAllowance,
+    /// When this instance last failed to connect to it.
+    unreachable_at: Option<TimeMs>,
     pub(crate) own: Load,
     pub(crate) peers: Load,
     pub(crate) health: ServerHealth,
@@ -56,7 +68,9 @@
     fn new(setup: ServerSetup) -> Self {
         Self {
             setup,
-            is_listed: true,
+            life: ServerLife::default(),
+            cold: ColdAllowance::default(),
+            unreachable_at: None,
             own: Load::default(),
             peers: Load::default(),
             health: ServerHealth::default(),
@@ -71,8 +85,20 @@
         self.own.prefill_tokens + self.peers.prefill_tokens
     }
 
-    pub(crate) fn takes_work(&self) -> bool {
-        self.is_listed && !self.setup.is_draining
+    /// Tells whether a request may be sent to it now; `limit` is what its service's cold servers bear.
+    pub(crate) fn takes_work(&self, limit: SlowStartLimit, now: TimeMs) -> bool {
+        match self.life.state(now) {
+            LifeState::Warm => true,
+            LifeState::Cold => self.cold.allows(limit, now),
+            LifeState::Evacuated | LifeState::Draining | LifeState::Departed => false,
+        }
+    }
+
+    /// Records that a request is sent to it.
+    pub(crate) fn record_sent(&mut self, limit: SlowStartLimit, now: TimeMs) {
+        if self.life.state(now) == LifeState::Cold {
+            self.cold.take(limit, now);
+        }
     }
 }
 
@@ -82,32 +108,102 @@
     servers: Vec<ServerState>,
     by_name: HashMap<NameHash, ServerKey>,
     by_service: HashMap<NameHash, Vec<ServerKey>>,
+    limits: HashMap<NameHash, SlowStartLimit>,
+    evacuated: Vec<NameHash>,
+    senders: Senders,
 }
 
 impl ServerTable {
     /// Replaces the list of servers; those that it no longer names get no new work.
     pub(crate) fn configure(&mut self, setups: &[ServerSetup]) {
         for server in &mut self.servers {
-            server.is_listed = false;
+            server.life.apply(LifeEvent::Unlisted);
         }
         for setup in setups {
-            if let Some(key) = self.by_name.get(&setup.name) {
-                let server = &mut self.servers[key.index()];
-                server.setup = *setup;
-                server.is_listed = true;
-                continue;
+            let key = self.key_or_new(setup);
+            let is_evacuated = self.evacuated.contains(&setup.failure_domain);
+            let is_sender = self.senders.include_own(setup.name, setup.failure_domain);
+            let server = &mut self.servers[key.index()];
+            server.setup = *setup;
+            server.life.apply(LifeEvent::Listed {
+                is_draining: setup.is_draining,
+                cold_until: setup.cold_until,
+            });
+            if is_evacuated {
+                server.life.apply(LifeEvent::Evacuated);
             }
-            let key = ServerKey::from_index(self.servers.len());
-            self.servers.push(ServerState::new(*setup));
-            self.by_name.insert(setup.name, key);
+            server.cold.is_sender = is_sender;
         }
         self.index_services();
     }
 
+    fn key_or_new(&mut self, setup: &ServerSetup) -> ServerKey {
+        if let Some(key) = self.by_name.get(&setup.name) {
+            return *key;
+        }
+        let key = ServerKey::from_index(self.servers.len());
+        self.servers.push(ServerState::new(*setup));
+        self.by_name.insert(setup.name, key);
+        key
+    }
+
+    /// Replaces what the operators state of cold servers, by service.
+    pub(crate) fn set_limits(&mut self, limits: HashMap<NameHash, SlowStartLimit>) {
+        self.limits = limits;
+    }
+
+    /// Returns what a service's cold servers bear.
+    pub(crate) fn limit(&self, service: NameHash) -> SlowStartLimit {
+        self.limits.get(&service).copied().unwrap_or_default()
+    }
+
+    /// Replaces the failure domains that are evacuated. Servers of one that was taken back may be cold.
+    pub(crate) fn set_evacuated(&mut self, evacuated: &[NameHash], now: TimeMs) {
+        self.evacuated = evacuated.to_vec();
+        for server in &mut self.servers {
+            let is_evacuated = evacuated.contains(&server.setup.failure_domain);
+            if is_evacuated {
+                server.life.apply(LifeEvent::Evacuated);
+            } else if server.life.is_evacuated() {
+                let limit = self
+                    .limits
+                    .get(&server.setup.service)
+                    .copied()
+                    .unwrap_or_default();
+                let cold_until = limit.returned_until(now);
+                server.life.apply(LifeEvent::Returned { cold_until });
+            }
+        }
+    }
+
+    /// Replaces the fleet by which the senders of cold servers are chosen.
+    pub(crate) fn set_senders(&mut self, senders: Senders) {
+        if senders == self.senders {
+            return;
+        }
+        for server in &mut self.servers {
+            let setup = &server.setup;
+            server.cold.is_sender = senders.include_own(setup.name, setup.failure_domain);
+        }
+        self.senders = senders;
+    }
+
+    /// Records that a server could not be connected to, from here or, by its report, from a peer: it may have
+    /// started again, and be cold.
+    pub(crate) fn record_unreachable(&mut self, key: ServerKey, is_own: bool, now: TimeMs) {
+        let limit = self.limit(self.get(key).setup.service);
+        let server = self.get_mut(key);
+        if is_own {
+            server.unreachable_at = Some(now);
+        }
+        let cold_until = limit.unreachable_until(now);
+        server.life.apply(LifeEvent::Unreachable { cold_until });
+    }
+
     fn index_services(&mut self) {
         self.by_service.clear();
         for (index, server) in self.servers.iter().enumerate() {
-            if server.is_listed {
+            if server.life.is_listed() {
                 let keys = self.by_service.entry(server.setup.service).or_default();
                 keys.push(ServerKey::from_index(index));
             }
@@ -156,15 +252,19 @@
 
     /// Returns this instance's load for its peers; idle, healthy servers are left out.
     pub(crate) fn report(&self, now: TimeMs) -> Vec<ServerLoadRow> {
-        let rows = self.servers.iter().filter(|server| server.is_listed);
+        let rows = self.servers.iter().filter(|server| server.life.is_listed());
         rows.filter_map(|server| {
             let failure_rate = (server.health.own_failure_rate(now) * FAILURE_RATE_ONE) as u8;
-            let is_quiet = server.own.running == 0 && failure_rate < FAILURE_RATE_REPORTED_MIN;
+            let unreachable_at = server.unreachable_at;
+            let is_unreachable = unreachable_at.is_some_and(|at| now.since_ms(at) < UNREACHABLE_REPORTED_MS);
+            let is_well = failure_rate < FAILURE_RATE_REPORTED_MIN && !is_unreachable;
+            let is_quiet = server.own.running == 0 && is_well;
             (!is_quiet).then_some(ServerLoadRow {
                 server: server.setup.name,
                 running: server.own.running.min(u32::from(u16::MAX)) as u16,
                 failure_rate,
                 prefill_tokens: server.own.prefill_tokens.min(u64::from(u32::MAX)) as u32,
+                is_unreachable,
             })
         })
         .collect()
--- /dev/null
+++ b/crates/reedsail_dispatch/tests/evacuations.rs
@@ -0,0 +1,71 @@
+//! What is believed of evacuations, in whatever order it is heard.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use reedsail_core::NameHash;
+use reedsail_dispatch::EvacuationRow;
+use reedsail_dispatch::EvacuationUpdate;
+use reedsail_dispatch::Evacuations;
+
+fn row(failure_domain: &str, revision: u64, is_active: bool) -> EvacuationRow {
+    EvacuationRow {
+        failure_domain: NameHash::of(failure_domain),
+        revision,
+        is_active,
+    }
+}
+
+fn whole(rows: Vec<EvacuationRow>, until: u64) -> EvacuationUpdate {
+    EvacuationUpdate {
+        rows,
+        whole_until: Some(until),
+    }
+}
+
+#[test]
+fn older_news_neither_begin_nor_end_an_evacuation() {
+    let mut known = Evacuations::default();
+    assert!(known.merge(&[row("hall-a", 5, true)]));
+    assert!(!known.merge(&[row("hall-a", 4, false)]));
+    assert_eq!(known.active(), [NameHash::of("hall-a")]);
+    assert!(known.merge(&[row("hall-a", 9, false)]));
+    assert!(!known.merge(&[row("hall-a", 5, true)]));
+    assert!(known.active().is_empty());
+    // What has ended is told on, for those who heard of its beginning alone.
+    assert_eq!(known.rows(), [row("hall-a", 9, false)]);
+}
+
+#[test]
+fn a_whole_read_ends_what_it_does_not_name_unless_it_is_older() {
+    let mut known = Evacuations::default();
+    known.merge(&[row("hall-a", 5, true), row("hall-b", 12, true)]);
+    assert!(known.apply(&whole(Vec::new(), 10)));
+    assert_eq!(known.active(), [NameHash::of("hall-b")]);
+    assert!(
+        !known.merge(&[row("hall-a", 5, true)]),
+        "a peer that did not read yet"
+    );
+    assert!(known.apply(&whole(vec![row("hall-a", 11, true), row("hall-b", 12, true)], 12)));
+    assert_eq!(known.active().len(), 2);
+}
+
+#[test]
+fn any_order_of_the_same_news_leads_to_the_same_belief() {
+    let mut random = StdRng::seed_from_u64(3);
+    let domains = ["hall-a", "hall-b", "hall-c"];
+    for _ in 0..500 {
+        let mut rows: Vec<EvacuationRow> = (1..=12)
+            .map(|revision| row(domains[random.random_range(0..3)], revision, random.random()))
+            .collect();
+        let mut in_order = Evacuations::default();
+        in_order.merge(&rows);
+        rows.shuffle(&mut random);
+        let mut shuffled = Evacuations::default();
+        for row in &rows {
+            shuffled.merge(&[*row]);
+        }
+        assert_eq!(shuffled.rows(), in_order.rows());
+    }
+}
--- /dev/null
+++ b/crates/reedsail_dispatch/tests/slow_start.rs
@@ -0,0 +1,260 @@
+//! What a whole fleet sends to cold servers, whose instances decide alone.
+
+use std::collections::HashMap;
+
+use reedsail_core::ErrorKind;
+use reedsail_core::NameHash;
+use reedsail_core::TimeMs;
+use reedsail_dispatch::AttemptOutcome;
+use reedsail_dispatch::Decision;
+use reedsail_dispatch::Demand;
+use reedsail_dispatch::DispatchSettings;
+use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::Prompt;
+use reedsail_dispatch::PromptSegment;
+use reedsail_dispatch::ServerSetup;
+use reedsail_dispatch::SlowStartLimit;
+
+const LIMIT: SlowStartLimit = SlowStartLimit {
+    cold_ms: 3_000,
+    requests_per_s: 6.1,
+};
+/// What a cold server may get in any second: half as much again as it bears, and five requests.
+const ARRIVALS_MAX: usize = 14;
+const INSTANCES: usize = 64;
+const SERVERS: u32 = 48;
+
+fn domain(number: usize) -> NameHash {
+    NameHash::of(&format!("hall-{}", number % 3))
+}
+
+fn server(number: u32, cold_until: Option<TimeMs>) -> ServerSetup {
+    ServerSetup {
+        name: NameHash::of(&format!("engine-{number}")),
+        service: NameHash::of("llm"),
+        failure_domain: domain(number as usize),
+        slots: 32,
+        is_draining: false,
+        cold_until,
+    }
+}
+
+fn members(instances: impl Iterator<Item = usize>) -> Vec<(NameHash, NameHash)> {
+    instances
+        .map(|number| (NameHash::of(&format!("front-{number}")), domain(number)))
+        .collect()
+}
+
+fn instance(number: usize, servers: &[ServerSetup], known: &[(NameHash, NameHash)]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), domain(number));
+    dispatcher.set_slow_starts(HashMap::from([(NameHash::of("llm"), LIMIT)]));
+    dispatcher.set_members(NameHash::of(&format!("front-{number}")), known);
+    dispatcher.set_servers(servers);
+    dispatcher
+}
+
+fn fleet(servers: &[ServerSetup]) -> Vec<Dispatcher> {
+    let all = members(0..INSTANCES);
+    (0..INSTANCES)
+        .map(|number| instance(number, servers, &all))
+        .collect()
+}
+
+fn prompt(number: u64) -> Prompt {
+    let segment = |id, tokens| PromptSegment { id, tokens };
+    Prompt {
+        segments: vec![segment(number % 97, 300), segment((1 << 40) + number, 200)],
+        output_tokens: 20,
+    }
+}
+
+fn decide(instance: &mut Dispatcher, prompt: &Prompt, now: TimeMs) -> Decision {
+    let demand = Demand {
+        service: NameHash::of("llm"),
+        workspace: NameHash::of("labska"),
+        prompt: Some(prompt),
+        latency_target_ms: 1_000,
+        waited_ms: 0,
+        tried: &[],
+    };
+    let decision = instance.decide(&demand, now);
+    if let Decision::Send(placement) = &decision {
+        let mut attempt = instance.begin_attempt(&demand, placement, now);
+        instance.record_first_event(&mut attempt, now);
+        instance.finish_attempt(attempt, AttemptOutcome::Answered, now);
+    }
+    decision
+}
+
+/// Has every instance decide about a request each 10 ms; returns when each server got one, in milliseconds.
+fn arrivals(fleet: &mut [Dispatcher], from: u64, until: u64) -> HashMap<usize, Vec<u64>> {
+    let mut arrivals: HashMap<usize, Vec<u64>> = HashMap::new();
+    let mut number = 0;
+    for at in (from..until).step_by(10) {
+        for instance in fleet.iter_mut() {
+            number += 1;
+            if let Decision::Send(placement) = decide(instance, &prompt(number), TimeMs(at)) {
+                let index = reedsail_core::TableKey::index(placement.server);
+                arrivals.entry(index).or_default().push(at);
+            }
+        }
+    }
+    arrivals
+}
+
+fn most_in_a_second(moments: &[u64]) -> usize {
+    let within = |from: &u64| {
+        moments
+            .iter()
+            .filter(|at| (*from..*from + 1_000).contains(at))
+            .count()
+    };
+    moments.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn cold_servers_get_no_more_than_they_bear_from_a_whole_fleet() {
+    let servers: Vec<ServerSetup> = (0..SERVERS)
+        .map(|number| server(number, (number % 3 == 0).then_some(TimeMs(13_000))))
+        .collect();
+    let arrivals = arrivals(&mut fleet(&servers), 10_000, 13_000);
+    for (server, moments) in &arrivals {
+        let most = most_in_a_second(moments);
+        assert!(server % 3 > 0 || most <= ARRIVALS_MAX, "{server}: {most}");
+    }
+}
+
+#[test]
+fn where_all_servers_are_cold_what_they_bear_is_served_and_the_rest_refused_at_once() {
+    let servers: Vec<ServerSetup> = (0..SERVERS)
+        .map(|number| server(number, Some(TimeMs(13_000))))
+        .collect();
+    let mut fleet = fleet(&servers);
+    let arrivals = arrivals(&mut fleet, 10_000, 13_000);
+    let total: usize = arrivals.values().map(Vec::len).sum();
+    assert!(
+        arrivals
+            .values()
+            .all(|moments| most_in_a_second(moments) <= ARRIVALS_MAX)
+    );
+    // Senders use three quarters of what is stated.
+    let sent = 0.75 * 3.0 * LIMIT.requests_per_s * f64::from(SERVERS);
+    assert!(total as f64 > 0.8 * sent, "{total} of {sent}");
+    let refused = (0..200).map(|number| decide(&mut fleet[0], &prompt(number), TimeMs(12_990)));
+    let kinds: Vec<ErrorKind> = refused
+        .filter_map(|decision| match decision {
+            Decision::Refuse { kind, .. } => Some(kind),
+            Decision::Send(_) => None,
+        })
+        .collect();
+    assert!(kinds.len() > 150 && kinds.iter().all(|kind| *kind == ErrorKind::NoBackend));
+}
+
+#[test]
+fn halves_of_a_fleet_that_forgot_each_other_stay_within_the_bound() {
+    let servers: Vec<ServerSetup> = (0..SERVERS)
+        .map(|number| server(number, Some(TimeMs(13_000))))
+        .collect();
+    let halves = [members(0..INSTANCES / 2), members(INSTANCES / 2..INSTANCES)];
+    let mut fleet: Vec<Dispatcher> = (0..INSTANCES)
+        .map(|number| instance(number, &servers, &halves[number / (INSTANCES / 2)]))
+        .collect();
+    for moments in arrivals(&mut fleet, 10_000, 13_000).values() {
+        assert!(most_in_a_second(moments) <= ARRIVALS_MAX);
+    }
+}
+
+#[test]
+fn an_instance_that_does_not_know_its_fleet_sends_nothing_to_a_cold_server() {
+    let servers = [server(0, Some(TimeMs(13_000)))];
+    let mut new = Dispatcher::new(DispatchSettings::default(), domain(0));
+    new.set_slow_starts(HashMap::from([(NameHash::of("llm"), LIMIT)]));
+    new.set_servers(&servers);
+    assert!(matches!(
+        decide(&mut new, &prompt(1), TimeMs(10_000)),
+        Decision::Refuse { .. }
+    ));
+    assert!(matches!(
+        decide(&mut new, &prompt(1), TimeMs(13_000)),
+        Decision::Send(_)
+    ));
+}
+
+#[test]
+fn a_server_that_could_not_be_connected_to_counts_as_cold_on_all_instances() {
+    let servers: Vec<ServerSetup> = (0..2).map(|number| server(number, None)).collect();
+    let mut fleet = fleet(&servers);
+    let prompt = prompt(5);
+    let now = TimeMs(10_000);
+    let demand = Demand {
+        service: NameHash::of("llm"),
+        workspace: NameHash::of("labska"),
+        prompt: Some(&prompt),
+        latency_target_ms: 1_000,
+        waited_ms: 0,
+        tried: &[],
+    };
+    let Decision::Send(placement) = fleet[0].decide(&demand, now) else {
+        panic!("refused");
+    };
+    let attempt = fleet[0].begin_attempt(&demand, &placement, now);
+    fleet[0].finish_attempt(attempt, AttemptOutcome::Unreachable, now);
+    let report = fleet[0].report(TimeMs(10_100));
+    assert!(report.servers.iter().any(|row| row.is_unreachable));
+    for instance in &mut fleet[1..] {
+        instance.receive_report(NameHash::of("front-0"), report.clone(), TimeMs(10_150));
+    }
+    let arrivals = arrivals(&mut fleet, 11_700, 13_000);
+    let index = reedsail_core::TableKey::index(placement.server);
+    assert!(
+        arrivals
+            .get(&index)
+            .is_none_or(|moments| most_in_a_second(moments) <= ARRIVALS_MAX)
+    );
+    // It is not told on for ever: peers that heard of it do not keep the news alive among themselves.
+    let told: Vec<bool> = fleet
+        .iter_mut()
+        .flat_map(|instance| instance.report(TimeMs(11_500)).servers)
+        .map(|row| row.is_unreachable)
+        .collect();
+    assert!(!told.contains(&true));
+}
+
+#[test]
+fn servers_of_an_evacuated_failure_domain_get_nothing_and_start_slowly_once_it_is_back() {
+    let servers: Vec<ServerSetup> = (0..SERVERS).map(|number| server(number, None)).collect();
+    let mut fleet = fleet(&servers);
+    for instance in &mut fleet {
+        instance.set_evacuated(&[domain(0)], TimeMs(10_000));
+        // The list is published anew at any time.
+        instance.set_servers(&servers);
+    }
+    let during = arrivals(&mut fleet, 10_000, 11_000);
+    assert!(during.keys().all(|server| server % 3 > 0));
+    for instance in &mut fleet {
+        instance.set_evacuated(&[], TimeMs(11_000));
+    }
+    for (server, moments) in arrivals(&mut fleet, 11_000, 14_000) {
+        assert!(
+            server % 3 > 0 || most_in_a_second(&moments) <= ARRIVALS_MAX,
+            "{server}"
+        );
+    }
+    let later = arrivals(&mut fleet, 14_000, 15_000);
+    assert!(later.keys().any(|server| server % 3 == 0));
+}
+
+#[test]
+fn where_every_failure_domain_is_evacuated_requests_are_refused_at_once() {
+    let servers: Vec<ServerSetup> = (0..3).map(|number| server(number, None)).collect();
+    let mut instance = instance(0, &servers, &members(0..1));
+    instance.set_evacuated(&[domain(0), domain(1), domain(2)], TimeMs(10_000));
+    let decision = decide(&mut instance, &prompt(1), TimeMs(10_000));
+    assert!(matches!(
+        decision,
+        Decision::Refuse {
+            kind: ErrorKind::NoBackend,
+            ..
+        }
+    ));
+}
--- a/crates/reedsail_gossip/src/exchange_messages.rs
+++ b/crates/reedsail_gossip/src/exchange_messages.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 
 use reedsail_core::NameHash;
+use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_wire::LoadMessage;
 
@@ -39,6 +40,8 @@
     pub is_stopping: bool,
     /// Backend servers that are draining or departed.
     pub departures: Vec<NameHash>,
+    /// The failure domains that are, or were, evacuated.
+    pub evacuations: Vec<EvacuationRow>,
 }
 
 /// A message to send, and to whom.
--- a/crates/reedsail_gossip/src/load_exchange.rs
+++ b/crates/reedsail_gossip/src/load_exchange.rs
@@ -272,6 +272,15 @@
         self.is_aggregated(now).then_some(age_ms)
     }
 
+    /// Returns all instances that are known, this one included, each with its failure domain. Silent ones count
+    /// until they are forgotten.
+    pub fn members(&self) -> Vec<(NameHash, NameHash)> {
+        let own = (self.identity.instance, self.identity.failure_domain);
+        let mut members: Vec<(NameHash, NameHash)> = self.peers.members().chain([own]).collect();
+        members.sort_unstable();
+        members
+    }
+
     /// Returns this instance's place among those of its failure domain.
     pub fn place_in_domain(&self, now: TimeMs) -> DomainPlace {
         self.fleet.place(now).unwrap_or_else(|| {
@@ -527,6 +536,7 @@
             domain_instances: 0,
             load_age_ms: 0,
             departures: head.departures.clone(),
+            evacuations: head.evacuations.clone(),
             members: Vec::new(),
         }
     }
--- a/crates/reedsail_gossip/src/peer_table.rs
+++ b/crates/reedsail_gossip/src/peer_table.rs
@@ -299,6 +299,12 @@
             .map(|peer| peer.address)
     }
 
+    /// Returns the peers that are known, silent ones included, each with its failure domain.
+    pub(crate) fn members(&self) -> impl Iterator<Item = (NameHash, NameHash)> {
+        let known = self.peers.iter();
+        known.map(|(instance, peer)| (*instance, peer.failure_domain))
+    }
+
     /// Returns the times of direct messages.
     pub fn timing(&self) -> GossipTiming {
         self.timing
--- a/crates/reedsail_gossip/tests/simulated_network/mod.rs
+++ b/crates/reedsail_gossip/tests/simulated_network/mod.rs
@@ -282,6 +282,7 @@
                 running: node.running,
                 failure_rate: 0,
                 prefill_tokens: u32::from(node.running) * 1_000,
+                is_unreachable: false,
             }],
             workspaces: Vec::new(),
             prefixes: std::mem::take(&mut node.prefixes),
@@ -324,6 +325,7 @@
             domain_instances: 0,
             load_age_ms: 0,
             departures: Vec::new(),
+            evacuations: Vec::new(),
             members: Vec::new(),
         };
         for to in (0..self.nodes.len()).filter(|to| *to != index) {
--- a/crates/reedsail_router/benches/instance_cost.rs
+++ b/crates/reedsail_router/benches/instance_cost.rs
@@ -103,6 +103,7 @@
         running: (row + sequence) as u16 % 7,
         failure_rate: 0,
         prefill_tokens: 1_000 * (row + sequence),
+        is_unreachable: false,
     };
     let workspace = |row: u32| WorkspaceUseRow {
         workspace: NameHash::of(&format!("workspace-{row}")),
@@ -147,6 +148,7 @@
         domain_instances: 0,
         load_age_ms: 0,
         departures: Vec::new(),
+        evacuations: Vec::new(),
         members: (peer..peer + 8).map(member).collect(),
     }
 }
--- a/crates/reedsail_router/src/configuration.rs
+++ b/crates/reedsail_router/src/configuration.rs
@@ -106,6 +106,12 @@
     pub connections_max: u32,
     /// Its servers are model engines, which cache the prompts that they prefill.
     pub is_model: bool,
+    /// How long one of its servers is cold after a start, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
+    /// Requests a second that a cold one bears, from all instances together; zero where none is stated.
+    #[serde(default)]
+    pub cold_requests_per_s: f64,
 }
 
 /// A workspace.
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -29,9 +29,11 @@
 
 use super::configuration_state::ConfigurationState;
 use super::configuration_state::KnownConfiguration;
+use super::evacuation_state::EvacuationState;
 use super::messages::ConfigurationRead;
 use super::messages::ConfigurationUnreadable;
 use super::messages::Datagram;
+use super::messages::EvacuationsRead;
 use super::messages::ListServers;
 use super::messages::MayRead;
 use super::messages::MessageReceived;
@@ -57,6 +59,11 @@
 /// Peers answer within a tick; several hundred instances that start together would each read the store
 /// twice otherwise. Chosen, not measured.
 const PEER_WAIT_MS: u64 = 400;
+/// Interval at which the decisions are told which instances there are, in milliseconds. Chosen, not measured.
+const MEMBERS_INTERVAL_MS: u64 = 1_000;
+/// Age from which a new instance takes the instances that it has heard of for the whole fleet, in milliseconds:
+/// a message names eight, and one comes every 25 ms in a large fleet. Chosen, not measured.
+const MEMBERS_KNOWN_MS: u64 = 1_000;
 
 /// The state of the control thread.
 pub(crate) struct Control<H> {
@@ -66,9 +73,11 @@
     started_at: TimeMs,
     servers: ServerList,
     configuration: ConfigurationState,
+    evacuations: EvacuationState,
     store: StoreStatus,
     shares: ShareWatch,
     next_fetch_at: TimeMs,
+    next_members_at: TimeMs,
 }
 
 impl<H: HeaderProtocol> Control<H> {
@@ -86,9 +95,11 @@
             started_at: shared.clock.now(),
             servers: ServerList::default(),
             configuration: ConfigurationState::default(),
+            evacuations: EvacuationState::default(),
             store: StoreStatus::default(),
             shares: ShareWatch::default(),
             next_fetch_at: TimeMs(0),
+            next_members_at: TimeMs(0),
             shared,
         }
     }
@@ -130,6 +141,7 @@
             servers_age_ms: saturating_ms(self.servers.age_ms(now)),
             is_stopping: self.shared.shutdown.has_begun(),
             departures: self.servers.departures(),
+            evacuations: self.evacuations.rows(),
         }
     }
 
@@ -175,6 +187,21 @@
         self.shared.set_load_known_at(load_known_at.map(TimeMs));
     }
 
+    /// Tells the decisions which instances there are, once that is known: an instance that takes itself for the
+    /// whole fleet would send to every cold server.
+    fn publish_members(&mut self, now: TimeMs) {
+        let peers = self.exchange.peers();
+        let is_alone = peers.has_seeds() && peers.alive().next().is_none();
+        let is_new = peers.has_seeds() && now.since_ms(self.started_at) < MEMBERS_KNOWN_MS;
+        if now < self.next_members_at || is_alone || is_new {
+            return;
+        }
+        self.next_members_at = now.plus_ms(MEMBERS_INTERVAL_MS);
+        let members = self.exchange.members();
+        let own = self.identity.instance;
+        self.shared.dispatcher().set_members(own, &members);
+    }
+
     /// Encodes the load messages that are due.
     fn due_messages(&mut self, now: TimeMs) -> Vec<Datagram> {
         let is_due = self.exchange.is_due(now);
@@ -238,6 +265,15 @@
     }
 }
 
+impl<H: HeaderProtocol> Handler<EvacuationsRead> for Control<H> {
+    type Return = ();
+
+    async fn handle(&mut self, read: EvacuationsRead, _: &mut Context<Self>) {
+        let now = self.shared.clock.now();
+        self.evacuations.apply(&self.shared, &self.servers, &read.0, now);
+    }
+}
+
 impl<H: HeaderProtocol> Handler<ServersRead> for Control<H> {
     type Return = ();
 
@@ -286,6 +322,8 @@
             departures: &message.departures.clone(),
         };
         let known = KnownConfiguration::of(&message);
+        self.evacuations
+            .merge(&self.shared, &self.servers, &message.evacuations, now);
         let receipt = self.exchange.receive(message, received.from, now);
         match receipt.arrival {
             Arrival::Stale => return,
@@ -347,6 +385,7 @@
         self.shares.tick(&self.shared, now);
         self.drop_silent_peers(now);
         self.publish_fleet(now);
+        self.publish_members(now);
         let fetches = self.plan_fetches(now);
         Outbox {
             datagrams: self.due_messages(now),
--- a/crates/reedsail_router/src/control/configuration_state.rs
+++ b/crates/reedsail_router/src/control/configuration_state.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
+use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
+use reedsail_dispatch::SlowStartLimit;
 use reedsail_events::EventKind;
 use reedsail_wire::LoadMessage;
 
@@ -47,6 +49,14 @@
         }
         let version = configuration.version;
         let routes = configuration.routes.len().to_string();
+        let limits = configuration.services.iter().map(|service| {
+            let limit = SlowStartLimit {
+                cold_ms: service.cold_ms,
+                requests_per_s: service.cold_requests_per_s,
+            };
+            (NameHash::of(&service.name), limit)
+        });
+        shared.dispatcher().set_slow_starts(limits.collect());
         shared.routes.store(Arc::new(RouteTable::new(configuration)));
         shared.metrics.configuration_version.set(version as i64);
         let fields = [
--- a/crates/reedsail_router/src/control/follow.rs
+++ b/crates/reedsail_router/src/control/follow.rs
@@ -14,12 +14,14 @@
 use super::actor::Control;
 use super::messages::ConfigurationRead;
 use super::messages::ConfigurationUnreadable;
+use super::messages::EvacuationsRead;
 use super::messages::MayRead;
 use super::messages::Origin;
 use super::messages::ServersRead;
 use super::messages::StoreReadEnded;
-use crate::ConfigurationSource;
 use crate::HeaderProtocol;
+use crate::OperatorSource;
+use crate::OperatorUpdate;
 use crate::ServerSource;
 use crate::SourceError;
 
@@ -64,7 +66,7 @@
 
 /// Follows the configuration until the instance ends.
 pub(crate) async fn follow_configuration<H: HeaderProtocol>(
-    mut source: impl ConfigurationSource,
+    mut source: impl OperatorSource,
     control: Address<Control<H>>,
     clock: Clock,
 ) {
@@ -81,7 +83,7 @@
 
 /// Makes one held call and hands what came to the actor; returns what went wrong, if anything did.
 async fn read_configuration<H: HeaderProtocol>(
-    source: &mut impl ConfigurationSource,
+    source: &mut impl OperatorSource,
     control: &Address<Control<H>>,
     clock: Clock,
 ) -> Option<String> {
@@ -89,8 +91,24 @@
     let limit = Duration::from_millis(WAIT_MS + ANSWER_MS);
     let outcome = timeout(limit, source.next(WAIT_MS)).await;
     let outcome = outcome.unwrap_or_else(|_| Err(SourceError::Unreachable("no answer in time".to_owned())));
-    match outcome {
-        Ok(Some(configuration)) => {
+    let update = match outcome {
+        Ok(update) => update,
+        Err(error) => return Some(error.to_string()),
+    };
+    if update.is_empty() {
+        // A store that answers at once instead of holding the call is asked no more often.
+        sleep_until(clock.instant(asked_at.plus_ms(WAIT_MS / 2))).await;
+        return None;
+    }
+    hand_on(update, control).await
+}
+
+/// Hands what the operators wrote to the actor; returns what is wrong with it, if anything is.
+async fn hand_on<H: HeaderProtocol>(update: OperatorUpdate, control: &Address<Control<H>>) -> Option<String> {
+    // The actor ends only with the instance.
+    let _ = control.send(EvacuationsRead(update.evacuations)).await;
+    match update.configuration? {
+        Ok(configuration) => {
             let origin = Origin::Store;
             let read = ConfigurationRead {
                 configuration,
@@ -100,11 +118,6 @@
             let _ = control.send(read).await;
             None
         }
-        Ok(None) => {
-            // A store that answers at once instead of holding the call is asked no more often.
-            sleep_until(clock.instant(asked_at.plus_ms(WAIT_MS / 2))).await;
-            None
-        }
         Err(error) => {
             if let SourceError::Unreadable(fault) = &error {
                 // The actor ends only with the instance.
--- a/crates/reedsail_router/src/control/messages.rs
+++ b/crates/reedsail_router/src/control/messages.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 
 use reedsail_core::TimeMs;
+use reedsail_dispatch::EvacuationUpdate;
 use reedsail_dispatch::ServerListing;
 use reedsail_dispatch::ServerUpdate;
 use reedsail_dispatch::StoreTopic;
@@ -42,6 +43,9 @@
 /// The store has a configuration that cannot be read.
 pub(crate) struct ConfigurationUnreadable(pub(crate) String);
 
+/// The store gave what the operators said of evacuations.
+pub(crate) struct EvacuationsRead(pub(crate) EvacuationUpdate);
+
 /// Asks whether this instance may read the store now; answered with the revision of its server list if
 /// it may.
 pub(crate) struct MayRead(pub(crate) StoreTopic);
--- a/crates/reedsail_router/src/control/mod.rs
+++ b/crates/reedsail_router/src/control/mod.rs
@@ -1,11 +1,12 @@
 //! The control thread: what this instance believes, and the tasks that feed and spread it.
 //!
 //! `thread` runs the actor and the tasks around it. `actor` owns the state: `configuration_state`,
-//! `store_status`, `share_watch`, the load exchange of `reedsail_gossip`, and the server list of `reedsail_dispatch`, which
+//! `evacuation_state`, `store_status`, `share_watch`, the load exchange of `reedsail_gossip`, and the server list of `reedsail_dispatch`, which
 //! `server_publication` publishes. `follow` reads the store, `peer_fetch` reads from peers; both send `messages` to the actor.
 
 mod actor;
 mod configuration_state;
+mod evacuation_state;
 mod follow;
 mod messages;
 mod peer_fetch;
--- a/crates/reedsail_router/src/control/thread.rs
+++ b/crates/reedsail_router/src/control/thread.rs
@@ -21,8 +21,8 @@
 use super::messages::SeedsChanged;
 use super::messages::Tick;
 use super::peer_fetch::run_fetch;
-use crate::ConfigurationSource;
 use crate::HeaderProtocol;
+use crate::OperatorSource;
 use crate::ServerSource;
 use crate::admin::serve_admin;
 use crate::shared::Shared;
@@ -49,7 +49,7 @@
 pub(crate) async fn run_control<H, C, S>(thread: ControlThread<H, C, S>) -> std::io::Result<()>
 where
     H: HeaderProtocol,
-    C: ConfigurationSource,
+    C: OperatorSource,
     S: ServerSource,
 {
     let shared = thread.shared;
--- a/crates/reedsail_router/src/lib.rs
+++ b/crates/reedsail_router/src/lib.rs
@@ -2,7 +2,7 @@
 //! backend server of the route's service.
 //!
 //! What differs between deployments stands behind small traits: where configuration and servers are
-//! learned ([`ConfigurationSource`], [`ServerSource`]) and the headers that callers and servers speak
+//! learned ([`OperatorSource`], [`ServerSource`]) and the headers that callers and servers speak
 //! ([`HeaderProtocol`]). The decisions are those of `reedsail_dispatch`.
 
 mod admin;
@@ -45,6 +45,7 @@
 pub use settings::ListenAddresses;
 pub use settings::RouterSettings;
 pub use settings::StopSettings;
-pub use source::ConfigurationSource;
+pub use source::OperatorSource;
+pub use source::OperatorUpdate;
 pub use source::ServerSource;
 pub use source::SourceError;
--- a/crates/reedsail_router/src/program.rs
+++ b/crates/reedsail_router/src/program.rs
@@ -8,8 +8,8 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
-use crate::ConfigurationSource;
 use crate::HeaderProtocol;
+use crate::OperatorSource;
 use crate::RouterSettings;
 use crate::RunningRouter;
 use crate::ServerSource;
@@ -41,7 +41,7 @@
 ) -> ExitCode
 where
     H: HeaderProtocol,
-    C: ConfigurationSource,
+    C: OperatorSource,
     S: ServerSource,
 {
     match run(flags, protocol, make_sources) {
@@ -61,7 +61,7 @@
 ) -> anyhow::Result<bool>
 where
     H: HeaderProtocol,
-    C: ConfigurationSource,
+    C: OperatorSource,
     S: ServerSource,
 {
     let settings = read_file(&flags.settings, RouterSettings::read)?;
--- a/crates/reedsail_router/src/running.rs
+++ b/crates/reedsail_router/src/running.rs
@@ -13,9 +13,9 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::ConfigurationSource;
 use crate::HeaderProtocol;
 use crate::ListenAddresses;
+use crate::OperatorSource;
 use crate::RouterSettings;
 use crate::ServerSource;
 use crate::control::ControlThread;
@@ -64,7 +64,7 @@
         make_sources: impl FnOnce() -> (C, S) + Send + 'static,
     ) -> anyhow::Result<Self>
     where
-        C: ConfigurationSource,
+        C: OperatorSource,
         S: ServerSource,
     {
         let listeners = Listeners::bind(&settings.listen)?;
--- a/crates/reedsail_router/src/source.rs
+++ b/crates/reedsail_router/src/source.rs
@@ -2,6 +2,7 @@
 //!
 //! The adapter of a platform implements these; they translate, and decide nothing.
 
+use reedsail_dispatch::EvacuationUpdate;
 use reedsail_dispatch::ServerUpdate;
 use thiserror::Error;
 
@@ -18,11 +19,27 @@
     Unreadable(String),
 }
 
-/// Follows the operators' configuration.
-pub trait ConfigurationSource: 'static {
-    /// Returns the newest configuration as soon as there is one that was not returned before, or
-    /// `None` after `wait_ms`.
-    fn next(&mut self, wait_ms: u64) -> impl Future<Output = Result<Option<Configuration>, SourceError>>;
+/// What the operators wrote since the last read.
+#[derive(Debug, Default)]
+pub struct OperatorUpdate {
+    /// The newest configuration if there is one that was not returned before, or what is wrong with it.
+    pub configuration: Option<Result<Configuration, SourceError>>,
+    /// What was said of the evacuation of failure domains.
+    pub evacuations: EvacuationUpdate,
+}
+
+impl OperatorUpdate {
+    /// Tells whether the operators wrote nothing.
+    pub fn is_empty(&self) -> bool {
+        self.configuration.is_none() && self.evacuations == EvacuationUpdate::default()
+    }
+}
+
+/// Follows what the operators write: the configuration, and evacuations of failure domains.
+pub trait OperatorSource: 'static {
+    /// Returns what the operators wrote as soon as there is something that was not returned before, or an
+    /// update without anything after `wait_ms`.
+    fn next(&mut self, wait_ms: u64) -> impl Future<Output = Result<OperatorUpdate, SourceError>>;
 }
 
 /// Follows the list of backend servers.
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -29,6 +29,9 @@
 
 /// Time to connect to a backend server at most, in milliseconds. Chosen, not measured.
 const CONNECT_MS: u64 = 250;
+/// A connect that ends so long after its time, in milliseconds, failed because this thread is late: it says
+/// nothing of the server. Chosen, not measured.
+const CONNECT_LATE_MS: u64 = 100;
 
 /// The head of an answer, with all that is needed to read on.
 pub(crate) struct Answering<H> {
@@ -85,9 +88,12 @@
         None => (request, unsent),
     };
     guard.set_written(false);
-    let Some(connection) = open(shared, call, &server).await else {
-        guard.close(AttemptOutcome::Unreachable);
-        return AttemptResult::NotSent(unsent);
+    let connection = match open(shared, call, &server).await {
+        Ok(connection) => connection,
+        Err(outcome) => {
+            guard.close(outcome);
+            return AttemptResult::NotSent(unsent);
+        }
     };
     guard.set_written(true);
     match exchange(connection, request, unsent, deadline).await {
@@ -117,13 +123,24 @@
     }
 }
 
-async fn open<H>(shared: &Shared<H>, call: &Call, server: &ServerView) -> Option<HttpConnection> {
-    let left_ms = call.deadline.since_ms(shared.clock.now());
-    let limit_ms = CONNECT_MS.min(left_ms);
+/// Connects to a server; else returns what the failure says of it. An instance that is short of processor time
+/// would else take servers that are well for unreachable, and tell its peers so.
+async fn open<H>(
+    shared: &Shared<H>,
+    call: &Call,
+    server: &ServerView,
+) -> Result<HttpConnection, AttemptOutcome> {
+    let began_at = shared.clock.now();
+    let limit_ms = CONNECT_MS.min(call.deadline.since_ms(began_at));
     let connection = HttpConnection::open_ready(server.address, limit_ms).await;
     let outcome = if connection.is_some() { "opened" } else { "failed" };
     shared.metrics.connects.with_label_values(&[outcome]).inc();
-    connection
+    let took_ms = shared.clock.now().since_ms(began_at);
+    connection.ok_or(if took_ms > limit_ms + CONNECT_LATE_MS {
+        AttemptOutcome::Abandoned
+    } else {
+        AttemptOutcome::Unreachable
+    })
 }
 
 /// Matches the answer to the request.
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -22,8 +22,9 @@
 use reedsail_net::HttpConnection;
 use reedsail_router::AnswerShape;
 use reedsail_router::Configuration;
-use reedsail_router::ConfigurationSource;
 use reedsail_router::ListenAddresses;
+use reedsail_router::OperatorSource;
+use reedsail_router::OperatorUpdate;
 use reedsail_router::Repetition;
 use reedsail_router::Route;
 use reedsail_router::RouteTarget;
@@ -55,8 +56,8 @@
     last: u64,
 }
 
-impl ConfigurationSource for MemoryConfiguration {
-    async fn next(&mut self, wait_ms: u64) -> Result<Option<Configuration>, SourceError> {
+impl OperatorSource for MemoryConfiguration {
+    async fn next(&mut self, wait_ms: u64) -> Result<OperatorUpdate, SourceError> {
         let last = self.last;
         let is_news = |shown: &Option<Configuration>| shown.as_ref().is_none_or(|shown| shown.version > last);
         let waited = timeout(Duration::from_millis(wait_ms), self.shown.wait_for(is_news)).await;
@@ -64,10 +65,13 @@
             Ok(Ok(shown)) => {
                 let shown = shown.clone().ok_or_else(away)?;
                 self.last = shown.version;
-                Ok(Some(shown))
+                Ok(OperatorUpdate {
+                    configuration: Some(Ok(shown)),
+                    ..OperatorUpdate::default()
+                })
             }
             Ok(Err(_)) => Err(away()),
-            Err(_) => Ok(None),
+            Err(_) => Ok(OperatorUpdate::default()),
         }
     }
 }
@@ -201,6 +205,8 @@
                 name: name.to_owned(),
                 connections_max: 100,
                 is_model: name == "llm",
+                cold_ms: 0,
+                cold_requests_per_s: 0.0,
             })
             .to_vec(),
         workspaces: vec![WorkspaceDefinition {
--- a/crates/reedsail_router/tests/golden.rs
+++ b/crates/reedsail_router/tests/golden.rs
@@ -7,6 +7,9 @@
 use std::collections::BTreeSet;
 use std::sync::Mutex;
 
+use reedsail_core::NameHash;
+use reedsail_dispatch::EvacuationRow;
+use reedsail_dispatch::EvacuationUpdate;
 use reedsail_dispatch::ServerChange;
 use reedsail_dispatch::ServerRecord;
 use reedsail_dispatch::ServerUpdate;
@@ -14,7 +17,8 @@
 use reedsail_events::Event;
 use reedsail_events::EventKind;
 use reedsail_router::Configuration;
-use reedsail_router::ConfigurationSource;
+use reedsail_router::OperatorSource;
+use reedsail_router::OperatorUpdate;
 use reedsail_router::RouterSettings;
 use reedsail_router::RunningRouter;
 use reedsail_router::ServerSource;
@@ -240,8 +244,8 @@
 /// A source that says what it is handed.
 struct Handed<T>(mpsc::UnboundedReceiver<Result<T, SourceError>>);
 
-impl ConfigurationSource for Handed<Option<Configuration>> {
-    async fn next(&mut self, _: u64) -> Result<Option<Configuration>, SourceError> {
+impl OperatorSource for Handed<OperatorUpdate> {
+    async fn next(&mut self, _: u64) -> Result<OperatorUpdate, SourceError> {
         self.0.recv().await.unwrap()
     }
 }
@@ -265,6 +269,28 @@
     }
 }
 
+fn configured(configuration: Result<Configuration, SourceError>) -> OperatorUpdate {
+    OperatorUpdate {
+        configuration: Some(configuration),
+        ..OperatorUpdate::default()
+    }
+}
+
+fn evacuated(revision: u64, is_active: bool) -> OperatorUpdate {
+    let row = EvacuationRow {
+        failure_domain: NameHash::of("hall-a"),
+        revision,
+        is_active,
+    };
+    OperatorUpdate {
+        evacuations: EvacuationUpdate {
+            rows: vec![row],
+            whole_until: None,
+        },
+        ..OperatorUpdate::default()
+    }
+}
+
 /// Brings about every change of what a router believes.
 async fn change_beliefs() {
     let (configurations, source) = mpsc::unbounded_channel();
@@ -281,16 +307,32 @@
         };
         servers.send(Ok(news)).unwrap();
     };
-    configurations.send(Ok(Some(configuration(1)))).unwrap();
+    configurations.send(Ok(configured(Ok(configuration(1))))).unwrap();
     wait_for_line(EventKind::ConfigurationInForce, "hall-b-1").await;
     let unreadable = SourceError::Unreadable("it is torn".to_owned());
-    configurations.send(Err(unreadable)).unwrap();
+    configurations.send(Ok(configured(Err(unreadable)))).unwrap();
     wait_for_line(EventKind::ConfigurationInvalid, "torn").await;
     wait_for_line(EventKind::SourceLost, "hall-b-1").await;
-    configurations.send(Ok(Some(configuration(2)))).unwrap();
+    configurations.send(Ok(configured(Ok(configuration(2))))).unwrap();
     wait_for_line(EventKind::SourceBack, "hall-b-1").await;
     show(vec![ServerChange::Announced(server(false))]);
     wait_for_line(EventKind::ServerListed, "hall-b-1").await;
+    let again = ServerRecord {
+        born_ms: Some(1_796_246_000_000),
+        ..server(false)
+    };
+    show(vec![ServerChange::Announced(again.clone())]);
+    wait_for_line(EventKind::ServerRestarted, "hall-b-1").await;
+    show(vec![ServerChange::Announced(ServerRecord {
+        cold_left_ms: 2_000,
+        ..again
+    })]);
+    wait_for_line(EventKind::ServerCold, "hall-b-1").await;
+    for (revision, is_active) in [(1, true), (2, false)] {
+        configurations.send(Ok(evacuated(revision, is_active))).unwrap();
+    }
+    wait_for_line(EventKind::DomainEvacuated, "hall-b-1").await;
+    wait_for_line(EventKind::DomainReturned, "hall-b-1").await;
     show(vec![ServerChange::Announced(server(true))]);
     wait_for_line(EventKind::ServerDraining, "hall-b-1").await;
     show(vec![ServerChange::Unreadable {
--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -42,6 +42,16 @@
   loadAgeMs @20 :UInt32;
   # How many instances of the sender's failure domain are known.
   domainInstances @21 :UInt32;
+  # Failure domains that are or were evacuated.
+  evacuations @22 :List(EvacuationRow);
+}
+
+struct EvacuationRow {
+  failureDomain @0 :UInt32;
+  # False once it was taken back.
+  active @1 :Bool;
+  # The place in the store's log after the record that says it.
+  revision @2 :UInt64;
 }
 
 struct IncludedRow {
@@ -57,6 +67,8 @@
   failureRate @2 :UInt8;
   # Prompt tokens that wait to be read.
   unreadTokens @3 :UInt32;
+  # The sender, or one whose load is summed up here, could not connect to it within the last second.
+  unreachable @4 :Bool;
 }
 
 struct WorkspaceUseRow {
--- a/crates/reedsail_wire/src/load_capnp.rs
+++ b/crates/reedsail_wire/src/load_capnp.rs
@@ -245,6 +245,20 @@
         pub fn get_domain_instances(self) -> u32 {
             self.reader.get_data_field::<u32>(16)
         }
+        #[inline]
+        pub fn get_evacuations(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::load_capnp::evacuation_row::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_evacuations(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -252,7 +266,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 9, pointers: 6 };
+            ::capnp::private::layout::StructSize { data: 9, pointers: 7 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -641,6 +655,38 @@
         pub fn set_domain_instances(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(16, value);
         }
+        #[inline]
+        pub fn get_evacuations(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::load_capnp::evacuation_row::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_evacuations(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::load_capnp::evacuation_row::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(6),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_evacuations(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::load_capnp::evacuation_row::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_evacuations(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline {
@@ -653,178 +699,185 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 390] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 410] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(128, 202, 174, 37, 220, 213, 194, 191),
             ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 215, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 15, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
             ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(161, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 224, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(5, 3, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 2, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(17, 3, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(25, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(45, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 29, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(53, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 30, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(57, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(65, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(97, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(105, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 3, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(113, 3, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(22, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(121, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -1044,6 +1097,19 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 118, 97, 99, 117, 97, 116, 105),
+            ::capnp::word(111, 110, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 89, 102, 19, 204, 244, 130, 235),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1069,6 +1135,7 @@
                 19 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 20 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 21 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                22 => <::capnp::struct_list::Owned<crate::load_capnp::evacuation_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1088,16 +1155,342 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[
-            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21,
+            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22,
         ];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[
-            11, 4, 21, 3, 1, 18, 0, 19, 9, 20, 10, 13, 17, 16, 15, 2, 7, 5, 14, 12, 6, 8,
+            11, 4, 21, 22, 3, 1, 18, 0, 19, 9, 20, 10, 13, 17, 16, 15, 2, 7, 5, 14, 12, 6, 8,
         ];
         pub(crate) const TYPE_ID: u64 = 0xbfc2_d5dc_25ae_ca80;
     }
 }
 
+pub mod evacuation_row {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_failure_domain(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_active(self) -> bool {
+            self.reader.get_bool_field(32)
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_failure_domain(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_failure_domain(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_active(self) -> bool {
+            self.builder.get_bool_field(32)
+        }
+        #[inline]
+        pub fn set_active(&mut self, value: bool) {
+            self.builder.set_bool_field(32, value);
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_revision(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(136, 89, 102, 19, 204, 244, 130, 235),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 118, 97, 99, 117),
+            ::capnp::word(97, 116, 105, 111, 110, 82, 111, 119),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 97, 105, 108, 117, 114, 101, 68),
+            ::capnp::word(111, 109, 97, 105, 110, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 116, 105, 118, 101, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+        pub(crate) const TYPE_ID: u64 = 0xeb82_f4cc_1366_5988;
+    }
+}
+
 pub mod included_row {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1509,6 +1902,10 @@
         pub fn get_unread_tokens(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_unreachable(self) -> bool {
+            self.reader.get_bool_field(56)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1624,6 +2021,14 @@
         pub fn set_unread_tokens(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_unreachable(self) -> bool {
+            self.builder.get_bool_field(56)
+        }
+        #[inline]
+        pub fn set_unreachable(&mut self, value: bool) {
+            self.builder.set_bool_field(56, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1636,7 +2041,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(49, 69, 98, 103, 64, 42, 182, 213),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -1646,7 +2051,7 @@
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
@@ -1654,35 +2059,42 @@
             ::capnp::word(114, 76, 111, 97, 100, 82, 111, 119),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 56, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1717,6 +2129,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 114, 101, 97, 99, 104, 97),
+            ::capnp::word(98, 108, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1724,6 +2145,7 @@
                 1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1742,9 +2164,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0, 4, 3];
         pub(crate) const TYPE_ID: u64 = 0xd5b6_2a40_6762_4531;
     }
 }
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -7,11 +7,13 @@
 use capnp::message::ReaderOptions;
 use capnp::serialize_packed;
 use reedsail_core::NameHash;
+use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::WorkspaceUseRow;
 
+use crate::load_capnp::evacuation_row;
 use crate::load_capnp::included_row;
 use crate::load_capnp::load_report;
 use crate::load_capnp::member_row;
@@ -125,6 +127,8 @@
     pub load_age_ms: u32,
     /// Backend servers that the sender knows to be draining or departed.
     pub departures: Vec<NameHash>,
+    /// The failure domains that the sender knows to be, or to have been, evacuated.
+    pub evacuations: Vec<EvacuationRow>,
     /// Some of the instances that the sender knows.
     pub members: Vec<MemberRow>,
 }
@@ -173,6 +177,7 @@
             target.set_running(row.running);
             target.set_failure_rate(row.failure_rate);
             target.set_unread_tokens(row.prefill_tokens);
+            target.set_unreachable(row.is_unreachable);
         }
         let mut workspaces = root.reborrow().init_workspaces(self.load.workspaces.len() as u32);
         for (index, row) in (0..).zip(&self.load.workspaces) {
@@ -204,6 +209,7 @@
             target.set_failure_domain(row.failure_domain.0);
             target.set_processor_milli(row.processor_milli);
         }
+        self.write_evacuations(root);
         if self.included.is_empty() {
             return;
         }
@@ -215,6 +221,19 @@
         }
     }
 
+    fn write_evacuations(&self, root: &mut load_report::Builder<'_>) {
+        if self.evacuations.is_empty() {
+            return;
+        }
+        let mut rows = root.reborrow().init_evacuations(self.evacuations.len() as u32);
+        for (index, row) in (0..).zip(&self.evacuations) {
+            let mut target = rows.reborrow().get(index);
+            target.set_failure_domain(row.failure_domain.0);
+            target.set_active(row.is_active);
+            target.set_revision(row.revision);
+        }
+    }
+
     /// Decodes a message; every list is bounded.
     ///
     /// # Errors
@@ -244,6 +263,7 @@
             included: read_included(root)?,
             load: read_load(root)?,
             departures: read_departures(root)?,
+            evacuations: read_evacuations(root)?,
             members: read_members(root)?,
         })
     }
@@ -259,6 +279,7 @@
         running: row.get_running(),
         failure_rate: row.get_failure_rate(),
         prefill_tokens: row.get_unread_tokens(),
+        is_unreachable: row.get_unreachable(),
     };
     let workspace = |row: workspace_use_row::Reader<'_>| WorkspaceUseRow {
         workspace: NameHash(row.get_workspace()),
@@ -282,6 +303,17 @@
     Ok(departures.iter().map(NameHash).collect())
 }
 
+fn read_evacuations(root: load_report::Reader<'_>) -> Result<Vec<EvacuationRow>, capnp::Error> {
+    let rows = root.get_evacuations()?;
+    check_rows(rows.len())?;
+    let row = |row: evacuation_row::Reader<'_>| EvacuationRow {
+        failure_domain: NameHash(row.get_failure_domain()),
+        revision: row.get_revision(),
+        is_active: row.get_active(),
+    };
+    Ok(rows.iter().map(row).collect())
+}
+
 fn read_members(root: load_report::Reader<'_>) -> Result<Vec<MemberRow>, capnp::Error> {
     let members = root.get_members()?;
     check_rows(members.len())?;
--- a/crates/reedsail_wire/tests/golden.rs
+++ b/crates/reedsail_wire/tests/golden.rs
@@ -12,6 +12,7 @@
 
 use reedsail_core::Directory;
 use reedsail_core::NameHash;
+use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
@@ -97,6 +98,7 @@
                 running: 0x0b0b,
                 failure_rate: 0x0c,
                 prefill_tokens: 0x0d0d,
+                is_unreachable: true,
             }],
             workspaces: vec![WorkspaceUseRow {
                 workspace: NameHash(0x0e0e),
@@ -109,6 +111,11 @@
             }],
         },
         departures: vec![NameHash(0x1313)],
+        evacuations: vec![EvacuationRow {
+            failure_domain: NameHash(0x1414),
+            revision: 77,
+            is_active: true,
+        }],
         members: vec![MemberRow {
             instance: NameHash(0x1414),
             address: SocketAddrV4::new(Ipv4Addr::new(10, 20, 30, 40), 0x1515),
@@ -121,7 +128,11 @@
 #[test]
 fn a_load_message_of_the_first_release_is_read() {
     let read = LoadMessage::decode(&kept("load_message_first_release")).unwrap();
+    let mut load = load_message().load;
+    load.servers[0].is_unreachable = false;
     let first_release = LoadMessage {
+        load,
+        evacuations: Vec::new(),
         scope: LoadScope::Instance,
         protocol: 0,
         processor_milli: 0,
--- a/crates/reedsail_wire/tests/load_message.rs
+++ b/crates/reedsail_wire/tests/load_message.rs
@@ -8,6 +8,7 @@
 use proptest::prelude::prop;
 use proptest::proptest;
 use reedsail_core::NameHash;
+use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
@@ -48,6 +49,7 @@
                     running: row as u16,
                     failure_rate: row as u8,
                     prefill_tokens: row * 1_000,
+                    is_unreachable: row % 3 == 0,
                 })
                 .collect(),
             workspaces: (0..rows)
@@ -65,6 +67,13 @@
                 .collect(),
         },
         departures: (0..rows).map(NameHash).collect(),
+        evacuations: (0..rows)
+            .map(|row| EvacuationRow {
+                failure_domain: NameHash(row),
+                revision: u64::from(row) << 40,
+                is_active: row % 2 == 0,
+            })
+            .collect(),
         members: (0..rows)
             .map(|row| MemberRow {
                 instance: NameHash(row),
