Pace the prompts of workspaces that want more than their share

Cause: a workspace over its share was held back only where a queue was longer than 5 in 100 of the latency target. Queues are known some 130 ms late, and in that time every instance let a flood in behind the same short queue; the others were refused behind it as late. Change: prompts of a workspace that requested more than the max-min level have an allowance on each instance, which grows at half as much again as its share by recent demand, more for one that was lately sent less than the others. Load messages carry recent demand and recent sends of each workspace. Retries and requests without a prompt are not paced. The new test holds what was reached; the one that is known to fail stays as written.

--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -3,7 +3,8 @@
 //! **Rule.** A request is sent if its first event is expected within [`TARGET_FRACTION`] of its latency
 //! target, or if others keep its server busy for less than [`QUEUE_TARGET_FRACTION`] of it. It is refused
 //! with a retry-after otherwise. A workspace over its fair share is refused as well where the server is
-//! busy with other requests for more than [`OVER_SHARE_TARGET_FRACTION`] of the target.
+//! busy with other requests for more than [`OVER_SHARE_TARGET_FRACTION`] of the target. How many
+//! prompts of one that wants more than its share are sent while queues are short is the rule of `pacing`.
 //!
 //! **Inputs.** The request's latency target and time waited so far, the placement's expected time and
 //! queue, all in milliseconds; whether the workspace is over its share (`fair_share`).
@@ -80,6 +81,16 @@
     }
 }
 
+/// Refuses a prompt that pacing holds back: its workspace's allowance grows all the time, so the caller may come
+/// back soon.
+pub(crate) fn refuse_paced(demand: &Demand<'_>, placement: &Placement) -> Decision {
+    Decision::Refuse {
+        kind: ErrorKind::OverShare,
+        retry_after_ms: retry_after_ms(demand.latency_target_ms, 0.0),
+        placement: Some(*placement),
+    }
+}
+
 /// Returns the time left until a request's deadline, in milliseconds; `None` if an attempt is not worth
 /// it any more.
 pub fn time_left_ms(arrived_at: TimeMs, deadline: TimeMs, now: TimeMs) -> Option<u64> {
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -23,9 +23,12 @@
 use crate::SlowStartLimit;
 use crate::WorkspaceShare;
 use crate::admission::admit;
+use crate::admission::refuse_paced;
 use crate::attempt::UnansweredAttempts;
 use crate::fair_share::UsageTable;
 use crate::latency_estimate::plain_rounds;
+use crate::pacing::Pacer;
+use crate::pacing::PrefillCapacity;
 use crate::peer_reports::PeerReports;
 use crate::placement::Placer;
 use crate::prefix_memory::PrefixMemory;
@@ -41,6 +44,7 @@
     servers: ServerTable,
     peers: PeerReports,
     usage: UsageTable,
+    pacer: Pacer,
     prefixes: PrefixMemory,
     retries: RetryBudgets,
     unanswered: UnansweredAttempts,
@@ -59,6 +63,7 @@
             servers: ServerTable::default(),
             peers: PeerReports::default(),
             usage: UsageTable::new(settings.share_window_ms),
+            pacer: Pacer::default(),
             prefixes: PrefixMemory::default(),
             retries: RetryBudgets::default(),
             unanswered: UnansweredAttempts::default(),
@@ -126,8 +131,35 @@
             now,
         };
         let placement = placer.choose(demand);
+        if demand.tried.is_empty() {
+            let prefill_tokens = placement.map_or(0, |placement| placement.prefill_tokens);
+            self.usage.record_prefill(demand.workspace, prefill_tokens, now);
+        }
         let usage = &mut self.usage;
-        admit(demand, placement, || usage.share(demand.workspace, now).is_over())
+        let mut decision = admit(demand, placement, || usage.share(demand.workspace, now).is_over());
+        if let Decision::Send(placement) = &decision
+            && !self.passes_pacing(demand, placement, now)
+        {
+            decision = refuse_paced(demand, placement);
+        }
+        decision
+    }
+
+    /// Asks the pacing rule about a prompt that admission would send.
+    fn passes_pacing(&mut self, demand: &Demand<'_>, placement: &Placement, now: TimeMs) -> bool {
+        let is_retry = !demand.tried.is_empty();
+        if is_retry || demand.engine_prompt().is_none() {
+            return true;
+        }
+        let capacity = PrefillCapacity {
+            servers: self.servers.of_service(demand.service).len(),
+            tokens_per_ms: 1.0 / self.first_event_model(demand.service).prefill_ms(1.0),
+        };
+        let prefill_tokens = f64::from(placement.prefill_tokens);
+        self.usage.capped(demand.workspace, now).is_none_or(|workspace| {
+            self.pacer
+                .passes(demand.workspace, &workspace, capacity, prefill_tokens, now)
+        })
     }
 
     /// Returns what a workspace requested and was sent within the window, and the level that it is judged by.
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -9,7 +9,8 @@
 //! | `placement`, with `latency_estimate`, `first_event_model` and `prefix_memory` | which backend server |
 //! | `admission` | send or refuse, retry-after |
 //! | `retry` | may this be sent again, and is there budget |
-//! | `fair_share`, with `max_min` | is a workspace over its share |
+//! | `fair_share`, with `max_min` and `decaying_sum` | is a workspace over its share |
+//! | `pacing` | how fast prompts are sent of a workspace that wants more than its share |
 //! | `server_health`, with `failure_rate` and `attempt` | failure rate, overdue, unreachable |
 //! | `overload` | does this instance refuse requests or shed callers |
 //! | `shutdown` | which requests are taken while stopping |
@@ -24,6 +25,7 @@
 
 mod admission;
 mod attempt;
+mod decaying_sum;
 mod demand;
 mod dispatcher;
 mod duty_rank;
@@ -36,6 +38,7 @@
 mod load_report;
 mod max_min;
 mod overload;
+mod pacing;
 mod peer_reports;
 mod placement;
 mod prefix_memory;
--- a/crates/reedsail_dispatch/src/load_report.rs
+++ b/crates/reedsail_dispatch/src/load_report.rs
@@ -26,6 +26,10 @@
     pub requested_cost: f32,
     /// Cost of those that were sent to a server, in tokens.
     pub sent_cost: f32,
+    /// Prompt tokens that its requests lately wanted prefilled, each counted by its age (see `fair_share`).
+    pub recent_prefill_tokens: f32,
+    /// Cost lately sent, counted by age as well.
+    pub recent_sent_cost: f32,
 }
 
 /// A prompt segment that was sent to a server.
--- a/crates/reedsail_dispatch/src/max_min.rs
+++ b/crates/reedsail_dispatch/src/max_min.rs
@@ -1,6 +1,6 @@
 //! Max-min division: nobody gets more while somebody who requested it gets less.
 //!
-//! Used by `fair_share`; tested by `tests/shares.rs`.
+//! Used by `fair_share` and `pacing`; tested by `tests/shares.rs`.
 
 /// Requests beyond the capacity by this factor count as scarcity. Trials (mean worth of quiet / other
 /// days, journal entries 20261202T1211 to T1213): 1.03 gave 0.826 / 0.727, 0.9 gave 0.824 / 0.722, 1.15
@@ -15,9 +15,14 @@
         return f64::INFINITY;
     }
     requested.sort_by(f64::total_cmp);
+    level_of_sorted(requested, capacity)
+}
+
+/// The same of what is sorted already, without a margin.
+pub(crate) fn level_of_sorted(requested: &[f64], capacity: f64) -> f64 {
     let mut left = capacity;
     let mut sharers = requested.len() as f64;
-    for requested in requested.iter() {
+    for requested in requested {
         let level = left / sharers;
         if *requested > level {
             return level;
--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -222,6 +222,8 @@
         workspace: NameHash::of(name),
         requested_cost: cost * 2.0,
         sent_cost: cost,
+        recent_prefill_tokens: 0.0,
+        recent_sent_cost: 0.0,
     };
     let report = LoadReport {
         workspaces: vec![use_elsewhere("small", 2_000_000.0)],
--- a/crates/reedsail_gossip/src/load_sum.rs
+++ b/crates/reedsail_gossip/src/load_sum.rs
@@ -35,6 +35,8 @@
             });
             sum.requested_cost += row.requested_cost;
             sum.sent_cost += row.sent_cost;
+            sum.recent_prefill_tokens += row.recent_prefill_tokens;
+            sum.recent_sent_cost += row.recent_sent_cost;
         }
     }
 
@@ -75,5 +77,7 @@
         };
         row.requested_cost = (row.requested_cost - own.requested_cost).max(0.0);
         row.sent_cost = (row.sent_cost - own.sent_cost).max(0.0);
+        row.recent_sent_cost = (row.recent_sent_cost - own.recent_sent_cost).max(0.0);
+        row.recent_prefill_tokens = (row.recent_prefill_tokens - own.recent_prefill_tokens).max(0.0);
     }
 }
--- a/crates/reedsail_router/benches/instance_cost.rs
+++ b/crates/reedsail_router/benches/instance_cost.rs
@@ -109,6 +109,8 @@
         workspace: NameHash::of(&format!("workspace-{row}")),
         requested_cost: 10_000.0 + (row + sequence) as f32,
         sent_cost: 9_000.0 + row as f32,
+        recent_prefill_tokens: 0.0,
+        recent_sent_cost: 0.0,
     };
     let prefix = |row: u32| PrefixRow {
         segment: sequence * prefixes + row,
--- a/crates/reedsail_simulation/tests/starved_workspace.rs
+++ b/crates/reedsail_simulation/tests/starved_workspace.rs
@@ -52,3 +52,18 @@
     }
     assert!(starved.is_empty(), "{} of 12 seeds: {starved:#?}", starved.len());
 }
+
+/// Lowest ratio that is borne until the test above holds: what was reached, less what a change of arithmetic
+/// moves it by.
+const RATIO_REACHED: f64 = 0.75;
+
+#[test]
+fn a_flood_leaves_every_workspace_most_of_its_share() {
+    let windows = worst_windows(&WITHIN_SHARE)
+        .into_iter()
+        .chain(worst_windows(&OVER_SHARE));
+    for (seed, window) in windows {
+        let ratio = window.map_or(f64::INFINITY, |window| window.ratio());
+        assert!(ratio >= RATIO_REACHED, "seed {seed}: ratio {ratio:.2}");
+    }
+}
--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -76,6 +76,11 @@
   # Cost asked for and begun within the window of use.
   askedCost @1 :Float32;
   begunCost @2 :Float32;
+  # Prompt tokens that its requests lately wanted prefilled: those of a request that came so many
+  # milliseconds ago count by exp(-milliseconds / 400). Zero from senders that do not tell it.
+  recentPrefillTokens @3 :Float32;
+  # Cost begun lately, that of so many milliseconds ago by exp(-milliseconds / 800).
+  recentBegunCost @4 :Float32;
 }
 
 struct MemberRow {
--- a/crates/reedsail_wire/src/load_capnp.rs
+++ b/crates/reedsail_wire/src/load_capnp.rs
@@ -2281,6 +2281,14 @@
         pub fn get_begun_cost(self) -> f32 {
             self.reader.get_data_field::<f32>(2)
         }
+        #[inline]
+        pub fn get_recent_prefill_tokens(self) -> f32 {
+            self.reader.get_data_field::<f32>(3)
+        }
+        #[inline]
+        pub fn get_recent_begun_cost(self) -> f32 {
+            self.reader.get_data_field::<f32>(4)
+        }
     }
 
     pub struct Builder<'a> {
@@ -2288,7 +2296,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2388,6 +2396,22 @@
         pub fn set_begun_cost(&mut self, value: f32) {
             self.builder.set_data_field::<f32>(2, value);
         }
+        #[inline]
+        pub fn get_recent_prefill_tokens(self) -> f32 {
+            self.builder.get_data_field::<f32>(3)
+        }
+        #[inline]
+        pub fn set_recent_prefill_tokens(&mut self, value: f32) {
+            self.builder.set_data_field::<f32>(3, value);
+        }
+        #[inline]
+        pub fn get_recent_begun_cost(self) -> f32 {
+            self.builder.get_data_field::<f32>(4)
+        }
+        #[inline]
+        pub fn set_recent_begun_cost(&mut self, value: f32) {
+            self.builder.set_data_field::<f32>(4, value);
+        }
     }
 
     pub struct Pipeline {
@@ -2400,17 +2424,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 99] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(236, 109, 48, 164, 251, 132, 86, 158),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
@@ -2418,28 +2442,42 @@
             ::capnp::word(112, 97, 99, 101, 85, 115, 101, 82),
             ::capnp::word(111, 119, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -2467,12 +2505,33 @@
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 99, 101, 110, 116, 80, 114),
+            ::capnp::word(101, 102, 105, 108, 108, 84, 111, 107),
+            ::capnp::word(101, 110, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 99, 101, 110, 116, 66, 101),
+            ::capnp::word(103, 117, 110, 67, 111, 115, 116, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2491,9 +2550,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 4, 3, 0];
         pub(crate) const TYPE_ID: u64 = 0x9e56_84fb_a430_6dec;
     }
 }
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -185,6 +185,8 @@
             target.set_workspace(row.workspace.0);
             target.set_asked_cost(row.requested_cost);
             target.set_begun_cost(row.sent_cost);
+            target.set_recent_prefill_tokens(row.recent_prefill_tokens);
+            target.set_recent_begun_cost(row.recent_sent_cost);
         }
         let mut prefixes = root.reborrow().init_parts(self.load.prefixes.len() as u32);
         for (index, row) in (0..).zip(&self.load.prefixes) {
@@ -285,6 +287,8 @@
         workspace: NameHash(row.get_workspace()),
         requested_cost: valid_cost(row.get_asked_cost()),
         sent_cost: valid_cost(row.get_begun_cost()),
+        recent_prefill_tokens: valid_cost(row.get_recent_prefill_tokens()),
+        recent_sent_cost: valid_cost(row.get_recent_begun_cost()),
     };
     let prefix = |row: part_row::Reader<'_>| PrefixRow {
         segment: row.get_part(),
--- a/crates/reedsail_wire/tests/golden.rs
+++ b/crates/reedsail_wire/tests/golden.rs
@@ -104,6 +104,8 @@
                 workspace: NameHash(0x0e0e),
                 requested_cost: 15.5,
                 sent_cost: 16.5,
+                recent_prefill_tokens: 17.5,
+                recent_sent_cost: 18.5,
             }],
             prefixes: vec![PrefixRow {
                 segment: 0x1111,
@@ -130,6 +132,8 @@
     let read = LoadMessage::decode(&kept("load_message_first_release")).unwrap();
     let mut load = load_message().load;
     load.servers[0].is_unreachable = false;
+    load.workspaces[0].recent_prefill_tokens = 0.0;
+    load.workspaces[0].recent_sent_cost = 0.0;
     let first_release = LoadMessage {
         load,
         evacuations: Vec::new(),
--- a/crates/reedsail_wire/tests/load_message.rs
+++ b/crates/reedsail_wire/tests/load_message.rs
@@ -57,6 +57,8 @@
                     workspace: NameHash(row),
                     requested_cost: cost,
                     sent_cost: cost / 2.0,
+                    recent_prefill_tokens: 3.0,
+                    recent_sent_cost: 4.0,
                 })
                 .collect(),
             prefixes: (0..rows)
