--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -15,10 +15,9 @@
 //! is measured. Refusing workspaces over their share only where others' prompts wait leaves spare
 //! capacity usable.
 //!
-//! **Measured** on mean worth of quiet / other days, trials without processor cost (journal entries
-//! 20261202T1208 to T1241): see each constant. Holding a request for a fifth of its target before the
-//! refusal: 0.782 against 0.815 on quiet-1 of vgs-reedsail; sending prompts too large for their target
-//! all the same: 0.803 against 0.815 (commit "Read the store once a failure domain…").
+//! **Measured** as the mean worth of quiet / other days on nine engines without processor cost: see each
+//! constant. Holding a request for a fifth of its target before the refusal: 0.782 against 0.815 on a quiet
+//! day; sending prompts too large for their target all the same: 0.803 against 0.815.
 //!
 //! **Tested by** `tests/placement.rs`, `tests/shares.rs`, `tests/flood.rs`.
 
@@ -30,13 +29,13 @@
 use crate::Placement;
 
 /// Fraction of the latency target within which the first event must be expected. Trials: 0.8 gave
-/// 0.826 / 0.727, 0.7 gave 0.819 / 0.721 (`a_base`, `e_g70`); 0.9 gave 0.816 / 0.698 together with an
-/// over-share fraction of 0.25 (`c_o25g9`).
+/// 0.826 / 0.727, 0.7 gave 0.819 / 0.721; 0.9 gave 0.816 / 0.698 together with an
+/// over-share fraction of 0.25.
 pub(crate) const TARGET_FRACTION: f64 = 0.8;
 /// Fraction of the latency target for which a server may be busy with other requests when a workspace
 /// over its share asks. Mean worth of four days with trouble on 60 engines: 0.713 with 0.05, 0.701 with 0.1
-/// (docs/NEW-CUSTOMER.md, round 5). On nine engines: 0.1 gave 0.826 / 0.727, 0.03 gave 0.811 / 0.739, 0.25
-/// gave 0.816 / 0.681 (`a_base`, `d_o03`, `b_o25`).
+/// On nine engines: 0.1 gave 0.826 / 0.727, 0.03 gave 0.811 / 0.739, 0.25
+/// gave 0.816 / 0.681.
 pub(crate) const OVER_SHARE_TARGET_FRACTION: f64 = 0.05;
 /// Fraction of the latency target for which others may keep a server busy when a request that would be
 /// late all the same is sent there. Chosen, not measured.
--- a/crates/reedsail_dispatch/src/gossip_timing.rs
+++ b/crates/reedsail_dispatch/src/gossip_timing.rs
@@ -11,8 +11,8 @@
 //! follow the interval would lose peers that are alive: beyond 150 instances every one would read the
 //! store, beyond 375 every report would expire.
 //!
-//! **Measured.** Fixed limits against these at 99 instances: 943 and 901 store calls on one day
-//! (commit "Count silence in rounds…"). The figures themselves: chosen, not measured.
+//! **Measured.** Fixed limits against these at 99 instances: 943 and 901 store calls on one day.
+//! The figures themselves: chosen, not measured.
 //!
 //! **Tested by** `tests/gossip_timing.rs`.
 
--- a/crates/reedsail_dispatch/src/overload.rs
+++ b/crates/reedsail_dispatch/src/overload.rs
@@ -14,15 +14,14 @@
 //! open, so the balancer alone does not spread them. Refusing a request costs its caller a retry, so
 //! shedding begins much earlier.
 //!
-//! **Measured** on days of the grown sites: shedding by lag raised chatovna-prod-grown from 0.846 to
-//! 0.891 and vgs-reedsail-grown from 0.891 to 0.912 and kept FAIR on scale-2 (commit "Send callers
-//! elsewhere…"); shedding by open requests raised scale-2 from 0.83 to 0.91 and to 0.87 (commit "Count
-//! open requests…"). The constants of memory: commit "Ask callers to close…".
+//! **Measured** by the score of two fleets of small instances over their days: shedding by lag raised it from 0.846 to
+//! 0.891 and from 0.891 to 0.912, and kept the workspaces of one instance from starving; shedding by open
+//! requests raised a day of high load from 0.83 to 0.91 and to 0.87.
 //!
 //! Shedding while the thread keeps being 5 ms late instead of 150 ms on average, with one connection in 20
 //! closed instead of one in 4: mean worth of a quiet day / a day with trouble on 85 instances 0.738 / 0.588
 //! before and 0.819 / 0.654 after; the busiest instance used 0.071 cores on average over the day with trouble
-//! before and 0.047 after (docs/NEW-CUSTOMER.md, round 10).
+//! before and 0.047 after.
 //!
 //! **Tested by** `tests/overload.rs`.
 
@@ -35,8 +34,8 @@
 /// The newest sample of the lag is one in this many of the moving average. Chosen, not measured.
 const AVERAGE_SAMPLES: u64 = 3;
 /// Average lag from which a thread refuses requests, in milliseconds. A processor that is shared out in
-/// tenths of a second makes a thread late by less. 400 and 200 were tried together with other changes
-/// (commit "Ask callers to close…"), not alone.
+/// tenths of a second makes a thread late by less. 400 and 200 were tried together with other changes,
+/// not alone.
 const REFUSE_LAG_MS: u64 = 400;
 /// Average lag from which an instance sheds callers however short the time was, in milliseconds. Chosen,
 /// not measured.
@@ -56,8 +55,8 @@
 /// callers. Chosen, not measured.
 const SHED_OPEN_PERCENT: u64 = 75;
 /// How long the balancer is asked for no new connections, in milliseconds. Anything shorter would pass
-/// between two of its probes; giving up readiness only until the lag fell left FAIR broken (commit
-/// "Send callers elsewhere…").
+/// between two of its probes; giving up readiness only until the lag fell left workspaces
+/// starved.
 const NOT_READY_MS: u64 = 4_000;
 /// While an instance sheds callers, one in this many answers closes its connection, so that a large caller
 /// is spread over several instances and not moved from one to the next. Trials at a lag of 15 ms: 4 gave
@@ -66,8 +65,8 @@
 /// Open requests for each megabyte of memory: one takes about 80 kB with its two connections, and a
 /// third of the memory is theirs. The 80 kB: chosen, not measured.
 const OPEN_REQUESTS_PER_MB: u64 = 4;
-/// Callers' connections for each megabyte of memory. One at rest takes about 40 kB. Ten gave
-/// fresh-ef11 of chatovna-prod-grown 0.68, four 0.63 (commit "Ask callers to close…").
+/// Callers' connections for each megabyte of memory. One at rest takes about 40 kB. Ten gave a
+/// day on which one small instance had a third of all tries 0.68, four 0.63.
 const CONNECTIONS_PER_MB: u64 = 10;
 
 /// Returns how many requests may be open at once with so much memory.
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -13,8 +13,7 @@
 //! one meet at the same servers, on every instance alike and without a message. Two servers, since one
 //! that is busy would refuse; the second has the segment transferred from the first.
 //!
-//! **Measured** on mean worth of quiet / other days, trials without processor cost (journal entries
-//! 20261202T1203 to T1241 and T1339): see each constant.
+//! **Measured** as the mean worth of quiet / other days on nine engines without processor cost: see each constant.
 //!
 //! **Tested by** `tests/placement.rs`, `tests/decision_trace.rs`.
 
@@ -32,18 +31,18 @@
 use crate::prefix_memory::PrefixMemory;
 use crate::server_table::ServerTable;
 
-/// Servers that a prompt segment is spread over. Trials on three days of vgs-reedsail: one gave 0.764 /
-/// 0.698, two 0.815 / 0.707, three 0.788 / 0.655 (single, two250, base); one for each 35 engines gave
-/// 0.841 / 0.647 against 0.839 / 0.667 on the grown sites (k).
+/// Servers that a prompt segment is spread over. Trials on three days: one gave 0.764 /
+/// 0.698, two 0.815 / 0.707, three 0.788 / 0.655; one for each 35 engines gave
+/// 0.841 / 0.647 against 0.839 / 0.667 on two larger fleets.
 const SERVERS_PER_SEGMENT_MAX: usize = 2;
 /// Penalty for sending a prompt to its second server, in milliseconds. Trials: 250 gave 0.826 / 0.727,
-/// 350 with 150 for a cached segment 0.824 / 0.733 (`a_base`, `f_sp350`).
+/// 350 with 150 for a cached segment 0.824 / 0.733.
 const SPREAD_MS: f64 = 250.0;
 /// The same where that server has the segment cached, in milliseconds. Trials: 100 gave 0.826 / 0.727,
-/// 50 with 300 for an uncached one 0.821 / 0.732 (`a_base`, `i_kept200`).
+/// 50 with 300 for an uncached one 0.821 / 0.732.
 const SPREAD_CACHED_MS: f64 = 100.0;
 /// Time to transfer a prompt's shared segments between servers, in milliseconds. Trials: 40 gave 0.838 /
-/// 0.735, 0 gave 0.835 / 0.738 (`r_load`, `r_nocopyms`), which is within noise.
+/// 0.735, 0 gave 0.835 / 0.738, which is within noise.
 const TRANSFER_MS: f64 = 40.0;
 /// Penalty of a server in another failure domain for requests without a prompt, in milliseconds; the
 /// domains are half a millisecond apart each way. Chosen, not measured.
--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -15,8 +15,8 @@
 //! request a few seconds later, also while the store is out.
 //!
 //! **Measured.** Both grace periods at half and double: docs/DECISIONS.md. A grace of 4 s for every drop
-//! sent requests to servers that had left (first row of docs/FINDINGS.md); a digest that left suspects
-//! out kept one engine of nine in use (hunt-5c52-27 there). Other figures: chosen, not measured.
+//! sent requests to servers that had left; a digest that left suspects
+//! out kept one engine of nine in use. Other figures: chosen, not measured.
 //!
 //! **Tested by** `tests/server_list.rs`, `tests/decision_trace.rs`.
 
@@ -26,6 +26,9 @@
 use reedsail_core::TimeMs;
 use twox_hash::XxHash64;
 
+use crate::ListComparison;
+use crate::ListDelta;
+use crate::PeerListState;
 use crate::ServerChange;
 use crate::ServerListing;
 use crate::ServerRecord;
@@ -55,61 +58,6 @@
     cold_until: Option<TimeMs>,
 }
 
-/// What has changed in the list.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ListDelta {
-    /// Servers that are new.
-    pub listed: Vec<String>,
-    /// Servers that started again under their id.
-    pub restarted: Vec<String>,
-    /// Servers that turned cold, are cold for longer than was known, or are warm again.
-    pub cold: Vec<String>,
-    /// Servers that began to drain.
-    pub draining: Vec<String>,
-    /// Servers that departed.
-    pub unlisted: Vec<String>,
-    /// Records that cannot be read, each with what is wrong.
-    pub unreadable: Vec<(String, String)>,
-}
-
-impl ListDelta {
-    /// Tells whether the list stayed the same.
-    pub fn is_empty(&self) -> bool {
-        let changes = [
-            &self.listed,
-            &self.restarted,
-            &self.cold,
-            &self.draining,
-            &self.unlisted,
-        ];
-        changes.iter().all(|ids| ids.is_empty())
-    }
-}
-
-/// The state of a peer's list, as its load message has it.
-#[derive(Clone, Copy, Debug)]
-pub struct PeerListState<'a> {
-    /// The place in the store's log up to which the list is known.
-    pub revision: u64,
-    /// The digest of the list.
-    pub digest: u64,
-    /// How long ago it was known to be the newest, in milliseconds.
-    pub age_ms: u64,
-    /// Servers that the peer knows to be draining or departed.
-    pub departures: &'a [NameHash],
-}
-
-/// How a peer's list compares with this instance's.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListComparison {
-    /// It has nothing newer.
-    NothingNew,
-    /// It is newer and is to be fetched.
-    Newer,
-    /// It is newer, and names departures that were not known.
-    NewerWithDepartures,
-}
-
 /// The list of backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct ServerList {
--- a/crates/reedsail_dispatch/src/shutdown.rs
+++ b/crates/reedsail_dispatch/src/shutdown.rs
@@ -10,7 +10,7 @@
 //! failure domain in which all instances stop. Refusing all of them cost 412 answers on one incident
 //! (docs/incidents/01-rolling-restart.md). A request that could outlive the process would be cut off.
 //!
-//! **Measured.** The incident's day before and after: commit "Take requests late in a stop…".
+//! **Measured.** The incident's day before and after: docs/incidents/01-rolling-restart.md.
 //!
 //! **Tested by** `reedsail_router`'s `tests/beliefs.rs` (`late_in_a_stop…`, `a_planned_stop…`).
 
--- a/crates/reedsail_dispatch/src/store_reader.rs
+++ b/crates/reedsail_dispatch/src/store_reader.rs
@@ -16,8 +16,8 @@
 //! domain of any size asks it a few times a second instead of once for each instance, and the first one
 //! that is answered makes all others fresh.
 //!
-//! **Measured.** One reader a failure domain: 895 to 512 store calls on a quiet day of eight instances (commit
-//! "Read the store once a failure domain…"). Half and double of the limits: docs/DECISIONS.md.
+//! **Measured.** One reader a failure domain: 895 to 512 store calls on a quiet day of eight instances.
+//! Half and double of the limits: docs/DECISIONS.md.
 //!
 //! **Tested by** `tests/store_reader.rs`, `reedsail_router`'s `tests/beliefs.rs`
 //! (`a_daemon_that_the_store_turns_away…`).
