Pace by what all engines prefill, not by the servers of the service that is called

Cause: a route whose prompts go in part to another service was paced by that service's few servers alone, while shares are those of all services. Change: the capacity that is divided is that of all services that answered a prompt. With one service nothing changes.

--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -151,10 +151,7 @@
         if is_retry || demand.engine_prompt().is_none() {
             return true;
         }
-        let capacity = PrefillCapacity {
-            servers: self.servers.of_service(demand.service).len(),
-            tokens_per_ms: 1.0 / self.first_event_model(demand.service).prefill_ms(1.0),
-        };
+        let capacity = self.prefill_capacity(demand.service);
         let prefill_tokens = f64::from(placement.prefill_tokens);
         self.usage.capped(demand.workspace, now).is_none_or(|workspace| {
             self.pacer
@@ -162,6 +159,20 @@
         })
     }
 
+    /// Returns what all servers that prompts go to prefill together: shares are those of all services, so a
+    /// route to a service of few servers must not be paced by these alone.
+    fn prefill_capacity(&self, service: NameHash) -> PrefillCapacity {
+        let of_service = |service: NameHash| {
+            let servers = self.servers.of_service(service).len() as f64;
+            servers / self.first_event_model(service).prefill_ms(1.0)
+        };
+        let others = self.models.keys().filter(|other| **other != service);
+        let others_tokens_per_ms: f64 = others.map(|other| of_service(*other)).sum();
+        PrefillCapacity {
+            tokens_per_ms: of_service(service) + others_tokens_per_ms,
+        }
+    }
+
     /// Returns what a workspace requested and was sent within the window, and the level that it is judged by.
     pub fn workspace_share(&mut self, workspace: NameHash, now: TimeMs) -> WorkspaceShare {
         self.usage.share(workspace, now)
--- a/crates/reedsail_dispatch/src/pacing.rs
+++ b/crates/reedsail_dispatch/src/pacing.rs
@@ -7,7 +7,7 @@
 //! than the other paced ones, and lowered for one that was sent more.
 //!
 //! **Inputs.** What workspaces lately wanted and were sent, here and from peers' reports (tokens); how many
-//! servers the service has and how many tokens one prefills in a millisecond.
+//! tokens the engines of all services prefill in a millisecond.
 //!
 //! **Why.** A queue is known some 60 ms late, and in that time all instances see the same short queue. A flood
 //! that each of them lets in there makes it longer than the target of everybody else, and who asks most gets
@@ -43,24 +43,21 @@
 /// (`tests/flood.rs`); with 3 that holds, and 12 instead of 7 of 96 simulated floods have a workspace below half
 /// of its due.
 const ALLOWANCE_PROMPTS: f64 = 3.0;
-/// The least fraction of a service's prefill that workspaces within their share leave to the others, so that an
+/// The least fraction of the engines' prefill that workspaces within their share leave to the others, so that an
 /// estimate that is too high keeps nobody out. Chosen, not measured.
 const ROOM_MIN: f64 = 0.1;
 
-/// What the engines of a service prefill together.
+/// What all engines prefill together.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PrefillCapacity {
-    /// How many engines there are.
-    pub(crate) servers: usize,
-    /// Prompt tokens that one of them prefills in a millisecond.
+    /// Prompt tokens in a millisecond.
     pub(crate) tokens_per_ms: f64,
 }
 
 impl PrefillCapacity {
     /// Returns what workspaces within their share leave, in prompt tokens a millisecond.
     fn left_tokens_per_ms(self, uncapped_tokens_per_ms: f64) -> f64 {
-        let all_tokens_per_ms = self.servers as f64 * self.tokens_per_ms;
-        (all_tokens_per_ms - uncapped_tokens_per_ms).max(ROOM_MIN * all_tokens_per_ms)
+        (self.tokens_per_ms - uncapped_tokens_per_ms).max(ROOM_MIN * self.tokens_per_ms)
     }
 }
 
--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -233,3 +233,73 @@
     let (_, small_alone, _) = serve_both(None);
     assert!(small < small_alone, "{small} and {small_alone}");
 }
+
+/// Returns how many of a flood's prompts to a service are sent within a second, before forty engines of one
+/// service and one server of another.
+fn sent_of_a_flood(called: &str) -> usize {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("hall"));
+    let mut servers: Vec<ServerSetup> = (0..40).map(engine).collect();
+    servers.push(ServerSetup {
+        service: NameHash::of("other"),
+        slots: 10_000,
+        ..engine(40)
+    });
+    dispatcher.set_servers(&servers);
+    let prompt = |number: u64| Prompt {
+        segments: vec![PromptSegment {
+            id: number,
+            tokens: 1_000,
+        }],
+        output_tokens: 1,
+    };
+    // Another workspace is short elsewhere, so there is not enough for all.
+    let elsewhere = LoadReport {
+        workspaces: vec![WorkspaceUseRow {
+            workspace: NameHash::of("elsewhere"),
+            requested_cost: 40_000_000.0,
+            sent_cost: 5_000_000.0,
+            recent_prefill_tokens: 4_000_000.0,
+            recent_sent_cost: 1_000_000.0,
+        }],
+        ..LoadReport::default()
+    };
+    let mut send = |service: &str, number: u64, now: TimeMs| {
+        if number.is_multiple_of(1_000) {
+            dispatcher.receive_report(NameHash::of("peer"), elsewhere.clone(), now);
+        }
+        let prompt = prompt(number);
+        let demand = Demand {
+            service: NameHash::of(service),
+            workspace: NameHash::of("flood"),
+            prompt: Some(&prompt),
+            latency_target_ms: 100_000,
+            waited_ms: 0,
+            tried: &[],
+        };
+        dispatcher.record_arrival(&demand, now);
+        let Decision::Send(placement) = dispatcher.decide(&demand, now) else {
+            return false;
+        };
+        let mut attempt = dispatcher.begin_attempt(&demand, &placement, now);
+        dispatcher.record_first_event(&mut attempt, now.plus_ms(60));
+        dispatcher.finish_attempt(attempt, AttemptOutcome::Answered, now);
+        true
+    };
+    send("llm", 0, TimeMs(5_000));
+    let mut sent = 0;
+    for number in 1..20_000 {
+        // Most of the flood goes to the engines; one prompt in ten is counted.
+        let is_counted = number % 10 == 0;
+        let service = if is_counted { called } else { "llm" };
+        let is_sent = send(service, number, TimeMs(10_000 + number / 10));
+        sent += usize::from(is_sent && is_counted && number > 10_000);
+    }
+    sent
+}
+
+#[test]
+fn a_flood_is_paced_alike_on_services_of_many_and_of_few_servers() {
+    let (many, few) = (sent_of_a_flood("llm"), sent_of_a_flood("other"));
+    assert!(many > 0, "{many} and {few}");
+    assert!(few * 2 > many, "{many} and {few}");
+}
