--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -286,15 +286,15 @@
         true
     };
     send("llm", 0, TimeMs(5_000));
-    let mut sent = 0;
+    let mut counted = 0;
     for number in 1..20_000 {
         // Most of the flood goes to the engines; one prompt in ten is counted.
         let is_counted = number % 10 == 0;
         let service = if is_counted { called } else { "llm" };
         let is_sent = send(service, number, TimeMs(10_000 + number / 10));
-        sent += usize::from(is_sent && is_counted && number > 10_000);
+        counted += usize::from(is_sent && is_counted && number > 10_000);
     }
-    sent
+    counted
 }
 
 #[test]
