Work out until when a server is cold in one place, and correct two lines of pages

No behaviour changes. Measured: clippy, the tests of reedsail_dispatch (digests of decision_trace unchanged) and of the pages pass.

--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -262,7 +262,7 @@
         let was_draining = same.is_some_and(|entry| entry.record.is_draining);
         let was_cold_until = same.and_then(|entry| entry.cold_until);
         let entry = Entry {
-            cold_until: (record.cold_left_ms > 0).then(|| now.plus_ms(record.cold_left_ms)),
+            cold_until: record.cold_until(now),
             record,
             suspect_until: None,
         };
--- a/crates/reedsail_dispatch/src/server_record.rs
+++ b/crates/reedsail_dispatch/src/server_record.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use reedsail_core::NameHash;
+use reedsail_core::TimeMs;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -33,6 +34,11 @@
 }
 
 impl ServerRecord {
+    /// Returns until when the server is cold, if the record is read now; `None` for a warm one.
+    pub fn cold_until(&self, now: TimeMs) -> Option<TimeMs> {
+        (self.cold_left_ms > 0).then(|| now.plus_ms(self.cold_left_ms))
+    }
+
     /// Returns the name of this incarnation of the server, by which all that is believed of it is kept: load,
     /// cached segments, failures, connections, departures. A server that started again has another name, so
     /// nothing of the earlier incarnation is ever taken for its own, and no old report brings that one back.
--- a/crates/reedsail_dispatch/src/slow_start.rs
+++ b/crates/reedsail_dispatch/src/slow_start.rs
@@ -2,8 +2,8 @@
 //!
 //! **Rule.** A cold server gets requests from [`SENDERS`] instances alone, those of its failure domain that
 //! rank first for it by rendezvous hashing, silent ones included. Each sends a request only after the time of
-//! its even part of three quarters of the rate that the operators state. Nobody else sends it anything, and an instance that
-//! does not know its fleet yet sends none.
+//! its even part of three quarters of the rate that the operators state. Nobody else sends it anything, and an
+//! instance that does not know its fleet yet sends none.
 //!
 //! **Inputs.** The operators' figures of a service (how long its servers are cold, requests a second that a
 //! cold one bears); the instances that are known and their failure domains.
--- a/crates/reedsail_dispatch/tests/slow_start.rs
+++ b/crates/reedsail_dispatch/tests/slow_start.rs
@@ -4,6 +4,7 @@
 
 use reedsail_core::ErrorKind;
 use reedsail_core::NameHash;
+use reedsail_core::TableKey;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_dispatch::Decision;
@@ -68,15 +69,19 @@
     }
 }
 
-fn decide(instance: &mut Dispatcher, prompt: &Prompt, now: TimeMs) -> Decision {
-    let demand = Demand {
+fn demand(prompt: &Prompt) -> Demand<'_> {
+    Demand {
         service: NameHash::of("llm"),
         workspace: NameHash::of("labska"),
         prompt: Some(prompt),
         latency_target_ms: 1_000,
         waited_ms: 0,
         tried: &[],
-    };
+    }
+}
+
+fn decide(instance: &mut Dispatcher, prompt: &Prompt, now: TimeMs) -> Decision {
+    let demand = demand(prompt);
     let decision = instance.decide(&demand, now);
     if let Decision::Send(placement) = &decision {
         let mut attempt = instance.begin_attempt(&demand, placement, now);
@@ -94,7 +99,7 @@
         for instance in fleet.iter_mut() {
             number += 1;
             if let Decision::Send(placement) = decide(instance, &prompt(number), TimeMs(at)) {
-                let index = reedsail_core::TableKey::index(placement.server);
+                let index = placement.server.index();
                 arrivals.entry(index).or_default().push(at);
             }
         }
@@ -186,14 +191,7 @@
     let mut fleet = fleet(&servers);
     let prompt = prompt(5);
     let now = TimeMs(10_000);
-    let demand = Demand {
-        service: NameHash::of("llm"),
-        workspace: NameHash::of("labska"),
-        prompt: Some(&prompt),
-        latency_target_ms: 1_000,
-        waited_ms: 0,
-        tried: &[],
-    };
+    let demand = demand(&prompt);
     let Decision::Send(placement) = fleet[0].decide(&demand, now) else {
         panic!("refused");
     };
@@ -205,7 +203,7 @@
         instance.receive_report(NameHash::of("front-0"), report.clone(), TimeMs(10_150));
     }
     let arrivals = arrivals(&mut fleet, 11_700, 13_000);
-    let index = reedsail_core::TableKey::index(placement.server);
+    let index = placement.server.index();
     assert!(
         arrivals
             .get(&index)
@@ -264,14 +262,7 @@
     let servers = [server(0, None)];
     let mut instance = instance(1, &servers, &members(0..3));
     let prompt = prompt(1);
-    let demand = Demand {
-        service: NameHash::of("llm"),
-        workspace: NameHash::of("labska"),
-        prompt: Some(&prompt),
-        latency_target_ms: 1_000,
-        waited_ms: 0,
-        tried: &[],
-    };
+    let demand = demand(&prompt);
     let Decision::Send(placement) = instance.decide(&demand, TimeMs(10_000)) else {
         panic!("refused");
     };
--- a/crates/reedsail_router/src/control/server_publication.rs
+++ b/crates/reedsail_router/src/control/server_publication.rs
@@ -57,7 +57,7 @@
         failure_domain: NameHash::of(&record.failure_domain),
         slots: record.slots,
         is_draining: record.is_draining,
-        cold_until: (record.cold_left_ms > 0).then(|| now.plus_ms(record.cold_left_ms)),
+        cold_until: record.cold_until(now),
     }
 }
 
