Name requests by a fingerprint, and say which servers ended under which of them

Cause: no line could tell whether two failed requests were the same one, and a server that ended looked like a connection that broke. Change: lines 510 to 512 carry a fingerprint over workspace, address and body (BLAKE3, cut to 128 bits); a broken connection is an outcome of its own, and once its server is found to have ended (nobody listens, or its record is gone) line 316 and a metric say so. Nothing is decided by it yet: the digests of decision_trace are unchanged.

--- a/crates/reedsail_core/src/lib.rs
+++ b/crates/reedsail_core/src/lib.rs
@@ -4,11 +4,13 @@
 //! Pure: no I/O, no clock, no runtime. Owns nothing but names; relies on nothing of the project.
 
 mod error_kind;
+mod fingerprint;
 mod key;
 mod outcome;
 
 pub use error_kind::ErrorKind;
 pub use error_kind::RanState;
+pub use fingerprint::Fingerprint;
 pub use key::Directory;
 pub use key::KeyTable;
 pub use key::NameHash;
--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashMap;
 
+use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
 use reedsail_core::ServerKey;
 use reedsail_core::TimeMs;
@@ -19,6 +20,7 @@
     number: u64,
     pub(crate) server: ServerKey,
     pub(crate) service: NameHash,
+    pub(crate) fingerprint: Option<Fingerprint>,
     /// The workspace that it was charged to, and what it costs in tokens.
     pub(crate) workspace: NameHash,
     pub(crate) cost: f64,
@@ -50,7 +52,7 @@
     /// Tells whether the server may have worked on the request, given how the attempt ended.
     pub(crate) fn may_have_run(&self, outcome: AttemptOutcome) -> bool {
         match outcome {
-            AttemptOutcome::Answered | AttemptOutcome::Failed => true,
+            AttemptOutcome::Answered | AttemptOutcome::Failed | AttemptOutcome::Broken => true,
             AttemptOutcome::Rejected | AttemptOutcome::Unreachable | AttemptOutcome::Down => {
                 self.has_answered
             }
@@ -64,8 +66,10 @@
 pub enum AttemptOutcome {
     /// The server answered whole and well.
     Answered,
-    /// The server answered with a failure, broke off, or answered wrongly.
+    /// The server answered with a failure, or answered wrongly.
     Failed,
+    /// The connection broke after the request was sent: the server may have ended.
+    Broken,
     /// The server said that it did not run the request.
     Rejected,
     /// The server could not be connected to; no byte was sent. The reason may be this instance, or that the
@@ -100,6 +104,7 @@
             number: self.begun,
             server: placement.server,
             service: demand.service,
+            fingerprint: demand.fingerprint,
             workspace: demand.workspace,
             cost: demand.cost(),
             rounds,
--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -1,6 +1,7 @@
 //! The request as the decisions see it, and what is decided about it.
 
 use reedsail_core::ErrorKind;
+use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
 use reedsail_core::ServerKey;
 
@@ -83,6 +84,8 @@
     pub waited_ms: u64,
     /// Servers that were tried already.
     pub tried: &'a [ServerKey],
+    /// By what its returns are known; `None` for one that is not told from others.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 impl<'a> Demand<'a> {
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 use crate::Attempt;
 use crate::AttemptOutcome;
+use crate::BrokenRequest;
 use crate::Decision;
 use crate::Demand;
 use crate::DispatchSettings;
@@ -19,6 +20,7 @@
 use crate::LoadReport;
 use crate::Placement;
 use crate::Prompt;
+use crate::ServerEnd;
 use crate::ServerSetup;
 use crate::SlowStartLimit;
 use crate::WorkspaceShare;
@@ -33,6 +35,7 @@
 use crate::placement::Placer;
 use crate::prefix_memory::PrefixMemory;
 use crate::retry::RetryBudgets;
+use crate::server_ends::BrokenAttempts;
 use crate::server_table::ServerTable;
 use crate::slow_start::Senders;
 
@@ -48,6 +51,9 @@
     prefixes: PrefixMemory,
     retries: RetryBudgets,
     unanswered: UnansweredAttempts,
+    broken: BrokenAttempts,
+    /// Ends of servers that were found and not taken yet.
+    server_ends: Vec<ServerEnd>,
     /// How many instances the fleet has, where more are known than send reports.
     instances: usize,
     /// The learned speed of engines, by service.
@@ -67,6 +73,8 @@
             prefixes: PrefixMemory::default(),
             retries: RetryBudgets::default(),
             unanswered: UnansweredAttempts::default(),
+            broken: BrokenAttempts::default(),
+            server_ends: Vec::new(),
             instances: 0,
             models: HashMap::new(),
         }
@@ -227,6 +235,7 @@
         if !attempt.has_answered {
             self.end_prefill(&mut attempt);
         }
+        self.record_broken(&attempt, outcome, now);
         if outcome == AttemptOutcome::Down {
             self.servers.record_down(attempt.server, true, now);
         }
@@ -235,11 +244,31 @@
         server.health.record_outcome(outcome, now);
     }
 
-    /// Judges servers whose answers are overdue, and drops peers' reports that have expired.
+    /// Remembers a request whose connection broke, until it is known whether its server ended.
+    fn record_broken(&mut self, attempt: &Attempt, outcome: AttemptOutcome, now: TimeMs) {
+        if let (AttemptOutcome::Broken, Some(fingerprint)) = (outcome, attempt.fingerprint) {
+            let request = BrokenRequest {
+                fingerprint,
+                workspace: attempt.workspace,
+                broke_at: now,
+            };
+            self.broken.record(attempt.server, request);
+        }
+    }
+
+    /// Returns the servers that were found to have ended since the last call, with the requests that broke off
+    /// there.
+    pub fn take_server_ends(&mut self) -> Vec<ServerEnd> {
+        std::mem::take(&mut self.server_ends)
+    }
+
+    /// Judges servers whose answers are overdue, finds servers that have ended, and drops peers' reports that have expired.
     pub fn tick(&mut self, now: TimeMs) {
         for server in self.unanswered.take_overdue(now) {
             self.servers.get_mut(server).health.record_overdue(now);
         }
+        let ends = self.broken.take_ends(&self.servers, now);
+        self.server_ends.extend(ends);
         self.peers.drop_expired(&mut self.servers, &mut self.usage, now);
     }
 
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `fair_share`, with `max_min` and `decaying_sum` | is a workspace over its share |
 //! | `pacing` | how fast prompts are sent of a workspace that wants more than its share |
 //! | `server_health`, with `failure_rate` and `attempt` | failure rate, overdue, unreachable |
+//! | `server_ends` | which servers have ended, and which requests broke off there |
 //! | `overload` | does this instance refuse requests or shed callers |
 //! | `shutdown` | which requests are taken while stopping |
 //! | `server_list` | which records are believed after a store outage |
@@ -45,6 +46,7 @@
 mod placement;
 mod prefix_memory;
 mod retry;
+mod server_ends;
 mod server_health;
 mod server_life;
 mod server_list;
@@ -92,6 +94,8 @@
 pub use retry::RetryPolicy;
 pub use retry::RetryVerdict;
 pub use retry::RetryWindow;
+pub use server_ends::BrokenRequest;
+pub use server_ends::ServerEnd;
 pub use server_life::LifeEvent;
 pub use server_life::LifeState;
 pub use server_life::ServerLife;
--- a/crates/reedsail_dispatch/src/server_health.rs
+++ b/crates/reedsail_dispatch/src/server_health.rs
@@ -77,7 +77,7 @@
     pub(crate) fn record_outcome(&mut self, outcome: AttemptOutcome, now: TimeMs) {
         match outcome {
             AttemptOutcome::Answered => self.failures.record(0.0, now),
-            AttemptOutcome::Failed => self.failures.record(1.0, now),
+            AttemptOutcome::Failed | AttemptOutcome::Broken => self.failures.record(1.0, now),
             AttemptOutcome::Rejected => self.failures.record(REJECTION_WEIGHT, now),
             AttemptOutcome::Unreachable | AttemptOutcome::Down => {
                 self.failures.record(UNREACHABLE_WEIGHT, now);
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -59,6 +59,8 @@
     pub(crate) cold: ColdAllowance,
     /// When nothing answered at its address, as this instance last found.
     down_at: Option<TimeMs>,
+    /// The same, as this instance or a peer last found.
+    pub(crate) found_down_at: Option<TimeMs>,
     pub(crate) own: Load,
     pub(crate) peers: Load,
     pub(crate) health: ServerHealth,
@@ -71,6 +73,7 @@
             life: ServerLife::default(),
             cold: ColdAllowance::default(),
             down_at: None,
+            found_down_at: None,
             own: Load::default(),
             peers: Load::default(),
             health: ServerHealth::default(),
@@ -196,6 +199,7 @@
         if is_own {
             server.down_at = Some(now);
         }
+        server.found_down_at = Some(now);
         let cold_until = limit.down_until(now);
         server.life.apply(LifeEvent::Down { cold_until });
     }
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -185,6 +185,7 @@
             latency_target_ms: [150, 600, 800, 5_000][self.random.random_range(0..4)],
             waited_ms: self.random.random_range(0..40),
             tried: &[],
+            fingerprint: None,
         };
         let now = self.now;
         let instance = &mut self.instances[index];
@@ -193,6 +194,7 @@
         for _ in 0..3 {
             let demand = Demand {
                 tried: &tried,
+                fingerprint: None,
                 ..base
             };
             let decision = instance.dispatcher.decide(&demand, now);
--- a/crates/reedsail_dispatch/tests/flood_simulation/mod.rs
+++ b/crates/reedsail_dispatch/tests/flood_simulation/mod.rs
@@ -195,6 +195,7 @@
             latency_target_ms: GOAL_MS,
             waited_ms: 0,
             tried: &[],
+            fingerprint: None,
         };
         let dispatcher = &mut self.daemons[daemon];
         dispatcher.record_arrival(&demand, now);
--- a/crates/reedsail_dispatch/tests/herd.rs
+++ b/crates/reedsail_dispatch/tests/herd.rs
@@ -166,6 +166,7 @@
         latency_target_ms: TARGET_MS,
         waited_ms: 0,
         tried: &[],
+        fingerprint: None,
     };
     dispatcher.record_arrival(&demand, TimeMs(now));
     let Decision::Send(placement) = dispatcher.decide(&demand, TimeMs(now)) else {
--- a/crates/reedsail_dispatch/tests/placement.rs
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -63,6 +63,7 @@
         latency_target_ms: GOAL_MS,
         waited_ms: 0,
         tried: &[],
+        fingerprint: None,
     }
 }
 
@@ -347,6 +348,7 @@
         latency_target_ms: 150,
         waited_ms: 0,
         tried: &[],
+        fingerprint: None,
     };
     let own = dispatcher.server_key(engine(0).name).unwrap();
     let mut counts = std::collections::BTreeMap::new();
--- a/crates/reedsail_dispatch/tests/plain_services.rs
+++ b/crates/reedsail_dispatch/tests/plain_services.rs
@@ -19,6 +19,7 @@
         latency_target_ms: 800,
         waited_ms: 0,
         tried: &[],
+        fingerprint: None,
     }
 }
 
--- /dev/null
+++ b/crates/reedsail_dispatch/tests/server_ends.rs
@@ -0,0 +1,142 @@
+//! Which broken connections are taken for the end of a server.
+
+use reedsail_core::Fingerprint;
+use reedsail_core::NameHash;
+use reedsail_core::TimeMs;
+use reedsail_dispatch::AttemptOutcome;
+use reedsail_dispatch::Decision;
+use reedsail_dispatch::Demand;
+use reedsail_dispatch::DispatchSettings;
+use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::ServerLoadRow;
+use reedsail_dispatch::ServerSetup;
+
+const BROKE_AT: TimeMs = TimeMs(10_000);
+const REQUEST: Fingerprint = Fingerprint(7);
+
+fn setup(is_draining: bool) -> ServerSetup {
+    ServerSetup {
+        name: NameHash::of("server"),
+        service: NameHash::of("service"),
+        failure_domain: NameHash::of("domain"),
+        slots: 4,
+        is_draining,
+        cold_until: None,
+    }
+}
+
+fn demand() -> Demand<'static> {
+    Demand {
+        service: NameHash::of("service"),
+        workspace: NameHash::of("workspace"),
+        prompt: None,
+        latency_target_ms: 500,
+        waited_ms: 0,
+        tried: &[],
+        fingerprint: Some(REQUEST),
+    }
+}
+
+/// Returns an instance at which one attempt has ended in this way.
+fn after(outcome: AttemptOutcome) -> Dispatcher {
+    let mut instance = Dispatcher::new(DispatchSettings::default(), NameHash::of("domain"));
+    instance.set_servers(&[setup(false)]);
+    end_attempt(&mut instance, outcome, BROKE_AT);
+    instance
+}
+
+fn end_attempt(instance: &mut Dispatcher, outcome: AttemptOutcome, now: TimeMs) {
+    let Decision::Send(placement) = instance.decide(&demand(), now) else {
+        panic!("the request is not sent");
+    };
+    let mut attempt = instance.begin_attempt(&demand(), &placement, now);
+    attempt.set_written(true);
+    instance.finish_attempt(attempt, outcome, now);
+}
+
+/// Returns the requests of all ends that are found by a moment.
+fn ends(instance: &mut Dispatcher, now: TimeMs) -> Vec<Fingerprint> {
+    instance.tick(now);
+    let ends = instance.take_server_ends();
+    ends.iter()
+        .flat_map(|end| end.requests.iter().map(|request| request.fingerprint))
+        .collect()
+}
+
+fn report_down(instance: &mut Dispatcher, now: TimeMs) {
+    let report = LoadReport {
+        servers: vec![ServerLoadRow {
+            server: NameHash::of("server"),
+            is_down: true,
+            ..ServerLoadRow::default()
+        }],
+        ..LoadReport::default()
+    };
+    instance.receive_report(NameHash::of("peer"), report, now);
+}
+
+#[test]
+fn a_broken_connection_alone_is_no_end() {
+    let mut instance = after(AttemptOutcome::Broken);
+    assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(50)), []);
+}
+
+#[test]
+fn a_server_whose_address_nobody_listens_at_has_ended_once() {
+    let mut instance = after(AttemptOutcome::Broken);
+    end_attempt(&mut instance, AttemptOutcome::Down, BROKE_AT.plus_ms(3));
+    assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(50)), [REQUEST]);
+    assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(100)), []);
+}
+
+#[test]
+fn a_connect_that_was_refused_just_before_the_break_was_read_counts() {
+    let mut instance = after(AttemptOutcome::Broken);
+    end_attempt(&mut instance, AttemptOutcome::Down, TimeMs(BROKE_AT.0 - 20));
+    assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(50)), [REQUEST]);
+}
+
+#[test]
+fn a_peer_finds_ends_as_well() {
+    let mut instance = after(AttemptOutcome::Broken);
+    report_down(&mut instance, BROKE_AT.plus_ms(80));
+    assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(100)), [REQUEST]);
+}
+
+#[test]
+fn a_server_whose_record_is_gone_has_ended() {
+    let mut instance = after(AttemptOutcome::Broken);
+    instance.set_servers(&[]);
+    assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(3_300)), [REQUEST]);
+}
+
+#[test]
+fn a_server_that_drained_has_ended_as_planned() {
+    let mut instance = after(AttemptOutcome::Broken);
+    instance.set_servers(&[setup(true)]);
+    instance.set_servers(&[]);
+    assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(1_000)), []);
+}
+
+#[test]
+fn an_end_long_after_the_break_says_nothing_of_the_request() {
+    let mut instance = after(AttemptOutcome::Broken);
+    assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(5_000)), []);
+    report_down(&mut instance, BROKE_AT.plus_ms(5_050));
+    assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(5_100)), []);
+}
+
+#[test]
+fn other_outcomes_say_nothing_of_an_end() {
+    for outcome in [
+        AttemptOutcome::Answered,
+        AttemptOutcome::Failed,
+        AttemptOutcome::Rejected,
+        AttemptOutcome::Abandoned,
+    ] {
+        let mut instance = after(outcome);
+        report_down(&mut instance, BROKE_AT.plus_ms(10));
+        assert_eq!(ends(&mut instance, BROKE_AT.plus_ms(50)), [], "{outcome:?}");
+    }
+}
--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -134,6 +134,7 @@
             latency_target_ms: 800,
             waited_ms: 0,
             tried: &[],
+            fingerprint: None,
         };
         dispatcher.record_arrival(&demand, now);
         if step >= 200 {
@@ -178,6 +179,7 @@
         latency_target_ms: 800,
         waited_ms: 0,
         tried: &[],
+        fingerprint: None,
     };
     let charged = |outcome: AttemptOutcome, is_written: bool, has_begun: bool| {
         let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("hall"));
@@ -275,6 +277,7 @@
             latency_target_ms: 100_000,
             waited_ms: 0,
             tried: &[],
+            fingerprint: None,
         };
         dispatcher.record_arrival(&demand, now);
         let Decision::Send(placement) = dispatcher.decide(&demand, now) else {
--- a/crates/reedsail_dispatch/tests/slow_start.rs
+++ b/crates/reedsail_dispatch/tests/slow_start.rs
@@ -77,6 +77,7 @@
         latency_target_ms: 1_000,
         waited_ms: 0,
         tried: &[],
+        fingerprint: None,
     }
 }
 
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -104,6 +104,9 @@
     /// A failure domain is no longer evacuated.
     DomainReturned = 315, "domain_returned", Info, "the operator has taken a failure domain back; its backend servers count as cold at first";
 
+    /// A backend server ended while it ran requests.
+    ServerEnded = 316, "server_ended", Warn, "a backend server ended while requests of this instance ran there; the fingerprint that is named at one end after the other belongs to the request that ends them";
+
     /// The platform cannot be reached.
     PlatformLost = 400, "platform_lost", Error, "the platform cannot be reached; calls that need a claim are refused as not run";
     /// The platform can be reached again.
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -46,6 +46,7 @@
 use super::messages::StoreReadEnded;
 use super::messages::Tick;
 use super::seeds::peer_addresses;
+use super::server_end_log::log_server_ends;
 use super::server_publication::publish_servers;
 use super::server_publication::take_delta;
 use super::share_watch::ShareWatch;
@@ -382,6 +383,7 @@
         let delta = self.servers.tick(now);
         take_delta(&self.shared, &self.servers, &delta, Origin::GraceOver, now);
         self.shared.dispatcher().tick(now);
+        log_server_ends(&self.shared);
         self.shares.tick(&self.shared, now);
         self.drop_silent_peers(now);
         self.publish_fleet(now);
--- /dev/null
+++ b/crates/reedsail_router/src/control/server_end_log.rs
@@ -0,0 +1,36 @@
+//! Logs and counts the servers that ended while requests of this instance ran there.
+
+use reedsail_dispatch::ServerEnd;
+use reedsail_events::EventKind;
+
+use crate::shared::Shared;
+
+/// Fingerprints that one line names at most. Chosen, not measured.
+const FINGERPRINTS_MAX: usize = 8;
+
+/// Logs each server that was found to have ended, with the requests that broke off there.
+pub(crate) fn log_server_ends<H>(shared: &Shared<H>) {
+    let ends = shared.dispatcher().take_server_ends();
+    for end in ends {
+        shared.metrics.server_ends.inc();
+        let fields = [
+            ("server", server_id(shared, &end)),
+            ("requests", end.requests.len().to_string()),
+            ("fingerprints", fingerprints(&end)),
+        ];
+        shared.emit(EventKind::ServerEnded, &fields);
+    }
+}
+
+/// Returns the server's id; the hash of its name once it is no longer listed.
+fn server_id<H>(shared: &Shared<H>, end: &ServerEnd) -> String {
+    let servers = shared.servers.load();
+    let view = servers.get(&end.server);
+    view.map_or_else(|| format!("{:08x}", end.name.0), |view| view.id.clone())
+}
+
+fn fingerprints(end: &ServerEnd) -> String {
+    let shown = end.requests.iter().take(FINGERPRINTS_MAX);
+    let shown: Vec<String> = shown.map(|request| request.fingerprint.to_string()).collect();
+    shown.join(" ")
+}
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::Encoder;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -37,6 +38,8 @@
     pub(crate) store_reads: IntCounterVec,
     /// Load messages to and from peers.
     pub(crate) peer_messages: IntCounterVec,
+    /// Servers that ended while requests of this instance ran there.
+    pub(crate) server_ends: IntCounter,
     /// Requests open now.
     pub(crate) open_requests: IntGauge,
     /// The version of the configuration in force.
@@ -90,6 +93,11 @@
                 "Load messages to and from peers.",
                 &["direction"],
             ),
+            server_ends: counter(
+                &registry,
+                "reedsail_router_server_ends_total",
+                "Backend servers that ended while requests of this instance ran there.",
+            ),
             open_requests: gauge(&registry, "reedsail_router_open_requests", "Requests open now."),
             configuration_version: gauge(
                 &registry,
@@ -118,6 +126,12 @@
     counters
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("the name is valid");
+    register(registry, counter.clone());
+    counter
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("the name is valid");
     register(registry, gauge.clone());
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -15,6 +15,7 @@
 use hyper::http::request::Parts;
 use rand::Rng;
 use reedsail_core::ErrorKind;
+use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
 use reedsail_core::ServerKey;
 use reedsail_core::TimeMs;
@@ -25,6 +26,7 @@
 use reedsail_net::read_body;
 use reedsail_net::remove_hop_headers;
 
+use super::fingerprint::fingerprint_of;
 use crate::CallHead;
 use crate::HeaderFault;
 use crate::HeaderProtocol;
@@ -51,6 +53,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived_at: TimeMs,
     /// The caller's deadline, or the end of the route's time-out if that comes first.
     pub(crate) deadline: TimeMs,
@@ -69,6 +72,7 @@
             latency_target_ms: self.route.latency_target_ms,
             waited_ms: now.since_ms(self.arrived_at),
             tried,
+            fingerprint: Some(self.fingerprint),
         }
     }
 
@@ -130,6 +134,8 @@
         Identity::Anonymous => None,
         Identity::Unknown => return Err(ErrorKind::UnknownKey),
     };
+    let caller = workspace.as_ref().map(|workspace| workspace.name.as_str());
+    let fingerprint = fingerprint_of(caller, &parts, &body);
     let service_name = choose_target(&route).ok_or(ErrorKind::UnknownRoute)?;
     remove_hop_headers(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
@@ -146,6 +152,7 @@
         method: parts.method,
         headers: parts.headers,
         body,
+        fingerprint,
         arrived_at,
         deadline: arrived_at.plus_ms(deadline_ms.min(route.timeout_ms)),
         route,
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -116,11 +116,11 @@
 
 /// Returns what an error after the sending says of the server.
 pub(super) fn outcome_of(kind: ErrorKind) -> AttemptOutcome {
-    // A deadline of the caller's own says little of the server; overdue answers are judged apart.
-    if kind == ErrorKind::DeadlineAfterSend {
-        AttemptOutcome::Abandoned
-    } else {
-        AttemptOutcome::Failed
+    match kind {
+        // A deadline of the caller's own says little of the server; overdue answers are judged apart.
+        ErrorKind::DeadlineAfterSend => AttemptOutcome::Abandoned,
+        ErrorKind::BackendFailed | ErrorKind::AnswerIncomplete => AttemptOutcome::Broken,
+        _ => AttemptOutcome::Failed,
     }
 }
 
--- a/crates/reedsail_router/src/traffic/mod.rs
+++ b/crates/reedsail_router/src/traffic/mod.rs
@@ -1,7 +1,7 @@
 //! The traffic thread: callers' requests, from the first byte to the last.
 //!
 //! In the order of a request: `thread` takes connections, `serve` one request, `call` reads and checks
-//! it, `forward` places and attempts it, `exchange` makes one attempt, `relay_whole`, `relay_stream` or
+//! it (`fingerprint` tells its returns), `forward` places and attempts it, `exchange` makes one attempt, `relay_whole`, `relay_stream` or
 //! `resume` brings the answer, `answer` is what the caller gets. Below all of them: `request_log`,
 //! `attempt_guard`, `answer_broken`. Nothing imports upwards.
 
@@ -10,6 +10,7 @@
 mod attempt_guard;
 mod call;
 mod exchange;
+mod fingerprint;
 mod forward;
 mod relay_stream;
 mod relay_whole;
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -81,7 +81,7 @@
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(_broken))) => {
-                self.break_off(AttemptOutcome::Failed, RequestOutcome::BackendBrokeOff);
+                self.break_off(AttemptOutcome::Broken, RequestOutcome::BackendBrokeOff);
                 Poll::Ready(Some(Err(AnswerBroken)))
             }
             Poll::Pending => {
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -83,6 +83,8 @@
     shared: Arc<Shared<H>>,
     id: String,
     service: String,
+    /// By what its returns are known; empty until the request was read.
+    fingerprint: String,
     workspace: Option<Arc<WorkspaceEntry>>,
     configuration_version: u64,
     /// What it counts against its workspace, in tokens.
@@ -109,6 +111,7 @@
             shared: Arc::clone(shared),
             id: id.to_owned(),
             service: String::new(),
+            fingerprint: String::new(),
             workspace: key.and_then(|key| routes.workspace(key)).cloned(),
             configuration_version: routes.version(),
             cost_tokens: request_cost(head.and_then(|head| head.prompt.as_ref())) as u64,
@@ -125,6 +128,7 @@
     /// Records what the request calls and whom it counts against, once it was read.
     pub(crate) fn set_call(&mut self, call: &Call) {
         self.service.clone_from(&call.service_name);
+        self.fingerprint = call.fingerprint.to_string();
         self.workspace.clone_from(&call.workspace);
         self.configuration_version = call.configuration_version;
         self.latency_target_ms = call.route.latency_target_ms;
@@ -264,13 +268,14 @@
     }
 
     /// Returns what every end of a request says of it.
-    fn request_fields(&self) -> [Field; 5] {
+    fn request_fields(&self) -> [Field; 6] {
         [
             ("service", self.service.clone()),
             ("workspace", self.workspace_name().to_owned()),
             ("tokens", self.cost_tokens.to_string()),
             ("target_ms", self.latency_target_ms.to_string()),
             ("server", self.server.clone()),
+            ("fingerprint", self.fingerprint.clone()),
         ]
     }
 
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -137,7 +137,7 @@
                     self.log.end(RequestOutcome::Deadline);
                     break;
                 }
-                StreamEnd::Broken => attempt.break_off(AttemptOutcome::Failed),
+                StreamEnd::Broken => attempt.break_off(AttemptOutcome::Broken),
             }
             drop(body);
             let Some(next) = self.go_on_elsewhere().await else {
--- a/crates/reedsail_simulation/src/fleet.rs
+++ b/crates/reedsail_simulation/src/fleet.rs
@@ -191,6 +191,7 @@
             latency_target_ms: request.latency_target_ms,
             waited_ms: 0,
             tried: &[],
+            fingerprint: None,
         };
         self.outcome.workspaces[workspace].requested += cost;
         self.outcome.ledger.record_request(name, cost, now_us / 1_000);
