--- a/crates/reedsail_daemon/src/traffic/backend.rs
+++ b/crates/reedsail_daemon/src/traffic/backend.rs
@@ -193,10 +193,10 @@
         return AttemptResult::NotSent(unsent);
     }
     let address = view.address;
-    let deadline = shared.clock.instant(call.deadline);
+    let deadline = || shared.clock.timer(call.deadline);
     let request = build_request(call, address, resume_from);
     let (request, unsent) = match pool.take(address, shared.clock.now()) {
-        Some(connection) => match exchange(connection, request, unsent, deadline).await {
+        Some(connection) => match exchange(connection, request, unsent, deadline()).await {
             // An idle connection that the server has closed says nothing about the server.
             Exchange::HandedBack(unsent, request) => (*request, unsent),
             Exchange::Head(sent, response, connection) => {
@@ -209,7 +209,7 @@
     let Ok(connection) = HttpConnection::open_ready(address, CONNECT_LIMIT_MS).await else {
         return AttemptResult::NotSent(unsent);
     };
-    match exchange(connection, request, unsent, deadline).await {
+    match exchange(connection, request, unsent, deadline()).await {
         Exchange::HandedBack(unsent, _) => AttemptResult::NotSent(unsent),
         Exchange::Head(sent, response, connection) => {
             check_head(call, sent, *response, connection, address, server)
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -53,6 +53,9 @@
     /// The daemon sheds callers.
     CallersShed = 106, "daemon_crowded", Warn, "processor or memory is not enough for more callers; the balancer is told not to send more, and some connections are closed";
 
+    /// The machine was suspended.
+    MachineSuspended = 107, "machine_suspended", Warn, "the machine was suspended; the instance goes on with knowledge that is older by that time";
+
     /// A bundle is in force.
     BundleInForce = 200, "bundle_in_force", Info, "a bundle version is in force on this daemon";
     /// A proposal lost against a rival or has an old base.
--- a/crates/reedsail_net/src/exchange.rs
+++ b/crates/reedsail_net/src/exchange.rs
@@ -8,8 +8,9 @@
 use reedsail_core::ErrorKind;
 use reedsail_core::Sent;
 use reedsail_core::Unsent;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
+use tokio::select;
+
+use crate::DeadlineTimer;
 
 use crate::HttpConnection;
 use crate::SendError;
@@ -30,13 +31,17 @@
     mut connection: HttpConnection,
     request: Request<Full<Bytes>>,
     unsent: Unsent,
-    deadline: Instant,
+    deadline: DeadlineTimer,
 ) -> Exchange {
     let sent = unsent.send();
-    match timeout_at(deadline, connection.send(request)).await {
-        Ok(Ok(response)) => Exchange::Head(sent, Box::new(response), connection),
-        Ok(Err(SendError::NotWritten(request))) => Exchange::HandedBack(sent.handed_back(), request),
-        Ok(Err(SendError::AfterWrite(_))) => Exchange::Failed(sent, ErrorKind::BackendFailed),
-        Err(_) => Exchange::Failed(sent, ErrorKind::DeadlineAfterSend),
+    let answer = select! {
+        biased;
+        answer = connection.send(request) => answer,
+        () = deadline => return Exchange::Failed(sent, ErrorKind::DeadlineAfterSend),
+    };
+    match answer {
+        Ok(response) => Exchange::Head(sent, Box::new(response), connection),
+        Err(SendError::NotWritten(request)) => Exchange::HandedBack(sent.handed_back(), request),
+        Err(SendError::AfterWrite(_)) => Exchange::Failed(sent, ErrorKind::BackendFailed),
     }
 }
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -52,6 +52,7 @@
 use super::server_publication::take_delta;
 use super::share_watch::ShareWatch;
 use super::store_status::StoreStatus;
+use super::suspension_watch::SuspensionWatch;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
 
@@ -78,6 +79,7 @@
     evacuations: EvacuationState,
     store: StoreStatus,
     shares: ShareWatch,
+    suspensions: SuspensionWatch,
     next_fetch_at: TimeMs,
     next_members_at: TimeMs,
 }
@@ -100,6 +102,7 @@
             evacuations: EvacuationState::default(),
             store: StoreStatus::default(),
             shares: ShareWatch::default(),
+            suspensions: SuspensionWatch::default(),
             next_fetch_at: TimeMs(0),
             next_members_at: TimeMs(0),
             shared,
@@ -387,6 +390,7 @@
         log_server_ends(&self.shared);
         log_quarantine(&self.shared);
         self.shares.tick(&self.shared, now);
+        self.suspensions.tick(&self.shared);
         self.drop_silent_peers(now);
         self.publish_fleet(now);
         self.publish_members(now);
--- a/crates/reedsail_router/src/control/follow.rs
+++ b/crates/reedsail_router/src/control/follow.rs
@@ -7,7 +7,6 @@
 use reedsail_dispatch::StoreTopic;
 use reedsail_net::Clock;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 use tokio::time::timeout;
 use xtra::Address;
 
@@ -97,7 +96,7 @@
     };
     if update.is_empty() {
         // A store that answers at once instead of holding the call is asked no more often.
-        sleep_until(clock.instant(asked_at.plus_ms(WAIT_MS / 2))).await;
+        clock.timer(asked_at.plus_ms(WAIT_MS / 2)).await;
         return None;
     }
     hand_on(update, control).await
--- a/crates/reedsail_router/src/control/mod.rs
+++ b/crates/reedsail_router/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! The control thread: what this instance believes, and the tasks that feed and spread it.
 //!
 //! `thread` runs the actor and the tasks around it. `actor` owns the state: `configuration_state`,
-//! `evacuation_state`, `store_status`, `share_watch`, `server_end_log`, `quarantine_log`, the load exchange of `reedsail_gossip`, and the server list of `reedsail_dispatch`, which
+//! `evacuation_state`, `store_status`, `share_watch`, `server_end_log`, `quarantine_log`, `suspension_watch`, the load exchange of `reedsail_gossip`, and the server list of `reedsail_dispatch`, which
 //! `server_publication` publishes. `follow` reads the store, `peer_fetch` reads from peers; both send `messages` to the actor.
 
 mod actor;
@@ -16,6 +16,7 @@
 mod server_publication;
 mod share_watch;
 mod store_status;
+mod suspension_watch;
 mod thread;
 
 pub(crate) use actor::Control;
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) server_ends: IntCounter,
     /// Requests that are not sent any more since servers end under them.
     pub(crate) quarantined: IntGauge,
+    /// Suspensions of the machine.
+    pub(crate) suspensions: IntCounter,
     /// Requests open now.
     pub(crate) open_requests: IntGauge,
     /// The version of the configuration in force.
@@ -105,6 +107,11 @@
                 "reedsail_router_quarantined_requests",
                 "Requests that are not sent any more since servers end under them.",
             ),
+            suspensions: counter(
+                &registry,
+                "reedsail_router_suspensions_total",
+                "Suspensions of the machine since the process began.",
+            ),
             open_requests: gauge(&registry, "reedsail_router_open_requests", "Requests open now."),
             configuration_version: gauge(
                 &registry,
--- a/crates/reedsail_router/src/running.rs
+++ b/crates/reedsail_router/src/running.rs
@@ -8,6 +8,7 @@
 
 use anyhow::Context as _;
 use reedsail_events::EventKind;
+use reedsail_net::Clock;
 use reedsail_net::Workers;
 use reedsail_net::listen_on;
 use tokio::sync::mpsc;
@@ -63,13 +64,30 @@
         protocol: H,
         make_sources: impl FnOnce() -> (C, S) + Send + 'static,
     ) -> anyhow::Result<Self>
+    where
+        C: OperatorSource,
+        S: ServerSource,
+    {
+        Self::start_at(Clock::default(), settings, protocol, make_sources)
+    }
+
+    /// Starts a router that judges everything by this clock.
+    ///
+    /// # Errors
+    /// As [`RunningRouter::start`].
+    pub fn start_at<C, S>(
+        clock: Clock,
+        settings: RouterSettings,
+        protocol: H,
+        make_sources: impl FnOnce() -> (C, S) + Send + 'static,
+    ) -> anyhow::Result<Self>
     where
         C: OperatorSource,
         S: ServerSource,
     {
         let listeners = Listeners::bind(&settings.listen)?;
         let addresses = listeners.addresses()?;
-        let shared = Arc::new(Shared::new(settings, protocol));
+        let shared = Arc::new(Shared::new(clock, settings, protocol));
         let fields = [
             ("failure_domain", shared.settings.failure_domain.clone()),
             ("callers", addresses.callers.to_string()),
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -59,14 +59,14 @@
 }
 
 impl<H> Shared<H> {
-    pub(crate) fn new(settings: RouterSettings, protocol: H) -> Self {
+    pub(crate) fn new(clock: Clock, settings: RouterSettings, protocol: H) -> Self {
         let own_domain = NameHash::of(&settings.failure_domain);
         Self {
             events: EventLog::bounded(&settings.instance, 0, settings.log_lines_per_s),
             dispatcher: Mutex::new(Dispatcher::new(settings.dispatch, own_domain)),
             settings,
             protocol,
-            clock: Clock::default(),
+            clock,
             metrics: Metrics::new(),
             shutdown: Shutdown::default(),
             overload: OverloadMonitor::default(),
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -73,11 +73,11 @@
         return AttemptResult::NotSent(unsent);
     };
     let now = shared.clock.now();
-    let deadline = shared.clock.instant(call.deadline);
+    let deadline = || shared.clock.timer(call.deadline);
     let (request, unsent) = match pool.take(placement.server, now) {
         Some(connection) => {
             guard.set_written(true);
-            match exchange(connection, request, unsent, deadline).await {
+            match exchange(connection, request, unsent, deadline()).await {
                 // An idle connection that the server has closed says nothing about the server.
                 Exchange::HandedBack(unsent, request) => (*request, unsent),
                 Exchange::Head(sent, response, connection) => {
@@ -97,7 +97,7 @@
         }
     };
     guard.set_written(true);
-    match exchange(connection, request, unsent, deadline).await {
+    match exchange(connection, request, unsent, deadline()).await {
         Exchange::HandedBack(unsent, _) => {
             guard.close(AttemptOutcome::Unreachable);
             AttemptResult::NotSent(unsent)
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -12,8 +12,7 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use reedsail_dispatch::AttemptOutcome;
-use tokio::time::Sleep;
-use tokio::time::sleep_until;
+use reedsail_net::DeadlineTimer;
 
 use super::Pool;
 use super::answer_broken::AnswerBroken;
@@ -33,7 +32,7 @@
     /// Taken when the stream is over.
     attempt: Option<OpenAttempt<H>>,
     /// When the stream is cut, whether or not it is over.
-    cut_at: Pin<Box<Sleep>>,
+    cut_at: DeadlineTimer,
     log: RequestLog<H>,
 }
 
@@ -51,7 +50,7 @@
             body: answering.body,
             answer_headers: answering.head.headers,
             attempt: Some(answering.attempt),
-            cut_at: Box::pin(sleep_until(shared.clock.instant(call.deadline))),
+            cut_at: shared.clock.timer(call.deadline),
             log,
         }
     }
@@ -85,7 +84,7 @@
                 Poll::Ready(Some(Err(AnswerBroken)))
             }
             Poll::Pending => {
-                if self.cut_at.as_mut().poll(context).is_pending() {
+                if Pin::new(&mut self.cut_at).poll(context).is_pending() {
                     return Poll::Pending;
                 }
                 self.break_off(AttemptOutcome::Abandoned, RequestOutcome::Deadline);
--- a/crates/reedsail_router/src/traffic/relay_whole.rs
+++ b/crates/reedsail_router/src/traffic/relay_whole.rs
@@ -12,7 +12,7 @@
 use reedsail_core::Failure;
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_net::remove_hop_headers;
-use tokio::time::timeout_at;
+use tokio::select;
 
 use super::Pool;
 use super::call::Call;
@@ -75,12 +75,14 @@
 }
 
 async fn read_whole<H>(shared: &Shared<H>, call: &Call, body: Incoming) -> Result<Bytes, ErrorKind> {
-    let deadline = shared.clock.instant(call.deadline);
-    let reading = Limited::new(body, WHOLE_BYTES_MAX).collect();
-    match timeout_at(deadline, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorKind::AnswerTooLarge),
-        Ok(Err(_broken)) => Err(ErrorKind::AnswerIncomplete),
-        Err(_elapsed) => Err(ErrorKind::DeadlineAfterSend),
+    let read = select! {
+        biased;
+        read = Limited::new(body, WHOLE_BYTES_MAX).collect() => read,
+        () = shared.clock.timer(call.deadline) => return Err(ErrorKind::DeadlineAfterSend),
+    };
+    match read {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(ErrorKind::AnswerTooLarge),
+        Err(_broken) => Err(ErrorKind::AnswerIncomplete),
     }
 }
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -19,9 +19,9 @@
 use reedsail_dispatch::RESUMES_MAX;
 use reedsail_dispatch::RetryVerdict;
 use reedsail_net::EventSplitter;
+use tokio::select;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::timeout_at;
 
 use super::Pool;
 use super::answer_broken::AnswerBroken;
@@ -153,13 +153,17 @@
     /// Passes whole events on until the server's answer ends.
     async fn pass_on(&mut self, body: &mut Incoming, guard: &mut AttemptGuard<H>) -> StreamEnd {
         self.splitter.clear();
-        let deadline = self.shared.clock.instant(self.call.deadline);
+        let mut deadline = self.shared.clock.timer(self.call.deadline);
         loop {
-            let frame = match timeout_at(deadline, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(None) if self.splitter.partial_bytes() == 0 => return StreamEnd::Whole,
-                Ok(None | Some(Err(_))) => return StreamEnd::Broken,
-                Err(_elapsed) => return StreamEnd::Deadline,
+            let frame = select! {
+                biased;
+                frame = body.frame() => frame,
+                () = &mut deadline => return StreamEnd::Deadline,
+            };
+            let frame = match frame {
+                Some(Ok(frame)) => frame,
+                None if self.splitter.partial_bytes() == 0 => return StreamEnd::Whole,
+                None | Some(Err(_)) => return StreamEnd::Broken,
             };
             let Ok(data) = frame.into_data() else { continue };
             guard.record_first_event();
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -19,6 +19,7 @@
 use reedsail_dispatch::ServerRecord;
 use reedsail_dispatch::ServerUpdate;
 use reedsail_net::ByteCounter;
+use reedsail_net::Clock;
 use reedsail_net::HttpConnection;
 use reedsail_router::AnswerShape;
 use reedsail_router::Configuration;
@@ -46,7 +47,7 @@
 pub(crate) const HEADERS: TestHeaders = TestHeaders;
 
 /// How long a test waits for a state before it fails.
-const LIMIT: Duration = Duration::from_secs(30);
+pub(crate) const LIMIT: Duration = Duration::from_secs(30);
 
 /// What a source shows; `None` while the store is out of reach.
 type Shown<T> = watch::Receiver<Option<T>>;
@@ -140,12 +141,16 @@
 }
 
 pub(crate) fn start(store: &Store, settings: RouterSettings) -> RunningRouter<TestHeaders> {
+    start_at(Clock::default(), store, settings)
+}
+
+pub(crate) fn start_at(clock: Clock, store: &Store, settings: RouterSettings) -> RunningRouter<TestHeaders> {
     let configuration = MemoryConfiguration {
         shown: store.configuration.subscribe(),
         last: 0,
     };
     let servers = MemoryServers(store.servers.subscribe());
-    RunningRouter::start(settings, TestHeaders, move || (configuration, servers)).unwrap()
+    RunningRouter::start_at(clock, settings, TestHeaders, move || (configuration, servers)).unwrap()
 }
 
 pub(crate) fn record(id: &str, service: &str, server: &RoutedStandin) -> ServerRecord {
@@ -345,13 +350,18 @@
 
     /// Starts with settings that differ from the usual ones.
     pub(crate) async fn start_with(change: impl FnOnce(&mut RouterSettings)) -> Self {
+        Self::start_at(Clock::default(), change).await
+    }
+
+    /// Starts with a router that judges everything by this clock.
+    pub(crate) async fn start_at(clock: Clock, change: impl FnOnce(&mut RouterSettings)) -> Self {
         let app = RoutedStandin::start().await.unwrap();
         let llm = RoutedStandin::start().await.unwrap();
         let records = vec![record("app-1", "app", &app), record("llm-1", "llm", &llm)];
         let store = Store::new(Some(configuration(1)), Some(records));
         let mut settings = settings("hall-a-1");
         change(&mut settings);
-        let router = start(&store, settings);
+        let router = start_at(clock, &store, settings);
         wait_until_ready(&router).await;
         Self {
             store,
