Judge everything by a clock that counts suspensions of the machine

Cause: moments were read from the steady clock, which stands still while a machine is suspended, so everything was believed to be younger than it was: deadlines, lists, load reports, pacing.

--- a/crates/reedsail_net/src/clock.rs
+++ b/crates/reedsail_net/src/clock.rs
@@ -56,7 +56,7 @@
     /// Returns the present moment on a clock that runs steadily and counts suspensions of the machine. It starts at
     /// one second, so that the zero moment is always past.
     pub fn now(&self) -> TimeMs {
-        TimeMs(START_MS + self.started.elapsed().as_millis() as u64)
+        TimeMs(START_MS + self.elapsed_ms())
     }
 
     fn elapsed_ms(&self) -> u64 {
