--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -33,6 +33,8 @@
     CallerGone,
     /// The caller's time was over, or the route's.
     Deadline,
+    /// The code that served it panicked.
+    Panicked,
 }
 
 impl RequestOutcome {
@@ -44,6 +46,7 @@
             Self::BackendBrokeOff => "backend_broke_off",
             Self::CallerGone => "caller_gone",
             Self::Deadline => "deadline",
+            Self::Panicked => "panicked",
         }
     }
 }
@@ -337,7 +340,13 @@
 
 impl<H> Drop for RequestLog<H> {
     fn drop(&mut self) {
-        self.end(RequestOutcome::CallerGone);
+        // A panic ends the task of this request alone; without its own outcome it would look like a caller that left.
+        let outcome = if std::thread::panicking() {
+            RequestOutcome::Panicked
+        } else {
+            RequestOutcome::CallerGone
+        };
+        self.end(outcome);
         self.shared.metrics.open_requests.dec();
     }
 }
--- a/crates/reedsail_router/tests/common/test_headers.rs
+++ b/crates/reedsail_router/tests/common/test_headers.rs
@@ -30,6 +30,8 @@
 const COPY_FROM: &str = "reedsail-copy-from";
 /// The last event that the caller has.
 const RESUME_AFTER: &str = "last-event-id";
+/// Makes the router panic while it writes the request on.
+const PANIC: &str = "x-panic";
 /// Set by a server that did not run the request.
 const RAN: &str = "reedsail-ran";
 
@@ -52,6 +54,7 @@
     }
 
     fn write_forward(&self, headers: &mut HeaderMap, forward: &ForwardHead<'_>) {
+        assert!(!headers.contains_key(PANIC), "a caller asked for a panic");
         headers.remove(AUTHORIZATION);
         headers.remove(WORKSPACE);
         headers.remove(COPY_FROM);
--- /dev/null
+++ b/crates/reedsail_router/tests/quarantine.rs
@@ -0,0 +1,138 @@
+//! A request that ends servers, before two routers that know each other.
+
+mod common;
+
+use hyper::StatusCode;
+use reedsail_dispatch::ServerRecord;
+use reedsail_router::RunningRouter;
+use reedsail_standin::RoutedAnswer;
+use reedsail_standin::RoutedStandin;
+
+use common::Reply;
+use common::Store;
+use common::ask;
+use common::configuration;
+use common::record;
+use common::settings;
+use common::start;
+use common::test_headers::TestHeaders;
+use common::wait_for;
+use common::wait_until_ready;
+
+/// Starts two routers that hear each other.
+async fn start_two(store: &Store) -> [RunningRouter<TestHeaders>; 2] {
+    let first = start(store, settings("hall-a-1"));
+    let mut second = settings("hall-a-2");
+    second.seeds = vec![first.addresses().peers];
+    // Of another failure domain, it reads the store itself.
+    "hall-b".clone_into(&mut second.failure_domain);
+    let second = start(store, second);
+    for router in [&first, &second] {
+        wait_until_ready(router).await;
+        let admin = router.addresses().admin;
+        wait_for("a peer", async || {
+            let metrics = ask(admin, "/metrics", &[]).await;
+            metrics.text().contains("reedsail_router_peers_alive 1")
+        })
+        .await;
+    }
+    [first, second]
+}
+
+/// Lists a server beside the first one, in place of all others.
+fn list_only(store: &Store, record: ServerRecord) {
+    store.servers.send_modify(|records| {
+        let records = records.as_mut().unwrap();
+        records.truncate(1);
+        records.push(record);
+    });
+}
+
+/// Lists a server that never answers, asks it, and ends it; returns what the caller gets.
+async fn ask_and_end_server(
+    store: &Store,
+    router: &RunningRouter<TestHeaders>,
+    id: &str,
+    path: &str,
+) -> Reply {
+    let server = RoutedStandin::start().await.unwrap();
+    server.answer_with(&[RoutedAnswer::Silent]);
+    list_only(store, record(id, "app", &server));
+    let admin = router.addresses().admin;
+    wait_for("the server", async || {
+        ask(admin, "/servers", &[]).await.text().contains(id)
+    })
+    .await;
+    let callers = router.addresses().callers;
+    let path = path.to_owned();
+    let asking = tokio::spawn(async move { ask(callers, &path, &[]).await });
+    wait_for("run", async || !server.runs().is_empty()).await;
+    server.close();
+    asking.await.unwrap()
+}
+
+async fn wait_for_metric(router: &RunningRouter<TestHeaders>, metric: &str) {
+    let admin = router.addresses().admin;
+    wait_for(metric, async || {
+        ask(admin, "/metrics", &[]).await.text().contains(metric)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_request_under_which_three_servers_ended_is_refused_at_every_instance() {
+    // A router without servers is not ready.
+    let idle = RoutedStandin::start().await.unwrap();
+    let draining = ServerRecord {
+        is_draining: true,
+        ..record("app-0", "app", &idle)
+    };
+    let store = Store::new(Some(configuration(1)), Some(vec![draining]));
+    let [first, second] = start_two(&store).await;
+    for (number, router) in [(1, &first), (2, &second), (3, &first)] {
+        let reply = ask_and_end_server(&store, router, &format!("app-{number}"), "/once/poison").await;
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+    }
+    for router in [&first, &second] {
+        wait_for_metric(router, "reedsail_router_quarantined_requests 1").await;
+    }
+    let healthy = RoutedStandin::start().await.unwrap();
+    list_only(&store, record("app-9", "app", &healthy));
+    for router in [&first, &second] {
+        let callers = router.addresses().callers;
+        wait_for("an answer to another request", async || {
+            ask(callers, "/once/other", &[]).await.status == StatusCode::OK
+        })
+        .await;
+        let reply = ask(callers, "/once/poison", &[]).await;
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(reply.text().starts_with("quarantined"), "{}", reply.text());
+        assert_eq!(reply.header("retry-after"), "");
+        let other_key = [("authorization", "Bearer key-2")];
+        let of_same_workspace = ask(callers, "/once/poison", &other_key).await;
+        assert_eq!(of_same_workspace.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let poisoned = healthy.runs().iter().any(|run| run.call.contains("poison"));
+    assert!(!poisoned);
+}
+
+#[tokio::test]
+async fn connections_that_break_while_the_server_goes_on_quarantine_nothing() {
+    let server = RoutedStandin::start().await.unwrap();
+    server.answer_with(&[RoutedAnswer::Broken]);
+    let store = Store::new(
+        Some(configuration(1)),
+        Some(vec![record("app-1", "app", &server)]),
+    );
+    let [first, _second] = start_two(&store).await;
+    let callers = first.addresses().callers;
+    for count in 1..=6 {
+        wait_for("the next run", async || {
+            let _ = ask(callers, "/once/x", &[]).await;
+            server.runs().len() >= count
+        })
+        .await;
+    }
+    wait_for_metric(&first, "reedsail_router_quarantined_requests 0").await;
+    wait_for_metric(&first, "reedsail_router_server_ends_total 0").await;
+}
--- a/crates/reedsail_router/tests/requests.rs
+++ b/crates/reedsail_router/tests/requests.rs
@@ -292,3 +292,33 @@
     assert!(asked[..10].iter().all(|asked| asked.is_empty()), "{asked:?}");
     assert_eq!(asked[10], "close");
 }
+
+#[tokio::test]
+async fn a_panic_ends_its_own_request_and_is_counted() {
+    let site = Site::start().await;
+    site.app.answer_with(&[RoutedAnswer::Silent]);
+    let callers = site.callers();
+    let waiting = tokio::spawn(async move { ask(callers, "/once/", &[]).await });
+    wait_for("run", async || site.app.runs().len() == 1).await;
+    let mut caller = Caller::connect(callers).await;
+    let panicking = tokio::spawn(async move { caller.ask("/open/", &[("x-panic", "")]).await });
+    assert!(
+        panicking.await.is_err(),
+        "its connection closes without an answer"
+    );
+    let admin = site.router.addresses().admin;
+    wait_for("the panic in the metrics", async || {
+        let metrics = ask(admin, "/metrics", &[]).await;
+        metrics
+            .text()
+            .contains("reedsail_router_answers_total{outcome=\"panicked\"} 1")
+    })
+    .await;
+    assert!(!waiting.is_finished());
+    waiting.abort();
+    site.app.answer_with(&[RoutedAnswer::Whole {
+        status: 200,
+        bytes: 10,
+    }]);
+    assert_eq!(ask(callers, "/once/", &[]).await.status, StatusCode::OK);
+}
