Send requests of starved workspaces although they will be late

Cause: behind the queues of three or more floods every request of a small workspace within its share was refused as late, so it got next to nothing. Change: a workspace that was sent less than 0.6 of its due, where there is not enough for all, is sent as long as its first event is expected within six targets.

--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -1,8 +1,9 @@
 //! Admission: whether a request is sent to the server that placement chose, or refused at once.
 //!
 //! **Rule.** A request is sent if its first event is expected within [`TARGET_FRACTION`] of its latency
-//! target, or if others keep its server busy for less than [`QUEUE_TARGET_FRACTION`] of it. It is refused
-//! with a retry-after otherwise. A workspace over its fair share is refused as well where the server is
+//! target, or if others keep its server busy for less than [`QUEUE_TARGET_FRACTION`] of it. One of a workspace that
+//! is starved is sent as long as it is expected within [`STARVED_TARGETS`] targets. It is refused with a
+//! retry-after otherwise. A workspace over its fair share is refused as well where the server is
 //! busy with other requests for more than [`OVER_SHARE_TARGET_FRACTION`] of the target. How many
 //! prompts of one that wants more than its share are sent while queues are short is the rule of `pacing`.
 //!
@@ -12,7 +13,8 @@
 //! **Why.** A request that would miss its target delays the ones behind it, and its caller does better
 //! by coming back later. One that is late by its own length or by a slow server gains nothing by coming
 //! back, so it is sent; that also keeps a service that was slow from closing for good, since every answer
-//! is measured. Refusing workspaces over their share only where others' prompts wait leaves spare
+//! is measured. A small workspace gets nothing behind the queues of a few floods if all its requests are refused as
+//! late: a late answer serves it better, and what it adds to the queues is little. Refusing workspaces over their share only where others' prompts wait leaves spare
 //! capacity usable.
 //!
 //! **Measured** as the mean worth of quiet / other days on nine engines without processor cost: see each
@@ -27,6 +29,7 @@
 use crate::Decision;
 use crate::Demand;
 use crate::Placement;
+use crate::WorkspaceShare;
 
 /// Fraction of the latency target within which the first event must be expected. Trials: 0.8 gave
 /// 0.826 / 0.727, 0.7 gave 0.819 / 0.721; 0.9 gave 0.816 / 0.698 together with an
@@ -40,6 +43,10 @@
 /// Fraction of the latency target for which others may keep a server busy when a request that would be
 /// late all the same is sent there. Chosen, not measured.
 const QUEUE_TARGET_FRACTION: f64 = 0.2;
+/// Latency targets within which the first event of a starved workspace's request must be expected. Simulated floods
+/// of 96 seeds, workspaces below half of their due: on 10 without the exception, 2 with 1.5 or 3, 1 with 6; answers
+/// in time 2,614, 2,629, 2,621 and 2,621 thousand, late 109, 111, 110 and 111 thousand.
+const STARVED_TARGETS: f64 = 6.0;
 /// Least retry-after of a refusal, in milliseconds. Trials at 50 and 200: docs/DECISIONS.md.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 /// Longest retry-after, as a fraction of the latency target. Trials at 0.3 and 1.2: docs/DECISIONS.md.
@@ -52,7 +59,7 @@
 pub(crate) fn admit(
     demand: &Demand<'_>,
     placement: Option<Placement>,
-    is_over_share: impl FnOnce() -> bool,
+    share: impl FnOnce() -> WorkspaceShare,
 ) -> Decision {
     let target_ms = demand.latency_target_ms as f64;
     let Some(placement) = placement else {
@@ -64,9 +71,14 @@
     };
     let excess_ms = (demand.waited_ms + placement.expected_ms) as f64 - target_ms * TARGET_FRACTION;
     let queue_excess_ms = placement.queue_ms as f64 - target_ms * OVER_SHARE_TARGET_FRACTION;
-    let is_behind_others = queue_excess_ms > 0.0 && is_over_share();
+    if queue_excess_ms <= 0.0 {
+        return Decision::Send(placement);
+    }
+    let share = share();
+    let is_behind_others = share.is_over();
     let is_late_by_itself = placement.queue_ms as f64 <= target_ms * QUEUE_TARGET_FRACTION;
-    if (excess_ms <= 0.0 || is_late_by_itself) && !is_behind_others {
+    let is_starved = share.is_starved() && placement.expected_ms as f64 <= STARVED_TARGETS * target_ms;
+    if (excess_ms <= 0.0 || is_late_by_itself || is_starved) && !is_behind_others {
         return Decision::Send(placement);
     }
     Decision::Refuse {
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -153,7 +153,7 @@
             self.usage.record_prefill(demand.workspace, prefill_tokens, now);
         }
         let usage = &mut self.usage;
-        let mut decision = admit(demand, placement, || usage.share(demand.workspace, now).is_over());
+        let mut decision = admit(demand, placement, || usage.share(demand.workspace, now));
         if let Decision::Send(placement) = &decision
             && !self.passes_pacing(demand, placement, now)
         {
--- a/crates/reedsail_dispatch/src/fair_share.rs
+++ b/crates/reedsail_dispatch/src/fair_share.rs
@@ -47,6 +47,10 @@
 /// begins shows at once. Chosen, not measured.
 const LEVEL_TOKENS_MAX: f64 = 20_000.0;
 
+/// Fraction of its due below which a workspace counts as starved; the users bear with half. Simulated floods,
+/// workspaces below half of their due: on 4 of 96 seeds with 0.5, 2 with 0.6, 3 and 10% more late answers with 0.8.
+const STARVED_FRACTION: f64 = 0.6;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     number: u64,
@@ -126,6 +130,12 @@
     pub fn is_over(&self) -> bool {
         self.sent_cost > self.level_cost
     }
+
+    /// Tells whether there is not enough for all, and the workspace was sent far less than it is due.
+    pub fn is_starved(&self) -> bool {
+        let due_cost = self.requested_cost.min(self.level_cost);
+        self.level_cost.is_finite() && self.sent_cost < STARVED_FRACTION * due_cost
+    }
 }
 
 /// All workspaces, as the level divides them.
--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -15,6 +15,7 @@
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::PromptSegment;
 use reedsail_dispatch::RetryWindow;
+use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::ServerSetup;
 use reedsail_dispatch::WorkspaceUseRow;
 use reedsail_dispatch::max_min_level;
@@ -307,3 +308,66 @@
     assert!(many > 0, "{many} and {few}");
     assert!(few * 2 > many, "{many} and {few}");
 }
+
+/// Decides about a small workspace's prompt behind a queue of twice its target, where the small workspace and a
+/// flood were sent so much elsewhere.
+fn behind_a_flood(small_sent: f32, queue_tokens: u32) -> Decision {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("hall"));
+    dispatcher.set_servers(&[engine(0)]);
+    let use_elsewhere = |name: &str, requested_cost: f32, sent_cost: f32| WorkspaceUseRow {
+        workspace: NameHash::of(name),
+        requested_cost,
+        sent_cost,
+        ..WorkspaceUseRow::default()
+    };
+    let report = LoadReport {
+        servers: vec![ServerLoadRow {
+            server: engine(0).name,
+            running: 8,
+            prefill_tokens: queue_tokens,
+            ..ServerLoadRow::default()
+        }],
+        workspaces: vec![
+            use_elsewhere("small", 100_000.0, small_sent),
+            use_elsewhere("flood", 50_000_000.0, 5_000_000.0),
+        ],
+        ..LoadReport::default()
+    };
+    let now = TimeMs(10_000);
+    dispatcher.receive_report(NameHash::of("peer"), report, now);
+    let prompt = Prompt {
+        segments: vec![PromptSegment { id: 1, tokens: 1_000 }],
+        output_tokens: 1,
+    };
+    let demand = Demand {
+        service: NameHash::of("llm"),
+        workspace: NameHash::of("small"),
+        prompt: Some(&prompt),
+        latency_target_ms: 400,
+        waited_ms: 0,
+        tried: &[],
+        fingerprint: None,
+    };
+    dispatcher.record_arrival(&demand, now);
+    dispatcher.decide(&demand, now)
+}
+
+#[test]
+fn a_workspace_far_below_its_due_is_sent_behind_the_queue_of_a_flood() {
+    let queue_tokens = 40_000;
+    assert!(matches!(
+        behind_a_flood(20_000.0, queue_tokens),
+        Decision::Send(_)
+    ));
+    let has_had_most = behind_a_flood(90_000.0, queue_tokens);
+    assert!(matches!(
+        has_had_most,
+        Decision::Refuse {
+            kind: ErrorKind::WouldMissTarget,
+            ..
+        }
+    ));
+    // Behind a queue without end nobody is served by waiting.
+    let behind_a_jam = behind_a_flood(20_000.0, 40_000 * 20);
+    assert!(matches!(behind_a_jam, Decision::Refuse { .. }));
+}
--- a/crates/reedsail_simulation/tests/starved_workspace.rs
+++ b/crates/reedsail_simulation/tests/starved_workspace.rs
@@ -37,7 +37,6 @@
 }
 
 #[test]
-#[ignore = "known to fail: KNOWN-RED.txt"]
 fn no_workspace_gets_far_less_than_its_share_beside_a_flood() {
     let mut starved = Vec::new();
     for (seed, window) in worst_windows(&WITHIN_SHARE)
@@ -53,17 +52,15 @@
     assert!(starved.is_empty(), "{} of 12 seeds: {starved:#?}", starved.len());
 }
 
-/// Lowest ratio that is borne until the test above holds: what was reached, less what a change of arithmetic
-/// moves it by.
-const RATIO_REACHED: f64 = 0.75;
+/// A seed in which a workspace within its share is starved before any flood, in the first seconds of a fleet that
+/// is asked for more than it produces.
+const FIRST_SECONDS: (u64, f64) = (34, 1.2);
 
 #[test]
-fn a_flood_leaves_every_workspace_most_of_its_share() {
-    let windows = worst_windows(&WITHIN_SHARE)
-        .into_iter()
-        .chain(worst_windows(&OVER_SHARE));
-    for (seed, window) in windows {
+#[ignore = "known to fail: KNOWN-RED.txt"]
+fn no_workspace_gets_far_less_than_its_share_in_a_fleets_first_seconds() {
+    for (seed, window) in worst_windows(&[FIRST_SECONDS]) {
         let ratio = window.map_or(f64::INFINITY, |window| window.ratio());
-        assert!(ratio >= RATIO_REACHED, "seed {seed}: ratio {ratio:.2}");
+        assert!(ratio >= 1.0, "seed {seed}: ratio {ratio:.2}");
     }
 }
