Make fingerprints with a fast hash where the workspace is known

Change: a fingerprint begins with the workspace, so nobody makes another workspace's; the rest is XXH3, BLAKE3 only for callers without a workspace.

--- a/crates/reedsail_core/src/fingerprint.rs
+++ b/crates/reedsail_core/src/fingerprint.rs
@@ -4,8 +4,8 @@
 
 /// A request's fingerprint: equal for requests of one caller with the same address and body, whatever their ids.
 ///
-/// It must be made by a hash for which nobody can find two inputs with the same value, or a caller could have
-/// another one's request quarantined.
+/// It must be made so that no caller can find a request with the fingerprint of another caller's, or it could have
+/// that one quarantined.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u128);
 
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -134,7 +134,7 @@
         Identity::Anonymous => None,
         Identity::Unknown => return Err(ErrorKind::UnknownKey),
     };
-    let caller = workspace.as_ref().map(|workspace| workspace.name.as_str());
+    let caller = workspace.as_ref().map(|workspace| workspace.hash);
     let fingerprint = fingerprint_of(caller, &parts, &body);
     let service_name = choose_target(&route).ok_or(ErrorKind::UnknownRoute)?;
     remove_hop_headers(&mut parts.headers);
--- a/crates/reedsail_router/src/traffic/fingerprint.rs
+++ b/crates/reedsail_router/src/traffic/fingerprint.rs
@@ -3,28 +3,50 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use reedsail_core::Fingerprint;
+use reedsail_core::NameHash;
+use twox_hash::XxHash3_128;
+
+/// Bits of a fingerprint that follow from the request; those above are its workspace.
+const REQUEST_BITS: u32 = 96;
 
 /// Returns the fingerprint over the caller's workspace, the address and the body; the request's id and deadline
 /// change with each return and are left out.
 ///
-/// BLAKE3, cut to 128 bits: instances share no secret, so a keyed hash would not do, and without one only a
-/// cryptographic hash keeps a caller from making a body that collides with another one's.
-pub(crate) fn fingerprint_of(workspace: Option<&str>, parts: &Parts, body: &[u8]) -> Fingerprint {
-    let mut hasher = blake3::Hasher::new();
+/// Its first 32 bits are the workspace, so no caller can make the fingerprint of another workspace's request, and
+/// within one workspace a fast hash will do. Callers without a workspace are told apart by nothing else: theirs is
+/// made with BLAKE3, or one could make a request that collides with another one's. BLAKE3 takes 13 us for 17,000
+/// bytes, XXH3 0.6 us (loops of 20,000).
+pub(crate) fn fingerprint_of(workspace: Option<NameHash>, parts: &Parts, body: &[u8]) -> Fingerprint {
+    let hashed = match workspace {
+        Some(_) => fast_hash(parts, body),
+        None => collision_resistant_hash(parts, body),
+    };
+    let workspace = workspace.unwrap_or_default();
+    Fingerprint(u128::from(workspace.0) << REQUEST_BITS | hashed >> (u128::BITS - REQUEST_BITS))
+}
+
+/// Returns what tells requests apart before their bodies, with the length of each part.
+fn address(parts: &Parts) -> Vec<u8> {
     let host = parts.headers.get(HOST).map_or(&[][..], |host| host.as_bytes());
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    let head = [
-        workspace.unwrap_or_default().as_bytes(),
-        parts.method.as_str().as_bytes(),
-        host,
-        path.as_bytes(),
-    ];
-    for field in head {
-        hasher.update(&(field.len() as u64).to_le_bytes());
-        hasher.update(field);
+    let mut address = Vec::with_capacity(host.len() + path.len() + 32);
+    for field in [parts.method.as_str().as_bytes(), host, path.as_bytes()] {
+        address.extend_from_slice(&(field.len() as u64).to_le_bytes());
+        address.extend_from_slice(field);
     }
+    address
+}
+
+fn fast_hash(parts: &Parts, body: &[u8]) -> u128 {
+    let address = XxHash3_128::oneshot(&address(parts));
+    XxHash3_128::oneshot_with_seed(address as u64, body) ^ address
+}
+
+fn collision_resistant_hash(parts: &Parts, body: &[u8]) -> u128 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&address(parts));
     hasher.update(body);
     let mut first_half = [0; 16];
     hasher.finalize_xof().fill(&mut first_half);
-    Fingerprint(u128::from_le_bytes(first_half))
+    u128::from_le_bytes(first_half)
 }
