--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -135,6 +135,8 @@
 
     /// Decides where a request goes, or that it is refused.
     pub fn decide(&mut self, demand: &Demand<'_>, now: TimeMs) -> Decision {
+        // What was learned of a request must outlive its attempts: its returns are new requests, mostly at other
+        // instances, and each would end one more server.
         let quarantine = &mut self.quarantine;
         let is_quarantined = |fingerprint| quarantine.refuses(fingerprint, now);
         if demand.fingerprint.is_some_and(is_quarantined) {
