--- a/crates/reedsail_simulation/src/fleet.rs
+++ b/crates/reedsail_simulation/src/fleet.rs
@@ -19,6 +19,7 @@
 use reedsail_dispatch::Placement;
 use reedsail_dispatch::ServerSetup;
 
+use crate::DecisionRow;
 use crate::Outcome;
 use crate::Scenario;
 use crate::WorkspaceOutcome;
@@ -195,9 +196,13 @@
         };
         self.outcome.workspaces[workspace].requested += cost;
         self.outcome.ledger.record_request(name, cost, now_us / 1_000);
+        self.outcome.accepted.record_request(name, cost, now_us / 1_000);
         let instance = &mut self.instances[request.instance];
         instance.record_arrival(&demand, now);
-        match instance.decide(&demand, now) {
+        let decision = instance.decide(&demand, now);
+        let row = decision_row(&request, name, &decision, instance, now_us);
+        self.outcome.decisions.push(row);
+        match decision {
             Decision::Send(placement) => {
                 let attempt = instance.begin_attempt(&demand, &placement, now);
                 self.send(request, attempt, &placement, now_us);
@@ -238,6 +243,7 @@
         }
         let name = &self.scenario.workspaces[request.workspace].name;
         self.outcome.ledger.record_disappointed(name, now_us / 1_000);
+        self.outcome.accepted.record_disappointed(name, now_us / 1_000);
         if request.has_come_back {
             return;
         }
@@ -269,10 +275,14 @@
         let outcome = &mut self.outcome.workspaces[request.workspace];
         outcome.got += cost;
         self.outcome.ledger.record_begun(name, cost, now_us / 1_000);
+        self.outcome
+            .accepted
+            .record_begun(name, cost, run.arrived_us / 1_000);
         let is_late = now_us - run.arrived_us > request.latency_target_ms * 1_000;
         if is_late {
             outcome.late += 1;
             self.outcome.ledger.record_disappointed(name, now_us / 1_000);
+            self.outcome.accepted.record_disappointed(name, now_us / 1_000);
         } else {
             outcome.in_target += 1;
         }
@@ -291,6 +301,33 @@
     }
 }
 
+/// Notes a decision. The share is looked at for refusals only, which have just worked it out: to look at it
+/// elsewhere would change when levels are computed.
+fn decision_row(
+    request: &Request,
+    name: &str,
+    decision: &Decision,
+    instance: &mut Dispatcher,
+    now_us: u64,
+) -> DecisionRow {
+    let (refusal, placement) = match decision {
+        Decision::Send(placement) => (None, Some(*placement)),
+        Decision::Refuse { kind, placement, .. } => (Some(*kind), *placement),
+        Decision::Quarantined => (Some(ErrorKind::Quarantined), None),
+    };
+    DecisionRow {
+        at_ms: now_us / 1_000,
+        workspace: request.workspace,
+        instance: request.instance,
+        cost: request.prompt.cost(),
+        refusal,
+        share: refusal.map(|_| instance.workspace_share(NameHash::of(name), now_of(now_us))),
+        latency_target_ms: request.latency_target_ms,
+        expected_ms: placement.map_or(0, |placement| placement.expected_ms),
+        queue_ms: placement.map_or(0, |placement| placement.queue_ms),
+    }
+}
+
 /// Returns the engine of a key: all instances were given the same list, in the order of the engines.
 fn engine_index(server: ServerKey) -> usize {
     server.index()
--- a/crates/reedsail_simulation/src/lib.rs
+++ b/crates/reedsail_simulation/src/lib.rs
@@ -31,6 +31,7 @@
 pub use crash_scenario::PoisonOutcome;
 pub use crash_scenario::PoisonPlan;
 pub use fleet::simulate;
+pub use outcome::DecisionRow;
 pub use outcome::Outcome;
 pub use outcome::WorkspaceOutcome;
 pub use scenario::EngineSpeed;
--- a/crates/reedsail_simulation/src/outcome.rs
+++ b/crates/reedsail_simulation/src/outcome.rs
@@ -1,8 +1,33 @@
 //! What came of a simulated scenario.
 
+use reedsail_core::ErrorKind;
+use reedsail_dispatch::WorkspaceShare;
 use reedsail_fairness::ShareLedger;
 use reedsail_fairness::ShareWindow;
 
+/// One decision about a request, and what the instance knew when it made it.
+#[derive(Clone, Copy, Debug)]
+pub struct DecisionRow {
+    /// When, in milliseconds from the start.
+    pub at_ms: u64,
+    /// The workspace, by its place in the scenario.
+    pub workspace: usize,
+    /// The instance that decided.
+    pub instance: usize,
+    /// Cost of the request, in tokens.
+    pub cost: f64,
+    /// Why it was refused; `None` if it was sent.
+    pub refusal: Option<ErrorKind>,
+    /// The workspace's share as the instance knew it, where the request was refused.
+    pub share: Option<WorkspaceShare>,
+    /// Latency target of the request, in milliseconds.
+    pub latency_target_ms: u64,
+    /// Expected time to the first event, in milliseconds.
+    pub expected_ms: u64,
+    /// For how long the chosen engine was thought to be busy, in milliseconds.
+    pub queue_ms: u64,
+}
+
 /// What one workspace asked for and got; in tokens, but for the requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkspaceOutcome {
@@ -27,6 +52,11 @@
     pub workspaces: Vec<WorkspaceOutcome>,
     /// Everything by moment, in milliseconds from the start.
     pub ledger: ShareLedger,
+    /// The same with runs counted when their request was accepted: what the instances decide at once, without the
+    /// time in which an engine begins it.
+    pub accepted: ShareLedger,
+    /// Every decision, in the order of time.
+    pub decisions: Vec<DecisionRow>,
 }
 
 impl Outcome {
