--- a/crates/reedsail_scheduling/src/scheduler.rs
+++ b/crates/reedsail_scheduling/src/scheduler.rs
@@ -357,6 +357,13 @@
         (leased, in_use)
     }
 
+    /// Returns the slots of a server that requests may be started on now, those in use among them.
+    pub fn valid_slots(&self, server: ServerKey, now: TimeMs) -> u32 {
+        let known = self.servers.get(&server);
+        let is_valid = |server: &&Server| !P::LEASED || now < server.lease_deadline;
+        known.filter(is_valid).map_or(0, |server| server.leased)
+    }
+
     fn start(&mut self, waiting: &Waiting<W>, server: ServerKey, now: TimeMs) -> Running {
         let workspace = waiting.workspace;
         if let Some(entry) = self.servers.get_mut(&server) {
