--- a/crates/reedsail_core/src/lib.rs
+++ b/crates/reedsail_core/src/lib.rs
@@ -6,7 +6,9 @@
 mod error_kind;
 mod fingerprint;
 mod key;
+mod milliseconds;
 mod outcome;
+mod store_position;
 
 pub use error_kind::ErrorKind;
 pub use error_kind::RanState;
@@ -19,6 +21,8 @@
 pub use key::TableKey;
 pub use key::TimeMs;
 pub use key::WorkspaceKey;
+pub use milliseconds::Milliseconds;
 pub use outcome::Failure;
 pub use outcome::Sent;
 pub use outcome::Unsent;
+pub use store_position::StorePosition;
--- /dev/null
+++ b/crates/reedsail_core/src/milliseconds.rs
@@ -0,0 +1,21 @@
+//! Spans of time as records of others write them.
+
+use serde::Deserialize;
+
+/// A span of time, in milliseconds. Where it is read from a record it may have fractions, which are rounded up, and
+/// must not be negative.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "f64")]
+pub struct Milliseconds(pub u64);
+
+impl TryFrom<f64> for Milliseconds {
+    type Error = String;
+
+    fn try_from(ms: f64) -> Result<Self, Self::Error> {
+        if ms.is_finite() && ms >= 0.0 {
+            Ok(Self(ms.ceil() as u64))
+        } else {
+            Err(format!("{ms} is no span in milliseconds"))
+        }
+    }
+}
--- a/crates/reedsail_dispatch/src/peer_list_state.rs
+++ b/crates/reedsail_dispatch/src/peer_list_state.rs
@@ -1,12 +1,13 @@
 //! What a load message says of its sender's server list, and how that compares with the own one.
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 
 /// The state of a peer's list, as its load message has it.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerListState<'a> {
     /// The place in the store's log up to which the list is known.
-    pub revision: u64,
+    pub revision: StorePosition,
     /// The digest of the list.
     pub digest: u64,
     /// How long ago it was known to be the newest, in milliseconds.
@@ -24,4 +25,7 @@
     Newer,
     /// It is newer, and names departures that were not known.
     NewerWithDepartures,
+    /// It has nothing to fetch, and yet other servers may be used than before: it names departures from before the
+    /// store came back from a copy, or shows that advertised ones are over.
+    DeparturesChanged,
 }
--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -7,6 +7,10 @@
 //! but for a server that this instance knows to have departed. A server that started again under its id is
 //! another one: the earlier incarnation has departed. A record that cannot be read ends its server.
 //!
+//! A list of a newer era of the store (it has come back from an older copy of itself) is newer whatever its offset. It
+//! is no proof of a departure, as after an outage, and brings no server back that is known to have departed, until that
+//! server writes its record again.
+//!
 //! **Inputs.** The store's records with their place in its log (the revision) and the time of asking;
 //! peers' revision, digest, age (milliseconds) and departures; failed reads.
 //!
@@ -23,6 +27,7 @@
 use std::collections::HashMap;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use twox_hash::XxHash64;
 
@@ -56,6 +61,8 @@
     suspect_until: Option<TimeMs>,
     /// Until when it is cold by its record; `None` for a warm one.
     cold_until: Option<TimeMs>,
+    /// Its record was there when the store came back from a copy, and was not written since.
+    is_copied: bool,
 }
 
 /// The list of backend servers.
@@ -69,7 +76,7 @@
     digest: u64,
     /// When this list, at its revision, was known to be the newest.
     known_at: Option<TimeMs>,
-    revision: u64,
+    revision: StorePosition,
     /// The store did not answer the last read.
     is_store_out: bool,
     /// Until when a dropped record may be due to an outage that is over.
@@ -79,9 +86,15 @@
 impl ServerList {
     /// Takes in an update from the store, which was asked for at `asked_at`.
     pub fn apply(&mut self, news: ServerUpdate, asked_at: TimeMs, now: TimeMs) -> ListDelta {
+        if news.revision.era < self.revision.era {
+            return ListDelta::default();
+        }
+        let begins_era = self.begins_era(news.revision);
+        let is_copied = news.is_whole && begins_era;
         self.known_at = self.known_at.max(Some(asked_at));
         self.revision = self.revision.max(news.revision);
-        if std::mem::take(&mut self.is_store_out) {
+        // A copy of the store lacks what was written last, and is as little proof of a departure as an outage.
+        if std::mem::take(&mut self.is_store_out) || begins_era {
             self.outage_grace_until = now.plus_ms(OUTAGE_GRACE_MS);
         }
         let mut delta = ListDelta::default();
@@ -90,7 +103,7 @@
         }
         for change in news.changes {
             match change {
-                ServerChange::Announced(record) => self.announce(record, now, &mut delta),
+                ServerChange::Announced(record) => self.announce(record, is_copied, now, &mut delta),
                 ServerChange::Dropped { id } => self.drop_record(&id, now, &mut delta),
                 ServerChange::Unreadable { id, fault } => {
                     // Whoever wrote it, it names no server any more, and the server writes its own again.
@@ -108,6 +121,7 @@
         if listing.revision < self.revision || listing.records.is_empty() {
             return delta;
         }
+        let begins_era = self.begins_era(listing.revision);
         // The peer has already judged which records may have lapsed because of the outage.
         self.is_store_out = false;
         self.revision = listing.revision;
@@ -117,15 +131,25 @@
             if listing.suspects.contains(&record.id) {
                 self.take_suspect(record, now, &mut delta);
             } else {
-                self.announce(record, now, &mut delta);
+                self.announce(record, begins_era, now, &mut delta);
             }
         }
         for id in self.missing_from(&known) {
-            self.remove(&id, now, &mut delta);
+            if begins_era {
+                // The peer may have started since, and know the store's copy alone.
+                self.suspect(&id, now);
+            } else {
+                self.remove(&id, now, &mut delta);
+            }
         }
         delta
     }
 
+    /// Tells whether a list at a place in the store's log is the first one of an era, to an instance that had a list.
+    fn begins_era(&self, revision: StorePosition) -> bool {
+        revision.era > self.revision.era && self.known_at.is_some()
+    }
+
     /// Takes over a server that a peer only suspects. One that this instance knows to have departed stays
     /// departed: the peer was cut off while it left, and would bring it back into use everywhere.
     fn take_suspect(&mut self, record: ServerRecord, now: TimeMs, delta: &mut ListDelta) {
@@ -135,7 +159,7 @@
             if is_departed {
                 return;
             }
-            self.announce(record, now, delta);
+            self.announce(record, false, now, delta);
         }
         self.suspect(&id, now);
     }
@@ -143,13 +167,21 @@
     /// Compares a peer's list with this one. The same list, or one of the same revision, is as fresh as
     /// the peer's; of one that is newer, the departures are believed before it is fetched.
     pub fn compare_with_peer(&mut self, peer: &PeerListState<'_>, now: TimeMs) -> ListComparison {
+        if peer.revision.era < self.revision.era {
+            return self.take_departures_of_older(peer.departures, now);
+        }
         if peer.revision <= self.revision || peer.digest == self.digest() {
+            let has_changed = peer.revision > self.revision && self.end_advertised_departures();
             self.revision = self.revision.max(peer.revision);
             self.known_at = self.known_at.max(Some(moment_before(now, peer.age_ms)));
             if peer.age_ms < FRESH_MS {
                 self.is_store_out = false;
             }
-            return ListComparison::NothingNew;
+            return if has_changed {
+                ListComparison::DeparturesChanged
+            } else {
+                ListComparison::NothingNew
+            };
         }
         let mut has_departures = false;
         for server in peer.departures {
@@ -163,6 +195,34 @@
         }
     }
 
+    /// Believes departures that a peer knows from before the store came back from a copy, of servers whose record
+    /// was not written since. What else the peer's list says is over.
+    fn take_departures_of_older(&mut self, departures: &[NameHash], now: TimeMs) -> ListComparison {
+        let mut has_departures = false;
+        for entry in self.entries.values().filter(|entry| entry.is_copied) {
+            let name = entry.record.name();
+            if departures.contains(&name) && !self.departures.contains_key(&name) {
+                self.departures.insert(name, now.plus_ms(ADVERTISED_DEPARTURE_MS));
+                has_departures = true;
+            }
+        }
+        if has_departures {
+            ListComparison::DeparturesChanged
+        } else {
+            ListComparison::NothingNew
+        }
+    }
+
+    /// Forgets advertised departures of servers that this list has as taking work, since a newer list is the same:
+    /// the servers have come back. A peer that fetched this list would take them for draining for good.
+    fn end_advertised_departures(&mut self) -> bool {
+        let known = self.advertised_departures.len();
+        for entry in self.entries.values().filter(|entry| !entry.record.is_draining) {
+            self.advertised_departures.remove(&entry.record.name());
+        }
+        self.advertised_departures.len() < known
+    }
+
     /// Records that the store did not answer a read.
     pub fn record_store_failure(&mut self) {
         self.is_store_out = true;
@@ -171,7 +231,13 @@
     /// Removes suspects whose grace period is over, and departures that no longer count.
     pub fn tick(&mut self, now: TimeMs) -> ListDelta {
         let mut delta = ListDelta::default();
+        let kept = self.kept_departures();
         self.departures.retain(|_, until| *until > now);
+        // What the store says of servers whose departure is no longer kept is to be published.
+        let kept_on = self.kept_departures();
+        delta
+            .listed
+            .extend(kept.into_iter().filter(|id| !kept_on.contains(id)));
         self.advertised_departures.retain(|_, until| *until > now);
         let lapsed: Vec<String> = self
             .entries
@@ -186,6 +252,21 @@
         delta
     }
 
+    /// Returns the ids of the servers that get nothing new although the store's copy says that they take work: they
+    /// are known to have departed. That is kept for as long as departures are advertised, by which time the store
+    /// has dropped a server that has departed.
+    pub fn kept_departures(&self) -> Vec<String> {
+        let entries = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| self.is_departure_kept(entry));
+        entries.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn is_departure_kept(&self, entry: &Entry) -> bool {
+        entry.is_copied && !entry.record.is_draining && self.departures.contains_key(&entry.record.name())
+    }
+
     /// Marks servers as warm whose time is over: every instance does so at about the same moment, so that the
     /// digests of equal lists stay equal. The decisions know the moment and need no news of it.
     fn end_cold(&mut self, now: TimeMs) {
@@ -198,12 +279,30 @@
         }
     }
 
+    /// Returns the servers as this instance uses them: as peers are told, but that those whose departure is kept
+    /// against the store's copy count as draining. Peers judge the copy by what they know themselves.
+    pub fn records(&self, now: TimeMs) -> Vec<ServerRecord> {
+        let mut records = self.listing(now).records;
+        for record in &mut records {
+            let entry = self.entries.get(&record.id);
+            record.is_draining |= entry.is_some_and(|entry| {
+                self.is_departure_kept(entry) || self.is_departure_advertised(entry, now)
+            });
+        }
+        records
+    }
+
+    fn is_departure_advertised(&self, entry: &Entry, now: TimeMs) -> bool {
+        let advertised_until = self.advertised_departures.get(&entry.record.name());
+        advertised_until.is_some_and(|until| *until > now)
+    }
+
     /// Returns all servers; those whose departure a peer advertised count as draining.
     pub fn listing(&self, now: TimeMs) -> ServerListing {
         let marked = |entry: &Entry| {
             let mut record = entry.record.clone();
-            let advertised_until = self.advertised_departures.get(&record.name());
-            record.is_draining |= advertised_until.is_some_and(|until| *until > now);
+            // What is held against a copy is for this instance alone: a peer could not tell it from the record.
+            record.is_draining |= !entry.is_copied && self.is_departure_advertised(entry, now);
             record.cold_left_ms = entry.cold_until.map_or(0, |until| until.since_ms(now));
             record
         };
@@ -235,7 +334,7 @@
     }
 
     /// Returns the place in the store's log up to which the list is known.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StorePosition {
         self.revision
     }
 
@@ -251,7 +350,8 @@
             .map_or(u64::from(u32::MAX), |known_at| now.since_ms(known_at))
     }
 
-    fn announce(&mut self, record: ServerRecord, now: TimeMs, delta: &mut ListDelta) {
+    /// Takes in a record; one of the store's copy does not bring a server back that is known to have departed.
+    fn announce(&mut self, record: ServerRecord, is_copied: bool, now: TimeMs, delta: &mut ListDelta) {
         let id = record.id.clone();
         let name = record.name();
         let before = self.entries.remove(&id);
@@ -265,6 +365,7 @@
             cold_until: record.cold_until(now),
             record,
             suspect_until: None,
+            is_copied,
         };
         match &before {
             None => delta.listed.push(id.clone()),
@@ -276,8 +377,10 @@
             Some(_) => {}
         }
         if !entry.record.is_draining {
-            self.advertised_departures.remove(&name);
-            self.departures.remove(&name);
+            if !is_copied {
+                self.advertised_departures.remove(&name);
+                self.departures.remove(&name);
+            }
         } else if !was_draining {
             self.advertise_departure(name, now);
             delta.draining.push(id.clone());
--- a/crates/reedsail_dispatch/src/server_record.rs
+++ b/crates/reedsail_dispatch/src/server_record.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use serde::Deserialize;
 use serde::Serialize;
@@ -73,7 +74,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerUpdate {
     /// The place in the store's log up to which the records are known now.
-    pub revision: u64,
+    pub revision: StorePosition,
     /// `changes` has every record that there is: a server without one is gone. Else it has those
     /// since the last look.
     pub is_whole: bool,
@@ -85,7 +86,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerListing {
     /// The place in the store's log up to which it is known.
-    pub revision: u64,
+    #[serde(flatten)]
+    pub revision: StorePosition,
     /// How long ago it was known to be the newest, in milliseconds.
     pub age_ms: u64,
     /// The servers.
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::Attempt;
 use reedsail_dispatch::AttemptOutcome;
@@ -410,7 +411,7 @@
         .collect();
     format!(
         "revision {} age {} digest {:x} departures {departures:?} {}",
-        list.revision(),
+        list.revision().offset,
         list.age_ms(now),
         list.digest(),
         records.join(" ")
@@ -439,7 +440,7 @@
                 let changes = changes(&mut random);
                 revision += changes.len() as u64;
                 let news = ServerUpdate {
-                    revision,
+                    revision: StorePosition::new(0, revision),
                     is_whole: random.random_range(0..5) == 0,
                     changes,
                 };
--- a/crates/reedsail_dispatch/tests/evacuations.rs
+++ b/crates/reedsail_dispatch/tests/evacuations.rs
@@ -5,6 +5,7 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::EvacuationUpdate;
 use reedsail_dispatch::Evacuations;
@@ -12,7 +13,7 @@
 fn row(failure_domain: &str, revision: u64, is_active: bool) -> EvacuationRow {
     EvacuationRow {
         failure_domain: NameHash::of(failure_domain),
-        revision,
+        revision: StorePosition::new(0, revision),
         is_active,
     }
 }
@@ -20,7 +21,7 @@
 fn whole(rows: Vec<EvacuationRow>, until: u64) -> EvacuationUpdate {
     EvacuationUpdate {
         rows,
-        whole_until: Some(until),
+        whole_until: Some(StorePosition::new(0, until)),
     }
 }
 
--- a/crates/reedsail_dispatch/tests/server_list.rs
+++ b/crates/reedsail_dispatch/tests/server_list.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::ListComparison;
 use reedsail_dispatch::PeerListState;
@@ -38,7 +39,7 @@
 
 fn news(revision: u64, is_whole: bool, changes: Vec<ServerChange>) -> ServerUpdate {
     ServerUpdate {
-        revision,
+        revision: StorePosition::new(0, revision),
         is_whole,
         changes,
     }
@@ -47,7 +48,7 @@
 /// The state of a peer's list that differs from any of these tests.
 fn word(revision: u64, age_ms: u64, departures: &[NameHash]) -> PeerListState<'_> {
     PeerListState {
-        revision,
+        revision: StorePosition::new(0, revision),
         digest: 0,
         age_ms,
         departures,
@@ -179,7 +180,7 @@
     peer.apply(news(11, false, vec![leaving("one")]), now, now);
     let delta = list.apply_listing(peer.listing(now), now);
     assert_eq!(delta.draining, ["one"]);
-    assert_eq!(list.revision(), 11);
+    assert_eq!(list.revision(), StorePosition::new(0, 11));
 }
 
 #[test]
@@ -225,7 +226,10 @@
         departures: &[],
     };
     assert_eq!(list.compare_with_peer(&word, now), ListComparison::NothingNew);
-    assert_eq!((list.revision(), list.age_ms(now)), (30, 100));
+    assert_eq!(
+        (list.revision(), list.age_ms(now)),
+        (StorePosition::new(0, 30), 100)
+    );
     peer.apply(news(31, false, vec![leaving("one")]), now, now);
     assert_ne!(peer.digest(), list.digest());
     peer.apply(news(32, false, vec![dropped("one")]), now, now);
@@ -375,3 +379,26 @@
     assert_eq!(delta.cold, ["one"]);
     assert_ne!(reader.digest(), other.digest());
 }
+
+/// An instance heard of a departure, and then took over the newer revision of a list equal to its own, since the server
+/// had come back: the departure stayed, and a peer that fetched its list then took the server for draining until its
+/// record changed again. A simulated fleet showed it: all servers ready in the store at revision 28, and an instance at
+/// revision 28 with `is_draining: true` for each and no departure.
+#[test]
+fn an_advertised_departure_ends_with_a_newer_list_that_is_the_same() {
+    let mut list = list();
+    let now = TimeMs(2_000);
+    let departures = [record("one", false).name()];
+    let compared = list.compare_with_peer(&word(12, 0, &departures), now);
+    assert_eq!(compared, ListComparison::NewerWithDepartures);
+    assert_eq!(ids(&list, now), ["two"]);
+    let same = PeerListState {
+        digest: list.digest(),
+        ..word(14, 0, &[])
+    };
+    assert_eq!(
+        list.compare_with_peer(&same, now),
+        ListComparison::DeparturesChanged
+    );
+    assert_eq!(ids(&list, now), ["one", "two"]);
+}
--- /dev/null
+++ b/crates/reedsail_dispatch/tests/store_eras.rs
@@ -0,0 +1,217 @@
+//! What is believed once the store has come back from an older copy of itself: offsets go back and are given out
+//! again, the copy names servers that have left and lacks ones that came, and evacuations are as they were some
+//! seconds ago, until all is written again.
+
+use std::net::SocketAddr;
+
+use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
+use reedsail_core::TimeMs;
+use reedsail_dispatch::EvacuationRow;
+use reedsail_dispatch::EvacuationUpdate;
+use reedsail_dispatch::Evacuations;
+use reedsail_dispatch::ListComparison;
+use reedsail_dispatch::PeerListState;
+use reedsail_dispatch::ServerChange;
+use reedsail_dispatch::ServerList;
+use reedsail_dispatch::ServerRecord;
+use reedsail_dispatch::ServerUpdate;
+
+const START: TimeMs = TimeMs(10_000);
+
+fn record(id: &str) -> ServerRecord {
+    ServerRecord {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        failure_domain: "hall-a".to_owned(),
+        slots: 64,
+        is_draining: false,
+        cold_left_ms: 0,
+        born_ms: Some(1),
+    }
+}
+
+fn whole(era: u32, offset: u64, ids: &[&str]) -> ServerUpdate {
+    ServerUpdate {
+        revision: StorePosition::new(era, offset),
+        is_whole: true,
+        changes: ids.iter().map(|id| ServerChange::Announced(record(id))).collect(),
+    }
+}
+
+fn change(era: u32, offset: u64, change: ServerChange) -> ServerUpdate {
+    ServerUpdate {
+        revision: StorePosition::new(era, offset),
+        is_whole: false,
+        changes: vec![change],
+    }
+}
+
+/// Returns a list that has read three servers in the first era.
+fn list() -> ServerList {
+    let mut list = ServerList::default();
+    list.apply(whole(1, 10, &["one", "two", "three"]), START, START);
+    list
+}
+
+fn usable(list: &ServerList, now: TimeMs) -> Vec<String> {
+    let records = list.records(now).into_iter();
+    let mut ids: Vec<String> = records
+        .filter(|record| !record.is_draining)
+        .map(|record| record.id)
+        .collect();
+    ids.sort();
+    ids
+}
+
+fn state<'a>(list: &ServerList, departures: &'a [NameHash], now: TimeMs) -> PeerListState<'a> {
+    PeerListState {
+        revision: list.revision(),
+        digest: list.digest(),
+        age_ms: list.age_ms(now),
+        departures,
+    }
+}
+
+#[test]
+fn a_newer_era_is_newer_whatever_its_offset() {
+    let old = list();
+    let mut new = list();
+    let now = START.plus_ms(1_000);
+    new.apply(whole(2, 4, &["one", "two"]), now, now);
+    let mut reader_of_the_old = old.clone();
+    let compared = reader_of_the_old.compare_with_peer(&state(&new, &[], now), now);
+    assert_eq!(compared, ListComparison::Newer);
+    reader_of_the_old.apply_listing(new.listing(now), now);
+    assert_eq!(reader_of_the_old.revision(), StorePosition::new(2, 4));
+    let age_ms = new.age_ms(now.plus_ms(700));
+    let compared = new.compare_with_peer(&state(&old, &[], START), now.plus_ms(700));
+    assert_eq!(compared, ListComparison::NothingNew);
+    assert_eq!(
+        new.age_ms(now.plus_ms(700)),
+        age_ms,
+        "an older era makes no list fresh"
+    );
+    let delta = new.apply(whole(1, 99, &["one"]), now, now);
+    assert!(delta.is_empty(), "a late answer of the older era");
+}
+
+#[test]
+fn a_server_that_has_left_gets_nothing_because_an_old_copy_lists_it() {
+    let mut list = list();
+    let now = START.plus_ms(500);
+    let dropped = ServerChange::Dropped { id: "one".to_owned() };
+    list.apply(change(1, 11, dropped), now, now);
+    let now = now.plus_ms(1_000);
+    list.apply(whole(2, 8, &["one", "two", "three"]), now, now);
+    assert_eq!(usable(&list, now), ["three", "two"]);
+    assert_eq!(list.kept_departures(), ["one"]);
+    // A peer that has started since knows the copy alone.
+    let mut newcomer = ServerList::default();
+    newcomer.apply(whole(2, 8, &["one", "two", "three"]), now, now);
+    list.apply_listing(newcomer.listing(now), now);
+    // Nor does it stay away for good if it writes its record again.
+    let now = now.plus_ms(1_000);
+    list.apply(change(2, 9, ServerChange::Announced(record("one"))), now, now);
+    assert_eq!(usable(&list, now), ["one", "three", "two"]);
+    assert!(list.kept_departures().is_empty());
+}
+
+#[test]
+fn a_departure_is_not_kept_for_longer_than_it_is_advertised() {
+    let mut list = list();
+    let dropped = ServerChange::Dropped { id: "one".to_owned() };
+    list.apply(change(1, 11, dropped), START, START);
+    list.apply(whole(2, 8, &["one", "two", "three"]), START, START);
+    let now = START.plus_ms(15_000);
+    let delta = list.tick(now);
+    assert_eq!(delta.listed, ["one"]);
+    assert_eq!(usable(&list, now), ["one", "three", "two"]);
+}
+
+#[test]
+fn departures_of_an_older_era_count_for_servers_that_were_not_written_since() {
+    let mut newcomer = list();
+    newcomer.apply(whole(2, 8, &["one", "two"]), START, START);
+    newcomer.apply(change(2, 9, ServerChange::Announced(record("two"))), START, START);
+    let mut old = list();
+    let one = ServerChange::Dropped { id: "one".to_owned() };
+    let two = ServerChange::Dropped { id: "two".to_owned() };
+    old.apply(change(1, 12, one), START, START);
+    old.apply(change(1, 13, two), START, START);
+    let departures = old.departures();
+    let compared = newcomer.compare_with_peer(&state(&old, &departures, START), START);
+    assert_eq!(compared, ListComparison::DeparturesChanged);
+    assert_eq!(usable(&newcomer, START), ["three", "two"]);
+}
+
+#[test]
+fn a_server_that_the_copy_lacks_stays_for_the_grace_of_an_outage() {
+    let mut list = list();
+    list.apply(whole(2, 4, &["one", "two"]), START, START);
+    list.tick(START.plus_ms(1_900));
+    assert_eq!(usable(&list, START.plus_ms(1_900)), ["one", "three", "two"]);
+    let mut written_again = list.clone();
+    let now = START.plus_ms(1_900);
+    written_again.apply(change(2, 5, ServerChange::Announced(record("three"))), now, now);
+    for list in [&mut list, &mut written_again] {
+        list.tick(START.plus_ms(2_000));
+    }
+    assert_eq!(usable(&list, START.plus_ms(2_000)), ["one", "two"]);
+    assert_eq!(
+        usable(&written_again, START.plus_ms(2_000)),
+        ["one", "three", "two"]
+    );
+}
+
+fn row(era: u32, offset: u64, is_active: bool) -> EvacuationRow {
+    EvacuationRow {
+        failure_domain: NameHash::of("hall-a"),
+        revision: StorePosition::new(era, offset),
+        is_active,
+    }
+}
+
+fn read(rows: Vec<EvacuationRow>, whole_until: Option<StorePosition>) -> EvacuationUpdate {
+    EvacuationUpdate { rows, whole_until }
+}
+
+#[test]
+fn an_evacuation_written_again_and_taken_back_is_taken_back() {
+    let mut known = Evacuations::default();
+    known.apply(&read(vec![row(1, 8, true)], Some(StorePosition::new(1, 8))));
+    known.apply(&read(vec![row(2, 6, true)], Some(StorePosition::new(2, 6))));
+    assert!(known.apply(&read(vec![row(2, 7, false)], None)));
+    assert!(known.active().is_empty());
+    assert!(
+        !known.merge(&[row(1, 99, true)]),
+        "a peer that has not heard of the era"
+    );
+}
+
+#[test]
+fn what_the_copy_contradicts_stays_in_force_until_it_is_written_again() {
+    for was_active in [true, false] {
+        let mut known = Evacuations::default();
+        known.merge(&[row(1, 8, was_active)]);
+        let rows = if was_active {
+            Vec::new()
+        } else {
+            vec![row(2, 3, true)]
+        };
+        assert!(!known.apply(&read(rows, Some(StorePosition::new(2, 5)))));
+        assert_eq!((known.active().is_empty(), known.withheld()), (!was_active, 1));
+        let mut written_again = known.clone();
+        assert!(!written_again.apply(&read(vec![row(2, 6, was_active)], None)));
+        assert_eq!(
+            (written_again.active().is_empty(), written_again.withheld()),
+            (!was_active, 0)
+        );
+        // The operators do not write it again: the store counts.
+        known.tick(START);
+        assert!(!known.tick(START.plus_ms(3_999)));
+        assert!(known.tick(START.plus_ms(4_000)));
+        assert_eq!((known.active().is_empty(), known.withheld()), (was_active, 0));
+    }
+}
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -122,6 +122,9 @@
     /// A source of the daemon's beliefs is within reach again.
     SourceBack = 404, "source_back", Info, "the store can be read again";
 
+    /// The store came back from an older copy of itself.
+    StoreEraBegan = 405, "store_era_began", Warn, "the store came back from an older copy of itself; what was written to it last is written again, and until then the instance holds on to departures and evacuations that the copy does not know";
+
     /// A request was taken in.
     RequestAdmitted = 500, "request_admitted", Debug, "a request was taken in and queued";
     /// A request was sent to a backend server.
--- a/crates/reedsail_gossip/src/exchange_messages.rs
+++ b/crates/reedsail_gossip/src/exchange_messages.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_wire::LoadMessage;
@@ -31,7 +32,7 @@
     /// How long ago that was known to be the newest, in milliseconds.
     pub configuration_age_ms: u32,
     /// The revision of the list of backend servers.
-    pub servers_revision: u64,
+    pub servers_revision: StorePosition,
     /// The digest of that list.
     pub servers_digest: u64,
     /// How old that list is, in milliseconds.
--- a/crates/reedsail_gossip/src/peer.rs
+++ b/crates/reedsail_gossip/src/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 
 /// A peer, as it or another instance described it.
@@ -27,7 +28,7 @@
     /// The configuration that it has in force.
     pub configuration_version: u64,
     /// The revision of its list of backend servers.
-    pub servers_revision: u64,
+    pub servers_revision: StorePosition,
     /// It is stopping.
     pub is_stopping: bool,
     /// When it was last sent a direct message.
--- a/crates/reedsail_gossip/src/peer_table.rs
+++ b/crates/reedsail_gossip/src/peer_table.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddrV4;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::DutyRank;
 use reedsail_dispatch::GossipTiming;
@@ -117,7 +118,7 @@
             processor_milli: row.processor_milli,
             protocol: u8::from(row.processor_milli > 0),
             configuration_version: 0,
-            servers_revision: 0,
+            servers_revision: StorePosition::default(),
             is_stopping: false,
             sent_at: None,
         });
@@ -296,7 +297,7 @@
 
     /// Returns the peer with the newest server list, if that is newer than a revision; one of the same
     /// failure domain first, since the links between domains are poor.
-    pub fn with_newer_servers(&self, revision: u64, domain: NameHash) -> Option<SocketAddrV4> {
+    pub fn with_newer_servers(&self, revision: StorePosition, domain: NameHash) -> Option<SocketAddrV4> {
         self.alive()
             .filter(|peer| peer.servers_revision > revision)
             .max_by_key(|peer| (peer.failure_domain == domain, peer.servers_revision))
--- a/crates/reedsail_gossip/tests/simulated_network/mod.rs
+++ b/crates/reedsail_gossip/tests/simulated_network/mod.rs
@@ -11,6 +11,7 @@
 use rand::rngs::StdRng;
 use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
@@ -334,7 +335,7 @@
             failure_domain: NameHash::of(&format!("domain-{}", self.nodes[index].domain)),
             configuration_version: 0,
             configuration_age_ms: 0,
-            servers_revision: 0,
+            servers_revision: StorePosition::default(),
             servers_digest: 0,
             servers_age_ms: 0,
             is_stopping: false,
--- a/crates/reedsail_router/benches/instance_cost.rs
+++ b/crates/reedsail_router/benches/instance_cost.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
@@ -138,7 +139,7 @@
         failure_domain: NameHash::of("hall-b"),
         configuration_version: 1,
         configuration_age_ms: 100,
-        servers_revision: 1,
+        servers_revision: StorePosition::new(0, 1),
         servers_digest: 0,
         servers_age_ms: 100,
         is_stopping: false,
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::DutyRank;
 use reedsail_dispatch::ListComparison;
@@ -51,6 +52,7 @@
 use super::server_publication::publish_servers;
 use super::server_publication::take_delta;
 use super::share_watch::ShareWatch;
+use super::store_era::StoreEra;
 use super::store_status::StoreStatus;
 use super::suspension_watch::SuspensionWatch;
 use crate::HeaderProtocol;
@@ -77,6 +79,7 @@
     servers: ServerList,
     configuration: ConfigurationState,
     evacuations: EvacuationState,
+    era: StoreEra,
     store: StoreStatus,
     shares: ShareWatch,
     suspensions: SuspensionWatch,
@@ -100,6 +103,7 @@
             servers: ServerList::default(),
             configuration: ConfigurationState::default(),
             evacuations: EvacuationState::default(),
+            era: StoreEra::default(),
             store: StoreStatus::default(),
             shares: ShareWatch::default(),
             suspensions: SuspensionWatch::default(),
@@ -285,6 +289,7 @@
     async fn handle(&mut self, read: ServersRead, _: &mut Context<Self>) {
         let now = self.shared.clock.now();
         let delta = self.servers.apply(read.update, read.asked_at, now);
+        self.era.note(&self.shared, &self.servers, Origin::Store);
         take_delta(&self.shared, &self.servers, &delta, Origin::Store, now);
     }
 }
@@ -295,6 +300,7 @@
     async fn handle(&mut self, read: PeerServersRead, _: &mut Context<Self>) {
         let now = self.shared.clock.now();
         let delta = self.servers.apply_listing(read.0, now);
+        self.era.note(&self.shared, &self.servers, Origin::Peer);
         take_delta(&self.shared, &self.servers, &delta, Origin::Peer, now);
     }
 }
@@ -342,8 +348,12 @@
         }
         self.configuration.receive_age(known, self.own_version(), now);
         let comparison = self.servers.compare_with_peer(&peer_list, now);
-        if comparison == ListComparison::NewerWithDepartures {
-            publish_servers(&self.shared, &self.servers, now);
+        self.era.note(&self.shared, &self.servers, Origin::Peer);
+        match comparison {
+            ListComparison::NewerWithDepartures | ListComparison::DeparturesChanged => {
+                publish_servers(&self.shared, &self.servers, now);
+            }
+            ListComparison::NothingNew | ListComparison::Newer => {}
         }
         let mut dispatcher = self.shared.dispatcher();
         for source in receipt.dropped {
@@ -373,9 +383,9 @@
 }
 
 impl<H: HeaderProtocol> Handler<MayRead> for Control<H> {
-    type Return = Option<u64>;
+    type Return = Option<StorePosition>;
 
-    async fn handle(&mut self, asked: MayRead, _: &mut Context<Self>) -> Option<u64> {
+    async fn handle(&mut self, asked: MayRead, _: &mut Context<Self>) -> Option<StorePosition> {
         let may_read = self.may_read(asked.0, self.shared.clock.now());
         may_read.then(|| self.servers.revision())
     }
@@ -391,6 +401,8 @@
         self.shared.dispatcher().tick(now);
         log_server_ends(&self.shared);
         log_quarantine(&self.shared);
+        self.evacuations.tick(&self.shared, &self.servers, now);
+        StoreEra::tick(&self.shared, &self.servers, &self.evacuations);
         self.shares.tick(&self.shared, now);
         self.suspensions.tick(&self.shared);
         self.drop_silent_peers(now);
--- a/crates/reedsail_router/src/control/evacuation_state.rs
+++ b/crates/reedsail_router/src/control/evacuation_state.rs
@@ -46,6 +46,18 @@
         }
     }
 
+    /// Takes over what the store says since it came back from a copy, once that was withheld for long enough.
+    pub(crate) fn tick<H>(&mut self, shared: &Shared<H>, servers: &ServerList, now: TimeMs) {
+        if self.known.tick(now) {
+            self.publish(shared, servers, Origin::GraceOver, now);
+        }
+    }
+
+    /// Returns how many failure domains the store says something else of than is in force.
+    pub(crate) fn withheld(&self) -> usize {
+        self.known.withheld()
+    }
+
     /// Returns the rows for load messages.
     pub(crate) fn rows(&self) -> Vec<EvacuationRow> {
         self.known.rows()
--- a/crates/reedsail_router/src/control/follow.rs
+++ b/crates/reedsail_router/src/control/follow.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::StoreTopic;
 use reedsail_net::Clock;
@@ -158,7 +159,7 @@
 
 /// Waits until this instance may read the store; returns the revision of the server list that it has
 /// learned from peers.
-async fn wait_for_turn<H: HeaderProtocol>(control: &Address<Control<H>>, topic: StoreTopic) -> u64 {
+async fn wait_for_turn<H: HeaderProtocol>(control: &Address<Control<H>>, topic: StoreTopic) -> StorePosition {
     loop {
         match control.send(MayRead(topic)).await {
             Ok(Some(known_revision)) => return known_revision,
--- a/crates/reedsail_router/src/control/mod.rs
+++ b/crates/reedsail_router/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod server_end_log;
 mod server_publication;
 mod share_watch;
+mod store_era;
 mod store_status;
 mod suspension_watch;
 mod thread;
--- a/crates/reedsail_router/src/control/server_publication.rs
+++ b/crates/reedsail_router/src/control/server_publication.rs
@@ -31,7 +31,7 @@
 
 /// Gives the list to the decisions and to the traffic thread.
 pub(crate) fn publish_servers<H>(shared: &Shared<H>, list: &ServerList, now: TimeMs) {
-    let records = list.listing(now).records;
+    let records = list.records(now);
     let setups: Vec<ServerSetup> = records.iter().map(|record| setup_of(record, now)).collect();
     let mut dispatcher = shared.dispatcher();
     dispatcher.set_servers(&setups);
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -50,6 +50,8 @@
     pub(crate) configuration_version: IntGauge,
     /// Peers that are alive.
     pub(crate) peers_alive: IntGauge,
+    pub(crate) store_era: IntGauge,
+    pub(crate) records_withheld: IntGauge,
 }
 
 impl Metrics {
@@ -119,6 +121,16 @@
                 "The version of the configuration in force.",
             ),
             peers_alive: gauge(&registry, "reedsail_router_peers_alive", "Peers that are alive."),
+            store_era: gauge(
+                &registry,
+                "reedsail_router_store_era",
+                "Era of the store: grows by one each time that it comes back from an older copy.",
+            ),
+            records_withheld: gauge(
+                &registry,
+                "reedsail_router_records_withheld",
+                "Records of the store's copy that do not count yet: departures and evacuations are known otherwise.",
+            ),
             registry,
         }
     }
--- a/crates/reedsail_router/src/source.rs
+++ b/crates/reedsail_router/src/source.rs
@@ -2,6 +2,7 @@
 //!
 //! The adapter of a platform implements these; they translate, and decide nothing.
 
+use reedsail_core::StorePosition;
 use reedsail_dispatch::EvacuationUpdate;
 use reedsail_dispatch::ServerUpdate;
 use thiserror::Error;
@@ -46,5 +47,8 @@
 pub trait ServerSource: 'static {
     /// Returns at once what has changed since the last call, or since `known_revision` if that is
     /// later: what lies before it was learned from a peer.
-    fn poll(&mut self, known_revision: u64) -> impl Future<Output = Result<ServerUpdate, SourceError>>;
+    fn poll(
+        &mut self,
+        known_revision: StorePosition,
+    ) -> impl Future<Output = Result<ServerUpdate, SourceError>>;
 }
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use reedsail_core::StorePosition;
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::ServerChange;
 use reedsail_dispatch::ServerRecord;
@@ -80,10 +81,10 @@
 pub(crate) struct MemoryServers(Shown<Vec<ServerRecord>>);
 
 impl ServerSource for MemoryServers {
-    async fn poll(&mut self, _: u64) -> Result<ServerUpdate, SourceError> {
+    async fn poll(&mut self, _: StorePosition) -> Result<ServerUpdate, SourceError> {
         let records = self.0.borrow().clone().ok_or_else(away)?;
         Ok(ServerUpdate {
-            revision: 1,
+            revision: StorePosition::new(0, 1),
             is_whole: true,
             changes: records.into_iter().map(ServerChange::Announced).collect(),
         })
--- a/crates/reedsail_router/tests/golden.rs
+++ b/crates/reedsail_router/tests/golden.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::EvacuationUpdate;
 use reedsail_dispatch::ServerChange;
@@ -251,7 +252,7 @@
 }
 
 impl ServerSource for Handed<ServerUpdate> {
-    async fn poll(&mut self, _: u64) -> Result<ServerUpdate, SourceError> {
+    async fn poll(&mut self, _: StorePosition) -> Result<ServerUpdate, SourceError> {
         self.0.recv().await.unwrap()
     }
 }
@@ -279,7 +280,7 @@
 fn evacuated(revision: u64, is_active: bool) -> OperatorUpdate {
     let row = EvacuationRow {
         failure_domain: NameHash::of("hall-a"),
-        revision,
+        revision: StorePosition::new(0, revision),
         is_active,
     };
     OperatorUpdate {
@@ -301,7 +302,7 @@
     let mut show = |changes: Vec<ServerChange>| {
         revision += 1;
         let news = ServerUpdate {
-            revision,
+            revision: StorePosition::new(0, revision),
             is_whole: false,
             changes,
         };
--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -46,6 +46,9 @@
   evacuations @22 :List(EvacuationRow);
   # Requests under which backend servers ended.
   suspects @23 :List(SuspectRow);
+  # The era of the store that serversRevision is of: it comes before the revision where the two are compared. Zero
+  # from senders that know no eras.
+  serversEra @24 :UInt32;
 }
 
 struct SuspectRow {
@@ -68,6 +71,8 @@
   active @1 :Bool;
   # The place in the store's log after the record that says it.
   revision @2 :UInt64;
+  # The era of the store that it is of.
+  era @3 :UInt32;
 }
 
 struct IncludedRow {
--- a/crates/reedsail_wire/src/load_capnp.rs
+++ b/crates/reedsail_wire/src/load_capnp.rs
@@ -273,6 +273,10 @@
         pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_servers_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(17)
+        }
     }
 
     pub struct Builder<'a> {
@@ -733,6 +737,14 @@
         pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_servers_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(17)
+        }
+        #[inline]
+        pub fn set_servers_era(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(17, value);
+        }
     }
 
     pub struct Pipeline {
@@ -745,7 +757,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 430] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 446] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(128, 202, 174, 37, 220, 213, 194, 191),
             ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
@@ -755,182 +767,189 @@
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 71, 5, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 127, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
             ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 224, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(225, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(253, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 3, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(61, 3, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 3, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(73, 3, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(81, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(101, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 29, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(109, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 30, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(113, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(121, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(153, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(161, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 3, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(169, 3, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(22, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(177, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(23, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(225, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -1176,6 +1195,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 115, 69),
+            ::capnp::word(114, 97, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1203,6 +1231,7 @@
                 21 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 22 => <::capnp::struct_list::Owned<crate::load_capnp::evacuation_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 23 => <::capnp::struct_list::Owned<crate::load_capnp::suspect_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                24 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1222,11 +1251,11 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[
-            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23,
+            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24,
         ];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[
-            11, 4, 21, 22, 3, 1, 18, 0, 19, 9, 20, 10, 13, 17, 16, 15, 2, 7, 5, 14, 12, 6, 23, 8,
+            11, 4, 21, 22, 3, 1, 18, 0, 19, 9, 20, 10, 13, 17, 16, 15, 2, 7, 5, 14, 24, 12, 6, 23, 8,
         ];
         pub(crate) const TYPE_ID: u64 = 0xbfc2_d5dc_25ae_ca80;
     }
@@ -1783,6 +1812,10 @@
         pub fn get_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1790,7 +1823,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1890,6 +1923,14 @@
         pub fn set_revision(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_era(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(4, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1902,17 +1943,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(136, 89, 102, 19, 204, 244, 130, 235),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
@@ -1920,28 +1961,35 @@
             ::capnp::word(97, 116, 105, 111, 110, 82, 111, 119),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 97, 105, 108, 117, 114, 101, 68),
             ::capnp::word(111, 109, 97, 105, 110, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -1968,12 +2016,21 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1992,9 +2049,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 3, 0, 2];
         pub(crate) const TYPE_ID: u64 = 0xeb82_f4cc_1366_5988;
     }
 }
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -8,6 +8,7 @@
 use capnp::serialize_packed;
 use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
@@ -105,7 +106,7 @@
     /// How long ago that configuration was known to be the newest, in milliseconds.
     pub configuration_age_ms: u32,
     /// The place in the store's log up to which the sender knows the backend servers.
-    pub servers_revision: u64,
+    pub servers_revision: StorePosition,
     /// The digest of the sender's list of backend servers.
     pub servers_digest: u64,
     /// How old the sender's list of backend servers is, in milliseconds.
@@ -159,7 +160,8 @@
         root.set_failure_domain(self.failure_domain.0);
         root.set_configuration_version(self.configuration_version);
         root.set_configuration_age_ms(self.configuration_age_ms);
-        root.set_servers_revision(self.servers_revision);
+        root.set_servers_revision(self.servers_revision.offset);
+        root.set_servers_era(self.servers_revision.era);
         root.set_servers_digest(self.servers_digest);
         root.set_servers_age_ms(self.servers_age_ms);
         root.set_stopping(self.is_stopping);
@@ -255,7 +257,8 @@
             let mut target = rows.reborrow().get(index);
             target.set_failure_domain(row.failure_domain.0);
             target.set_active(row.is_active);
-            target.set_revision(row.revision);
+            target.set_revision(row.revision.offset);
+            target.set_era(row.revision.era);
         }
     }
 
@@ -275,7 +278,7 @@
             failure_domain: NameHash(root.get_failure_domain()),
             configuration_version: root.get_configuration_version(),
             configuration_age_ms: root.get_configuration_age_ms(),
-            servers_revision: root.get_servers_revision(),
+            servers_revision: StorePosition::new(root.get_servers_era(), root.get_servers_revision()),
             servers_digest: root.get_servers_digest(),
             servers_age_ms: root.get_servers_age_ms(),
             is_stopping: root.get_stopping(),
@@ -355,7 +358,7 @@
     check_rows(rows.len())?;
     let row = |row: evacuation_row::Reader<'_>| EvacuationRow {
         failure_domain: NameHash(row.get_failure_domain()),
-        revision: row.get_revision(),
+        revision: StorePosition::new(row.get_era(), row.get_revision()),
         is_active: row.get_active(),
     };
     Ok(rows.iter().map(row).collect())
--- a/crates/reedsail_wire/tests/golden.rs
+++ b/crates/reedsail_wire/tests/golden.rs
@@ -13,6 +13,7 @@
 use reedsail_core::Directory;
 use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
@@ -80,7 +81,7 @@
         failure_domain: NameHash(0x0404),
         configuration_version: 0x0505,
         configuration_age_ms: 0x0606,
-        servers_revision: 0x0707,
+        servers_revision: StorePosition::new(0x0808, 0x0707),
         servers_digest: 0x0808,
         servers_age_ms: 0x0909,
         is_stopping: true,
@@ -124,7 +125,7 @@
         departures: vec![NameHash(0x1313)],
         evacuations: vec![EvacuationRow {
             failure_domain: NameHash(0x1414),
-            revision: 77,
+            revision: StorePosition::new(5, 77),
             is_active: true,
         }],
         members: vec![MemberRow {
@@ -146,6 +147,7 @@
     load.workspaces[0].recent_sent_cost = 0.0;
     let first_release = LoadMessage {
         load,
+        servers_revision: StorePosition::new(0, 0x0707),
         evacuations: Vec::new(),
         scope: LoadScope::Instance,
         protocol: 0,
@@ -164,6 +166,13 @@
     assert_eq!(read, first_release);
 }
 
+#[test]
+fn a_load_message_of_a_release_without_eras_is_read() {
+    let read = LoadMessage::decode(&kept("load_message_before_eras")).unwrap();
+    assert_eq!(read.servers_revision, StorePosition::new(0, 0x0707));
+    assert_eq!(read.evacuations[0].revision, StorePosition::new(0, 77));
+}
+
 #[test]
 fn the_load_message_keeps_its_bytes() {
     let bytes = load_message().encode().unwrap();
--- a/crates/reedsail_wire/tests/load_message.rs
+++ b/crates/reedsail_wire/tests/load_message.rs
@@ -9,6 +9,7 @@
 use proptest::proptest;
 use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
@@ -28,7 +29,7 @@
         failure_domain: NameHash(4),
         configuration_version: 5,
         configuration_age_ms: 6,
-        servers_revision: 7,
+        servers_revision: StorePosition::new(2, 7),
         servers_digest: 9,
         servers_age_ms: 8,
         is_stopping: true,
@@ -83,7 +84,7 @@
         evacuations: (0..rows)
             .map(|row| EvacuationRow {
                 failure_domain: NameHash(row),
-                revision: u64::from(row) << 40,
+                revision: StorePosition::new(row, u64::from(row) << 40),
                 is_active: row % 2 == 0,
             })
             .collect(),
