--- a/crates/reedsail_dispatch/tests/store_era_fleets.rs
+++ b/crates/reedsail_dispatch/tests/store_era_fleets.rs
@@ -105,18 +105,12 @@
     fn read(&self, from: Option<StorePosition>) -> ServerUpdate {
         let revision = StorePosition::new(self.era, self.log.records.len() as u64);
         let known = from.filter(|from| from.era == self.era);
-        let changes = match known {
-            Some(from) => self
-                .log
-                .records
-                .iter()
-                .skip(from.offset as usize)
-                .map(change)
-                .collect(),
-            None => {
-                let listed = (0..SERVERS).filter(|server| self.is_listed(*server));
-                listed.map(|server| change(&(server, true))).collect()
-            }
+        let changes = if let Some(from) = known {
+            let since = self.log.records.iter().skip(from.offset as usize);
+            since.copied().map(change).collect()
+        } else {
+            let listed = (0..SERVERS).filter(|server| self.is_listed(*server));
+            listed.map(|server| change((server, true))).collect()
         };
         ServerUpdate {
             revision,
@@ -139,11 +133,11 @@
     }
 }
 
-fn change((server, is_there): &(u32, bool)) -> ServerChange {
-    if *is_there {
-        ServerChange::Announced(record(*server))
+fn change((server, is_there): (u32, bool)) -> ServerChange {
+    if is_there {
+        ServerChange::Announced(record(server))
     } else {
-        ServerChange::Dropped { id: id(*server) }
+        ServerChange::Dropped { id: id(server) }
     }
 }
 
