Hold only recorded departures against a copy of the store, and soak it

A copy of the store lacked the records of all servers, which lapsed after the grace, and the next copy had them again; the list held these departures against it, although it had only inferred them from missing records (line 405 with kept_departures 5, then 9,934 requests refused as no_backend). Change: departures know their evidence, and only those that a record said are held. Departures of peers of an older era are not taken over any more: nobody can tell of what evidence they are. Why it holds: what is inferred from the store's silence is undone by the store's word. Departures stand in a file of their own; what follows from a crash scenario alone stands in its file.

--- /dev/null
+++ b/crates/reedsail_dispatch/src/departures.rs
@@ -0,0 +1,95 @@
+//! Departures: which servers drain or have departed, by this instance's own list and by what peers advertise.
+//!
+//! Owns both with the time until which each counts; `server_list` decides which of them to believe.
+
+use std::collections::HashMap;
+
+use reedsail_core::NameHash;
+use reedsail_core::TimeMs;
+
+/// How long a departure that a peer advertised counts, in milliseconds. Chosen, not measured.
+const ADVERTISED_DEPARTURE_MS: u64 = 5_000;
+/// How long this instance advertises a departure, in milliseconds. Chosen, not measured.
+const ADVERTISE_MS: u64 = 15_000;
+
+/// How a departure is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Evidence {
+    /// The server's record said it, or was dropped with nothing wrong.
+    Recorded,
+    /// Its record was missing for longer than trouble with the store explains. The server may be well: fifteen seconds
+    /// without any server followed in a soak when such departures were held against the store.
+    Missing,
+}
+
+/// A departure that this instance advertises.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    until: TimeMs,
+    evidence: Evidence,
+}
+
+/// The departures that are known, by the name of the server's incarnation.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Departures {
+    /// Servers that drain or departed, by this instance's own list.
+    own: HashMap<NameHash, Departure>,
+    /// Departures that peers advertised, and until when each counts.
+    advertised: HashMap<NameHash, TimeMs>,
+}
+
+impl Departures {
+    /// Records that a server drains or has departed.
+    pub(crate) fn record(&mut self, server: NameHash, evidence: Evidence, now: TimeMs) {
+        let until = now.plus_ms(ADVERTISE_MS);
+        self.own.insert(server, Departure { until, evidence });
+    }
+
+    /// Takes in what a peer advertises; `true` if any of it was not known.
+    pub(crate) fn receive(&mut self, servers: &[NameHash], now: TimeMs) -> bool {
+        let until = now.plus_ms(ADVERTISED_DEPARTURE_MS);
+        let mut has_changed = false;
+        for server in servers {
+            has_changed |= self.advertised.insert(*server, until).is_none();
+        }
+        has_changed
+    }
+
+    /// Forgets a server that takes work.
+    pub(crate) fn forget(&mut self, server: NameHash) {
+        self.own.remove(&server);
+        self.advertised.remove(&server);
+    }
+
+    /// Forgets what peers advertised of a server; `true` if they did.
+    pub(crate) fn forget_advertised(&mut self, server: NameHash) -> bool {
+        self.advertised.remove(&server).is_some()
+    }
+
+    /// Tells whether this instance knows a server to drain or to have departed.
+    pub(crate) fn is_known(&self, server: NameHash) -> bool {
+        self.own.contains_key(&server)
+    }
+
+    /// Tells whether a server's record said that it drains or has departed.
+    pub(crate) fn is_recorded(&self, server: NameHash) -> bool {
+        let departure = self.own.get(&server);
+        departure.is_some_and(|departure| departure.evidence == Evidence::Recorded)
+    }
+
+    /// Tells whether a peer advertised a server's departure lately.
+    pub(crate) fn is_advertised(&self, server: NameHash, now: TimeMs) -> bool {
+        self.advertised.get(&server).is_some_and(|until| *until > now)
+    }
+
+    /// Returns what this instance advertises.
+    pub(crate) fn names(&self) -> Vec<NameHash> {
+        self.own.keys().copied().collect()
+    }
+
+    /// Drops what no longer counts.
+    pub(crate) fn tick(&mut self, now: TimeMs) {
+        self.own.retain(|_, departure| departure.until > now);
+        self.advertised.retain(|_, until| *until > now);
+    }
+}
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 mod attempt;
 mod decaying_sum;
 mod demand;
+mod departures;
 mod dispatcher;
 mod duty_rank;
 mod evacuations;
--- a/crates/reedsail_dispatch/src/peer_list_state.rs
+++ b/crates/reedsail_dispatch/src/peer_list_state.rs
@@ -25,7 +25,6 @@
     Newer,
     /// It is newer, and names departures that were not known.
     NewerWithDepartures,
-    /// It has nothing to fetch, and yet other servers may be used than before: it names departures from before the
-    /// store came back from a copy, or shows that advertised ones are over.
+    /// It has nothing to fetch, and shows that departures which peers advertised are over.
     DeparturesChanged,
 }
--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -38,6 +38,8 @@
 use crate::ServerListing;
 use crate::ServerRecord;
 use crate::ServerUpdate;
+use crate::departures::Departures;
+use crate::departures::Evidence;
 
 /// How long a suspect stays usable, in milliseconds: a server that lives has announced itself again by
 /// then. Trials at 1 and 4 s: docs/DECISIONS.md.
@@ -49,10 +51,6 @@
 /// A peer whose list is at most this old tells that the outage is over, in milliseconds. Chosen, not
 /// measured.
 const FRESH_MS: u64 = 1_000;
-/// How long a departure that a peer advertised counts, in milliseconds. Chosen, not measured.
-const ADVERTISED_DEPARTURE_MS: u64 = 5_000;
-/// How long this instance advertises a departure, in milliseconds. Chosen, not measured.
-const ADVERTISE_MS: u64 = 15_000;
 
 #[derive(Clone, Debug)]
 struct Entry {
@@ -69,10 +67,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerList {
     entries: HashMap<String, Entry>,
-    /// Servers that drain or departed, and until when this instance advertises that.
-    departures: HashMap<NameHash, TimeMs>,
-    /// Departures that peers advertised, and until when each counts.
-    advertised_departures: HashMap<NameHash, TimeMs>,
+    departures: Departures,
     digest: u64,
     /// When this list, at its revision, was known to be the newest.
     known_at: Option<TimeMs>,
@@ -154,7 +149,7 @@
     /// departed: the peer was cut off while it left, and would bring it back into use everywhere.
     fn take_suspect(&mut self, record: ServerRecord, now: TimeMs, delta: &mut ListDelta) {
         let id = record.id.clone();
-        let is_departed = self.departures.contains_key(&record.name());
+        let is_departed = self.departures.is_known(record.name());
         if !self.entries.contains_key(&id) {
             if is_departed {
                 return;
@@ -168,7 +163,8 @@
     /// the peer's; of one that is newer, the departures are believed before it is fetched.
     pub fn compare_with_peer(&mut self, peer: &PeerListState<'_>, now: TimeMs) -> ListComparison {
         if peer.revision.era < self.revision.era {
-            return self.take_departures_of_older(peer.departures, now);
+            // Nothing of an era that is over says how fresh this list is, or who has left since.
+            return ListComparison::NothingNew;
         }
         if peer.revision <= self.revision || peer.digest == self.digest() {
             let has_changed = peer.revision > self.revision && self.end_advertised_departures();
@@ -183,44 +179,21 @@
                 ListComparison::NothingNew
             };
         }
-        let mut has_departures = false;
-        for server in peer.departures {
-            let until = now.plus_ms(ADVERTISED_DEPARTURE_MS);
-            has_departures |= self.advertised_departures.insert(*server, until).is_none();
-        }
-        if has_departures {
+        if self.departures.receive(peer.departures, now) {
             ListComparison::NewerWithDepartures
         } else {
             ListComparison::Newer
         }
     }
 
-    /// Believes departures that a peer knows from before the store came back from a copy, of servers whose record
-    /// was not written since. What else the peer's list says is over.
-    fn take_departures_of_older(&mut self, departures: &[NameHash], now: TimeMs) -> ListComparison {
-        let mut has_departures = false;
-        for entry in self.entries.values().filter(|entry| entry.is_copied) {
-            let name = entry.record.name();
-            if departures.contains(&name) && !self.departures.contains_key(&name) {
-                self.departures.insert(name, now.plus_ms(ADVERTISED_DEPARTURE_MS));
-                has_departures = true;
-            }
-        }
-        if has_departures {
-            ListComparison::DeparturesChanged
-        } else {
-            ListComparison::NothingNew
-        }
-    }
-
     /// Forgets advertised departures of servers that this list has as taking work, since a newer list is the same:
     /// the servers have come back. A peer that fetched this list would take them for draining for good.
     fn end_advertised_departures(&mut self) -> bool {
-        let known = self.advertised_departures.len();
+        let mut has_changed = false;
         for entry in self.entries.values().filter(|entry| !entry.record.is_draining) {
-            self.advertised_departures.remove(&entry.record.name());
+            has_changed |= self.departures.forget_advertised(entry.record.name());
         }
-        self.advertised_departures.len() < known
+        has_changed
     }
 
     /// Records that the store did not answer a read.
@@ -232,13 +205,12 @@
     pub fn tick(&mut self, now: TimeMs) -> ListDelta {
         let mut delta = ListDelta::default();
         let kept = self.kept_departures();
-        self.departures.retain(|_, until| *until > now);
+        self.departures.tick(now);
         // What the store says of servers whose departure is no longer kept is to be published.
         let kept_on = self.kept_departures();
         delta
             .listed
             .extend(kept.into_iter().filter(|id| !kept_on.contains(id)));
-        self.advertised_departures.retain(|_, until| *until > now);
         let lapsed: Vec<String> = self
             .entries
             .iter()
@@ -252,8 +224,8 @@
         delta
     }
 
-    /// Returns the ids of the servers that get nothing new although the store's copy says that they take work: they
-    /// are known to have departed. That is kept for as long as departures are advertised, by which time the store
+    /// Returns the ids of the servers that get nothing new although the store's copy says that they take work: their
+    /// records said that they depart. That is kept for as long as departures are advertised, by which time the store
     /// has dropped a server that has departed.
     pub fn kept_departures(&self) -> Vec<String> {
         let entries = self
@@ -264,7 +236,7 @@
     }
 
     fn is_departure_kept(&self, entry: &Entry) -> bool {
-        entry.is_copied && !entry.record.is_draining && self.departures.contains_key(&entry.record.name())
+        entry.is_copied && !entry.record.is_draining && self.departures.is_recorded(entry.record.name())
     }
 
     /// Marks servers as warm whose time is over: every instance does so at about the same moment, so that the
@@ -293,8 +265,7 @@
     }
 
     fn is_departure_advertised(&self, entry: &Entry, now: TimeMs) -> bool {
-        let advertised_until = self.advertised_departures.get(&entry.record.name());
-        advertised_until.is_some_and(|until| *until > now)
+        self.departures.is_advertised(entry.record.name(), now)
     }
 
     /// Returns all servers; those whose departure a peer advertised count as draining.
@@ -340,7 +311,7 @@
 
     /// Returns the departures to advertise.
     pub fn departures(&self) -> Vec<NameHash> {
-        self.departures.keys().copied().collect()
+        self.departures.names()
     }
 
     /// Returns how long ago the list was known to be the newest, in milliseconds; very long if it was
@@ -370,7 +341,8 @@
         match &before {
             None => delta.listed.push(id.clone()),
             Some(earlier) if same.is_none() => {
-                self.advertise_departure(earlier.record.name(), now);
+                self.departures
+                    .record(earlier.record.name(), Evidence::Recorded, now);
                 delta.restarted.push(id.clone());
             }
             Some(_) if was_cold_until != entry.cold_until => delta.cold.push(id.clone()),
@@ -378,11 +350,10 @@
         }
         if !entry.record.is_draining {
             if !is_copied {
-                self.advertised_departures.remove(&name);
-                self.departures.remove(&name);
+                self.departures.forget(name);
             }
         } else if !was_draining {
-            self.advertise_departure(name, now);
+            self.departures.record(name, Evidence::Recorded, now);
             delta.draining.push(id.clone());
         }
         self.digest = self.digest.wrapping_add(entry_digest(&entry));
@@ -433,14 +404,14 @@
     fn remove(&mut self, id: &str, now: TimeMs, delta: &mut ListDelta) {
         if let Some(entry) = self.entries.remove(id) {
             self.digest = self.digest.wrapping_sub(entry_digest(&entry));
-            self.advertise_departure(entry.record.name(), now);
+            let evidence = match entry.suspect_until {
+                Some(_) => Evidence::Missing,
+                None => Evidence::Recorded,
+            };
+            self.departures.record(entry.record.name(), evidence, now);
             delta.unlisted.push(id.to_owned());
         }
     }
-
-    fn advertise_departure(&mut self, name: NameHash, now: TimeMs) {
-        self.departures.insert(name, now.plus_ms(ADVERTISE_MS));
-    }
 }
 
 fn moment_before(now: TimeMs, age_ms: u64) -> TimeMs {
--- a/crates/reedsail_simulation/src/crash_scenario.rs
+++ b/crates/reedsail_simulation/src/crash_scenario.rs
@@ -138,6 +138,24 @@
         scenario
     }
 
+    /// Tells whether an instance was cut off within so many milliseconds before a moment.
+    pub(crate) fn was_cut(&self, instance: usize, within_ms: u64, now_ms: u64) -> bool {
+        let mut cuts = self.cuts.iter().filter(|cut| cut.instance == instance);
+        cuts.any(|cut| cut.from_ms <= now_ms && now_ms <= cut.until_ms + within_ms)
+    }
+
+    /// Returns from when an end may be known beyond the instance that saw it: at once, or once its cut is over, unless
+    /// the instance is killed before it could tell anyone.
+    pub(crate) fn knowable_from_ms(&self, witness: usize, now_ms: u64) -> Option<u64> {
+        let cuts = self.cuts.iter().filter(|cut| cut.instance == witness);
+        let lasting = cuts.filter(|cut| (cut.from_ms..cut.until_ms).contains(&now_ms));
+        let from_ms = lasting.map(|cut| cut.until_ms).max().unwrap_or(now_ms);
+        let is_killed = |(instance, at_ms): &(usize, u64)| {
+            *instance == witness && (now_ms..from_ms + NEWS_MS).contains(at_ms)
+        };
+        (!self.restarts.iter().any(is_killed)).then_some(from_ms)
+    }
+
     fn draw_mass_crashes(&mut self, random: &mut StdRng, crashes: usize) {
         for _ in 0..crashes {
             self.mass_crashes.push(MassCrash {
--- a/crates/reedsail_soak/src/draw.rs
+++ b/crates/reedsail_soak/src/draw.rs
@@ -68,7 +68,7 @@
 }
 
 /// How many kinds [`draw_kind`] knows.
-const KINDS: u32 = 19;
+const KINDS: u32 = 20;
 
 fn draw_kind(random: &mut StdRng, schedule: &Schedule, kind: u32, part: usize) -> FaultKind {
     let daemon = part % schedule.daemons;
@@ -89,6 +89,7 @@
         15 => FaultKind::StoreForgets,
         16 => FaultKind::Configure,
         17 => FaultKind::HideServer(server),
+        18 => FaultKind::StoreGoesBack(random.random_range(1..6)),
         _ => FaultKind::ReplaceKey,
     }
 }
--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -140,6 +140,7 @@
                 self.disturb_store(trouble, fault.for_ms).await?;
             }
             FaultKind::StoreForgets => self.fleet.store.obey(&StoreCommand::Forget).await?,
+            FaultKind::StoreGoesBack(records) => self.take_store_back(records, fault.for_ms).await?,
             FaultKind::Configure => self.configure(false).await?,
             FaultKind::ReplaceKey => self.configure(true).await?,
         }
@@ -337,6 +338,16 @@
         Ok(())
     }
 
+    /// Has the store come back from a copy, and what it lost written again later.
+    async fn take_store_back(&self, records: usize, for_ms: u64) -> anyhow::Result<()> {
+        let span = self.begin(Target::Store);
+        self.fleet.store.obey(&StoreCommand::GoBack(records)).await?;
+        sleep(Duration::from_millis(for_ms)).await;
+        self.fleet.store.obey(&StoreCommand::WriteAgain).await?;
+        self.end(span);
+        Ok(())
+    }
+
     /// Writes the next version; `with_new_key` gives the changing workspace another key.
     async fn configure(&self, with_new_key: bool) -> anyhow::Result<()> {
         let _writing = self.writing.lock().await;
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -81,6 +81,9 @@
     StoreLoses(u64),
     /// The store forgets all but the newest records.
     StoreForgets,
+    /// The store comes back from a copy that lacks so many of the last records of each topic, which are written again
+    /// at the fault's end.
+    StoreGoesBack(usize),
     /// The operators write a new version of the configuration.
     Configure,
     /// The operators take a key away and give another one.
@@ -110,6 +113,7 @@
             Self::StoreSlow(_) => "store slow",
             Self::StoreLoses(_) => "store losing answers",
             Self::StoreForgets => "store forgetting history",
+            Self::StoreGoesBack(_) => "store back from a copy",
             Self::Configure => "configuration changed",
             Self::ReplaceKey => "key taken away",
         }
