Publish the end of advertised departures, and tell peers what the store said

Two causes, shown by the lists of two instances at one revision: the list that peers fetch had servers as draining whose departure was only advertised, and a peer kept that until the record changed; and the end of an advertised departure changed nothing that is published. Change: peers fetch what the store said, what is only advertised counts in an instance's own use of the list, and its end is a change of the list. Why it holds: only records travel as records, and every change of what may be used is published. The digest of seeded server lists changed on purpose: the trace shows what is used, and the end of a departure is a change. Tests read the records that are used where they read the list that peers fetch.

--- a/crates/reedsail_dispatch/src/departures.rs
+++ b/crates/reedsail_dispatch/src/departures.rs
@@ -61,6 +61,13 @@
         self.advertised.remove(&server);
     }
 
+    /// Forgets a server whose record is there again, unless a record had said that it departs.
+    pub(crate) fn forget_inferred(&mut self, server: NameHash) {
+        if !self.is_recorded(server) {
+            self.own.remove(&server);
+        }
+    }
+
     /// Forgets what peers advertised of a server; `true` if they did.
     pub(crate) fn forget_advertised(&mut self, server: NameHash) -> bool {
         self.advertised.remove(&server).is_some()
@@ -87,9 +94,23 @@
         self.own.keys().copied().collect()
     }
 
-    /// Drops what no longer counts.
-    pub(crate) fn tick(&mut self, now: TimeMs) {
-        self.own.retain(|_, departure| departure.until > now);
-        self.advertised.retain(|_, until| *until > now);
+    /// Drops what no longer counts, and returns the servers that it was known of.
+    pub(crate) fn tick(&mut self, now: TimeMs) -> Vec<NameHash> {
+        let mut ended = Vec::new();
+        self.own.retain(|server, departure| {
+            let counts = departure.until > now;
+            if !counts {
+                ended.push(*server);
+            }
+            counts
+        });
+        self.advertised.retain(|server, until| {
+            let counts = *until > now;
+            if !counts {
+                ended.push(*server);
+            }
+            counts
+        });
+        ended
     }
 }
--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -204,13 +204,13 @@
     /// Removes suspects whose grace period is over, and departures that no longer count.
     pub fn tick(&mut self, now: TimeMs) -> ListDelta {
         let mut delta = ListDelta::default();
-        let kept = self.kept_departures();
-        self.departures.tick(now);
-        // What the store says of servers whose departure is no longer kept is to be published.
-        let kept_on = self.kept_departures();
-        delta
-            .listed
-            .extend(kept.into_iter().filter(|id| !kept_on.contains(id)));
+        let ended = self.departures.tick(now);
+        // What the store says of servers whose departure no longer counts is to be published: one instance used none of
+        // its servers for the rest of a soak, since nothing changed in its list after the departures had lapsed.
+        let usable = self.entries.iter().filter(|(_, entry)| {
+            !entry.record.is_draining && ended.contains(&entry.record.name()) && !self.is_held(entry, now)
+        });
+        delta.listed.extend(usable.map(|(id, _)| id.clone()));
         let lapsed: Vec<String> = self
             .entries
             .iter()
@@ -251,29 +251,28 @@
         }
     }
 
-    /// Returns the servers as this instance uses them: as peers are told, but that those whose departure is kept
-    /// against the store's copy count as draining. Peers judge the copy by what they know themselves.
+    /// Returns the servers as this instance uses them: those whose departure a peer advertised, or is kept against the
+    /// store's copy, count as draining.
     pub fn records(&self, now: TimeMs) -> Vec<ServerRecord> {
         let mut records = self.listing(now).records;
         for record in &mut records {
             let entry = self.entries.get(&record.id);
-            record.is_draining |= entry.is_some_and(|entry| {
-                self.is_departure_kept(entry) || self.is_departure_advertised(entry, now)
-            });
+            record.is_draining |= entry.is_some_and(|entry| self.is_held(entry, now));
         }
         records
     }
 
-    fn is_departure_advertised(&self, entry: &Entry, now: TimeMs) -> bool {
-        self.departures.is_advertised(entry.record.name(), now)
+    /// Tells whether a server gets nothing new although its record says that it takes work.
+    fn is_held(&self, entry: &Entry, now: TimeMs) -> bool {
+        self.is_departure_kept(entry) || self.departures.is_advertised(entry.record.name(), now)
     }
 
-    /// Returns all servers; those whose departure a peer advertised count as draining.
+    /// Returns all servers as the store has them, for peers, which hear of departures themselves. A peer could not tell
+    /// what is only advertised from what a record says, and would go without the server until its record changes: in
+    /// a soak one instance had no server for eleven seconds.
     pub fn listing(&self, now: TimeMs) -> ServerListing {
         let marked = |entry: &Entry| {
             let mut record = entry.record.clone();
-            // What is held against a copy is for this instance alone: a peer could not tell it from the record.
-            record.is_draining |= !entry.is_copied && self.is_departure_advertised(entry, now);
             record.cold_left_ms = entry.cold_until.map_or(0, |until| until.since_ms(now));
             record
         };
@@ -325,6 +324,10 @@
     fn announce(&mut self, record: ServerRecord, is_copied: bool, now: TimeMs, delta: &mut ListDelta) {
         let id = record.id.clone();
         let name = record.name();
+        let was_held = self
+            .entries
+            .get(&id)
+            .is_some_and(|entry| self.is_held(entry, now));
         let before = self.entries.remove(&id);
         if let Some(before) = &before {
             self.digest = self.digest.wrapping_sub(entry_digest(before));
@@ -351,11 +354,16 @@
         if !entry.record.is_draining {
             if !is_copied {
                 self.departures.forget(name);
+            } else {
+                self.departures.forget_inferred(name);
             }
         } else if !was_draining {
             self.departures.record(name, Evidence::Recorded, now);
             delta.draining.push(id.clone());
         }
+        if was_held && !self.is_held(&entry, now) && !delta.listed.contains(&id) {
+            delta.listed.push(id.clone());
+        }
         self.digest = self.digest.wrapping_add(entry_digest(&entry));
         self.entries.insert(id, entry);
     }
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -403,7 +403,7 @@
 fn shown_list(list: &ServerList, now: TimeMs) -> String {
     let mut departures = list.departures();
     departures.sort();
-    let mut records = list.listing(now).records;
+    let mut records = list.records(now);
     records.sort_by(|left, right| left.id.cmp(&right.id));
     let records: Vec<String> = records
         .iter()
--- a/crates/reedsail_dispatch/tests/server_list.rs
+++ b/crates/reedsail_dispatch/tests/server_list.rs
@@ -65,7 +65,7 @@
 }
 
 fn ids(list: &ServerList, now: TimeMs) -> Vec<String> {
-    let records = list.listing(now).records;
+    let records = list.records(now);
     let usable = records.into_iter().filter(|record| !record.is_draining);
     let mut ids: Vec<String> = usable.map(|record| record.id).collect();
     ids.sort();
@@ -392,6 +392,8 @@
     let compared = list.compare_with_peer(&word(12, 0, &departures), now);
     assert_eq!(compared, ListComparison::NewerWithDepartures);
     assert_eq!(ids(&list, now), ["two"]);
+    // Peers that fetch the list are told what the store said.
+    assert!(list.listing(now).records.iter().all(|record| !record.is_draining));
     let same = PeerListState {
         digest: list.digest(),
         ..word(14, 0, &[])
@@ -402,3 +404,18 @@
     );
     assert_eq!(ids(&list, now), ["one", "two"]);
 }
+
+/// What is sent where follows what was published last, and a departure that lapsed was not published: an instance of a
+/// soak refused 129 requests as `no_backend` over ten seconds, with both servers listed and well.
+#[test]
+fn a_departure_that_lapses_or_is_taken_back_is_a_change() {
+    let mut lapsing = list();
+    let now = TimeMs(2_000);
+    let departures = [record("one", false).name()];
+    lapsing.compare_with_peer(&word(12, 0, &departures), now);
+    let mut taken_back = lapsing.clone();
+    let delta = lapsing.tick(now.plus_ms(5_000));
+    assert_eq!(delta.listed, ["one"]);
+    let delta = taken_back.apply(news(12, false, vec![announced("one")]), now, now);
+    assert_eq!(delta.listed, ["one"]);
+}
