--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -352,10 +352,10 @@
             Some(_) => {}
         }
         if !entry.record.is_draining {
-            if !is_copied {
-                self.departures.forget(name);
-            } else {
+            if is_copied {
                 self.departures.forget_inferred(name);
+            } else {
+                self.departures.forget(name);
             }
         } else if !was_draining {
             self.departures.record(name, Evidence::Recorded, now);
