--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -8,8 +8,8 @@
 //! another one: the earlier incarnation has departed. A record that cannot be read ends its server.
 //!
 //! A list of a newer era of the store (it has come back from an older copy of itself) is newer whatever its offset. It
-//! is no proof of a departure, as after an outage, and brings no server back that is known to have departed, until that
-//! server writes its record again.
+//! is no proof of a departure, as after an outage, and brings no server back whose record said that it departs, until
+//! that server writes its record again.
 //!
 //! **Inputs.** The store's records with their place in its log (the revision) and the time of asking;
 //! peers' revision, digest, age (milliseconds) and departures; failed reads.
@@ -22,7 +22,7 @@
 //! sent requests to servers that had left; a digest that left suspects
 //! out kept one engine of nine in use. Other figures: chosen, not measured.
 //!
-//! **Tested by** `tests/server_list.rs`, `tests/decision_trace.rs`.
+//! **Tested by** `tests/server_list.rs`, `tests/store_eras.rs`, `tests/store_era_fleets.rs`, `tests/decision_trace.rs`.
 
 use std::collections::HashMap;
 
@@ -320,7 +320,7 @@
             .map_or(u64::from(u32::MAX), |known_at| now.since_ms(known_at))
     }
 
-    /// Takes in a record; one of the store's copy does not bring a server back that is known to have departed.
+    /// Takes in a record; one of the store's copy does not bring a server back whose record said that it departs.
     fn announce(&mut self, record: ServerRecord, is_copied: bool, now: TimeMs, delta: &mut ListDelta) {
         let id = record.id.clone();
         let name = record.name();
