--- a/crates/reedsail_daemon/src/control/grant.rs
+++ b/crates/reedsail_daemon/src/control/grant.rs
@@ -29,7 +29,7 @@
         self.shared.events.observe(report.clock);
         self.note_peer(report, now);
         let interval_ms = self.pacer.interval_ms(self.exchange_pairs(now));
-        let lease_ms = self.lease_ms(now);
+        let lease_ms = self.lease_ms_at(interval_ms);
         let mut services = Vec::new();
         for (service, row) in &report.services {
             let allocator = self.allocator_mut(*service, now);
@@ -55,8 +55,11 @@
 
     /// Returns how long leases last, in milliseconds: longer than the settings say where reports are spaced further
     /// apart. A new allocator settles for as long, since its predecessor's leases lasted as long.
-    pub(super) fn lease_ms(&mut self, now: TimeMs) -> u64 {
-        let interval_ms = self.pacer.interval_ms(self.exchange_pairs(now));
+    pub(super) fn lease_ms(&self, now: TimeMs) -> u64 {
+        self.lease_ms_at(self.pacer.interval_ms(self.exchange_pairs(now)))
+    }
+
+    fn lease_ms_at(&self, interval_ms: u64) -> u64 {
         (interval_ms * LEASE_INTERVALS).max(self.shared.settings.control.lease_ms)
     }
 
