Decode what a server says of itself in an answer, and log and count it

The logs could not tell whether an answer had said that its server drains, or for how long it wants nothing, nor on which path it came. Heads of answers are read in one place for first attempts, retries and resumed streams; what they say is a typed ServerNotice there, decoded by the adapter (nothing of a 421, which another server sends). New event 317, event 307 with origin `answer`, both with the request (its lines 510, 513 and 505 tell the path), and a metric. No decision looks at it yet.

--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -109,6 +109,8 @@
 
     /// A backend server ended while it ran requests.
     ServerEnded = 316, "server_ended", Warn, "a backend server ended while requests of this instance ran there; the fingerprint that is named at one end after the other belongs to the request that ends them";
+    /// A backend server asked this instance to send nothing for a while.
+    ServerBackedOff = 317, "server_backed_off", Info, "a backend server turned a request away and asked this instance to send it nothing for a while; see for how long";
 
     /// The platform cannot be reached.
     PlatformLost = 400, "platform_lost", Error, "the platform cannot be reached; calls that need a claim are refused as not run";
--- a/crates/reedsail_router/src/header_values.rs
+++ b/crates/reedsail_router/src/header_values.rs
@@ -3,6 +3,7 @@
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
 use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::PromptSegment;
 
@@ -71,6 +72,27 @@
     })
 }
 
+/// Reads after how many milliseconds a server wants to be asked again: seconds, with fractions (RFC 9110 allows whole
+/// ones and dates; no server of a platform sends dates).
+pub fn read_retry_after_ms(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(RETRY_AFTER)?;
+    let seconds = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse::<f64>().ok());
+    let Some(seconds) = seconds.filter(|seconds| seconds.is_finite() && *seconds >= 0.0) else {
+        log::warn!("a server's retry-after {value:?} is no number of seconds, and counts as none");
+        return None;
+    };
+    Some((seconds * 1_000.0).ceil() as u64)
+}
+
+/// Formats a retry-after of some milliseconds as seconds with fractions.
+pub fn format_retry_after(after_ms: u64) -> HeaderValue {
+    let text = format!("{}.{:03}", after_ms / 1_000, after_ms % 1_000);
+    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
+}
+
 /// Inserts a text. One that no header may hold is left out: names that the store gives are ASCII, and a
 /// server that misses its own id refuses the request.
 pub fn insert_text(headers: &mut HeaderMap, name: &'static str, text: &str) {
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -40,6 +40,8 @@
     pub(crate) peer_messages: IntCounterVec,
     /// Servers that ended while requests of this instance ran there.
     pub(crate) server_ends: IntCounter,
+    /// Answers in which a server said something of itself, by what it said.
+    pub(crate) server_notices: IntCounterVec,
     /// Requests that are not sent any more since servers end under them.
     pub(crate) quarantined: IntGauge,
     /// Suspensions of the machine.
@@ -104,6 +106,12 @@
                 "reedsail_router_server_ends_total",
                 "Backend servers that ended while requests of this instance ran there.",
             ),
+            server_notices: counters(
+                &registry,
+                "reedsail_router_server_notices_total",
+                "Answers in which a backend server said that it drains, or asked this instance to send nothing for a while.",
+                &["notice"],
+            ),
             quarantined: gauge(
                 &registry,
                 "reedsail_router_quarantined_requests",
--- a/crates/reedsail_router/src/protocol.rs
+++ b/crates/reedsail_router/src/protocol.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use reedsail_dispatch::Prompt;
+use reedsail_dispatch::ServerNotice;
 use thiserror::Error;
 
 /// The head of a caller's request.
@@ -75,6 +76,10 @@
     /// Reads the head of the answer to the request with the given id.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap, request_id: &HeaderValue) -> AnswerHead;
 
+    /// Reads what the head of an answer says of the server that a request was sent to; nothing if another server
+    /// answered in its place.
+    fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> ServerNotice;
+
     /// Writes the id of the request into an answer of the router's own.
     fn write_own_answer(&self, headers: &mut HeaderMap, request_id: Option<&HeaderValue>);
 
--- a/crates/reedsail_router/src/traffic/attempt_guard.rs
+++ b/crates/reedsail_router/src/traffic/attempt_guard.rs
@@ -51,7 +51,8 @@
         self.end(outcome);
     }
 
-    fn server(&self) -> Option<ServerKey> {
+    /// Returns the server; `None` once the attempt has ended.
+    pub(super) fn server(&self) -> Option<ServerKey> {
         self.attempt.as_ref().map(Attempt::server)
     }
 
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -22,6 +22,8 @@
 use super::attempt_guard::AttemptGuard;
 use super::attempt_guard::OpenAttempt;
 use super::call::Call;
+use super::server_notices::NoticedAnswer;
+use super::server_notices::take_notice;
 use crate::AnswerHead;
 use crate::ForwardHead;
 use crate::HeaderProtocol;
@@ -176,6 +178,15 @@
     connection: HttpConnection,
     guard: AttemptGuard<H>,
 ) -> AttemptResult<H> {
+    if let Some(server) = guard.server() {
+        let answer = NoticedAnswer {
+            server,
+            status: response.status(),
+            headers: response.headers(),
+            request_id: &call.id,
+        };
+        take_notice(shared, &answer);
+    }
     let head = shared
         .protocol
         .read_answer(response.status(), response.headers(), &call.id);
--- a/crates/reedsail_router/src/traffic/mod.rs
+++ b/crates/reedsail_router/src/traffic/mod.rs
@@ -3,7 +3,7 @@
 //! In the order of a request: `thread` takes connections, `serve` one request, `call` reads and checks
 //! it (`fingerprint` tells its returns), `forward` places and attempts it, `exchange` makes one attempt, `relay_whole`, `relay_stream` or
 //! `resume` brings the answer, `answer` is what the caller gets. Below all of them: `request_log`,
-//! `attempt_guard`, `answer_broken`. `server_check` connects to servers where connections broke. Nothing imports upwards.
+//! `attempt_guard`, `server_notices`, `answer_broken`. `server_check` connects to servers where connections broke. Nothing imports upwards.
 
 mod answer;
 mod answer_broken;
@@ -18,6 +18,7 @@
 mod resume;
 mod serve;
 mod server_check;
+mod server_notices;
 mod thread;
 
 use reedsail_core::ServerKey;
--- a/crates/reedsail_router/tests/common/test_headers.rs
+++ b/crates/reedsail_router/tests/common/test_headers.rs
@@ -4,6 +4,7 @@
 use hyper::StatusCode;
 use hyper::header::AUTHORIZATION;
 use hyper::header::HeaderValue;
+use reedsail_dispatch::ServerNotice;
 use reedsail_router::AnswerHead;
 use reedsail_router::CallHead;
 use reedsail_router::ForwardHead;
@@ -13,6 +14,7 @@
 use reedsail_router::read_bearer;
 use reedsail_router::read_number;
 use reedsail_router::read_prompt;
+use reedsail_router::read_retry_after_ms;
 
 /// The id of a request, echoed by the server.
 const REQUEST_ID: &str = "reedsail-request-id";
@@ -32,6 +34,8 @@
 const RESUME_AFTER: &str = "last-event-id";
 /// Makes the router panic while it writes the request on.
 const PANIC: &str = "x-panic";
+/// Set by a server that drains.
+const DRAINING: &str = "reedsail-draining";
 /// Set by a server that did not run the request.
 const RAN: &str = "reedsail-ran";
 
@@ -85,6 +89,17 @@
         }
     }
 
+    fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> ServerNotice {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return ServerNotice::default();
+        }
+        let is_rejection = status == StatusCode::SERVICE_UNAVAILABLE;
+        ServerNotice {
+            is_draining: headers.contains_key(DRAINING),
+            backoff_ms: is_rejection.then(|| read_retry_after_ms(headers)).flatten(),
+        }
+    }
+
     fn write_own_answer(&self, headers: &mut HeaderMap, request_id: Option<&HeaderValue>) {
         if let Some(id) = request_id {
             headers.insert(REQUEST_ID, id.clone());
