--- a/crates/reedsail_standin/src/routed_server.rs
+++ b/crates/reedsail_standin/src/routed_server.rs
@@ -17,6 +17,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -96,6 +97,8 @@
 #[derive(Debug, Default)]
 struct State {
     script: Vec<RoutedAnswer>,
+    /// What each answer carries besides.
+    headers: HeaderMap,
     runs: Vec<RoutedRun>,
 }
 
@@ -130,6 +133,14 @@
         self.handler.lock().script = script.to_vec();
     }
 
+    /// Sets the headers that each answer carries from now on, in place of those before.
+    pub fn say(&self, headers: &[(&'static str, &'static str)]) {
+        let said = headers
+            .iter()
+            .map(|(name, value)| (HeaderName::from_static(name), HeaderValue::from_static(value)));
+        self.handler.lock().headers = said.collect();
+    }
+
     /// Returns every request that reached the server, in order.
     pub fn runs(&self) -> Vec<RoutedRun> {
         self.handler.lock().runs.clone()
@@ -183,6 +194,15 @@
 
 impl Handler for RoutedHandler {
     async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, StandinError> {
+        let mut response = self.answer(request).await?;
+        let said = self.lock().headers.clone();
+        response.headers_mut().extend(said);
+        Ok(response)
+    }
+}
+
+impl RoutedHandler {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, StandinError> {
         let call = format!("{} {}", request.method(), request.uri());
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| StandinError)?.to_bytes();
