--- a/crates/reedsail_router/src/program.rs
+++ b/crates/reedsail_router/src/program.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use anyhow::Context as _;
 use reedsail_document::read_file;
 use reedsail_events::LineSink;
 use tokio::signal::unix::SignalKind;
@@ -25,8 +26,10 @@
 /// The flags of the command line.
 #[derive(Clone, Debug)]
 pub struct ProgramFlags {
-    /// The file with the settings.
-    pub settings: PathBuf,
+    /// The file with the settings, if the command line names it.
+    pub settings: Option<PathBuf>,
+    /// The environment variable that names it otherwise.
+    pub settings_variable: &'static str,
     /// Checks the settings and ends.
     pub check: bool,
 }
@@ -63,9 +66,10 @@
     C: OperatorSource,
     S: ServerSource,
 {
-    let settings = read_file(&flags.settings, RouterSettings::read)?;
+    let path = settings_path(flags)?;
+    let settings = read_file(&path, RouterSettings::read)?;
     if flags.check {
-        println!("{}: the settings are valid", flags.settings.display());
+        println!("{}: the settings are valid", path.display());
         return Ok(true);
     }
     let (sink, sink_end) = LineSink::to_stdout()?;
@@ -85,7 +89,7 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hangup.recv() => match read_file(&flags.settings, RouterSettings::read) {
+                _ = hangup.recv() => match read_file(&path, RouterSettings::read) {
                     Ok(settings) => router.reload(&settings).await,
                     Err(error) => router.note_bad_settings(&format!("{error:#}")),
                 },
@@ -96,3 +100,10 @@
     sink_end.close(LAST_LINES_MS);
     outcome
 }
+
+fn settings_path(flags: &ProgramFlags) -> anyhow::Result<PathBuf> {
+    let variable = flags.settings_variable;
+    let named = || std::env::var_os(variable).map(PathBuf::from);
+    let path = flags.settings.clone().or_else(named);
+    path.with_context(|| format!("name the settings file with --config or {variable}"))
+}
