Have the soak's servers ask for time and drain by their answers alone

Two new faults: a server that turns everything away and asks for 0.5 to 3 s, and one that says in its answers that it drains while its record says that it takes work. Servers print what they said; the checker joins it with the caller's attempts and holds, for each daemon and server, that nothing begun 2 s after such an answer reaches a server that drains, and that at most two requests arrive within the time that a server asked for (after 0.5 s). Restarts, pauses and cuts excuse it.

--- a/crates/reedsail_soak/src/checker.rs
+++ b/crates/reedsail_soak/src/checker.rs
@@ -8,6 +8,7 @@
 use crate::Probe;
 use crate::Run;
 use crate::Target;
+use crate::notice_checks::check_notices;
 
 /// A version has to be in force on a daemon that nothing disturbs after this time.
 const IN_FORCE_WITHIN_MS: u64 = 6_000;
@@ -54,7 +55,7 @@
 }
 
 impl Violation {
-    fn new(promise: &'static str, what: impl Into<String>) -> Self {
+    pub(crate) fn new(promise: &'static str, what: impl Into<String>) -> Self {
         Self {
             promise,
             what: what.into(),
@@ -76,6 +77,7 @@
     check_versions(history, &mut found);
     check_keys(history, &mut found);
     check_departures(history, &mut found);
+    check_notices(history, &mut found);
     check_exits(history, &mut found);
     check_fairness(history, &mut found);
     check_recovery(history, &mut found);
@@ -207,7 +209,7 @@
             let concerns = |target| match target {
                 Target::Daemon(struck) | Target::Stop(struck) | Target::StoreLink(struck) => struck == daemon,
                 Target::Store => true,
-                Target::CallersLink(_) | Target::Server(_) => false,
+                Target::CallersLink(_) | Target::Server(_) | Target::Notices(_) => false,
             };
             let from_ms = write.at_ms.saturating_sub(AFTERMATH_MS);
             if probe.version < write.version && !history.is_disturbed(from_ms, probe.ended_ms, concerns) {
@@ -277,7 +279,12 @@
             .filter(|run| run.server == departure.server && run.began_ms > due_ms)
         {
             // A daemon that lost the store may learn of it late.
-            let concerns = |target| !matches!(target, Target::Server(_) | Target::CallersLink(_));
+            let concerns = |target| {
+                !matches!(
+                    target,
+                    Target::Server(_) | Target::Notices(_) | Target::CallersLink(_)
+                )
+            };
             let from_ms = departure.at_ms.saturating_sub(AFTERMATH_MS);
             if !history.is_disturbed(from_ms, run.began_ms, concerns) {
                 let what = format!(
--- a/crates/reedsail_soak/src/draw.rs
+++ b/crates/reedsail_soak/src/draw.rs
@@ -68,7 +68,7 @@
 }
 
 /// How many kinds [`draw_kind`] knows.
-const KINDS: u32 = 20;
+const KINDS: u32 = 21;
 
 fn draw_kind(random: &mut StdRng, schedule: &Schedule, kind: u32, part: usize) -> FaultKind {
     let daemon = part % schedule.daemons;
@@ -90,6 +90,7 @@
         16 => FaultKind::Configure,
         17 => FaultKind::HideServer(server),
         18 => FaultKind::StoreGoesBack(random.random_range(1..6)),
+        19 => FaultKind::DrainByAnswers(server),
         _ => FaultKind::ReplaceKey,
     }
 }
@@ -114,13 +115,14 @@
 }
 
 fn draw_answer_fault(random: &mut StdRng) -> AnswerFault {
-    match random.random_range(0..7) {
+    match random.random_range(0..8) {
         0 => AnswerFault::Error,
         1 => AnswerFault::Slow(random.random_range(50..1_500)),
         2 => AnswerFault::Hang,
         3 => AnswerFault::Short,
         4 => AnswerFault::WrongId,
         5 => AnswerFault::NotRun,
+        6 => AnswerFault::Busy(random.random_range(500..3_000)),
         _ => AnswerFault::Break,
     }
 }
--- a/crates/reedsail_soak/src/fleet.rs
+++ b/crates/reedsail_soak/src/fleet.rs
@@ -22,8 +22,8 @@
 
 use crate::AnswerFault;
 use crate::Programs;
-use crate::Run;
 use crate::Schedule;
+use crate::ServerLine;
 use crate::daemon::Daemon;
 use crate::layout;
 use crate::process::Process;
@@ -88,7 +88,7 @@
     pub(crate) proxy: Proxy,
     pub(crate) life: Mutex<Option<ServerLife>>,
     lives: AtomicU64,
-    runs: UnboundedSender<Run>,
+    lines: UnboundedSender<ServerLine>,
 }
 
 impl Server {
@@ -106,7 +106,7 @@
             command.arg("--streams");
         }
         let (process, input, output, address) = start_standin(&mut command).await?;
-        tokio::spawn(pass_runs(output, self.runs.clone()));
+        tokio::spawn(pass_lines(output, self.lines.clone()));
         self.proxy.set_upstream(Some(address));
         store.obey(&StoreCommand::Announce(self.spec(&id, false))).await?;
         *life = Some(ServerLife { id, process, input });
@@ -135,12 +135,12 @@
 }
 
 impl Fleet {
-    /// Starts everything; each run of a server is sent to `runs`.
+    /// Starts everything; each line of a server is sent to `lines`.
     pub(crate) async fn start(
         programs: &Programs,
         schedule: &Schedule,
         folder: &Path,
-        runs: UnboundedSender<Run>,
+        lines: UnboundedSender<ServerLine>,
     ) -> anyhow::Result<Arc<Self>> {
         let store = Store::start(programs).await?;
         let configuration = layout::configuration(1, 1);
@@ -158,7 +158,7 @@
                 proxy: Proxy::start(None).await?,
                 life: Mutex::new(None),
                 lives: AtomicU64::new(0),
-                runs: runs.clone(),
+                lines: lines.clone(),
             };
             server.revive(&store).await?;
             servers.push(server);
@@ -223,11 +223,11 @@
     Ok((process, input, lines, address))
 }
 
-async fn pass_runs(mut lines: Lines<BufReader<ChildStdout>>, runs: UnboundedSender<Run>) {
-    while let Ok(Some(line)) = lines.next_line().await {
+async fn pass_lines(mut output: Lines<BufReader<ChildStdout>>, lines: UnboundedSender<ServerLine>) {
+    while let Ok(Some(text)) = output.next_line().await {
         // A line that was cut off by a kill belongs to a request that nobody got an answer to.
-        if let Ok(run) = serde_json::from_str(&line)
-            && runs.send(run).is_err()
+        if let Ok(line) = serde_json::from_str(&text)
+            && lines.send(line).is_err()
         {
             return;
         }
--- a/crates/reedsail_soak/src/history.rs
+++ b/crates/reedsail_soak/src/history.rs
@@ -96,6 +96,37 @@
     pub began_ms: u64,
 }
 
+/// What a backend server said of itself in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NoticeKind {
+    /// It drains.
+    Draining,
+    /// It turned the request away, and wants nothing for so many milliseconds.
+    Backoff(u64),
+}
+
+/// An answer in which a backend server said something of itself.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Notice {
+    /// The id of the attempt.
+    pub id: String,
+    /// The server.
+    pub server: String,
+    /// When it answered.
+    pub at_ms: u64,
+    /// What it said.
+    pub kind: NoticeKind,
+}
+
+/// A line that a backend server prints.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ServerLine {
+    /// It runs a request.
+    Run(Run),
+    /// It says something of itself.
+    Notice(Notice),
+}
+
 /// What a fault strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Target {
@@ -111,6 +142,8 @@
     Store,
     /// A backend server, or the link to it.
     Server(usize),
+    /// What a backend server says of itself; its answers are well.
+    Notices(usize),
 }
 
 /// A fault from its begin until its traces are gone.
@@ -189,6 +222,9 @@
     pub attempts: Vec<Attempt>,
     /// What servers saw.
     pub runs: Vec<Run>,
+    /// What servers said of themselves.
+    #[serde(default)]
+    pub notices: Vec<Notice>,
     /// What was done to the system.
     pub faults: Vec<FaultSpan>,
     /// What operators wrote.
--- /dev/null
+++ b/crates/reedsail_soak/src/notice_checks.rs
@@ -0,0 +1,134 @@
+//! Checks that what servers say of themselves in their answers is heeded by the daemon that got the answer.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::Attempt;
+use crate::History;
+use crate::Notice;
+use crate::NoticeKind;
+use crate::Outcome;
+use crate::Run;
+use crate::Target;
+use crate::Violation;
+
+/// A request that began so long after an answer that says its server drains must not reach that server.
+const DRAINING_WITHIN_MS: u64 = 2_000;
+/// Requests may arrive for so long after a server has asked for time: they were on their way.
+const BACKOFF_WITHIN_MS: u64 = 500;
+/// The most requests that may arrive between then and the end of the time that a server asked for.
+const BACKOFF_ARRIVALS_MAX: usize = 2;
+/// How long before an answer a fault may begin that keeps it from its daemon.
+const AFTERMATH_MS: u64 = 2_500;
+
+/// What one daemon and one server had to do with each other.
+struct Exchange<'a> {
+    daemon: usize,
+    server: &'a str,
+    /// When each request arrived that was run or turned away.
+    arrivals_ms: Vec<u64>,
+    runs: Vec<(&'a Run, &'a Attempt)>,
+    notices: Vec<(&'a Notice, &'a Attempt)>,
+}
+
+pub(crate) fn check_notices(history: &History, found: &mut Vec<Violation>) {
+    for exchange in exchanges(history) {
+        for (notice, attempt) in &exchange.notices {
+            let broken = match notice.kind {
+                NoticeKind::Draining => exchange.check_draining(history, notice, attempt),
+                NoticeKind::Backoff(backoff_ms) => exchange.check_backoff(history, notice, backoff_ms),
+            };
+            found.extend(broken);
+        }
+    }
+}
+
+impl<'a> Exchange<'a> {
+    fn new(server: &'a str, daemon: usize) -> Self {
+        Self {
+            daemon,
+            server,
+            arrivals_ms: Vec::new(),
+            runs: Vec::new(),
+            notices: Vec::new(),
+        }
+    }
+
+    /// Tells whether the daemon was restarted or paused within a time, and may know nothing of before.
+    fn is_restarted(&self, history: &History, from_ms: u64, until_ms: u64) -> bool {
+        history.is_disturbed(from_ms, until_ms, |target| {
+            target == Target::Daemon(self.daemon) || target == Target::Stop(self.daemon)
+        })
+    }
+
+    fn check_draining(&self, history: &History, notice: &Notice, told: &Attempt) -> Option<Violation> {
+        // Only an answer that reached the caller is sure to have reached the daemon.
+        if told.outcome != Outcome::Answered {
+            return None;
+        }
+        let due_ms = told.ended_ms + DRAINING_WITHIN_MS;
+        let is_late = |run: &Run, attempt: &Attempt| {
+            attempt.began_ms > due_ms && !self.is_restarted(history, notice.at_ms, run.began_ms)
+        };
+        let (run, _) = self.runs.iter().find(|(run, attempt)| is_late(run, attempt))?;
+        let what = format!(
+            "{} reached {} from daemon {} at {} ms; its answer at {} ms said that it drains",
+            run.id, self.server, self.daemon, run.began_ms, told.ended_ms
+        );
+        Some(Violation::new("nothing for a server that said it drains", what))
+    }
+
+    fn check_backoff(&self, history: &History, notice: &Notice, backoff_ms: u64) -> Option<Violation> {
+        let until_ms = notice.at_ms + backoff_ms;
+        let from_ms = notice.at_ms + BACKOFF_WITHIN_MS;
+        let is_within = |at_ms: &&u64| **at_ms > from_ms && **at_ms < until_ms;
+        let arrivals = self.arrivals_ms.iter().filter(is_within).count();
+        let cut_from_ms = notice.at_ms.saturating_sub(AFTERMATH_MS);
+        let is_cut = history.is_disturbed(cut_from_ms, until_ms, |target| {
+            matches!(target, Target::Server(_))
+        });
+        let is_excused = is_cut || self.is_restarted(history, notice.at_ms, until_ms);
+        if arrivals <= BACKOFF_ARRIVALS_MAX || is_excused {
+            return None;
+        }
+        let what = format!(
+            "{} asked daemon {} at {} ms for {backoff_ms} ms, and got {arrivals} requests",
+            self.server, self.daemon, notice.at_ms
+        );
+        Some(Violation::new("time for a server that asked for it", what))
+    }
+}
+
+/// Returns what each daemon and each server had to do with each other.
+fn exchanges(history: &History) -> Vec<Exchange<'_>> {
+    let attempts = history.attempts.iter();
+    let attempts: HashMap<&str, &Attempt> = attempts.map(|attempt| (attempt.id.as_str(), attempt)).collect();
+    let mut exchanges: BTreeMap<(&str, usize), Exchange<'_>> = BTreeMap::new();
+    for run in &history.runs {
+        if let Some(attempt) = attempts.get(run.id.as_str()) {
+            let exchange = exchange_of(&mut exchanges, &run.server, attempt.daemon);
+            exchange.arrivals_ms.push(run.began_ms);
+            exchange.runs.push((run, attempt));
+        }
+    }
+    for notice in &history.notices {
+        if let Some(attempt) = attempts.get(notice.id.as_str()) {
+            let exchange = exchange_of(&mut exchanges, &notice.server, attempt.daemon);
+            if let NoticeKind::Backoff(_) = notice.kind {
+                exchange.arrivals_ms.push(notice.at_ms);
+            }
+            exchange.notices.push((notice, attempt));
+        }
+    }
+    exchanges.into_values().collect()
+}
+
+fn exchange_of<'e, 'a>(
+    exchanges: &'e mut BTreeMap<(&'a str, usize), Exchange<'a>>,
+    server: &'a str,
+    daemon: usize,
+) -> &'e mut Exchange<'a> {
+    exchanges
+        .entry((server, daemon))
+        .or_insert_with(|| Exchange::new(server, daemon))
+}
--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -115,6 +115,7 @@
             FaultKind::KillServer(server) => self.kill_server(server, fault.for_ms).await?,
             FaultKind::FreezeServer(server) => self.freeze_server(server, fault.for_ms).await,
             FaultKind::RetireServer(server) => self.retire_server(server, fault.for_ms).await?,
+            FaultKind::DrainByAnswers(server) => self.drain_by_answers(server, fault.for_ms).await?,
             FaultKind::HideServer(server) => self.hide_server(server, fault.for_ms).await?,
             FaultKind::ServerAnswers(server, what) => self.disturb_answers(server, what, fault.for_ms).await,
             FaultKind::StoreRefuses => {
@@ -288,6 +289,25 @@
         Ok(())
     }
 
+    /// Has a server say in its answers that it drains, while its record says that it takes work.
+    async fn drain_by_answers(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
+        let server = &self.fleet.servers[number];
+        let Some(mut life) = server.life.lock().await.take() else {
+            return Ok(());
+        };
+        let draining = self.begin(Target::Notices(number));
+        life.answer_with(Some(AnswerFault::Draining)).await;
+        sleep(Duration::from_millis(FINISH_MS + for_ms)).await;
+        self.end(draining);
+        self.fleet.store.obey(&StoreCommand::Drop(life.id)).await?;
+        sleep(Duration::from_millis(FINISH_MS)).await;
+        let span = self.begin(Target::Server(number));
+        life.process.close().await;
+        server.revive(&self.fleet.store).await?;
+        self.end(span);
+        Ok(())
+    }
+
     async fn hide_server(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
         let server = &self.fleet.servers[number];
         let life = server.life.lock().await;
@@ -307,7 +327,10 @@
     }
 
     async fn disturb_answers(&self, number: usize, what: AnswerFault, for_ms: u64) {
-        let span = self.begin(Target::Server(number));
+        let span = self.begin(match what {
+            AnswerFault::Busy(_) => Target::Notices(number),
+            _ => Target::Server(number),
+        });
         let place = Place::Answers(number);
         let acting = self.begin_at(place);
         self.set_answers(number, Some(what)).await;
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -46,6 +46,10 @@
     WrongId,
     /// That it did not run the request.
     NotRun,
+    /// That it did not run the request, and wants nothing for so many milliseconds.
+    Busy(u64),
+    /// As it should, and that it drains.
+    Draining,
     /// By breaking the connection in the middle.
     Break,
 }
@@ -69,6 +73,8 @@
     FreezeServer(usize),
     /// A server leaves in an orderly way, and another one comes at the fault's end.
     RetireServer(usize),
+    /// A server drains and says so in its answers alone, until its record goes with it at the fault's end.
+    DrainByAnswers(usize),
     /// A server's record is gone until the fault's end, though it serves.
     HideServer(usize),
     /// A server answers wrongly.
@@ -108,6 +114,8 @@
             Self::FreezeServer(_) => "server paused",
             Self::RetireServer(_) => "server leaving",
             Self::HideServer(_) => "server's record missing",
+            Self::DrainByAnswers(_) => "server draining by its answers",
+            Self::ServerAnswers(_, AnswerFault::Busy(_)) => "server asking for time",
             Self::ServerAnswers(_, _) => "server answering wrongly",
             Self::StoreRefuses => "store down",
             Self::StoreSlow(_) => "store slow",
--- a/crates/reedsail_soak/src/server_program.rs
+++ b/crates/reedsail_soak/src/server_program.rs
@@ -22,6 +22,8 @@
 use reedsail_net::Clock;
 use reedsail_platform_standin::ServerHead;
 use reedsail_platform_standin::mark_answer;
+use reedsail_platform_standin::mark_backoff;
+use reedsail_platform_standin::mark_draining;
 use reedsail_platform_standin::mark_not_run;
 use reedsail_standin::Body;
 use reedsail_standin::Handler;
@@ -34,7 +36,10 @@
 use tokio::time::sleep;
 
 use crate::AnswerFault;
+use crate::Notice;
+use crate::NoticeKind;
 use crate::Run;
+use crate::ServerLine;
 use crate::server::EVENTS;
 use crate::server::MISDIRECTED;
 use crate::server::SERVED_BY;
@@ -108,8 +113,10 @@
         {
             return Ok(self.not_run(MISDIRECTED));
         }
-        if fault == Some(AnswerFault::NotRun) {
-            return Ok(self.not_run(StatusCode::SERVICE_UNAVAILABLE));
+        match fault {
+            Some(AnswerFault::NotRun) => return Ok(self.not_run(StatusCode::SERVICE_UNAVAILABLE)),
+            Some(AnswerFault::Busy(backoff_ms)) => return Ok(self.turn_away(&head, backoff_ms)),
+            _ => {}
         }
         let slot = Arc::clone(&self.slots)
             .acquire_owned()
@@ -136,6 +143,10 @@
             sleep(Duration::from_millis(PLAIN_MS)).await;
             self.plain(&head, fault)?
         };
+        if fault == Some(AnswerFault::Draining) {
+            mark_draining(response.headers_mut());
+            self.print_notice(&head, NoticeKind::Draining);
+        }
         if fault == Some(AnswerFault::WrongId) {
             mark_answer(response.headers_mut(), "of-another-request");
         } else {
@@ -171,6 +182,14 @@
         response
     }
 
+    fn turn_away(&self, head: &ServerHead, backoff_ms: u64) -> Response<Body> {
+        self.print_notice(head, NoticeKind::Backoff(backoff_ms));
+        let mut response = self.not_run(StatusCode::SERVICE_UNAVAILABLE);
+        mark_answer(response.headers_mut(), &head.request_id);
+        mark_backoff(response.headers_mut(), backoff_ms);
+        response
+    }
+
     /// Names the server in its answer, so that callers know the daemon's own answers.
     fn sign(&self, response: &mut Response<Body>) {
         if let Ok(id) = HeaderValue::from_str(&self.id) {
@@ -187,8 +206,22 @@
             saw_key: head.key.is_some(),
             began_ms: Clock::unix_ms(),
         };
-        println!("{}", serde_json::to_string(&run).expect("a run can be written"));
+        print_line(&ServerLine::Run(run));
     }
+
+    fn print_notice(&self, head: &ServerHead, kind: NoticeKind) {
+        let notice = Notice {
+            id: head.request_id.clone(),
+            server: self.id.clone(),
+            at_ms: Clock::unix_ms(),
+            kind,
+        };
+        print_line(&ServerLine::Notice(notice));
+    }
+}
+
+fn print_line(line: &ServerLine) {
+    println!("{}", serde_json::to_string(line).expect("a line can be written"));
 }
 
 async fn send_events(
--- a/crates/reedsail_soak/src/soak.rs
+++ b/crates/reedsail_soak/src/soak.rs
@@ -17,8 +17,8 @@
 use crate::Attempt;
 use crate::History;
 use crate::Probe;
-use crate::Run;
 use crate::Schedule;
+use crate::ServerLine;
 use crate::SoakReport;
 use crate::caller::CallerProfile;
 use crate::caller::CallerShared;
@@ -85,11 +85,11 @@
     keep: Option<&Path>,
 ) -> anyhow::Result<SoakReport> {
     let folder = tempfile::tempdir().context("cannot make a folder for logs")?;
-    let (runs_in, runs) = unbounded_channel();
-    let fleet = Fleet::start(programs, schedule, folder.path(), runs_in).await?;
+    let (lines_in, lines) = unbounded_channel();
+    let fleet = Fleet::start(programs, schedule, folder.path(), lines_in).await?;
     sleep(Duration::from_millis(SETTLE_MS)).await;
     let seen = play(&fleet, schedule).await?;
-    let (history, figures) = seen.into_history(schedule, runs);
+    let (history, figures) = seen.into_history(schedule, lines);
     let processes = fleet.processes();
     let fleet = Arc::into_inner(fleet).context("a task still uses the processes")?;
     fleet.close().await;
@@ -134,7 +134,11 @@
 }
 
 impl Seen {
-    fn into_history(mut self, schedule: &Schedule, mut runs: UnboundedReceiver<Run>) -> (History, Figures) {
+    fn into_history(
+        mut self,
+        schedule: &Schedule,
+        mut lines: UnboundedReceiver<ServerLine>,
+    ) -> (History, Figures) {
         let mut history = History {
             for_ms: schedule.for_ms,
             timeout_ms: layout::TIMEOUT_MS,
@@ -153,9 +157,17 @@
         while let Ok(probe) = self.probes.try_recv() {
             history.probes.push(probe);
         }
-        while let Ok(mut run) = runs.try_recv() {
-            run.began_ms = self.clock.since_start_ms(run.began_ms);
-            history.runs.push(run);
+        while let Ok(line) = lines.try_recv() {
+            match line {
+                ServerLine::Run(mut run) => {
+                    run.began_ms = self.clock.since_start_ms(run.began_ms);
+                    history.runs.push(run);
+                }
+                ServerLine::Notice(mut notice) => {
+                    notice.at_ms = self.clock.since_start_ms(notice.at_ms);
+                    history.notices.push(notice);
+                }
+            }
         }
         history.probes.sort_by_key(|probe| probe.ended_ms);
         let counts = self.played.counts.into_iter();
--- a/crates/reedsail_soak/tests/checker.rs
+++ b/crates/reedsail_soak/tests/checker.rs
@@ -6,6 +6,8 @@
 use reedsail_soak::Exit;
 use reedsail_soak::FaultSpan;
 use reedsail_soak::History;
+use reedsail_soak::Notice;
+use reedsail_soak::NoticeKind;
 use reedsail_soak::Outcome;
 use reedsail_soak::Probe;
 use reedsail_soak::Run;
@@ -362,3 +364,63 @@
     history.faults = vec![fault(Target::Daemon(0), 20_000, 26_000)];
     assert_eq!(broken(&history), [""; 0]);
 }
+
+fn notice(id: &str, at_ms: u64, kind: NoticeKind) -> Notice {
+    Notice {
+        id: id.to_owned(),
+        server: "server-1".to_owned(),
+        at_ms,
+        kind,
+    }
+}
+
+/// Adds a request that a server runs, so many milliseconds after ten seconds.
+fn add_run(history: &mut History, id: &str, daemon: usize, after_ms: u64) {
+    let began_ms = 10_000 + after_ms;
+    let added = Attempt {
+        daemon,
+        began_ms,
+        ended_ms: began_ms + 50,
+        ..attempt(id, CallKind::Lookup, Outcome::Answered)
+    };
+    history.attempts.push(added);
+    history.runs.push(run(id, "server-1", began_ms + 10));
+}
+
+#[test]
+fn a_request_for_a_server_that_said_it_drains_is_found() {
+    let promise = "nothing for a server that said it drains";
+    let mut history = history();
+    add_run(&mut history, "told", 0, 0);
+    history.notices.push(notice("told", 10_040, NoticeKind::Draining));
+    add_run(&mut history, "soon", 0, 1_900);
+    add_run(&mut history, "elsewhere", 1, 3_000);
+    assert_eq!(broken(&history), Vec::<&str>::new());
+    add_run(&mut history, "late", 0, 2_100);
+    assert_eq!(broken(&history), [promise]);
+    history.faults.push(fault(Target::Daemon(0), 11_000, 11_500));
+    assert_eq!(broken(&history), Vec::<&str>::new());
+}
+
+#[test]
+fn requests_for_a_server_that_asked_for_time_are_found() {
+    let promise = "time for a server that asked for it";
+    let mut history = history();
+    let told = Attempt {
+        ended_ms: 10_020,
+        ..attempt("told", CallKind::Lookup, Outcome::NotRun { status: 503 })
+    };
+    history.attempts.push(told);
+    history
+        .notices
+        .push(notice("told", 10_010, NoticeKind::Backoff(3_000)));
+    for (number, after_ms) in [100, 400, 600, 2_000, 3_100].into_iter().enumerate() {
+        add_run(&mut history, &format!("allowed-{number}"), 0, after_ms);
+    }
+    add_run(&mut history, "elsewhere", 1, 2_500);
+    assert_eq!(broken(&history), Vec::<&str>::new());
+    add_run(&mut history, "third", 0, 2_500);
+    assert_eq!(broken(&history), [promise]);
+    history.faults.push(fault(Target::Server(1), 9_000, 11_500));
+    assert_eq!(broken(&history), Vec::<&str>::new());
+}
--- a/crates/reedsail_soak/tests/schedule.rs
+++ b/crates/reedsail_soak/tests/schedule.rs
@@ -35,6 +35,7 @@
         | FaultKind::KillServer(server)
         | FaultKind::FreezeServer(server)
         | FaultKind::RetireServer(server)
+        | FaultKind::DrainByAnswers(server)
         | FaultKind::HideServer(server)
         | FaultKind::ServerAnswers(server, _) => (0, server),
         FaultKind::StoreRefuses
@@ -55,7 +56,7 @@
         .collect();
     names.sort_unstable();
     names.dedup();
-    assert_eq!(names.len(), 22, "{names:?}");
+    assert_eq!(names.len(), 24, "{names:?}");
 }
 
 #[test]
