Return to a server over a span that grows with the fleet, and play notices in simulated fleets

Cause: after a server's time was over each instance began with one request; in a fleet of more instances than the server has slots that is a flood as well. Change: an instance adds a delay of its own, from nothing to a second for as many instances as the server has slots, five at most.

--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -42,6 +42,7 @@
 use crate::prefix_memory::PrefixMemory;
 use crate::quarantine::Quarantine;
 use crate::retry::RetryBudgets;
+use crate::server_backoff::return_delay_ms;
 use crate::server_ends::BrokenAttempts;
 use crate::server_table::ServerTable;
 use crate::slow_start::Senders;
@@ -154,7 +155,7 @@
 
     /// Takes a retry from the service's budget; `false` if the budget has no room.
     pub fn take_retry(&mut self, service: NameHash, now: TimeMs) -> bool {
-        let instances = self.instances.max(self.peers.count() + 1);
+        let instances = self.instances();
         self.retries.take(service, instances, &self.settings, now)
     }
 
@@ -323,15 +324,25 @@
 
     /// Takes in what a server said of itself in an answer; returns what of it was not known.
     pub fn record_notice(&mut self, server: ServerKey, notice: ServerNotice, now: TimeMs) -> ServerNotice {
+        let delay_ms = self.return_delay_ms(server);
         let backoff = &mut self.servers.get_mut(server).backoff;
+        let is_new = |backoff_ms: &u64| backoff.record(backoff_ms.saturating_add(delay_ms), now);
         ServerNotice {
-            backoff_ms: notice
-                .backoff_ms
-                .filter(|backoff_ms| backoff.record(*backoff_ms, now)),
+            backoff_ms: notice.backoff_ms.filter(is_new),
             is_draining: notice.is_draining && self.servers.record_draining(server, true),
         }
     }
 
+    fn return_delay_ms(&self, server: ServerKey) -> u64 {
+        let setup = &self.servers.get(server).setup;
+        return_delay_ms(self.servers.own(), setup.name, self.instances(), setup.slots)
+    }
+
+    /// Returns how many instances the fleet has, as far as is known.
+    fn instances(&self) -> usize {
+        self.instances.max(self.peers.count() + 1)
+    }
+
     /// Returns how many servers asked this instance for time that is not over.
     pub fn backed_off(&self, now: TimeMs) -> usize {
         self.servers.backed_off(now)
--- a/crates/reedsail_simulation/src/fleet.rs
+++ b/crates/reedsail_simulation/src/fleet.rs
@@ -10,6 +10,7 @@
 use reedsail_core::ServerKey;
 use reedsail_core::TableKey;
 use reedsail_core::TimeMs;
+use reedsail_dispatch::ATTEMPTS_MAX;
 use reedsail_dispatch::AllowedRegions;
 use reedsail_dispatch::Attempt;
 use reedsail_dispatch::AttemptOutcome;
@@ -18,11 +19,15 @@
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::Placement;
+use reedsail_dispatch::ServerNotice;
 use reedsail_dispatch::ServerSetup;
 
+use crate::ArrivalRow;
 use crate::DecisionRow;
+use crate::NoticeRow;
 use crate::Outcome;
 use crate::Scenario;
+use crate::Shedding;
 use crate::WorkspaceOutcome;
 use crate::callers::entry;
 use crate::callers::next_request_us;
@@ -110,6 +115,12 @@
     }
 }
 
+/// Returns an instance and its failure domain.
+fn member(number: usize) -> (NameHash, NameHash) {
+    let domain = NameHash::of(&format!("domain-{}", number % FAILURE_DOMAINS));
+    (NameHash::of(&format!("instance-{number}")), domain)
+}
+
 fn now_of(now_us: u64) -> TimeMs {
     // Begins at a second, so that no moment is zero, which stands for never.
     TimeMs(1_000 + now_us / 1_000)
@@ -120,9 +131,10 @@
         let setups: Vec<ServerSetup> = (0..scenario.engines)
             .map(|number| engine_setup(number, scenario.speed.slots))
             .collect();
-        let instances = (0..scenario.instances).map(|number| {
-            let domain = NameHash::of(&format!("domain-{}", number % FAILURE_DOMAINS));
-            let mut instance = Dispatcher::new(DispatchSettings::default(), domain);
+        let members: Vec<(NameHash, NameHash)> = (0..scenario.instances).map(member).collect();
+        let instances = members.iter().map(|(own, domain)| {
+            let mut instance = Dispatcher::new(DispatchSettings::default(), *domain);
+            instance.set_members(*own, &members);
             instance.set_servers(&setups);
             instance.set_instances(scenario.instances);
             instance
@@ -183,38 +195,104 @@
 
     /// Brings a request before its instance.
     fn arrive(&mut self, request: Request, now_us: u64) {
-        let now = now_of(now_us);
+        self.count_arrival(&request, now_us);
+        let mut tried = Vec::new();
+        while tried.len() < ATTEMPTS_MAX {
+            match self.decide(&request, &tried, now_us) {
+                Decision::Send(placement) => {
+                    let attempt = self.begin_attempt(&request, &placement, &tried, now_us);
+                    let engine = engine_index(placement.server);
+                    let Some(shedding) = self.shedding(engine, now_us) else {
+                        self.send(request, attempt, &placement, now_us);
+                        return;
+                    };
+                    self.turn_away(&request, attempt, shedding, now_us);
+                    tried.push(placement.server);
+                }
+                Decision::Refuse {
+                    kind, retry_after_ms, ..
+                } => {
+                    self.refuse(request, kind, retry_after_ms, now_us);
+                    return;
+                }
+                Decision::Quarantined => unreachable!("no request of this fleet has a fingerprint"),
+            }
+        }
+        let kind = ErrorKind::NoBackend;
+        self.refuse(request, kind, kind.retry_after_ms().unwrap_or(0), now_us);
+    }
+
+    fn count_arrival(&mut self, request: &Request, now_us: u64) {
         let cost = request.prompt.cost();
-        let workspace = request.workspace;
-        let name = &self.scenario.workspaces[workspace].name;
-        let demand = Demand {
-            service: service(),
-            workspace: NameHash::of(name),
-            prompt: Some(&request.prompt),
-            latency_target_ms: request.latency_target_ms,
-            waited_ms: 0,
-            tried: &[],
-            regions: &AllowedRegions::Any,
-            fingerprint: None,
-        };
-        self.outcome.workspaces[workspace].requested += cost;
+        let name = &self.scenario.workspaces[request.workspace].name;
+        self.outcome.workspaces[request.workspace].requested += cost;
         self.outcome.ledger.record_request(name, cost, now_us / 1_000);
         self.outcome.accepted.record_request(name, cost, now_us / 1_000);
+        let demand = demand(request, name, &[]);
+        self.instances[request.instance].record_arrival(&demand, now_of(now_us));
+    }
+
+    fn decide(&mut self, request: &Request, tried: &[ServerKey], now_us: u64) -> Decision {
+        let name = &self.scenario.workspaces[request.workspace].name;
+        let demand = demand(request, name, tried);
         let instance = &mut self.instances[request.instance];
-        instance.record_arrival(&demand, now);
-        let decision = instance.decide(&demand, now);
-        let row = decision_row(&request, name, &decision, instance, now_us);
+        let decision = instance.decide(&demand, now_of(now_us));
+        let row = decision_row(request, name, &decision, instance, now_us);
         self.outcome.decisions.push(row);
-        match decision {
-            Decision::Send(placement) => {
-                let attempt = instance.begin_attempt(&demand, &placement, now);
-                self.send(request, attempt, &placement, now_us);
-            }
-            Decision::Refuse {
-                kind, retry_after_ms, ..
-            } => self.refuse(request, kind, retry_after_ms, now_us),
-            Decision::Quarantined => unreachable!("no request of this fleet has a fingerprint"),
-        }
+        decision
+    }
+
+    fn begin_attempt(
+        &mut self,
+        request: &Request,
+        placement: &Placement,
+        tried: &[ServerKey],
+        now_us: u64,
+    ) -> Attempt {
+        self.outcome.arrivals.push(ArrivalRow {
+            at_ms: now_us / 1_000,
+            instance: request.instance,
+            engine: engine_index(placement.server),
+        });
+        let name = &self.scenario.workspaces[request.workspace].name;
+        let demand = demand(request, name, tried);
+        self.instances[request.instance].begin_attempt(&demand, placement, now_of(now_us))
+    }
+
+    /// Returns the span in which an engine turns requests away, if it does now.
+    fn shedding(&self, engine: usize, now_us: u64) -> Option<Shedding> {
+        let at_ms = now_us / 1_000;
+        let is_now = |shedding: &&Shedding| {
+            shedding.engine == engine && (shedding.from_ms..shedding.until_ms).contains(&at_ms)
+        };
+        self.scenario.sheddings.iter().find(is_now).copied()
+    }
+
+    fn turn_away(&mut self, request: &Request, attempt: Attempt, shedding: Shedding, now_us: u64) {
+        let notice = ServerNotice {
+            is_draining: false,
+            backoff_ms: Some(shedding.backoff_ms),
+        };
+        self.tell(request.instance, shedding.engine, notice, now_us);
+        let instance = &mut self.instances[request.instance];
+        instance.finish_attempt(attempt, AttemptOutcome::Rejected, now_of(now_us));
+    }
+
+    /// Has an engine say something of itself in an answer to an instance.
+    fn tell(&mut self, instance: usize, engine: usize, notice: ServerNotice, now_us: u64) {
+        let server = ServerKey::from_index(engine);
+        self.instances[instance].record_notice(server, notice, now_of(now_us));
+        self.outcome.notices.push(NoticeRow {
+            at_ms: now_us / 1_000,
+            instance,
+            engine,
+            notice,
+        });
+    }
+
+    fn drains(&self, engine: usize, now_us: u64) -> bool {
+        let mut drainings = self.scenario.drainings.iter();
+        drainings.any(|draining| draining.engine == engine && draining.from_ms <= now_us / 1_000)
     }
 
     fn send(&mut self, request: Request, attempt: Attempt, placement: &Placement, now_us: u64) {
@@ -266,6 +344,20 @@
     }
 
     fn record_first_event(&mut self, number: u64, now_us: u64) {
+        let sent = self
+            .runs
+            .get(&number)
+            .map(|run| (run.request.instance, run.engine));
+        let Some((instance, engine)) = sent else {
+            return;
+        };
+        if self.drains(engine, now_us) {
+            let notice = ServerNotice {
+                is_draining: true,
+                backoff_ms: None,
+            };
+            self.tell(instance, engine, notice, now_us);
+        }
         let Some(run) = self.runs.get_mut(&number) else {
             return;
         };
@@ -304,6 +396,19 @@
     }
 }
 
+fn demand<'a>(request: &'a Request, workspace: &str, tried: &'a [ServerKey]) -> Demand<'a> {
+    Demand {
+        service: service(),
+        workspace: NameHash::of(workspace),
+        prompt: Some(&request.prompt),
+        latency_target_ms: request.latency_target_ms,
+        waited_ms: 0,
+        tried,
+        regions: &AllowedRegions::Any,
+        fingerprint: None,
+    }
+}
+
 /// Notes a decision. The share is looked at for refusals only, which have just worked it out: to look at it
 /// elsewhere would change when levels are computed.
 fn decision_row(
--- a/crates/reedsail_simulation/src/outcome.rs
+++ b/crates/reedsail_simulation/src/outcome.rs
@@ -1,6 +1,7 @@
 //! What came of a simulated scenario.
 
 use reedsail_core::ErrorKind;
+use reedsail_dispatch::ServerNotice;
 use reedsail_dispatch::WorkspaceShare;
 use reedsail_fairness::ShareLedger;
 use reedsail_fairness::ShareWindow;
@@ -28,6 +29,30 @@
     pub queue_ms: u64,
 }
 
+/// A request that reached an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ArrivalRow {
+    /// When, in milliseconds from the start.
+    pub at_ms: u64,
+    /// The instance that sent it.
+    pub instance: usize,
+    /// The engine.
+    pub engine: usize,
+}
+
+/// An answer in which an engine said something of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoticeRow {
+    /// When, in milliseconds from the start.
+    pub at_ms: u64,
+    /// The instance that got it.
+    pub instance: usize,
+    /// The engine.
+    pub engine: usize,
+    /// What it said.
+    pub notice: ServerNotice,
+}
+
 /// What one workspace asked for and got; in tokens, but for the requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkspaceOutcome {
@@ -57,6 +82,10 @@
     pub accepted: ShareLedger,
     /// Every decision, in the order of time.
     pub decisions: Vec<DecisionRow>,
+    /// Every request that reached an engine, in the order of time.
+    pub arrivals: Vec<ArrivalRow>,
+    /// What engines said of themselves, in the order of time.
+    pub notices: Vec<NoticeRow>,
 }
 
 impl Outcome {
--- a/crates/reedsail_simulation/src/scenario.rs
+++ b/crates/reedsail_simulation/src/scenario.rs
@@ -57,6 +57,28 @@
     pub factor: f64,
 }
 
+/// A span in which an engine turns every request away and asks for time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shedding {
+    /// The engine.
+    pub engine: usize,
+    /// When it begins, in milliseconds from the start.
+    pub from_ms: u64,
+    /// When it ends, in milliseconds from the start.
+    pub until_ms: u64,
+    /// For how long it wants nothing, in milliseconds.
+    pub backoff_ms: u64,
+}
+
+/// An engine that drains, and says so in its answers alone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Draining {
+    /// The engine.
+    pub engine: usize,
+    /// When it begins, in milliseconds from the start.
+    pub from_ms: u64,
+}
+
 /// How much one workspace asks for, and where.
 #[derive(Clone, Debug)]
 pub struct WorkspacePlan {
@@ -89,6 +111,10 @@
     pub workspaces: Vec<WorkspacePlan>,
     /// Who asks for more, and when.
     pub floods: Vec<Flood>,
+    /// Which engines turn requests away, and when.
+    pub sheddings: Vec<Shedding>,
+    /// Which engines drain, and from when on.
+    pub drainings: Vec<Draining>,
     /// How long callers ask, in milliseconds.
     pub length_ms: u64,
 }
@@ -124,6 +150,8 @@
             kinds: three_kinds(),
             workspaces,
             floods,
+            sheddings: Vec::new(),
+            drainings: Vec::new(),
             length_ms: 22_000,
         }
     }
