Log what peers tell of servers that drain by their answers

Instances that learned it from a load report wrote no line, so that on-call could not tell why a server got nothing there. Long lines of module pages are wrapped; a retry-after that cannot be read is a debug line, since each answer could bring one.

--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -3,9 +3,10 @@
 //! **Rule.** A request is sent if its first event is expected within [`TARGET_FRACTION`] of its latency
 //! target, or if others keep its server busy for less than [`QUEUE_TARGET_FRACTION`] of it. One of a workspace that
 //! is starved is sent as long as it is expected within [`STARVED_TARGETS`] targets. It is refused with a
-//! retry-after otherwise; where every server has asked for time, with the time until one of them takes requests again. A workspace over its fair share is refused as well where the server is
-//! busy with other requests for more than [`OVER_SHARE_TARGET_FRACTION`] of the target. How many
-//! prompts of one that wants more than its share are sent while queues are short is the rule of `pacing`.
+//! retry-after otherwise; where every server has asked for time, with the time until one of them takes requests
+//! again. A workspace over its fair share is refused as well where the server is busy with other requests for more than
+//! [`OVER_SHARE_TARGET_FRACTION`] of the target. How many prompts of one that wants more than its share are sent while
+//! queues are short is the rule of `pacing`.
 //!
 //! **Inputs.** The request's latency target and time waited so far, the placement's expected time and
 //! queue, all in milliseconds; whether the workspace is over its share (`fair_share`).
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -333,6 +333,11 @@
         }
     }
 
+    /// Returns the servers that peers told to drain, by an answer of theirs, since the last call.
+    pub fn take_told_draining(&mut self) -> Vec<ServerKey> {
+        self.servers.take_told_draining()
+    }
+
     fn return_delay_ms(&self, server: ServerKey) -> u64 {
         let setup = &self.servers.get(server).setup;
         return_delay_ms(self.servers.own(), setup.name, self.instances(), setup.slots)
--- a/crates/reedsail_dispatch/src/server_backoff.rs
+++ b/crates/reedsail_dispatch/src/server_backoff.rs
@@ -1,9 +1,10 @@
 //! Backoff: how long a server that asked for time gets nothing, and how requests return to it.
 //!
 //! **Rule.** A server that turned a request away and asked this instance for time gets nothing from it until that time
-//! is over, and a while longer that differs from instance to instance and grows with the fleet. Then a window bounds the requests that are sent and have not begun to be answered: one at first, one more
-//! with each answer that begins, until the window is as wide as the server has slots. An instance whose peer was
-//! asked for time goes on sending, through such a window.
+//! is over, and a while longer that differs from instance to instance and grows with the fleet. Then a window bounds
+//! the requests that are sent and have not begun to be answered: one at first, one more with each answer that begins,
+//! until the window is as wide as the server has slots. An instance whose peer was asked for time goes on sending,
+//! through such a window.
 //!
 //! **Inputs.** Notices in answers (milliseconds), the number of instances and of the server's slots, peers' reports,
 //! answers that begin.
@@ -23,7 +24,6 @@
 /// How long a peer's report that a server asked it for time counts as the same one, in milliseconds: each such report
 /// narrows the window once.
 const PEER_BACKOFF_MS: u64 = 2_000;
-
 /// Span over which as many instances as a server has slots return to it, in milliseconds.
 const RETURN_ROUND_MS: u64 = 1_000;
 /// Longest span over which all instances return to a server, in milliseconds.
--- a/crates/reedsail_dispatch/src/server_life.rs
+++ b/crates/reedsail_dispatch/src/server_life.rs
@@ -2,9 +2,9 @@
 //!
 //! **Rule.** A server that is not listed has departed and gets nothing; neither does one that drains, by its record
 //! or by an answer of its own, nor one whose failure domain is evacuated. What an answer said holds for the life of that
-//! incarnation, whatever a list says: a list may be older, or the store out. A cold one gets little (`slow_start`). A server is cold as long as its
-//! record says, and, since what is unknown counts as cold, for a while after nothing answered at its address
-//! and after its failure domain was taken back.
+//! incarnation, whatever a list says: a list may be older, or the store out. A cold one gets little (`slow_start`). A
+//! server is cold as long as its record says, and, since what is unknown counts as cold, for a while after nothing
+//! answered at its address and after its failure domain was taken back.
 //!
 //! **Inputs.** The server list (listed, draining, cold until), answers to this instance or a peer in which the server
 //! says that it drains, evacuations, connects that failed here or at a peer because nothing listens there.
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -146,6 +146,8 @@
     slots: HashMap<NameHash, u64>,
     /// Servers of which this instance may have something to report.
     active: BTreeSet<ServerKey>,
+    /// Servers that peers told to drain, and that were not taken yet.
+    told_draining: Vec<ServerKey>,
     limits: HashMap<NameHash, SlowStartLimit>,
     evacuated: Vec<NameHash>,
     senders: Senders,
@@ -299,9 +301,17 @@
         let is_known = server.life.drains();
         server.was_told_draining |= is_own;
         server.life.apply(LifeEvent::SaidDraining);
+        if !is_known && !is_own {
+            self.told_draining.push(key);
+        }
         !is_known
     }
 
+    /// Returns the servers that were learned from peers to drain since the last call.
+    pub(crate) fn take_told_draining(&mut self) -> Vec<ServerKey> {
+        std::mem::take(&mut self.told_draining)
+    }
+
     /// Tells whether a request that was placed on a server may still be sent there.
     pub(crate) fn still_takes(&self, key: ServerKey, now: TimeMs) -> bool {
         let server = self.get(key);
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -56,6 +56,7 @@
 use super::quarantine_log::log_quarantine;
 use super::seeds::peer_addresses;
 use super::server_end_log::log_server_ends;
+use super::server_notice_log::log_server_notices;
 use super::server_pages::ServerPages;
 use super::server_publication::publish_servers;
 use super::server_publication::take_delta;
@@ -483,8 +484,7 @@
         let delta = self.servers.tick(now);
         take_delta(&self.shared, &mut self.servers, &delta, Origin::GraceOver, now);
         self.shared.dispatcher().tick(now);
-        let backed_off = self.shared.dispatcher().backed_off(now);
-        self.shared.metrics.servers_backed_off.set(backed_off as i64);
+        log_server_notices(&self.shared, now);
         log_server_ends(&self.shared);
         log_quarantine(&self.shared);
         self.evacuations.tick(&self.shared, &self.servers, now);
--- a/crates/reedsail_router/src/header_values.rs
+++ b/crates/reedsail_router/src/header_values.rs
@@ -72,8 +72,8 @@
     })
 }
 
-/// Reads after how many milliseconds a server wants to be asked again: seconds, with fractions (RFC 9110 allows whole
-/// ones and dates; no server of a platform sends dates).
+/// Reads after how many milliseconds a server wants to be asked again: a number of seconds, fractions allowed. The
+/// dates that RFC 9110 allows as well count as none.
 pub fn read_retry_after_ms(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get(RETRY_AFTER)?;
     let seconds = value
@@ -81,7 +81,7 @@
         .ok()
         .and_then(|text| text.trim().parse::<f64>().ok());
     let Some(seconds) = seconds.filter(|seconds| seconds.is_finite() && *seconds >= 0.0) else {
-        log::warn!("a server's retry-after {value:?} is no number of seconds, and counts as none");
+        log::debug!("a server's retry-after {value:?} is no number of seconds, and counts as none");
         return None;
     };
     Some((seconds * 1_000.0).ceil() as u64)
