Read the change once more: share what it wrote twice, play simulated fleets once

Cause: the soak ended and replaced a server that drains in two places, its notice checks had a second copy of the aftermath of a fault, a test of notices repeated its own loop, the three tests of simulated fleets played each seed three times, and a router test passed a made-up answer to ask for a server. Behaviour, bounds and assertions as before.

--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -273,9 +273,8 @@
             LifeState::Cold => {
                 let setup = &server.setup;
                 let is_sender = || self.senders.include_own(setup.name, setup.failure_domain);
-                let is_allowed =
-                    || !self.limit(setup.service).binds() || (server.cold.allows(now) && is_sender());
-                server.backoff.allows(now) && is_allowed()
+                let is_bound = self.limit(setup.service).binds();
+                server.backoff.allows(now) && (!is_bound || (server.cold.allows(now) && is_sender()))
             }
             LifeState::Evacuated | LifeState::Draining | LifeState::Departed => false,
         }
--- a/crates/reedsail_dispatch/tests/server_notices.rs
+++ b/crates/reedsail_dispatch/tests/server_notices.rs
@@ -71,10 +71,7 @@
     let server = key(dispatcher, name);
     let attempts: Vec<Attempt> = (0..6).filter_map(|_| send(dispatcher, now)).collect();
     let is_there = attempts.iter().any(|attempt| attempt.server() == server);
-    for mut attempt in attempts {
-        dispatcher.record_first_event(&mut attempt, now);
-        dispatcher.finish_attempt(attempt, AttemptOutcome::Answered, now);
-    }
+    answer(dispatcher, attempts, now);
     is_there
 }
 
--- a/crates/reedsail_router/tests/server_notices.rs
+++ b/crates/reedsail_router/tests/server_notices.rs
@@ -42,8 +42,8 @@
 }
 
 /// The servers that a path's requests go to, the first one listed first.
-fn first_server<'a>(site: &'a Site, told: &Told) -> (&'a RoutedStandin, &'static str) {
-    if told.path.contains("once") || told.path.contains("again") {
+fn first_server<'a>(site: &'a Site, path: &str) -> (&'a RoutedStandin, &'static str) {
+    if path.contains("once") || path.contains("again") {
         (&site.app, "app")
     } else {
         (&site.llm, "llm")
@@ -82,7 +82,7 @@
     ];
     for told in paths {
         let site = Site::start().await;
-        let (server, service) = first_server(&site, &told);
+        let (server, service) = first_server(&site, told.path);
         let other = site.add_server("other", service).await;
         server.answer_with(&[told.answer]);
         server.say(DRAINING);
@@ -90,7 +90,7 @@
         if told.other == breaks_off {
             let callers = site.callers();
             let path = told.path;
-            let asking = tokio::spawn(async move { ask_until_reached_twice(callers, path).await });
+            let asking = tokio::spawn(async move { ask_twice(callers, path).await });
             wait_for("a stream elsewhere", async || !other.runs().is_empty()).await;
             other.crash();
             wait_for("the stream's end", async || !server.runs().is_empty()).await;
@@ -107,8 +107,8 @@
     }
 }
 
-/// Keeps a stream going for as long as it lasts.
-async fn ask_until_reached_twice(callers: SocketAddr, path: &str) {
+/// Asks twice: the second request reaches the server that the first one passed over.
+async fn ask_twice(callers: SocketAddr, path: &str) {
     for _ in 0..2 {
         ask(callers, path, &[]).await;
     }
@@ -118,7 +118,7 @@
 async fn requests_go_on_to_a_server_that_asked_for_time() {
     for (path, is_retry) in [("/once/", false), ("/stream/", false), ("/again/", true)] {
         let site = Site::start().await;
-        let (server, service) = first_server(&site, &told(path, RoutedAnswer::NotRun, WHOLE));
+        let (server, service) = first_server(&site, path);
         let other = site.add_server("other", service).await;
         let success = if service == "app" { WHOLE } else { STREAM };
         server.answer_with(&[RoutedAnswer::NotRun]);
--- a/crates/reedsail_simulation/tests/server_notices.rs
+++ b/crates/reedsail_simulation/tests/server_notices.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::sync::LazyLock;
 
 use reedsail_simulation::Draining;
 use reedsail_simulation::Outcome;
@@ -26,6 +27,9 @@
 /// load.
 const DRAINING_KNOWN_MS: u64 = 200;
 
+/// What came of each seed, for all tests.
+static OUTCOMES: LazyLock<Vec<Outcome>> = LazyLock::new(|| (0..SEEDS).map(play).collect());
+
 /// Plays a fleet of 85 instances before 60 engines: a third turn everything away for a while, six drain.
 fn play(seed: u64) -> Outcome {
     let sheddings = (0..20).map(|engine| Shedding {
@@ -47,8 +51,7 @@
 
 #[test]
 fn an_engine_that_asked_for_time_gets_it_from_each_instance_that_it_asked() {
-    for seed in 0..SEEDS {
-        let outcome = play(seed);
+    for (seed, outcome) in OUTCOMES.iter().enumerate() {
         let mut arrivals: HashMap<(usize, usize), Vec<u64>> = HashMap::new();
         for arrival in &outcome.arrivals {
             let place = (arrival.instance, arrival.engine);
@@ -69,8 +72,7 @@
 
 #[test]
 fn an_engine_that_is_returned_to_gets_no_more_than_those_that_were_never_away() {
-    for seed in 0..SEEDS {
-        let outcome = play(seed);
+    for (seed, outcome) in OUTCOMES.iter().enumerate() {
         for from_ms in (SHEDDING_MS.1..SHEDDING_MS.1 + RETURN_MS).step_by(250) {
             let mut arrivals = [0_usize; 60];
             for row in &outcome.arrivals {
@@ -89,8 +91,7 @@
 
 #[test]
 fn an_engine_that_drains_by_its_answers_gets_nothing_more_from_any_instance() {
-    for seed in 0..SEEDS {
-        let outcome = play(seed);
+    for (seed, outcome) in OUTCOMES.iter().enumerate() {
         let mut told = HashSet::new();
         for row in outcome.notices.iter().filter(|row| row.notice.is_draining) {
             if !told.insert(row.engine) {
--- a/crates/reedsail_soak/src/checker.rs
+++ b/crates/reedsail_soak/src/checker.rs
@@ -15,7 +15,7 @@
 /// A server gets no new request after its leaving was written and this time has passed.
 const LEAVING_WITHIN_MS: u64 = 5_000;
 /// The traces of a fault are allowed for, for so long after it was undone.
-const AFTERMATH_MS: u64 = 2_500;
+pub(crate) const AFTERMATH_MS: u64 = 2_500;
 /// A planned stop has to be over after this time.
 const STOP_WITHIN_MS: u64 = 10_000;
 /// A process that was started so short a time ago may not have heard a signal yet, and serves nobody.
--- a/crates/reedsail_soak/src/notice_checks.rs
+++ b/crates/reedsail_soak/src/notice_checks.rs
@@ -11,6 +11,7 @@
 use crate::Run;
 use crate::Target;
 use crate::Violation;
+use crate::checker::AFTERMATH_MS;
 
 /// A request that began so long after an answer that says its server drains must not reach that server.
 const DRAINING_WITHIN_MS: u64 = 2_000;
@@ -18,8 +19,6 @@
 const BACKOFF_WITHIN_MS: u64 = 500;
 /// The most requests that may arrive between then and the end of the time that a server asked for.
 const BACKOFF_ARRIVALS_MAX: usize = 2;
-/// How long before an answer a fault may begin that keeps it from its daemon.
-const AFTERMATH_MS: u64 = 2_500;
 
 /// What one daemon and one server had to do with each other.
 struct Exchange<'a> {
--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -29,6 +29,7 @@
 use crate::daemon::Daemon;
 use crate::fleet::Fleet;
 use crate::fleet::Server;
+use crate::fleet::ServerLife;
 use crate::layout;
 
 /// A daemon that was asked to stop is killed after this time.
@@ -278,13 +279,18 @@
             at_ms: self.now_ms(),
         });
         sleep(Duration::from_millis(FINISH_MS)).await;
+        self.replace_server(number, life, for_ms / 4).await
+    }
+
+    /// Drops the record of a server that has drained, ends it, and starts another one after a pause.
+    async fn replace_server(&self, number: usize, life: ServerLife, pause_ms: u64) -> anyhow::Result<()> {
         self.fleet.store.obey(&StoreCommand::Drop(life.id)).await?;
         // Requests that were begun before it left are over by now, and newer ones are watched for.
         sleep(Duration::from_millis(FINISH_MS)).await;
         let span = self.begin(Target::Server(number));
         life.process.close().await;
-        sleep(Duration::from_millis(for_ms / 4)).await;
-        server.revive(&self.fleet.store).await?;
+        sleep(Duration::from_millis(pause_ms)).await;
+        self.fleet.servers[number].revive(&self.fleet.store).await?;
         self.end(span);
         Ok(())
     }
@@ -299,13 +305,7 @@
         life.answer_with(Some(AnswerFault::Draining)).await;
         sleep(Duration::from_millis(FINISH_MS + for_ms)).await;
         self.end(draining);
-        self.fleet.store.obey(&StoreCommand::Drop(life.id)).await?;
-        sleep(Duration::from_millis(FINISH_MS)).await;
-        let span = self.begin(Target::Server(number));
-        life.process.close().await;
-        server.revive(&self.fleet.store).await?;
-        self.end(span);
-        Ok(())
+        self.replace_server(number, life, 0).await
     }
 
     async fn hide_server(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
