Share the speed of engines, decode gap targets and priorities

Cause: two customers have engines of one service that differ in speed several times over, targets for the pauses of a stream, and priorities. Each instance learned the slowness of an engine alone, a prompt's servers were chosen by hash alone, and gap targets and priorities were decoded nowhere.

Change: engine_speed keeps decaying sums of log(measured / expected) for each engine, shared in the rows of load reports; where the engines of a service differ by more than sampling noise, estimates use the shared relative slowness and segments are owned in proportion to speed (weighted rendezvous hashing). Route.gap_target_ms, Route.priority, WorkspaceDefinition.priority, Demand.gap_target_ms and Demand.priority are there for the parts that follow; nothing acts on them yet.

--- a/crates/reedsail_dispatch/benches/large_fleet.rs
+++ b/crates/reedsail_dispatch/benches/large_fleet.rs
@@ -14,6 +14,7 @@
 use reedsail_dispatch::Demand;
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::PromptSegment;
 use reedsail_dispatch::ServerChange;
@@ -77,6 +78,8 @@
             workspace: NameHash::of("labska"),
             prompt: Some(&prompt),
             latency_target_ms: 1_000,
+            gap_target_ms: None,
+            priority: Priority::default(),
             waited_ms: 0,
             tried: &[],
             regions: &AllowedRegions::Any,
--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -72,6 +72,10 @@
     prompt.map_or(PLAIN_COST, Prompt::cost)
 }
 
+/// How urgent a request is, as the operators rank it; lower is more urgent, and zero is the most urgent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Priority(pub u8);
+
 /// A request for which a server is to be chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
@@ -83,6 +87,11 @@
     pub prompt: Option<&'a Prompt>,
     /// The route's target for the time to first event, in milliseconds from the request's arrival.
     pub latency_target_ms: u64,
+    /// The route's target for the longest pause between two events of the answer, in milliseconds; `None` if it has
+    /// none.
+    pub gap_target_ms: Option<u64>,
+    /// The priority of the request's workspace, or that of its route if the workspace has none.
+    pub priority: Priority,
     /// Time since the request's arrival, in milliseconds.
     pub waited_ms: u64,
     /// Servers that earlier attempts of this request were sent to.
@@ -101,6 +110,7 @@
         Self {
             waited_ms: 0,
             latency_target_ms: timeout_ms,
+            gap_target_ms: None,
             ..self
         }
     }
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -174,6 +174,7 @@
         if demand.fingerprint.is_some_and(is_quarantined) {
             return Decision::Quarantined;
         }
+        self.servers.refresh_speeds(now);
         let placer = Placer {
             servers: &self.servers,
             reach: &self.reach,
@@ -284,9 +285,16 @@
         }
         if attempt.has_prompt {
             server.health.learn_slowness(took_ms, attempt.expected_ms);
-            let engine_ms = took_ms - attempt.other_wait_ms as f64;
+            let engine_ms = (took_ms - attempt.other_wait_ms as f64).max(0.0);
             let model = self.models.entry(attempt.service).or_default();
-            model.learn(attempt.work, engine_ms.max(0.0));
+            server
+                .speed
+                .record(engine_ms, model.expected_ms(attempt.work), now);
+            // The model describes an engine of the service's mean speed.
+            model.learn(
+                attempt.work,
+                engine_ms / server.speed.relative_slowness().unwrap_or(1.0),
+            );
         } else {
             // The wait for a slot is no measure of the server's speed.
             server.health.learn_plain_time(took_ms / attempt.rounds);
--- a/crates/reedsail_dispatch/src/latency_estimate.rs
+++ b/crates/reedsail_dispatch/src/latency_estimate.rs
@@ -24,7 +24,14 @@
 
 /// Returns the expected time to an engine's first event with the given work, in milliseconds.
 pub(crate) fn engine_ms(server: &ServerState, work: EngineWork, model: &FirstEventModel) -> f64 {
-    model.expected_ms(work) * server.health.slowness() + slot_wait_ms(server)
+    model.expected_ms(work) * slowness(server) + slot_wait_ms(server)
+}
+
+/// Returns the slowness of an engine: by the answers of all instances if the engines of its service differ in speed,
+/// and otherwise by the answers to this instance alone.
+fn slowness(server: &ServerState) -> f64 {
+    let shared = server.speed.relative_slowness();
+    shared.unwrap_or_else(|| server.health.slowness())
 }
 
 /// Returns how long an engine is busy before it can begin another request, in milliseconds. Prompts that were
@@ -32,7 +39,7 @@
 /// conservative for admission: the learned, shorter time of queued tokens would admit more requests.
 pub(crate) fn engine_queue_ms(server: &ServerState, model: &FirstEventModel) -> f64 {
     let queue_ms = model.prefill_ms(server.prefill_tokens() as f64);
-    queue_ms * server.health.slowness() + slot_wait_ms(server)
+    queue_ms * slowness(server) + slot_wait_ms(server)
 }
 
 /// Returns the work of an engine if it is sent a prompt of which it has to prefill `prefill_tokens` tokens.
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! | module | rule |
 //! |---|---|
 //! | `placement`, with `latency_estimate`, `first_event_model` and `prefix_cache_index` | which backend server |
+//! | `engine_speed` | how fast each engine is, relative to the others of its service |
 //! | `allowed_regions` | in which regions a request may run |
 //! | `server_groups` | which servers a decision considers |
 //! | `load_pressure` | how soon peers must learn of the load |
@@ -41,6 +42,7 @@
 mod dispatcher;
 mod domain_reach;
 mod duty_rank;
+mod engine_speed;
 mod evacuations;
 mod failure_rate;
 mod fair_share;
@@ -83,11 +85,13 @@
 pub use demand::Decision;
 pub use demand::Demand;
 pub use demand::Placement;
+pub use demand::Priority;
 pub use demand::Prompt;
 pub use demand::PromptSegment;
 pub use demand::request_cost;
 pub use dispatcher::Dispatcher;
 pub use duty_rank::DutyRank;
+pub use engine_speed::SpeedSums;
 pub use evacuations::EvacuationRow;
 pub use evacuations::EvacuationUpdate;
 pub use evacuations::Evacuations;
--- a/crates/reedsail_dispatch/src/load_report.rs
+++ b/crates/reedsail_dispatch/src/load_report.rs
@@ -6,8 +6,10 @@
 use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
 
+use crate::SpeedSums;
+
 /// The load that one instance puts on one backend server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerLoadRow {
     /// The backend server.
     pub server: NameHash,
@@ -23,6 +25,8 @@
     pub is_draining: bool,
     /// Whether the server asked for back-off that has not ended.
     pub is_backed_off: bool,
+    /// Evidence of the server's speed if it is an engine.
+    pub speed: SpeedSums,
 }
 
 /// The use of one workspace on one instance within the fair-share window.
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -209,10 +209,10 @@
         demand: &Demand<'_>,
         scope: CandidateScope,
     ) -> Option<[Option<ServerKey>; SERVERS_PER_SEGMENT_MAX]> {
-        let mut ranked: [Option<(u64, ServerKey)>; SERVERS_PER_SEGMENT_MAX] = [None; SERVERS_PER_SEGMENT_MAX];
+        let mut ranked: [Option<(f64, ServerKey)>; SERVERS_PER_SEGMENT_MAX] = [None; SERVERS_PER_SEGMENT_MAX];
         for server in group {
-            let weight = server.name.rendezvous_weight(segment);
-            let outranks = |other: &Option<(u64, ServerKey)>| other.is_none_or(|(other, _)| weight > other);
+            let weight = self.rendezvous_score(*server, segment);
+            let outranks = |other: &Option<(f64, ServerKey)>| other.is_none_or(|(other, _)| weight > other);
             let Some(position) = ranked.iter().position(outranks) else {
                 continue;
             };
@@ -225,6 +225,17 @@
         Some(ranked.map(|server| server.map(|(_, key)| key)))
     }
 
+    /// Returns the score of a server for a segment. Engines that differ in speed own segments in proportion to their
+    /// speed, by weighted rendezvous hashing.
+    fn rendezvous_score(&self, server: GroupedServer, segment: u64) -> f64 {
+        let weight = server.name.rendezvous_weight(segment) as f64;
+        let slowness = self.servers.get(server.key).speed.relative_slowness();
+        slowness.map_or(weight, |slowness| {
+            let uniform = (weight + 1.0) / 2.0_f64.powi(64);
+            uniform.min(1.0).ln() * slowness
+        })
+    }
+
     fn second_server_penalty_ms(&self, segment: PromptSegment, server: ServerKey, is_first: bool) -> f64 {
         match (is_first, self.prefixes.has(segment.id, server, self.now)) {
             (true, _) => 0.0,
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -19,6 +19,8 @@
 use crate::ServerLife;
 use crate::ServerLoadRow;
 use crate::SlowStartLimit;
+use crate::engine_speed::EngineSpeed;
+use crate::engine_speed::SpeedSpread;
 use crate::server_backoff::ServerBackoff;
 use crate::server_groups::GroupedServer;
 use crate::server_groups::ServerGroups;
@@ -30,6 +32,10 @@
 pub(crate) const FAILURE_RATE_ONE: f64 = 255.0;
 /// Minimum failure rate that is reported for an idle server, in the unit above.
 const FAILURE_RATE_REPORTED_MIN: u8 = 8;
+/// Minimum number of answers, in the decaying sum, that are reported for an idle server.
+const SPEED_ANSWERS_REPORTED_MIN: f64 = 0.5;
+/// Interval at which the speeds of a service's engines are compared, in milliseconds.
+const SPEED_COMPARISON_MS: u64 = 250;
 /// How long peers are told that nothing listens at a server's address, in milliseconds: some reports may be lost.
 const DOWN_REPORTED_MS: u64 = 1_000;
 
@@ -74,6 +80,7 @@
     pub(crate) own: Load,
     pub(crate) peers: Load,
     pub(crate) health: ServerHealth,
+    pub(crate) speed: EngineSpeed,
 }
 
 impl ServerState {
@@ -89,6 +96,7 @@
             own: Load::default(),
             peers: Load::default(),
             health: ServerHealth::default(),
+            speed: EngineSpeed::default(),
         }
     }
 
@@ -109,14 +117,18 @@
 
     /// Returns this instance's report row for the server.
     fn row(&self, now: TimeMs) -> ServerLoadRow {
+        let running = self.own.running.min(u32::from(u16::MAX)) as u16;
+        let failure_rate = (self.health.own_failure_rate(now) * FAILURE_RATE_ONE) as u8;
+        let is_rate_negligible = running == 0 && failure_rate < FAILURE_RATE_REPORTED_MIN;
         ServerLoadRow {
             server: self.setup.name,
-            running: self.own.running.min(u32::from(u16::MAX)) as u16,
-            failure_rate: (self.health.own_failure_rate(now) * FAILURE_RATE_ONE) as u8,
+            running,
+            failure_rate: if is_rate_negligible { 0 } else { failure_rate },
             prefill_tokens: self.own.prefill_tokens.min(u64::from(u32::MAX)) as u32,
             is_down: self.down_at.is_some_and(|at| now.since_ms(at) < DOWN_REPORTED_MS),
             is_draining: self.has_own_draining_notice && self.life.is_draining_by_notice_only(),
             is_backed_off: self.backoff.is_active(now),
+            speed: self.speed.own(now),
         }
     }
 
@@ -125,7 +137,8 @@
     fn has_nothing_to_report(&self, now: TimeMs) -> bool {
         let row = self.row(now);
         let has_flags = row.is_down || row.is_draining || row.is_backed_off;
-        row.running == 0 && row.failure_rate < FAILURE_RATE_REPORTED_MIN && !has_flags
+        let has_speed = row.speed.answers >= SPEED_ANSWERS_REPORTED_MIN;
+        row.running == 0 && row.failure_rate == 0 && !has_flags && !has_speed
     }
 
     /// Records that a request is sent to the server.
@@ -151,6 +164,9 @@
     limits: HashMap<NameHash, SlowStartLimit>,
     evacuated: Vec<NameHash>,
     senders: Senders,
+    /// Whether the engines of each service differ in speed.
+    spreads: HashMap<NameHash, SpeedSpread>,
+    spreads_until: TimeMs,
     /// Returned for a service without servers.
     no_servers: ServerGroups,
 }
@@ -372,10 +388,25 @@
         self.active.iter().copied()
     }
 
+    /// Compares the speeds of each service's engines if the last comparison is old.
+    pub(crate) fn refresh_speeds(&mut self, now: TimeMs) {
+        if now < self.spreads_until {
+            return;
+        }
+        self.spreads_until = now.plus_ms(SPEED_COMPARISON_MS);
+        for service in self.by_service.keys() {
+            let spread = self.spreads.entry(*service).or_default();
+            let listed = self.servers.iter_mut().filter(|server| server.life.is_listed());
+            let engines = listed.filter(|server| server.setup.service == *service);
+            spread.refresh(engines.map(|server| &mut server.speed), now);
+        }
+    }
+
     /// Drops all load that peers reported.
     pub(crate) fn clear_peers(&mut self) {
         for server in &mut self.servers {
             server.peers = Load::default();
+            server.speed.clear_peers();
         }
     }
 
@@ -383,7 +414,9 @@
     pub(crate) fn add_peer(&mut self, rows: &[ServerLoadRow], add: bool) {
         for row in rows {
             let Some(key) = self.key(row.server) else { continue };
-            let load = &mut self.servers[key.index()].peers;
+            let server = &mut self.servers[key.index()];
+            server.speed.add_peer(row.speed, if add { 1.0 } else { -1.0 });
+            let load = &mut server.peers;
             let (running, prefill) = (u32::from(row.running), u64::from(row.prefill_tokens));
             if add {
                 load.running += running;
--- a/crates/reedsail_dispatch/tests/allowed_regions.rs
+++ b/crates/reedsail_dispatch/tests/allowed_regions.rs
@@ -16,6 +16,7 @@
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::PromptSegment;
 use reedsail_dispatch::ServerSetup;
@@ -84,6 +85,8 @@
             workspace: NameHash::of("labska"),
             prompt: has_prompt.then_some(&prompt),
             latency_target_ms: 1_000,
+            gap_target_ms: None,
+            priority: Priority::default(),
             waited_ms: 0,
             tried: &tried,
             regions: &regions,
@@ -173,6 +176,8 @@
         workspace: NameHash::of("labska"),
         prompt: None,
         latency_target_ms: 1_000,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: 0,
         tried: &[],
         regions: &AllowedRegions::Any,
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -25,6 +25,7 @@
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PeerListState;
 use reedsail_dispatch::Placement;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::PromptSegment;
 use reedsail_dispatch::ServerChange;
@@ -186,6 +187,8 @@
             workspace: NameHash(workspace),
             prompt: prompt.as_ref(),
             latency_target_ms: [150, 600, 800, 5_000][self.random.random_range(0..4)],
+            gap_target_ms: None,
+            priority: Priority::default(),
             waited_ms: self.random.random_range(0..40),
             tried: &[],
             regions: &AllowedRegions::Any,
--- a/crates/reedsail_dispatch/tests/domain_reach.rs
+++ b/crates/reedsail_dispatch/tests/domain_reach.rs
@@ -10,6 +10,7 @@
 use reedsail_dispatch::Demand;
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::PromptSegment;
 use reedsail_dispatch::ServerSetup;
@@ -49,6 +50,8 @@
         workspace: NameHash::of("labska"),
         prompt: Some(prompt),
         latency_target_ms: 1_000,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: tried.len() as u64 * CONNECT_MS,
         tried,
         regions: &AllowedRegions::Any,
--- a/crates/reedsail_dispatch/tests/flood_simulation/mod.rs
+++ b/crates/reedsail_dispatch/tests/flood_simulation/mod.rs
@@ -15,6 +15,7 @@
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::Placement;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::PromptSegment;
 use reedsail_dispatch::ServerSetup;
@@ -197,6 +198,8 @@
             workspace: NameHash::of(&name),
             prompt: Some(&prompt),
             latency_target_ms: LATENCY_TARGET_MS,
+            gap_target_ms: None,
+            priority: Priority::default(),
             waited_ms: 0,
             tried: &[],
             regions: &AllowedRegions::Any,
--- a/crates/reedsail_dispatch/tests/herd.rs
+++ b/crates/reedsail_dispatch/tests/herd.rs
@@ -14,6 +14,7 @@
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::ServerSetup;
 
@@ -166,6 +167,8 @@
         workspace: NameHash::of("labska"),
         prompt: None,
         latency_target_ms: TARGET_MS,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: 0,
         tried: &[],
         regions: &AllowedRegions::Any,
--- a/crates/reedsail_dispatch/tests/placement.rs
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -11,10 +11,12 @@
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::Placement;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::PromptSegment;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::ServerSetup;
+use reedsail_dispatch::SpeedSums;
 
 const LATENCY_TARGET_MS: u64 = 800;
 const START: TimeMs = TimeMs(10_000);
@@ -63,6 +65,8 @@
         workspace: NameHash::of(workspace),
         prompt: Some(prompt),
         latency_target_ms: LATENCY_TARGET_MS,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: 0,
         tried: &[],
         regions: &AllowedRegions::Any,
@@ -216,6 +220,7 @@
         is_down: false,
         is_draining: false,
         is_backed_off: false,
+        speed: SpeedSums::default(),
     };
     let report = LoadReport {
         servers: vec![row],
@@ -245,6 +250,7 @@
         is_down: false,
         is_draining: false,
         is_backed_off: false,
+        speed: SpeedSums::default(),
     };
     let report = LoadReport {
         servers: vec![row],
@@ -364,6 +370,8 @@
         workspace: NameHash::of("labska"),
         prompt: None,
         latency_target_ms: 150,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: 0,
         tried: &[],
         regions: &AllowedRegions::Any,
--- a/crates/reedsail_dispatch/tests/plain_services.rs
+++ b/crates/reedsail_dispatch/tests/plain_services.rs
@@ -8,6 +8,7 @@
 use reedsail_dispatch::Demand;
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::ServerSetup;
 
 const START: TimeMs = TimeMs(10_000);
@@ -18,6 +19,8 @@
         workspace: NameHash::of("labska"),
         prompt: None,
         latency_target_ms: 800,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: 0,
         tried: &[],
         regions: &AllowedRegions::Any,
--- a/crates/reedsail_dispatch/tests/quarantine.rs
+++ b/crates/reedsail_dispatch/tests/quarantine.rs
@@ -10,6 +10,7 @@
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::QuarantineChange;
 use reedsail_dispatch::ServerSetup;
 use reedsail_dispatch::SuspectRow;
@@ -37,6 +38,8 @@
         workspace: NameHash::of(workspace),
         prompt: None,
         latency_target_ms: 1_000,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: 0,
         tried: &[],
         regions: &AllowedRegions::Any,
--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -13,6 +13,7 @@
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::PromptSegment;
 use reedsail_dispatch::RetryWindow;
@@ -136,6 +137,8 @@
             workspace: NameHash::of(workspace),
             prompt: Some(&prompt),
             latency_target_ms: 800,
+            gap_target_ms: None,
+            priority: Priority::default(),
             waited_ms: 0,
             tried: &[],
             regions: &AllowedRegions::Any,
@@ -184,6 +187,8 @@
         workspace: NameHash::of("late"),
         prompt: Some(&prompt),
         latency_target_ms: 800,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: 0,
         tried: &[],
         regions: &AllowedRegions::Any,
@@ -289,6 +294,8 @@
             workspace: NameHash::of("flood"),
             prompt: Some(&prompt),
             latency_target_ms: 100_000,
+            gap_target_ms: None,
+            priority: Priority::default(),
             waited_ms: 0,
             tried: &[],
             regions: &AllowedRegions::Any,
@@ -357,6 +364,8 @@
         workspace: NameHash::of("small"),
         prompt: Some(&prompt),
         latency_target_ms: 400,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: 0,
         tried: &[],
         regions: &AllowedRegions::Any,
--- a/crates/reedsail_gossip/src/load_sum.rs
+++ b/crates/reedsail_gossip/src/load_sum.rs
@@ -36,6 +36,7 @@
             sum.is_down |= row.is_down;
             sum.is_draining |= row.is_draining;
             sum.is_backed_off |= row.is_backed_off;
+            sum.speed.add(row.speed, 1.0);
         }
         for row in &report.workspaces {
             let sum = self.workspaces.entry(row.workspace).or_insert(WorkspaceUseRow {
@@ -117,6 +118,7 @@
         };
         row.running = row.running.saturating_sub(own.running);
         row.prefill_tokens = row.prefill_tokens.saturating_sub(own.prefill_tokens);
+        row.speed.add(own.speed, -1.0);
     }
     let workspaces: HashMap<NameHash, WorkspaceUseRow> = report
         .workspaces
--- a/crates/reedsail_gossip/tests/simulated_network/mod.rs
+++ b/crates/reedsail_gossip/tests/simulated_network/mod.rs
@@ -19,6 +19,7 @@
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
+use reedsail_dispatch::SpeedSums;
 use reedsail_dispatch::SuspectRow;
 use reedsail_gossip::InstanceIdentity;
 use reedsail_gossip::LoadExchange;
@@ -403,6 +404,7 @@
             is_down: false,
             is_draining: false,
             is_backed_off: false,
+            speed: SpeedSums::default(),
         };
         let load = instance
             .exchange
--- a/crates/reedsail_router/benches/instance_cost.rs
+++ b/crates/reedsail_router/benches/instance_cost.rs
@@ -18,6 +18,7 @@
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
+use reedsail_dispatch::SpeedSums;
 use reedsail_dispatch::WorkspaceUseRow;
 use reedsail_standin::RoutedAnswer;
 use reedsail_wire::IncludedRow;
@@ -108,6 +109,7 @@
         is_down: false,
         is_draining: false,
         is_backed_off: false,
+        speed: SpeedSums::default(),
     };
     let workspace = |row: u32| WorkspaceUseRow {
         workspace: NameHash::of(&format!("workspace-{row}")),
--- a/crates/reedsail_router/src/configuration.rs
+++ b/crates/reedsail_router/src/configuration.rs
@@ -43,6 +43,12 @@
     },
 }
 
+/// Returns whether a priority is zero, which is left out of a serialised configuration as older instances do.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(priority: &u8) -> bool {
+    *priority == 0
+}
+
 /// A route for the requests to one host whose paths begin with one prefix.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
@@ -62,6 +68,12 @@
     /// Serialised as `goal_ms` for peers.
     #[serde(rename = "goal_ms")]
     pub latency_target_ms: u64,
+    /// Target for the longest pause between two events of an answer, in milliseconds; `None` if it has none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gap_target_ms: Option<u64>,
+    /// Its priority; a workspace's own goes before it. Zero is the most urgent.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub priority: u8,
     /// Maximum number of servers that one request may be sent to.
     pub attempts: u32,
     /// Whether its requests need no key.
@@ -124,6 +136,9 @@
     pub name: String,
     /// The keys that its callers send.
     pub keys: Vec<String>,
+    /// The priority of its requests; `None` for that of the route. Zero is the most urgent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u8>,
     /// The regions that its requests may run in; `None` for all.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub allowed_regions: Option<Vec<String>>,
--- a/crates/reedsail_router/src/route_table.rs
+++ b/crates/reedsail_router/src/route_table.rs
@@ -5,6 +5,7 @@
 
 use reedsail_core::NameHash;
 use reedsail_dispatch::AllowedRegions;
+use reedsail_dispatch::Priority;
 
 use crate::Configuration;
 use crate::Route;
@@ -14,6 +15,8 @@
 pub(crate) struct WorkspaceEntry {
     pub(crate) name: String,
     pub(crate) hash: NameHash,
+    /// The priority of its requests; `None` for that of the route.
+    pub(crate) priority: Option<Priority>,
 }
 
 /// The identity of a request's caller.
@@ -57,6 +60,7 @@
             let entry = Arc::new(WorkspaceEntry {
                 name: workspace.name.clone(),
                 hash: NameHash::of(&workspace.name),
+                priority: workspace.priority.map(Priority),
             });
             by_hash.insert(entry.hash, Arc::clone(&entry));
             for key in &workspace.keys {
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -21,6 +21,7 @@
 use reedsail_core::TimeMs;
 use reedsail_dispatch::AllowedRegions;
 use reedsail_dispatch::Demand;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::time_left_ms;
 use reedsail_net::header_bytes;
@@ -94,6 +95,8 @@
                 .map_or(NameHash::default(), |workspace| workspace.hash),
             prompt: self.prompt.as_ref(),
             latency_target_ms: self.route.latency_target_ms,
+            gap_target_ms: self.route.gap_target_ms,
+            priority: self.priority(),
             waited_ms: now.since_ms(self.arrived_at),
             tried,
             regions,
@@ -101,6 +104,13 @@
         }
     }
 
+    /// Returns the priority of the workspace, or that of the route if the workspace has none.
+    fn priority(&self) -> Priority {
+        let workspace = self.workspace.as_ref();
+        let own = workspace.and_then(|workspace| workspace.priority);
+        own.unwrap_or(Priority(self.route.priority))
+    }
+
     /// Returns the time left in milliseconds, or `None` if it is too short for an attempt.
     pub(crate) fn time_left_ms(&self, now: TimeMs) -> Option<u64> {
         time_left_ms(self.arrived_at, self.deadline, now)
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -179,6 +179,8 @@
         answer: AnswerShape::Whole,
         timeout_ms: 10_000,
         latency_target_ms: 5_000,
+        gap_target_ms: None,
+        priority: 0,
         attempts: 2,
         is_anonymous: false,
         targets: vec![RouteTarget {
@@ -223,6 +225,7 @@
         workspaces: vec![WorkspaceDefinition {
             name: "labska".to_owned(),
             keys: vec!["key-1".to_owned(), "key-2".to_owned()],
+            priority: None,
             allowed_regions: None,
         }],
         ..Configuration::default()
--- a/crates/reedsail_simulation/src/crash_fleet.rs
+++ b/crates/reedsail_simulation/src/crash_fleet.rs
@@ -20,6 +20,7 @@
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::ServerSetup;
 
 use crate::CrashOutcome;
@@ -321,6 +322,8 @@
                 workspace: NameHash::of("workspace"),
                 prompt: None,
                 latency_target_ms: 2_000,
+                gap_target_ms: None,
+                priority: Priority::default(),
                 waited_ms: 0,
                 tried: &tried,
                 regions: &AllowedRegions::Any,
--- a/crates/reedsail_simulation/src/fleet.rs
+++ b/crates/reedsail_simulation/src/fleet.rs
@@ -19,6 +19,7 @@
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::Placement;
+use reedsail_dispatch::Priority;
 use reedsail_dispatch::ServerNotice;
 use reedsail_dispatch::ServerSetup;
 
@@ -409,6 +410,8 @@
         workspace: NameHash::of(workspace),
         prompt: Some(&request.prompt),
         latency_target_ms: request.latency_target_ms,
+        gap_target_ms: None,
+        priority: Priority::default(),
         waited_ms: 0,
         tried,
         regions: &AllowedRegions::Any,
--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -98,6 +98,12 @@
   draining @5 :Bool;
   # It asked the sender, or one whose load is summed up here, for time that is not over.
   backedOff @6 :Bool;
+  # Evidence of an engine's speed, in which an answer of so many milliseconds ago counts by
+  # exp(-milliseconds / 10,000): how many answers, the sum of the natural logarithms of measured by expected time to
+  # the first event, and the sum of their squares. Zero from senders that do not tell it.
+  speedAnswers @7 :Float32;
+  speedLogs @8 :Float32;
+  speedLogSquares @9 :Float32;
 }
 
 struct WorkspaceUseRow {
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -14,6 +14,7 @@
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
+use reedsail_dispatch::SpeedSums;
 use reedsail_dispatch::SuspectRow;
 use reedsail_dispatch::WorkspaceUseRow;
 
@@ -198,6 +199,9 @@
             target.set_unreachable(row.is_down);
             target.set_draining(row.is_draining);
             target.set_backed_off(row.is_backed_off);
+            target.set_speed_answers(row.speed.answers as f32);
+            target.set_speed_logs(row.speed.log_slowness as f32);
+            target.set_speed_log_squares(row.speed.log_slowness_squares as f32);
         }
         let mut workspaces = root.reborrow().init_workspaces(self.load.workspaces.len() as u32);
         for (index, row) in (0..).zip(&self.load.workspaces) {
@@ -327,6 +331,7 @@
         is_down: row.get_unreachable(),
         is_draining: row.get_draining(),
         is_backed_off: row.get_backed_off(),
+        speed: read_speed(row),
     };
     let workspace = |row: workspace_use_row::Reader<'_>| WorkspaceUseRow {
         workspace: NameHash(row.get_workspace()),
@@ -347,6 +352,20 @@
     })
 }
 
+/// Returns the evidence of an engine's speed, or none if a peer sent an invalid number.
+fn read_speed(row: server_load_row::Reader<'_>) -> SpeedSums {
+    let sums = SpeedSums {
+        answers: f64::from(row.get_speed_answers()),
+        log_slowness: f64::from(row.get_speed_logs()),
+        log_slowness_squares: f64::from(row.get_speed_log_squares()),
+    };
+    if sums.is_valid() {
+        sums
+    } else {
+        SpeedSums::default()
+    }
+}
+
 fn read_suspects(root: load_report::Reader<'_>) -> Result<Vec<SuspectRow>, capnp::Error> {
     let rows = root.get_suspects()?;
     check_rows(rows.len())?;
--- a/crates/reedsail_wire/tests/golden.rs
+++ b/crates/reedsail_wire/tests/golden.rs
@@ -18,6 +18,7 @@
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
+use reedsail_dispatch::SpeedSums;
 use reedsail_dispatch::SuspectRow;
 use reedsail_dispatch::WorkspaceUseRow;
 use reedsail_net::ByteCounter;
@@ -105,6 +106,11 @@
                 is_down: true,
                 is_draining: true,
                 is_backed_off: true,
+                speed: SpeedSums {
+                    answers: 4.5,
+                    log_slowness: -1.25,
+                    log_slowness_squares: 2.0,
+                },
             }],
             workspaces: vec![WorkspaceUseRow {
                 workspace: NameHash(0x0e0e),
@@ -147,6 +153,7 @@
     load.servers[0].is_down = false;
     load.servers[0].is_draining = false;
     load.servers[0].is_backed_off = false;
+    load.servers[0].speed = SpeedSums::default();
     load.suspects.clear();
     load.workspaces[0].recent_prefill_tokens = 0.0;
     load.workspaces[0].recent_sent_cost = 0.0;
@@ -179,6 +186,14 @@
     assert_eq!(read.evacuations[0].revision, StorePosition::new(0, 77));
 }
 
+#[test]
+fn a_load_message_of_a_release_without_speeds_is_read() {
+    let read = LoadMessage::decode(&snapshot_bytes("load_message_before_speeds")).unwrap();
+    let mut expected = load_message();
+    expected.load.servers[0].speed = SpeedSums::default();
+    assert_eq!(read, expected);
+}
+
 #[test]
 fn the_bytes_of_a_load_message_are_unchanged() {
     let bytes = load_message().encode().unwrap();
--- a/crates/reedsail_wire/tests/load_message.rs
+++ b/crates/reedsail_wire/tests/load_message.rs
@@ -14,6 +14,7 @@
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
+use reedsail_dispatch::SpeedSums;
 use reedsail_dispatch::SuspectRow;
 use reedsail_dispatch::WorkspaceUseRow;
 use reedsail_wire::IncludedRow;
@@ -56,6 +57,11 @@
                     is_down: row % 3 == 0,
                     is_draining: row % 5 == 0,
                     is_backed_off: row % 7 == 0,
+                    speed: SpeedSums {
+                        answers: 4.5,
+                        log_slowness: -1.25,
+                        log_slowness_squares: 2.0,
+                    },
                 })
                 .collect(),
             workspaces: (0..rows)
