--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -7,7 +7,9 @@
 //! is the time until one of them accepts requests again. A request of a workspace over its fair share is also
 //! refused if other requests occupy the server for more than [`OVER_SHARE_TARGET_FRACTION`] of the target.
 //! While queues are short, `pacing` limits how many prompts are sent for a workspace that requests more than
-//! its share.
+//! its share. A prompt does not queue behind more than [`TIGHTEST_TARGET_QUEUE_FRACTION`] of the service's tightest
+//! target (`tightest_target`), and a request does not queue at all while more urgent ones are refused
+//! (`priority_pressure`).
 //!
 //! **Inputs.** The request's latency target and the time it has waited so far, the placement's expected time
 //! and queue, all in milliseconds; whether the workspace is over its share (`fair_share`).
@@ -39,6 +41,9 @@
 /// Fraction of the latency target for which a server may be busy with other requests and still be sent a
 /// request that would miss its target anyway.
 const QUEUE_TARGET_FRACTION: f64 = 0.2;
+/// Fraction of the tightest latency target of a service for which prompts with longer targets may keep a server busy.
+/// The rest is left for the prefill of a prompt with that target.
+const TIGHTEST_TARGET_QUEUE_FRACTION: f64 = 0.5;
 /// Number of latency targets within which the first event of a starved workspace's request must be expected.
 const STARVED_TARGETS: f64 = 6.0;
 /// Shortest retry-after of a refusal, in milliseconds.
@@ -72,23 +77,46 @@
     }
 }
 
+/// What admission knows about the other requests of a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServicePressure {
+    /// The shortest latency target of recent prompts, in milliseconds; `None` if there is none.
+    pub(crate) tightest_target_ms: Option<u64>,
+    /// Whether more urgent requests were refused recently.
+    pub(crate) yields: bool,
+}
+
+impl ServicePressure {
+    /// Returns whether a server's queue leaves room for prompts with the tightest latency target.
+    fn leaves_room(self, target_ms: f64, queue_ms: f64) -> bool {
+        self.tightest_target_ms.is_none_or(|tightest_ms| {
+            let tightest_ms = tightest_ms as f64;
+            tightest_ms >= target_ms || queue_ms <= tightest_ms * TIGHTEST_TARGET_QUEUE_FRACTION
+        })
+    }
+}
+
 /// Decides whether to send a request that placement found a server for.
 pub(crate) fn admit(
     demand: &Demand<'_>,
     placement: Placement,
+    pressure: ServicePressure,
     share: impl FnOnce() -> WorkspaceShare,
 ) -> Decision {
     let target_ms = demand.latency_target_ms as f64;
+    let queue_ms = placement.queue_ms as f64;
     let excess_ms = (demand.waited_ms + placement.expected_ms) as f64 - target_ms * TARGET_FRACTION;
-    let queue_excess_ms = placement.queue_ms as f64 - target_ms * OVER_SHARE_TARGET_FRACTION;
+    let queue_excess_ms = queue_ms - target_ms * OVER_SHARE_TARGET_FRACTION;
     if queue_excess_ms <= 0.0 {
         return Decision::Send(placement);
     }
     let share = share();
     let is_over_share = share.is_exceeded();
-    let is_queue_short = placement.queue_ms as f64 <= target_ms * QUEUE_TARGET_FRACTION;
+    let is_queue_short = queue_ms <= target_ms * QUEUE_TARGET_FRACTION;
+    let is_in_time = excess_ms <= 0.0 || is_queue_short;
     let is_starved = share.is_starved() && placement.expected_ms as f64 <= STARVED_TARGETS * target_ms;
-    if (excess_ms <= 0.0 || is_queue_short || is_starved) && !is_over_share {
+    let may_queue = !pressure.yields && pressure.leaves_room(target_ms, queue_ms);
+    if (is_in_time && may_queue || is_starved) && !is_over_share {
         return Decision::Send(placement);
     }
     Decision::Refuse {
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
+use reedsail_core::ErrorKind;
 use reedsail_core::NameHash;
 use reedsail_core::ServerKey;
 use reedsail_core::TimeMs;
@@ -27,12 +28,14 @@
 use crate::ServerSetup;
 use crate::SlowStartLimit;
 use crate::WorkspaceShare;
+use crate::admission::ServicePressure;
 use crate::admission::admit;
 use crate::admission::refuse_paced;
 use crate::admission::refuse_unplaced;
 use crate::attempt::UnansweredAttempts;
 use crate::domain_reach::DomainReach;
 use crate::fair_share::UsageTable;
+use crate::flood_headroom::FloodHeadroom;
 use crate::latency_estimate::plain_rounds;
 use crate::load_pressure::pressure;
 use crate::pacing::Pacer;
@@ -40,12 +43,14 @@
 use crate::peer_reports::PeerReports;
 use crate::placement::Placer;
 use crate::prefix_cache_index::PrefixCacheIndex;
+use crate::priority_pressure::PriorityPressure;
 use crate::quarantine::Quarantine;
 use crate::retry::RetryBudgets;
 use crate::server_backoff::return_delay_ms;
 use crate::server_ends::BrokenAttempts;
 use crate::server_table::ServerTable;
 use crate::slow_start::Senders;
+use crate::tightest_target::TightestTargets;
 
 /// Decides where requests go. Each instance has one.
 #[derive(Debug)]
@@ -65,6 +70,10 @@
     /// Detected server ends that the caller has not taken yet.
     server_ends: Vec<ServerEnd>,
     quarantine: Quarantine,
+    tightest_targets: TightestTargets,
+    priorities: PriorityPressure,
+    /// Headroom of floods, by service.
+    headrooms: HashMap<NameHash, FloodHeadroom>,
     /// Number of known instances, which may exceed the number of peers that send reports.
     instances: usize,
     /// Learned first-event models, by service.
@@ -89,6 +98,9 @@
             broken: BrokenAttempts::default(),
             server_ends: Vec::new(),
             quarantine: Quarantine::default(),
+            tightest_targets: TightestTargets::default(),
+            priorities: PriorityPressure::default(),
+            headrooms: HashMap::new(),
             instances: 0,
             models: HashMap::new(),
         }
@@ -151,6 +163,10 @@
     pub fn record_arrival(&mut self, demand: &Demand<'_>, now: TimeMs) {
         self.usage.record_request(demand.workspace, demand.cost(), now);
         self.retries.count_request(demand.service, &self.settings, now);
+        if demand.engine_prompt().is_some() {
+            self.tightest_targets
+                .record(demand.service, demand.latency_target_ms, now);
+        }
     }
 
     /// Takes a retry from the service's budget. Returns `false` if the budget has no room.
@@ -193,8 +209,11 @@
             let returns_at = self.servers.returns_at(demand.service, demand.regions, now);
             return refuse_unplaced(demand, returns_at, now);
         };
+        let pressure = self.service_pressure(demand, now);
         let usage = &mut self.usage;
-        let mut decision = admit(demand, placement, || usage.share(demand.workspace, now));
+        let share = || usage.share(demand.workspace, now);
+        let mut decision = admit(demand, placement, pressure, share);
+        self.record_admission(demand, &decision, now);
         if let Decision::Send(placement) = &decision
             && !self.take_pacing_tokens(demand, placement, now)
         {
@@ -203,6 +222,32 @@
         decision
     }
 
+    fn service_pressure(&self, demand: &Demand<'_>, now: TimeMs) -> ServicePressure {
+        ServicePressure {
+            tightest_target_ms: self.tightest_targets.of(demand.service, now),
+            yields: self.priorities.yields(demand.service, demand.priority, now),
+        }
+    }
+
+    /// Records the admission decision about a request within its workspace's share.
+    fn record_admission(&mut self, demand: &Demand<'_>, decision: &Decision, now: TimeMs) {
+        let is_refused = match decision {
+            Decision::Send(_) => false,
+            Decision::Refuse { kind, .. } if *kind == ErrorKind::WouldMissTarget => true,
+            Decision::Refuse { .. } | Decision::Quarantined => return,
+        };
+        if is_refused {
+            self.priorities
+                .record_refusal(demand.service, demand.priority, now);
+        }
+        let is_first_attempt = demand.tried.is_empty();
+        let is_prompt = demand.engine_prompt().is_some();
+        if is_first_attempt && is_prompt && self.usage.capped(demand.workspace, now).is_none() {
+            let headroom = self.headrooms.entry(demand.service).or_default();
+            headroom.record(is_refused, now);
+        }
+    }
+
     /// Returns whether a request may be written to an idle connection to a server. If no server of another
     /// failure domain has answered recently, that domain may be partitioned. A new connection detects this
     /// within the connect timeout. A request written to a partitioned connection is lost for seconds and may
@@ -219,10 +264,17 @@
             return true;
         }
         let capacity = self.prefill_capacity(demand.service);
+        let headroom = self.headrooms.get(&demand.service).copied().unwrap_or_default();
         let prefill_tokens = f64::from(placement.prefill_tokens);
         self.usage.capped(demand.workspace, now).is_none_or(|workspace| {
-            self.pacer
-                .try_take(demand.workspace, &workspace, capacity, prefill_tokens, now)
+            self.pacer.try_take(
+                demand.workspace,
+                &workspace,
+                capacity,
+                headroom,
+                prefill_tokens,
+                now,
+            )
         })
     }
 
--- a/crates/reedsail_dispatch/src/fair_share.rs
+++ b/crates/reedsail_dispatch/src/fair_share.rs
@@ -163,6 +163,8 @@
     pub(crate) own_fraction: f64,
     /// Its recently sent cost, as a ratio of the cost for each capped workspace if all were sent the same.
     pub(crate) sent_ratio: f64,
+    /// Ratio of its requested cost to the level.
+    pub(crate) requested_ratio: f64,
     levels: &'a Levels,
 }
 
@@ -288,6 +290,7 @@
         Some(CappedWorkspace {
             own_fraction: entry.recent_prefill_tokens.value_at(now)
                 / entry.recent_prefill_tokens(now).max(1.0),
+            requested_ratio: share.requested_cost / share.level_cost.max(1.0),
             sent_ratio: entry.recent_sent(now) / levels.equal_recent_sent.max(1.0),
             levels,
         })
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -16,6 +16,9 @@
 //! | `retry` | whether a request may be sent again, and whether the retry budget has room |
 //! | `fair_share`, with `max_min` and `decaying_sum` | whether a workspace exceeds its share |
 //! | `pacing` | how fast prompts are sent for a workspace that requests more than its share |
+//! | `flood_headroom` | how far above their share such workspaces are paced |
+//! | `tightest_target` | how long a queue prompts with longer targets may build |
+//! | `priority_pressure` | which requests yield to more urgent ones |
 //! | `server_health`, with `failure_rate` and `attempt` | failure rate, overdue answers, unreachable servers |
 //! | `domain_reach` | whether a failure domain can be connected to at all |
 //! | `server_ends` | which servers have ended, and which requests broke off there |
@@ -47,6 +50,7 @@
 mod failure_rate;
 mod fair_share;
 mod first_event_model;
+mod flood_headroom;
 mod gossip_timing;
 mod latency_estimate;
 mod list_delta;
@@ -60,6 +64,7 @@
 mod peer_reports;
 mod placement;
 mod prefix_cache_index;
+mod priority_pressure;
 mod quarantine;
 mod retry;
 mod server_backoff;
@@ -77,6 +82,7 @@
 mod slow_reader;
 mod slow_start;
 mod store_reader;
+mod tightest_target;
 
 pub use admission::time_left_ms;
 pub use allowed_regions::AllowedRegions;
--- a/crates/reedsail_dispatch/src/pacing.rs
+++ b/crates/reedsail_dispatch/src/pacing.rs
@@ -2,7 +2,7 @@
 //!
 //! **Rule.** Each instance has a token bucket for every workspace that requested more than the max-min level.
 //! The bucket counts prompt tokens: it refills at the workspace's rate, and each prompt that is sent is taken
-//! from it. The rate is [`HEADROOM_RATIO`] times the workspace's max-min share, by recent demand, of the
+//! from it. The rate is the headroom ratio (`flood_headroom`) times the workspace's max-min share, by recent demand, of the
 //! engines' prefill rate that the other workspaces leave, multiplied by the fraction of the workspace's
 //! requests that arrive at this instance. It is raised for a workspace that was recently sent less than the
 //! other paced ones, and lowered for one that was sent more.
@@ -25,9 +25,8 @@
 use reedsail_core::TimeMs;
 
 use crate::fair_share::CappedWorkspace;
+use crate::flood_headroom::FloodHeadroom;
 
-/// Rate of a paced workspace, as a ratio of its share.
-const HEADROOM_RATIO: f64 = 1.5;
 /// Amount by which the rate of a workspace that was recently sent nothing is raised, as a ratio of the rate.
 const CORRECTION_GAIN: f64 = 3.0;
 /// Capacity of a token bucket, as its refill in this many milliseconds.
@@ -83,6 +82,7 @@
         name: NameHash,
         workspace: &CappedWorkspace<'_>,
         capacity: PrefillCapacity,
+        headroom: FloodHeadroom,
         prefill_tokens: f64,
         now: TimeMs,
     ) -> bool {
@@ -93,7 +93,8 @@
         }
         let correction = 1.0 + CORRECTION_GAIN * (1.0 - workspace.sent_ratio);
         let own_level_tokens_per_ms = level_tokens_per_ms * workspace.own_fraction;
-        let tokens_per_ms = HEADROOM_RATIO * correction.max(0.0) * own_level_tokens_per_ms;
+        let headroom_ratio = headroom.ratio(workspace.requested_ratio, now);
+        let tokens_per_ms = headroom_ratio * correction.max(0.0) * own_level_tokens_per_ms;
         let bucket = self.buckets.entry(name).or_insert(TokenBucket {
             tokens: 0.0,
             refilled_at: now,
