Tell operators why answers are late

Cause: pauses between the events of a stream were in no log line and no metric, so an answer that was late by a pause looked as if it was in time.

Change: EventGaps (reedsail_dispatch) tracks the longest pause of a stream by a comparison of times for each event; time in which the caller does not read is left out. Event 511 has longest_gap_ms beside gap_target_ms, and now its fingerprint for answered requests too, so that a retry after a refusal can be matched. The metric reedsail_router_longest_gap_seconds has the pauses by service. `reedsail requests` counts answers in time, late by the first event, by a pause, by both, or only since a refused first attempt, by service and by server.

Golden tests: log_lines and shares gain the new fields and tables; page_configuration shows the gap target that the tests' configuration now sets.

--- a/crates/reedsail_cli/src/main.rs
+++ b/crates/reedsail_cli/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet_command;
 mod key_file;
 mod keys_command;
+mod lateness_summary;
 mod log_lines;
 mod publish_command;
 mod request_summary;
--- a/crates/reedsail_cli/src/requests_command.rs
+++ b/crates/reedsail_cli/src/requests_command.rs
@@ -7,6 +7,8 @@
 
 use crate::failure::Failure;
 use crate::flags::requests::Requests;
+use crate::lateness_summary::LatenessCounts;
+use crate::lateness_summary::LatenessSummary;
 use crate::log_lines::read_events;
 use crate::request_summary::RequestCounts;
 use crate::request_summary::RequestSummary;
@@ -83,6 +85,7 @@
     println!("{}\n", counts_table("second", &seconds));
 
     print_workspaces(&WorkspaceSummary::from_events(events));
+    print_lateness(&LatenessSummary::from_events(events));
 
     let distributions = [
         ("measured / expected time to first event", &summary.ratios),
@@ -158,6 +161,54 @@
     );
 }
 
+/// Prints the causes of late answers, by service and for the servers with the most late answers.
+fn print_lateness(summary: &LatenessSummary) {
+    let services: Vec<_> = summary.services.iter().collect();
+    let mut servers: Vec<_> = summary.servers.iter().collect();
+    servers.sort_by_key(|(_, counts)| std::cmp::Reverse(counts.late()));
+    servers.truncate(SERVERS_SHOWN_MAX);
+    for (first_column, counts) in [("service", services), ("server", servers)] {
+        if counts.is_empty() {
+            return;
+        }
+        println!("{}\n", lateness_table(first_column, &counts));
+    }
+}
+
+fn lateness_table(first_column: &str, counts: &[(&String, &LatenessCounts)]) -> String {
+    let rows: Vec<Vec<String>> = counts
+        .iter()
+        .map(|(name, counts)| lateness_row(name, counts))
+        .collect();
+    let header = [
+        first_column,
+        "answered",
+        "in time",
+        "late by first event",
+        "by pause",
+        "by both",
+        "after refusal",
+        "longest pause p50 ms",
+    ];
+    render_table(&header, &rows)
+}
+
+fn lateness_row(name: &str, counts: &LatenessCounts) -> Vec<String> {
+    let cells = [
+        counts.answered(),
+        counts.in_time,
+        counts.by_first_event,
+        counts.by_pause,
+        counts.by_both,
+        counts.after_refusal,
+    ];
+    let cells = cells.iter().map(ToString::to_string);
+    let gap_ms = percentiles(&counts.longest_gaps_ms)
+        .map_or("none".to_owned(), |percentiles| format!("{:.0}", percentiles.p50));
+    let name = std::iter::once(name.to_owned());
+    name.chain(cells).chain([gap_ms]).collect()
+}
+
 fn counts_table(first_column: &str, rows: &[Vec<String>]) -> String {
     render_table(
         &[first_column, "placed", "answered", "refused", "failed", "retried"],
--- a/crates/reedsail_cli/tests/golden.rs
+++ b/crates/reedsail_cli/tests/golden.rs
@@ -37,6 +37,11 @@
     insta::assert_snapshot!("shares", run(&["requests", "tests/recorded/shares.log"]));
 }
 
+#[test]
+fn late_answers_are_split_by_cause() {
+    insta::assert_snapshot!("lateness", run(&["requests", "tests/recorded/lateness.log"]));
+}
+
 #[test]
 fn invalid_usage_and_unreachable_instances_keep_their_exit_codes() {
     insta::assert_snapshot!("unknown_command", run(&["colour"]));
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | `placement`, with `latency_estimate`, `first_event_model` and `prefix_cache_index` | which backend server |
 //! | `engine_speed` | how fast each engine is, relative to the others of its service |
+//! | `event_gaps` | the longest pause between two events of a stream |
 //! | `allowed_regions` | in which regions a request may run |
 //! | `server_groups` | which servers a decision considers |
 //! | `load_pressure` | how soon peers must learn of the load |
@@ -44,6 +45,7 @@
 mod duty_rank;
 mod engine_speed;
 mod evacuations;
+mod event_gaps;
 mod failure_rate;
 mod fair_share;
 mod first_event_model;
@@ -95,6 +97,7 @@
 pub use evacuations::EvacuationRow;
 pub use evacuations::EvacuationUpdate;
 pub use evacuations::Evacuations;
+pub use event_gaps::EventGaps;
 pub use fair_share::WorkspaceShare;
 pub use first_event_model::EngineWork;
 pub use first_event_model::FirstEventModel;
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -71,14 +71,17 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        self.reader.record_writable(self.clock.now());
+        let now = self.clock.now();
+        self.reader.record_writable(now);
+        self.log.record_writable(now);
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                self.reader.record_written(self.clock.now());
+                let now = self.clock.now();
+                self.reader.record_written(now);
                 if let Some(attempt) = &mut self.attempt {
                     attempt.guard.record_first_event();
                 }
-                self.log.record_first_event();
+                self.log.record_event(now);
                 if self.body.is_end_stream() {
                     self.finish();
                 }
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -10,6 +10,7 @@
 use reedsail_core::Failure;
 use reedsail_core::Fingerprint;
 use reedsail_core::TimeMs;
+use reedsail_dispatch::EventGaps;
 use reedsail_dispatch::Placement;
 use reedsail_dispatch::request_cost;
 use reedsail_events::EventKind;
@@ -98,10 +99,13 @@
     cost_tokens: u64,
     /// The route's target for the time to the first event, in milliseconds. Zero until the request was read.
     latency_target_ms: u64,
+    /// The route's target for the longest pause between two events, in milliseconds, if it has one.
+    gap_target_ms: Option<u64>,
     /// The server of the last attempt, or the one chosen when the request was refused.
     server: String,
     arrived_at: TimeMs,
     first_event_ms: Option<u64>,
+    gaps: EventGaps,
     has_ended: bool,
 }
 
@@ -123,9 +127,11 @@
             configuration_version: routes.version(),
             cost_tokens: request_cost(head.and_then(|head| head.prompt.as_ref())) as u64,
             latency_target_ms: 0,
+            gap_target_ms: None,
             server: String::new(),
             arrived_at,
             first_event_ms: None,
+            gaps: EventGaps::default(),
             has_ended: false,
         };
         log.count_tokens(TokenStage::Requested);
@@ -139,6 +145,7 @@
         self.workspace.clone_from(&call.workspace);
         self.configuration_version = call.configuration_version;
         self.latency_target_ms = call.route.latency_target_ms;
+        self.gap_target_ms = call.route.gap_target_ms;
     }
 
     /// Logs the server that was chosen for the request, with the inputs of the decision.
@@ -200,6 +207,17 @@
             .observe(first_event_ms as f64 / 1_000.0);
     }
 
+    /// Records an event of a stream.
+    pub(crate) fn record_event(&mut self, now: TimeMs) {
+        self.record_first_event();
+        self.gaps.record_event(now);
+    }
+
+    /// Records that the caller has room for the next event of a stream.
+    pub(crate) fn record_writable(&mut self, now: TimeMs) {
+        self.gaps.record_writable(now);
+    }
+
     /// Records that the request was refused before a server was chosen.
     pub(crate) fn record_unplaced_refusal(self, failure: &Failure) {
         self.end_with_refusal(failure, |_| Vec::new());
@@ -260,6 +278,7 @@
         self.has_ended = true;
         let answers = &self.shared.metrics.answers;
         answers.with_label_values(&[outcome.name()]).inc();
+        self.observe_longest_gap();
         self.emit(EventKind::RequestEnded, || {
             let first_event_ms = self
                 .first_event_ms
@@ -270,14 +289,33 @@
                 ("took_ms", self.elapsed_ms().to_string()),
             ];
             fields.extend(self.request_fields());
+            fields.extend(self.gap_fields());
             fields.extend(status);
-            if outcome != RequestOutcome::Answered {
-                fields.push(self.fingerprint_field());
-            }
+            fields.push(self.fingerprint_field());
             fields
         });
     }
 
+    fn observe_longest_gap(&self) {
+        let Some(longest_ms) = self.gaps.longest_ms() else {
+            return;
+        };
+        let longest_gap = &self.shared.metrics.longest_gap;
+        longest_gap
+            .with_label_values(&[&self.service])
+            .observe(longest_ms as f64 / 1_000.0);
+    }
+
+    /// Returns the longest pause of a stream and the route's target for it, if known.
+    fn gap_fields(&self) -> impl Iterator<Item = Field> {
+        let fields = [
+            ("longest_gap_ms", self.gaps.longest_ms()),
+            ("gap_target_ms", self.gap_target_ms),
+        ];
+        let known = |(name, value): (&'static str, Option<u64>)| Some((name, value?.to_string()));
+        fields.into_iter().filter_map(known)
+    }
+
     /// Returns the fields that describe the request.
     fn request_fields(&self) -> [Field; 5] {
         [
@@ -289,8 +327,7 @@
         ]
     }
 
-    /// Returns the field that identifies retries by the caller. Log lines of answered requests omit it to save
-    /// processor time.
+    /// Returns the field that identifies retries by the caller.
     fn fingerprint_field(&self) -> Field {
         ("fingerprint", self.fingerprint.to_string())
     }
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -188,8 +188,9 @@
             if events.is_empty() {
                 continue;
             }
-            self.log.record_first_event();
-            reader.record_written(self.shared.clock.now());
+            let now = self.shared.clock.now();
+            self.log.record_event(now);
+            reader.record_written(now);
             let sent = select! {
                 biased;
                 sent = self.sender.send(Ok(Bytes::from(events))) => sent,
@@ -198,7 +199,9 @@
             if sent.is_err() {
                 return StreamEnd::CallerGone;
             }
-            reader.record_writable(self.shared.clock.now());
+            let now = self.shared.clock.now();
+            reader.record_writable(now);
+            self.log.record_writable(now);
         }
     }
 
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -204,6 +204,7 @@
     };
     let resume = Route {
         answer: AnswerShape::Events { resumable: true },
+        gap_target_ms: Some(2_000),
         ..route("/resume/", "llm")
     };
     let open = Route {
