Count the slowness of the engines that requests go to

Cause: no metric said whether the engines of a service count as uneven, nor by how much.

Change: reedsail_router_engine_slowness is a histogram by service, counted at each placement while the engines of the service count as uneven; no label names an engine.

--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -18,6 +18,9 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
 ];
 
+/// Upper bounds of the buckets of an engine's slowness, a ratio.
+const SLOWNESS_BUCKETS: &[f64] = &[0.35, 0.5, 0.7, 0.85, 1.0, 1.2, 1.4, 2.0, 2.8, 4.0];
+
 /// The router's counters, gauges and histograms.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -28,6 +31,8 @@
     pub(crate) first_event: HistogramVec,
     /// Longest pause between two events of each stream, by service.
     pub(crate) longest_gap: HistogramVec,
+    /// Slowness of the engines that requests are sent to, by service, while the engines of the service differ in speed.
+    pub(crate) engine_slowness: HistogramVec,
     /// Age of the known load of other instances at the time a server is chosen, by service.
     pub(crate) load_age: HistogramVec,
     /// Retries, by cause.
@@ -80,6 +85,12 @@
                 "reedsail_router_longest_gap_seconds",
                 "Longest pause between two events of a stream, while its caller has room.",
             ),
+            engine_slowness: histograms(
+                &registry,
+                "reedsail_router_engine_slowness",
+                "Slowness of the engines that requests are sent to, relative to the mean of their service.",
+                SLOWNESS_BUCKETS,
+            ),
             load_age: latency_histograms(
                 &registry,
                 "reedsail_router_load_age_seconds",
@@ -187,10 +198,14 @@
 }
 
 fn latency_histograms(registry: &Registry, name: &str, help: &str) -> HistogramVec {
-    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
-    let latencies = HistogramVec::new(options, &["service"]).expect("the name and labels are valid");
-    register(registry, latencies.clone());
-    latencies
+    histograms(registry, name, help, LATENCY_BUCKETS_S)
+}
+
+fn histograms(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+    let histograms = HistogramVec::new(options, &["service"]).expect("the name and labels are valid");
+    register(registry, histograms.clone());
+    histograms
 }
 
 fn register(registry: &Registry, metric: impl Collector + 'static) {
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -158,10 +158,17 @@
                 .with_label_values(&[&self.service])
                 .observe(age_ms as f64 / 1_000.0);
         }
+        let slowness = self.shared.dispatcher().relative_slowness(placement.server);
+        if let Some(slowness) = slowness {
+            let engine_slowness = &self.shared.metrics.engine_slowness;
+            engine_slowness
+                .with_label_values(&[&self.service])
+                .observe(slowness);
+        }
         self.emit(EventKind::RequestPlaced, || {
             let mut fields = self.placement_fields(placement);
             fields.push(("unread_tokens", placement.prefill_tokens.to_string()));
-            fields.extend(self.slowness_field(placement));
+            fields.extend(slowness.and_then(slowness_field));
             fields.push(("configuration", self.configuration_version.to_string()));
             fields.extend(self.request_fields());
             fields.extend(self.decision_fields());
@@ -344,13 +351,6 @@
         ]
     }
 
-    /// Returns the slowness of the chosen engine if it differs from the mean of its service.
-    fn slowness_field(&self, placement: &Placement) -> Option<Field> {
-        let slowness = self.shared.dispatcher().relative_slowness(placement.server)?;
-        let text = format!("{slowness:.2}");
-        (text != "1.00").then_some(("slowness", text))
-    }
-
     /// Returns the workspace's share at the time of the decision, and the age of the load data behind it.
     fn decision_fields(&self) -> Vec<Field> {
         let load_age_ms = self.shared.load_age_ms();
@@ -396,6 +396,12 @@
     }
 }
 
+/// Returns the field of an engine's slowness if it differs from the mean of the service.
+fn slowness_field(slowness: f64) -> Option<Field> {
+    let text = format!("{slowness:.2}");
+    (text != "1.00").then_some(("slowness", text))
+}
+
 impl<H> Drop for RequestLog<H> {
     fn drop(&mut self) {
         // A panic ends only the task of this request. Without its own outcome it would look like a disconnected caller.
