--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -22,7 +22,7 @@
 //! the queues. Workspaces over their share are refused only where prompts of other workspaces wait, so spare
 //! capacity stays usable.
 //!
-//! **Tested by** `tests/placement.rs`, `tests/shares.rs`, `tests/flood.rs`.
+//! **Tested by** `tests/placement.rs`, `tests/shares.rs`, `tests/flood.rs`, `tests/refusal_order.rs`.
 
 use reedsail_core::ErrorKind;
 use reedsail_core::Fingerprint;
--- a/crates/reedsail_dispatch/src/flood_headroom.rs
+++ b/crates/reedsail_dispatch/src/flood_headroom.rs
@@ -12,7 +12,7 @@
 //! An engine that prefills without a pause delays the first events and the events of all its streams. When callers
 //! within their share are refused, that headroom is taken from them.
 //!
-//! **Tested by** `tests/flood_headroom.rs`.
+//! **Tested by** `tests/refusal_order.rs`, `tests/flood.rs`.
 
 use reedsail_core::TimeMs;
 
--- a/crates/reedsail_dispatch/src/priority_pressure.rs
+++ b/crates/reedsail_dispatch/src/priority_pressure.rs
@@ -10,7 +10,7 @@
 //! a more urgent request is served in time only if less urgent ones do not fill the queues. Fairness over workspaces
 //! goes first: a flood of urgent requests is refused as over its share and makes nobody yield.
 //!
-//! **Tested by** `tests/priorities.rs`.
+//! **Tested by** `tests/refusal_order.rs`.
 
 use std::collections::HashMap;
 
--- a/crates/reedsail_dispatch/src/tightest_target.rs
+++ b/crates/reedsail_dispatch/src/tightest_target.rs
@@ -11,7 +11,7 @@
 //! are mostly small. An engine that always has some work in its queue prefills as fast as one with a long queue, so a
 //! shorter queue costs no throughput.
 //!
-//! **Tested by** `tests/tightest_target.rs`.
+//! **Tested by** `tests/refusal_order.rs`.
 
 use std::collections::HashMap;
 
