Rank servers for a prompt in a module of its own

Cause: the number of homes, the ranks and the scoring of candidates were spread over `placement`, and an operator could not see which rank a prompt went to. A server of unknown speed (one that joined since the last comparison, which is made each 250 ms) scored by its bare hash among servers that scored by a logarithm, so that it outranked all others for every segment until the next comparison.

Change: `candidate_ranking` has the homes, the ranks and the score; a server of unknown slowness counts as one of mean speed, by the same formula. `candidate_penalty_ms` of `placement` is the one place where a candidate's penalties are added up.

Result: `decision_trace` keeps its digest: equal speeds give the ranks that they gave. New test: an engine that joins uneven ones owns only its part.

--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -131,6 +131,8 @@
 pub struct Placement {
     /// The backend server.
     pub server: ServerKey,
+    /// Rank of the server for the prompt's last shared segment, from zero; zero for a request without a prompt.
+    pub rank: u8,
     /// The server from which the chosen one transfers the cached segments that it lacks.
     pub cache_source: Option<ServerKey>,
     /// Prompt tokens that the server is expected to prefill itself.
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! | module | rule |
 //! |---|---|
-//! | `placement`, with `latency_estimate`, `first_event_model` and `prefix_cache_index` | which backend server |
+//! | `placement`, with `candidate_ranking`, `latency_estimate`, `first_event_model` and `prefix_cache_index` | which backend server |
 //! | `engine_speed` | how fast each engine is, relative to the others of its service |
 //! | `allowed_regions` | in which regions a request may run |
 //! | `server_groups` | which servers a decision considers |
@@ -36,6 +36,7 @@
 mod admission;
 mod allowed_regions;
 mod attempt;
+mod candidate_ranking;
 mod decaying_sum;
 mod demand;
 mod departures;
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: which backend server a request goes to.
 //!
-//! **Rule.** A prompt goes to one of the two servers that rank first for its last shared segment by
-//! rendezvous hashing. Of these, the server with the earliest expected first event is chosen, with a penalty
+//! **Rule.** A prompt goes to one of the two servers that rank first for its last shared segment, its homes
+//! (`candidate_ranking`). Of these, the server with the earliest expected first event is chosen, with a penalty
 //! for the second one. A request without a prompt goes to the server of its service with the least expected
 //! time. Servers that were already tried are excluded, and so are servers whose lifecycle state or slow start
 //! allows no new request (`server_life`, `slow_start`). Unreachable servers, and servers of an unreachable
@@ -28,6 +28,9 @@
 use crate::Placement;
 use crate::Prompt;
 use crate::PromptSegment;
+use crate::candidate_ranking::HOMES;
+use crate::candidate_ranking::RankedServers;
+use crate::candidate_ranking::rendezvous_score;
 use crate::domain_reach::DomainReach;
 use crate::latency_estimate;
 use crate::prefix_cache_index::PrefixCacheIndex;
@@ -35,8 +38,6 @@
 use crate::server_table::ServerState;
 use crate::server_table::ServerTable;
 
-/// Number of servers over which the prompts with the same shared segment are spread.
-const SERVERS_PER_SEGMENT_MAX: usize = 2;
 /// Penalty for sending a prompt to its second server if that server has not cached the segment, in
 /// milliseconds.
 const SECOND_SERVER_PENALTY_MS: f64 = 250.0;
@@ -148,6 +149,7 @@
         let state = self.servers.get(server);
         Some(Placement {
             server,
+            rank: 0,
             cache_source: None,
             prefill_tokens: 0,
             work: EngineWork::default(),
@@ -175,6 +177,7 @@
         }
     }
 
+    /// Chooses the home with the earliest expected first event.
     fn choose_engine(
         &self,
         demand: &Demand<'_>,
@@ -182,58 +185,43 @@
         scope: CandidateScope,
     ) -> Option<Placement> {
         let segment = prompt.last_shared()?;
-        let mut groups = self.servers.of_service(demand.service).beginning_with(segment.id);
-        let ranked = groups.find_map(|group| self.rank(group, segment.id, demand, scope))?;
-        let candidates = ranked.into_iter().flatten().map(|key| {
-            let placement = self.place_prompt(demand, prompt, segment, key);
-            let second_server_penalty_ms =
-                self.second_server_penalty_ms(segment, key, Some(key) == ranked[0]);
-            let health_penalty_ms = self.health_penalty_ms(self.servers.get(key), demand);
-            (
-                placement,
-                placement.expected_ms as f64 + second_server_penalty_ms + health_penalty_ms,
-            )
+        let homes = self.rank::<HOMES>(segment, demand, scope)?;
+        let candidates = homes.iter().map(|(rank, key)| {
+            let placement = self.place_prompt(demand, prompt, segment, key, rank);
+            let penalty_ms = self.candidate_penalty_ms(demand, segment, &placement);
+            (placement, placement.expected_ms as f64 + penalty_ms)
         });
         candidates
             .min_by(|(_, left), (_, right)| left.total_cmp(right))
             .map(|(placement, _)| placement)
     }
 
-    /// Returns the usable servers of a group that rank highest for a segment by rendezvous hashing, in
-    /// descending order, or `None` if no server is usable. Usability is checked only for a server that would
-    /// rank among them.
-    fn rank(
+    /// Returns the usable servers that rank highest for a segment, in the first group that has any.
+    fn rank<const N: usize>(
         &self,
-        group: &[GroupedServer],
-        segment: u64,
+        segment: PromptSegment,
         demand: &Demand<'_>,
         scope: CandidateScope,
-    ) -> Option<[Option<ServerKey>; SERVERS_PER_SEGMENT_MAX]> {
-        let mut ranked: [Option<(f64, ServerKey)>; SERVERS_PER_SEGMENT_MAX] = [None; SERVERS_PER_SEGMENT_MAX];
-        for server in group {
-            let weight = self.rendezvous_score(*server, segment);
-            let outranks = |other: &Option<(f64, ServerKey)>| other.is_none_or(|(other, _)| weight > other);
-            let Some(position) = ranked.iter().position(outranks) else {
-                continue;
-            };
-            if self.usable(*server, demand, scope).is_some() {
-                ranked[position..].rotate_right(1);
-                ranked[position] = Some((weight, server.key));
-            }
-        }
-        ranked[0]?;
-        Some(ranked.map(|server| server.map(|(_, key)| key)))
+    ) -> Option<RankedServers<N>> {
+        let weighted = |server: GroupedServer| {
+            let slowness = self.servers.get(server.key).speed.relative_slowness();
+            rendezvous_score(server, segment.id, slowness)
+        };
+        let is_usable = |server: GroupedServer| self.usable(server, demand, scope).is_some();
+        let mut groups = self.servers.of_service(demand.service).beginning_with(segment.id);
+        groups.find_map(|group| RankedServers::rank(group, weighted, is_usable))
     }
 
-    /// Returns the score of a server for a segment. Engines that differ in speed own segments in proportion to their
-    /// speed, by weighted rendezvous hashing.
-    fn rendezvous_score(&self, server: GroupedServer, segment: u64) -> f64 {
-        let weight = server.name.rendezvous_weight(segment) as f64;
-        let slowness = self.servers.get(server.key).speed.relative_slowness();
-        slowness.map_or(weight, |slowness| {
-            let uniform = (weight + 1.0) / 2.0_f64.powi(64);
-            uniform.min(1.0).ln() * slowness
-        })
+    /// Returns what is added to a home's expected time before homes are compared, in milliseconds.
+    fn candidate_penalty_ms(
+        &self,
+        demand: &Demand<'_>,
+        segment: PromptSegment,
+        placement: &Placement,
+    ) -> f64 {
+        let server = placement.server;
+        let second_server_ms = self.second_server_penalty_ms(segment, server, placement.rank == 0);
+        second_server_ms + self.health_penalty_ms(self.servers.get(server), demand)
     }
 
     fn second_server_penalty_ms(&self, segment: PromptSegment, server: ServerKey, is_first: bool) -> f64 {
@@ -251,6 +239,7 @@
         prompt: &Prompt,
         last_shared: PromptSegment,
         key: ServerKey,
+        rank: usize,
     ) -> Placement {
         let server = self.servers.get(key);
         let cache_source = self.cache_source(demand, last_shared.id, key);
@@ -264,6 +253,7 @@
         let other_wait_ms = transfer_ms + latency_estimate::slot_wait_ms(server);
         Placement {
             server: key,
+            rank: rank as u8,
             cache_source,
             prefill_tokens,
             work,
--- a/crates/reedsail_dispatch/tests/engine_speed.rs
+++ b/crates/reedsail_dispatch/tests/engine_speed.rs
@@ -148,3 +148,21 @@
         assert!(known.abs_diff(heard) <= 60, "{known} and {heard} of 600");
     }
 }
+
+#[test]
+fn an_engine_that_joins_uneven_engines_owns_only_its_part() {
+    let mut dispatcher = dispatcher();
+    let now = serve(&mut dispatcher, TIME_RATIOS, 10, 4, TimeMs(0));
+    let setups: Vec<ServerSetup> = (0..=ENGINES).map(engine).collect();
+    dispatcher.set_servers(&setups);
+    let newcomer = dispatcher.server_key(engine(ENGINES).name).unwrap();
+    let mut owned = 0;
+    for segment in 0..600 {
+        let prompt = prompt(0x1234_5678 + segment * 77);
+        if let Decision::Send(placement) = dispatcher.decide(&demand(&prompt), now) {
+            owned += u32::from(placement.server == newcomer);
+        }
+    }
+    // A thirteenth of 600 is 46.
+    assert!((20..100).contains(&owned), "{owned}");
+}
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -299,6 +299,7 @@
     fn placement_fields(&self, placement: &Placement) -> Vec<Field> {
         let (own, all) = self.shared.dispatcher().running(placement.server);
         vec![
+            ("rank", placement.rank.to_string()),
             ("expected_ms", placement.expected_ms.to_string()),
             ("queue_ms", placement.queue_ms.to_string()),
             ("running_own", own.to_string()),
