--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -87,8 +87,10 @@
     let share = share();
     let is_over_share = share.is_exceeded();
     let is_queue_short = placement.queue_ms as f64 <= target_ms * QUEUE_TARGET_FRACTION;
+    let is_pause_short = placement.pause_excess_ms == 0;
     let is_starved = share.is_starved() && placement.expected_ms as f64 <= STARVED_TARGETS * target_ms;
-    if (excess_ms <= 0.0 || is_queue_short || is_starved) && !is_over_share {
+    let is_in_time = (excess_ms <= 0.0 || is_queue_short) && is_pause_short;
+    if (is_in_time || is_starved) && !is_over_share {
         return Decision::Send(placement);
     }
     Decision::Refuse {
--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -36,6 +36,8 @@
     pub(crate) expected_ms: u64,
     pub(crate) began_at: TimeMs,
     pub(crate) has_answered: bool,
+    /// When the last event of the answer arrived; `None` before the first one.
+    pub(crate) last_event_at: Option<TimeMs>,
     pub(crate) has_prompt: bool,
     /// Its place in the request window of a server that resumes after a back-off, until it is answered.
     pub(crate) window_permit: Option<WindowPermit>,
@@ -119,6 +121,7 @@
             expected_ms: placement.expected_ms.max(1),
             began_at: now,
             has_answered: false,
+            last_event_at: None,
             has_prompt: demand.engine_prompt().is_some(),
             window_permit: None,
             is_written: false,
--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -144,6 +144,9 @@
     pub expected_ms: u64,
     /// Part of the expected time for which the server is busy with other requests, in milliseconds.
     pub queue_ms: u64,
+    /// By how much the prompts that wait at the server already make its streams exceed their gap target, in
+    /// milliseconds.
+    pub pause_excess_ms: u64,
 }
 
 /// Decision about a request.
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -46,6 +46,7 @@
 use crate::server_ends::BrokenAttempts;
 use crate::server_table::ServerTable;
 use crate::slow_start::Senders;
+use crate::stream_pause::StreamPauses;
 
 /// Decides where requests go. Each instance has one.
 #[derive(Debug)]
@@ -69,6 +70,8 @@
     instances: usize,
     /// Learned first-event models, by service.
     models: HashMap<NameHash, FirstEventModel>,
+    /// Pauses of streams, by service.
+    pauses: HashMap<NameHash, StreamPauses>,
 }
 
 impl Dispatcher {
@@ -91,6 +94,7 @@
             quarantine: Quarantine::default(),
             instances: 0,
             models: HashMap::new(),
+            pauses: HashMap::new(),
         }
     }
 
@@ -175,6 +179,10 @@
             return Decision::Quarantined;
         }
         self.servers.refresh_speeds(now);
+        if let Some(target_ms) = demand.gap_target_ms {
+            let pauses = self.pauses.entry(demand.service).or_default();
+            pauses.record_target(target_ms, now);
+        }
         let placer = Placer {
             servers: &self.servers,
             reach: &self.reach,
@@ -182,6 +190,7 @@
             own_domain: self.own_domain,
             own_region: self.own_region,
             model: self.first_event_model(demand.service),
+            pause_bound: self.pauses.get(&demand.service).and_then(|pauses| pauses.bound(now)),
             now,
         };
         let placement = placer.choose(demand);
@@ -301,6 +310,18 @@
         }
     }
 
+    /// Records an event of an answer, the first one included.
+    pub fn record_event(&mut self, attempt: &mut Attempt, now: TimeMs) {
+        self.record_first_event(attempt, now);
+        let last_event_at = attempt.last_event_at.replace(now);
+        if let (Some(last_event_at), true) = (last_event_at, attempt.has_prompt) {
+            let server = self.servers.get(attempt.server);
+            let slowness = server.speed.relative_slowness().unwrap_or(1.0);
+            let pauses = self.pauses.entry(attempt.service).or_default();
+            pauses.record_gap(now.since_ms(last_event_at), slowness, now);
+        }
+    }
+
     /// Ends an attempt and updates the server's health by the outcome.
     pub fn finish_attempt(&mut self, mut attempt: Attempt, outcome: AttemptOutcome, now: TimeMs) {
         if !attempt.may_have_run(outcome) {
--- a/crates/reedsail_dispatch/src/latency_estimate.rs
+++ b/crates/reedsail_dispatch/src/latency_estimate.rs
@@ -38,8 +38,14 @@
 /// sent to it count in full, although a peer's report is already old when it arrives. This is deliberately
 /// conservative for admission: the learned, shorter time of queued tokens would admit more requests.
 pub(crate) fn engine_queue_ms(server: &ServerState, model: &FirstEventModel) -> f64 {
-    let queue_ms = model.prefill_ms(server.prefill_tokens() as f64);
-    queue_ms * slowness(server) + slot_wait_ms(server)
+    prefill_ms(server, 0, model) + slot_wait_ms(server)
+}
+
+/// Returns how long an engine prefills if `added_tokens` are added to the prompts that were sent to it, in
+/// milliseconds.
+pub(crate) fn prefill_ms(server: &ServerState, added_tokens: u32, model: &FirstEventModel) -> f64 {
+    let tokens = server.prefill_tokens() + u64::from(added_tokens);
+    model.prefill_ms(tokens as f64) * slowness(server)
 }
 
 /// Returns the work of an engine if it is sent a prompt of which it has to prefill `prefill_tokens` tokens.
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | `placement`, with `latency_estimate`, `first_event_model` and `prefix_cache_index` | which backend server |
 //! | `engine_speed` | how fast each engine is, relative to the others of its service |
+//! | `stream_pause` | which engines get no further prompt because their streams would pause too long |
 //! | `allowed_regions` | in which regions a request may run |
 //! | `server_groups` | which servers a decision considers |
 //! | `load_pressure` | how soon peers must learn of the load |
@@ -77,6 +78,7 @@
 mod slow_reader;
 mod slow_start;
 mod store_reader;
+mod stream_pause;
 
 pub use admission::time_left_ms;
 pub use allowed_regions::AllowedRegions;
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -34,6 +34,7 @@
 use crate::server_groups::GroupedServer;
 use crate::server_table::ServerState;
 use crate::server_table::ServerTable;
+use crate::stream_pause::PauseBound;
 
 /// Number of servers over which the prompts with the same shared segment are spread.
 const SERVERS_PER_SEGMENT_MAX: usize = 2;
@@ -74,6 +75,8 @@
     pub(crate) own_region: Option<NameHash>,
     /// The first-event model of the called service.
     pub(crate) model: FirstEventModel,
+    /// The bound on the pauses of the called service's streams; `None` if they have no gap target.
+    pub(crate) pause_bound: Option<PauseBound>,
     pub(crate) now: TimeMs,
 }
 
@@ -154,6 +157,7 @@
             other_wait_ms: 0,
             expected_ms: latency_estimate::plain_ms(state) as u64,
             queue_ms: latency_estimate::plain_queue_ms(state) as u64,
+            pause_excess_ms: 0,
         })
     }
 
@@ -183,16 +187,14 @@
     ) -> Option<Placement> {
         let segment = prompt.last_shared()?;
         let mut groups = self.servers.of_service(demand.service).beginning_with(segment.id);
-        let ranked = groups.find_map(|group| self.rank(group, segment.id, demand, scope))?;
+        let ranked = groups.find_map(|group| self.rank(group, segment.id, prompt, demand, scope))?;
         let candidates = ranked.into_iter().flatten().map(|key| {
             let placement = self.place_prompt(demand, prompt, segment, key);
             let second_server_penalty_ms =
                 self.second_server_penalty_ms(segment, key, Some(key) == ranked[0]);
             let health_penalty_ms = self.health_penalty_ms(self.servers.get(key), demand);
-            (
-                placement,
-                placement.expected_ms as f64 + second_server_penalty_ms + health_penalty_ms,
-            )
+            let penalty_ms = second_server_penalty_ms + health_penalty_ms + self.pause_penalty_ms(&placement);
+            (placement, placement.expected_ms as f64 + penalty_ms)
         });
         candidates
             .min_by(|(_, left), (_, right)| left.total_cmp(right))
@@ -206,12 +208,13 @@
         &self,
         group: &[GroupedServer],
         segment: u64,
+        prompt: &Prompt,
         demand: &Demand<'_>,
         scope: CandidateScope,
     ) -> Option<[Option<ServerKey>; SERVERS_PER_SEGMENT_MAX]> {
         let mut ranked: [Option<(f64, ServerKey)>; SERVERS_PER_SEGMENT_MAX] = [None; SERVERS_PER_SEGMENT_MAX];
         for server in group {
-            let weight = self.rendezvous_score(*server, segment);
+            let weight = self.rendezvous_score(*server, segment, prompt.own_tokens());
             let outranks = |other: &Option<(f64, ServerKey)>| other.is_none_or(|(other, _)| weight > other);
             let Some(position) = ranked.iter().position(outranks) else {
                 continue;
@@ -227,12 +230,15 @@
 
     /// Returns the score of a server for a segment. Engines that differ in speed own segments in proportion to their
     /// speed, by weighted rendezvous hashing.
-    fn rendezvous_score(&self, server: GroupedServer, segment: u64) -> f64 {
+    fn rendezvous_score(&self, server: GroupedServer, segment: u64, own_tokens: u32) -> f64 {
         let weight = server.name.rendezvous_weight(segment) as f64;
         let slowness = self.servers.get(server.key).speed.relative_slowness();
         slowness.map_or(weight, |slowness| {
+            let prefill_ms = self.model.prefill_ms(f64::from(own_tokens)) * slowness;
+            let bound = self.pause_bound;
+            let reluctance = bound.map_or(1.0, |bound| bound.reluctance(slowness, prefill_ms));
             let uniform = (weight + 1.0) / 2.0_f64.powi(64);
-            uniform.min(1.0).ln() * slowness
+            uniform.min(1.0).ln() * slowness * reluctance
         })
     }
 
@@ -261,6 +267,7 @@
         let work = latency_estimate::engine_work(server, prefill_tokens);
         let first_event_ms = latency_estimate::engine_ms(server, work, &self.model);
         let queue_ms = latency_estimate::engine_queue_ms(server, &self.model);
+        let backlog_ms = latency_estimate::prefill_ms(server, 0, &self.model);
         let other_wait_ms = transfer_ms + latency_estimate::slot_wait_ms(server);
         Placement {
             server: key,
@@ -270,6 +277,7 @@
             other_wait_ms: other_wait_ms as u64,
             expected_ms: (first_event_ms + transfer_ms) as u64,
             queue_ms: queue_ms as u64,
+            pause_excess_ms: self.pause_excess_ms(server, backlog_ms) as u64,
         }
     }
 
@@ -300,6 +308,22 @@
         })
     }
 
+    /// Returns how much too long the streams of a prompt's engine would pause, in milliseconds.
+    fn pause_penalty_ms(&self, placement: &Placement) -> f64 {
+        let server = self.servers.get(placement.server);
+        let prefill_ms = latency_estimate::prefill_ms(server, placement.prefill_tokens, &self.model);
+        self.pause_excess_ms(server, prefill_ms)
+    }
+
+    fn pause_excess_ms(&self, server: &ServerState, prefill_ms: f64) -> f64 {
+        if server.running() == 0 {
+            return 0.0;
+        }
+        let slowness = server.speed.relative_slowness().unwrap_or(1.0);
+        let bound = self.pause_bound;
+        bound.map_or(0.0, |bound| bound.excess_ms(slowness, prefill_ms))
+    }
+
     fn health_penalty_ms(&self, server: &ServerState, demand: &Demand<'_>) -> f64 {
         server.health.penalty_ms(demand.latency_target_ms, self.now)
     }
--- /dev/null
+++ b/crates/reedsail_dispatch/src/stream_pause.rs
@@ -0,0 +1,131 @@
+//! Stream pauses: the longest pause that a prompt would cause to the streams that an engine runs.
+//!
+//! **Rule.** An engine prefills prompts between the decode steps of its streams, so its backlog of prompt tokens
+//! lengthens the events of all its streams. Where gaps between events that are longer than the service's gap target
+//! have become likely at an engine's speed, a prompt is charged with the time by which the pause that it would cause
+//! exceeds the target, and no prompt is added to a backlog that exceeds the target already. The pause allows for a
+//! slow spell of the engine. Everywhere else prompts are placed and admitted as if no pause mattered.
+//!
+//! **Inputs.** The gap target of each service's requests, gaps between events, the backlog and the prompt's own
+//! prefill time at the engine's speed; all in milliseconds.
+//!
+//! **Why.** A stream is late if one of its events is. On a slow engine a few long prompts fill all steps of an event
+//! with prefill, while a fast engine keeps the target with any backlog. The bound takes the backlog and not the
+//! prompt itself, so that a prompt that exceeds the target alone is still served, where it does least harm.
+//!
+//! **Tested by** `tests/stream_pause.rs`.
+
+use reedsail_core::TimeMs;
+
+/// Number of gap lengths that are told apart: each is longer than the one before by half an octave.
+const GAP_CLASSES: usize = 24;
+/// Classes in an octave.
+const CLASSES_PER_OCTAVE: f64 = 2.0;
+/// Time constant of the counts, in milliseconds: several streams and many slow spells.
+const COUNT_MS: u64 = 10_000;
+/// Interval at which the counts decay, in milliseconds.
+const DECAY_INTERVAL_MS: u64 = 100;
+/// Minimum number of counted gaps on which anything is decided.
+const GAPS_MIN: f64 = 200.0;
+/// Fraction of gaps above the target from which the pauses of an engine are bounded: a stream of fifty events is then
+/// late once in ten times.
+const LATE_GAPS_FRACTION: f64 = 0.002;
+/// Fraction of gaps that are no longer than an event without prefill.
+const DECODE_FRACTION: f64 = 0.2;
+/// How much longer than on average the work of an engine takes in a slow spell.
+const SPELL_FACTOR: f64 = 2.5;
+/// Factor by which an engine owns fewer prompts that make its streams pause for twice the target.
+const EXCESS_RELUCTANCE: f64 = 10.0;
+/// How long a gap target counts after the last request that had it, in milliseconds.
+const TARGET_MS: u64 = 10_000;
+
+/// What is known of the gaps between events of one service's streams, as on an engine of mean speed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StreamPauses {
+    /// Decaying counts by the length of the gap.
+    counts: [f64; GAP_CLASSES],
+    decayed_at: TimeMs,
+    target_ms: Option<u64>,
+    target_until: TimeMs,
+}
+
+impl StreamPauses {
+    /// Records the gap target of a request. The shortest recent target counts.
+    pub(crate) fn record_target(&mut self, target_ms: u64, now: TimeMs) {
+        let is_shortest = self.target(now).is_none_or(|known_ms| target_ms <= known_ms);
+        if is_shortest {
+            self.target_ms = Some(target_ms);
+            self.target_until = now.plus_ms(TARGET_MS);
+        }
+    }
+
+    /// Records a gap between two events on an engine of the given slowness.
+    pub(crate) fn record_gap(&mut self, gap_ms: u64, slowness: f64, now: TimeMs) {
+        let age_ms = now.since_ms(self.decayed_at);
+        if age_ms >= DECAY_INTERVAL_MS {
+            let decay = (-(age_ms as f64) / COUNT_MS as f64).exp();
+            self.counts = self.counts.map(|count| count * decay);
+            self.decayed_at = now;
+        }
+        self.counts[gap_class(gap_ms as f64 / slowness)] += 1.0;
+    }
+
+    /// Returns the bound on the pauses of the service's streams, or `None` if they have no gap target.
+    pub(crate) fn bound(&self, now: TimeMs) -> Option<PauseBound> {
+        let target_ms = self.target(now)? as f64;
+        let gaps: f64 = self.counts.iter().sum();
+        (gaps >= GAPS_MIN).then(|| PauseBound {
+            target_ms,
+            decode_ms: self.gap_ms(DECODE_FRACTION * gaps),
+            long_gap_ms: self.gap_ms((1.0 - LATE_GAPS_FRACTION) * gaps),
+        })
+    }
+
+    fn target(&self, now: TimeMs) -> Option<u64> {
+        self.target_ms.filter(|_| now < self.target_until)
+    }
+
+    /// Returns the gap that so many gaps do not exceed, in milliseconds.
+    fn gap_ms(&self, count: f64) -> f64 {
+        let mut below = 0.0;
+        let class = self.counts.iter().position(|in_class| {
+            below += in_class;
+            below >= count
+        });
+        (class.unwrap_or(GAP_CLASSES) as f64 / CLASSES_PER_OCTAVE).exp2()
+    }
+}
+
+/// Returns the class of a gap: half octaves of milliseconds.
+fn gap_class(gap_ms: f64) -> usize {
+    let class = gap_ms.max(1.0).log2() * CLASSES_PER_OCTAVE;
+    (class as usize).min(GAP_CLASSES - 1)
+}
+
+/// The bound on the pauses of one service's streams, with times as on an engine of mean speed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct PauseBound {
+    target_ms: f64,
+    /// Time of an event without prefill.
+    decode_ms: f64,
+    /// Gap that few gaps exceed.
+    long_gap_ms: f64,
+}
+
+impl PauseBound {
+    /// Returns by how much the streams of an engine of the given slowness pause too long if it prefills for
+    /// `prefill_ms`, in milliseconds.
+    pub(crate) fn excess_ms(self, slowness: f64, prefill_ms: f64) -> f64 {
+        if self.long_gap_ms * slowness <= self.target_ms {
+            return 0.0;
+        }
+        let pause_ms = (self.decode_ms * slowness + prefill_ms) * SPELL_FACTOR;
+        (pause_ms - self.target_ms).max(0.0)
+    }
+
+    /// Returns the factor by which an engine of the given slowness owns fewer of the prompts that take it
+    /// `prefill_ms`.
+    pub(crate) fn reluctance(self, slowness: f64, prefill_ms: f64) -> f64 {
+        1.0 + EXCESS_RELUCTANCE * self.excess_ms(slowness, prefill_ms) / self.target_ms
+    }
+}
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) answers: IntCounterVec,
     /// Time from a request's arrival to the first event of its response, by service.
     pub(crate) first_event: HistogramVec,
+    /// Longest gap between two events of a stream, by service.
+    pub(crate) longest_gap: HistogramVec,
     /// Age of the known load of other instances at the time a server is chosen, by service.
     pub(crate) load_age: HistogramVec,
     /// Retries, by cause.
@@ -73,6 +75,11 @@
                 "reedsail_router_first_part_seconds",
                 "Time from a request's arrival to the first event of its response.",
             ),
+            longest_gap: latency_histograms(
+                &registry,
+                "reedsail_router_longest_gap_seconds",
+                "Longest gap between two events of a stream.",
+            ),
             load_age: latency_histograms(
                 &registry,
                 "reedsail_router_load_age_seconds",
--- a/crates/reedsail_router/src/traffic/attempt_guard.rs
+++ b/crates/reedsail_router/src/traffic/attempt_guard.rs
@@ -46,6 +46,14 @@
         }
     }
 
+    /// Records an event of the response, the first one included.
+    pub(crate) fn record_event(&mut self) {
+        if let Some(attempt) = &mut self.attempt {
+            let now = self.shared.clock.now();
+            self.shared.dispatcher().record_event(attempt, now);
+        }
+    }
+
     /// Ends the attempt with its outcome.
     pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
         self.end(outcome);
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -76,9 +76,9 @@
             Poll::Ready(Some(Ok(frame))) => {
                 self.reader.record_written(self.clock.now());
                 if let Some(attempt) = &mut self.attempt {
-                    attempt.guard.record_first_event();
+                    attempt.guard.record_event();
                 }
-                self.log.record_first_event();
+                self.log.record_stream_event();
                 if self.body.is_end_stream() {
                     self.finish();
                 }
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -102,6 +102,9 @@
     server: String,
     arrived_at: TimeMs,
     first_event_ms: Option<u64>,
+    /// When the last event was relayed; `None` before the first one.
+    last_event_at: Option<TimeMs>,
+    longest_gap_ms: u64,
     has_ended: bool,
 }
 
@@ -126,6 +129,8 @@
             server: String::new(),
             arrived_at,
             first_event_ms: None,
+            last_event_at: None,
+            longest_gap_ms: 0,
             has_ended: false,
         };
         log.count_tokens(TokenStage::Requested);
@@ -200,6 +205,15 @@
             .observe(first_event_ms as f64 / 1_000.0);
     }
 
+    /// Records an event of a stream, the first one included.
+    pub(crate) fn record_stream_event(&mut self) {
+        self.record_first_event();
+        let now = self.shared.clock.now();
+        if let Some(last_event_at) = self.last_event_at.replace(now) {
+            self.longest_gap_ms = self.longest_gap_ms.max(now.since_ms(last_event_at));
+        }
+    }
+
     /// Records that the request was refused before a server was chosen.
     pub(crate) fn record_unplaced_refusal(self, failure: &Failure) {
         self.end_with_refusal(failure, |_| Vec::new());
@@ -260,6 +274,12 @@
         self.has_ended = true;
         let answers = &self.shared.metrics.answers;
         answers.with_label_values(&[outcome.name()]).inc();
+        if self.last_event_at.is_some() {
+            let longest_gap = &self.shared.metrics.longest_gap;
+            longest_gap
+                .with_label_values(&[&self.service])
+                .observe(self.longest_gap_ms as f64 / 1_000.0);
+        }
         self.emit(EventKind::RequestEnded, || {
             let first_event_ms = self
                 .first_event_ms
@@ -268,6 +288,7 @@
                 ("outcome", outcome.name().to_owned()),
                 ("first_part_ms", first_event_ms),
                 ("took_ms", self.elapsed_ms().to_string()),
+                ("longest_gap_ms", self.longest_gap_ms.to_string()),
             ];
             fields.extend(self.request_fields());
             fields.extend(status);
@@ -301,6 +322,7 @@
         vec![
             ("expected_ms", placement.expected_ms.to_string()),
             ("queue_ms", placement.queue_ms.to_string()),
+            ("pause_excess_ms", placement.pause_excess_ms.to_string()),
             ("running_own", own.to_string()),
             ("running_all", all.to_string()),
         ]
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -180,7 +180,7 @@
                 }
             };
             let Ok(data) = frame.into_data() else { continue };
-            guard.record_first_event();
+            guard.record_event();
             let events = self.split_events(&data);
             if self.splitter.partial_bytes() > EVENT_BYTES_MAX {
                 return StreamEnd::Broken;
@@ -188,7 +188,7 @@
             if events.is_empty() {
                 continue;
             }
-            self.log.record_first_event();
+            self.log.record_stream_event();
             reader.record_written(self.shared.clock.now());
             let sent = select! {
                 biased;
