--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -81,13 +81,13 @@
     let target_ms = demand.latency_target_ms as f64;
     let excess_ms = (demand.waited_ms + placement.expected_ms) as f64 - target_ms * TARGET_FRACTION;
     let queue_excess_ms = placement.queue_ms as f64 - target_ms * OVER_SHARE_TARGET_FRACTION;
-    if queue_excess_ms <= 0.0 {
+    let is_pause_short = placement.pause_excess_ms == 0;
+    if queue_excess_ms <= 0.0 && is_pause_short {
         return Decision::Send(placement);
     }
     let share = share();
     let is_over_share = share.is_exceeded();
     let is_queue_short = placement.queue_ms as f64 <= target_ms * QUEUE_TARGET_FRACTION;
-    let is_pause_short = placement.pause_excess_ms == 0;
     let is_starved = share.is_starved() && placement.expected_ms as f64 <= STARVED_TARGETS * target_ms;
     let is_in_time = (excess_ms <= 0.0 || is_queue_short) && is_pause_short;
     if (is_in_time || is_starved) && !is_over_share {
--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -18,7 +18,7 @@
 /// A request that was sent to a server. The caller returns it to the dispatcher when it ends.
 #[derive(Debug)]
 pub struct Attempt {
-    number: u64,
+    pub(crate) number: u64,
     pub(crate) server: ServerKey,
     pub(crate) service: NameHash,
     pub(crate) fingerprint: Option<Fingerprint>,
@@ -36,6 +36,7 @@
     pub(crate) expected_ms: u64,
     pub(crate) began_at: TimeMs,
     pub(crate) has_answered: bool,
+    pub(crate) has_gap_target: bool,
     /// When the last event of the answer arrived; `None` before the first one.
     pub(crate) last_event_at: Option<TimeMs>,
     pub(crate) has_prompt: bool,
@@ -121,6 +122,7 @@
             expected_ms: placement.expected_ms.max(1),
             began_at: now,
             has_answered: false,
+            has_gap_target: demand.gap_target_ms.is_some(),
             last_event_at: None,
             has_prompt: demand.engine_prompt().is_some(),
             window_permit: None,
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -190,7 +190,10 @@
             own_domain: self.own_domain,
             own_region: self.own_region,
             model: self.first_event_model(demand.service),
-            pause_bound: self.pauses.get(&demand.service).and_then(|pauses| pauses.bound(now)),
+            pause_bound: self
+                .pauses
+                .get(&demand.service)
+                .and_then(|pauses| pauses.bound(self.servers.fastest_slowness(demand.service), now)),
             now,
         };
         let placement = placer.choose(demand);
@@ -314,9 +317,12 @@
     pub fn record_event(&mut self, attempt: &mut Attempt, now: TimeMs) {
         self.record_first_event(attempt, now);
         let last_event_at = attempt.last_event_at.replace(now);
+        let server = self.servers.get_mut(attempt.server);
+        let slowness = server.speed.relative_slowness().unwrap_or(1.0);
+        if attempt.has_gap_target {
+            server.streams.record_event(attempt.number, now);
+        }
         if let (Some(last_event_at), true) = (last_event_at, attempt.has_prompt) {
-            let server = self.servers.get(attempt.server);
-            let slowness = server.speed.relative_slowness().unwrap_or(1.0);
             let pauses = self.pauses.entry(attempt.service).or_default();
             pauses.record_gap(now.since_ms(last_event_at), slowness, now);
         }
@@ -340,6 +346,7 @@
         }
         let server = self.servers.get_mut(attempt.server);
         server.own.running = server.own.running.saturating_sub(1);
+        server.streams.remove(attempt.number);
         if let Some(permit) = attempt.window_permit.take() {
             server.backoff.release(permit);
         }
--- a/crates/reedsail_dispatch/src/load_report.rs
+++ b/crates/reedsail_dispatch/src/load_report.rs
@@ -27,6 +27,8 @@
     pub is_backed_off: bool,
     /// Evidence of the server's speed if it is an engine.
     pub speed: SpeedSums,
+    /// Longest present pause of the streams with a gap target on the server, in milliseconds.
+    pub pause_ms: u16,
 }
 
 /// The use of one workspace on one instance within the fair-share window.
--- a/crates/reedsail_dispatch/src/peer_reports.rs
+++ b/crates/reedsail_dispatch/src/peer_reports.rs
@@ -47,6 +47,7 @@
                     .get_mut(key)
                     .health
                     .receive_failures(rate, now, valid_until);
+                servers.get_mut(key).streams.receive(row.pause_ms, now);
                 if row.is_down {
                     servers.record_down(key, false, now);
                 }
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -193,7 +193,7 @@
             let second_server_penalty_ms =
                 self.second_server_penalty_ms(segment, key, Some(key) == ranked[0]);
             let health_penalty_ms = self.health_penalty_ms(self.servers.get(key), demand);
-            let penalty_ms = second_server_penalty_ms + health_penalty_ms + self.pause_penalty_ms(&placement);
+            let penalty_ms = second_server_penalty_ms + health_penalty_ms + placement.pause_excess_ms as f64;
             (placement, placement.expected_ms as f64 + penalty_ms)
         });
         candidates
@@ -267,7 +267,6 @@
         let work = latency_estimate::engine_work(server, prefill_tokens);
         let first_event_ms = latency_estimate::engine_ms(server, work, &self.model);
         let queue_ms = latency_estimate::engine_queue_ms(server, &self.model);
-        let backlog_ms = latency_estimate::prefill_ms(server, 0, &self.model);
         let other_wait_ms = transfer_ms + latency_estimate::slot_wait_ms(server);
         Placement {
             server: key,
@@ -277,7 +276,7 @@
             other_wait_ms: other_wait_ms as u64,
             expected_ms: (first_event_ms + transfer_ms) as u64,
             queue_ms: queue_ms as u64,
-            pause_excess_ms: self.pause_excess_ms(server, backlog_ms) as u64,
+            pause_excess_ms: self.pause_excess_ms(server, prefill_tokens) as u64,
         }
     }
 
@@ -308,20 +307,17 @@
         })
     }
 
-    /// Returns how much too long the streams of a prompt's engine would pause, in milliseconds.
-    fn pause_penalty_ms(&self, placement: &Placement) -> f64 {
-        let server = self.servers.get(placement.server);
-        let prefill_ms = latency_estimate::prefill_ms(server, placement.prefill_tokens, &self.model);
-        self.pause_excess_ms(server, prefill_ms)
-    }
-
-    fn pause_excess_ms(&self, server: &ServerState, prefill_ms: f64) -> f64 {
-        if server.running() == 0 {
+    /// Returns how much too long the streams of an engine would pause with a prompt, in milliseconds, as far as
+    /// another engine or a later time avoids that.
+    fn pause_excess_ms(&self, server: &ServerState, prefill_tokens: u32) -> f64 {
+        let Some(bound) = self.pause_bound.filter(|_| server.running() > 0) else {
             return 0.0;
-        }
+        };
         let slowness = server.speed.relative_slowness().unwrap_or(1.0);
-        let bound = self.pause_bound;
-        bound.map_or(0.0, |bound| bound.excess_ms(slowness, prefill_ms))
+        let pause_ms = server.streams.pause_ms(self.now);
+        let prefill_ms = latency_estimate::prefill_ms(server, prefill_tokens, &self.model);
+        let own_ms = self.model.prefill_ms(f64::from(prefill_tokens));
+        bound.avoidable_excess_ms(slowness, pause_ms, prefill_ms, own_ms)
     }
 
     fn health_penalty_ms(&self, server: &ServerState, demand: &Demand<'_>) -> f64 {
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -27,6 +27,7 @@
 use crate::server_health::ServerHealth;
 use crate::slow_start::ColdRateLimit;
 use crate::slow_start::Senders;
+use crate::stream_pause::RunningStreams;
 
 /// Value of a failure rate of one in a load report, where the rate is one byte.
 pub(crate) const FAILURE_RATE_ONE: f64 = 255.0;
@@ -81,6 +82,7 @@
     pub(crate) peers: Load,
     pub(crate) health: ServerHealth,
     pub(crate) speed: EngineSpeed,
+    pub(crate) streams: RunningStreams,
 }
 
 impl ServerState {
@@ -97,6 +99,7 @@
             peers: Load::default(),
             health: ServerHealth::default(),
             speed: EngineSpeed::default(),
+            streams: RunningStreams::default(),
         }
     }
 
@@ -129,6 +132,7 @@
             is_draining: self.has_own_draining_notice && self.life.is_draining_by_notice_only(),
             is_backed_off: self.backoff.is_active(now),
             speed: self.speed.own(now),
+            pause_ms: self.streams.own_pause_ms(now),
         }
     }
 
@@ -402,6 +406,11 @@
         }
     }
 
+    /// Returns the slowness of a service's fastest engine, relative to the mean.
+    pub(crate) fn fastest_slowness(&self, service: NameHash) -> f64 {
+        self.spreads.get(&service).copied().unwrap_or_default().fastest()
+    }
+
     /// Drops all load that peers reported.
     pub(crate) fn clear_peers(&mut self) {
         for server in &mut self.servers {
--- a/crates/reedsail_dispatch/src/stream_pause.rs
+++ b/crates/reedsail_dispatch/src/stream_pause.rs
@@ -36,6 +36,10 @@
 const SPELL_FACTOR: f64 = 2.5;
 /// Factor by which an engine owns fewer prompts that make its streams pause for twice the target.
 const EXCESS_RELUCTANCE: f64 = 10.0;
+/// Longest pause that counts as caused by prefill, in milliseconds.
+const PAUSE_MAX_MS: u64 = 2_000;
+/// How long a pause that a peer reported counts, in milliseconds: until the next report but one.
+const PEER_PAUSE_VALID_MS: u64 = 50;
 /// How long a gap target counts after the last request that had it, in milliseconds.
 const TARGET_MS: u64 = 10_000;
 
@@ -71,11 +75,12 @@
     }
 
     /// Returns the bound on the pauses of the service's streams, or `None` if they have no gap target.
-    pub(crate) fn bound(&self, now: TimeMs) -> Option<PauseBound> {
+    pub(crate) fn bound(&self, fastest_slowness: f64, now: TimeMs) -> Option<PauseBound> {
         let target_ms = self.target(now)? as f64;
         let gaps: f64 = self.counts.iter().sum();
         (gaps >= GAPS_MIN).then(|| PauseBound {
             target_ms,
+            fastest_slowness,
             decode_ms: self.gap_ms(DECODE_FRACTION * gaps),
             long_gap_ms: self.gap_ms((1.0 - LATE_GAPS_FRACTION) * gaps),
         })
@@ -106,6 +111,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct PauseBound {
     target_ms: f64,
+    /// Slowness of the service's fastest engine.
+    fastest_slowness: f64,
     /// Time of an event without prefill.
     decode_ms: f64,
     /// Gap that few gaps exceed.
@@ -113,19 +120,90 @@
 }
 
 impl PauseBound {
-    /// Returns by how much the streams of an engine of the given slowness pause too long if it prefills for
-    /// `prefill_ms`, in milliseconds.
-    pub(crate) fn excess_ms(self, slowness: f64, prefill_ms: f64) -> f64 {
+    /// Returns by how much the streams of an engine of the given slowness pause too long if one of them has paused
+    /// for `pause_ms` and the engine prefills for `prefill_ms`, in milliseconds.
+    pub(crate) fn excess_ms(self, slowness: f64, pause_ms: f64, prefill_ms: f64) -> f64 {
         if self.long_gap_ms * slowness <= self.target_ms {
             return 0.0;
         }
-        let pause_ms = (self.decode_ms * slowness + prefill_ms) * SPELL_FACTOR;
+        let event_ms = self.decode_ms * slowness * SPELL_FACTOR;
+        let pause_ms = event_ms.max(pause_ms) + prefill_ms * SPELL_FACTOR;
         (pause_ms - self.target_ms).max(0.0)
     }
 
+    /// Returns by how much the streams of an engine pause too long, beyond what a prompt that takes `own_ms` on an
+    /// engine of mean speed causes on the fastest engine without a backlog, in milliseconds.
+    pub(crate) fn avoidable_excess_ms(
+        self,
+        slowness: f64,
+        pause_ms: f64,
+        prefill_ms: f64,
+        own_ms: f64,
+    ) -> f64 {
+        let fastest = self.fastest_slowness;
+        let unavoidable_ms = self.excess_ms(fastest, 0.0, own_ms * fastest);
+        (self.excess_ms(slowness, pause_ms, prefill_ms) - unavoidable_ms).max(0.0)
+    }
+
     /// Returns the factor by which an engine of the given slowness owns fewer of the prompts that take it
     /// `prefill_ms`.
     pub(crate) fn reluctance(self, slowness: f64, prefill_ms: f64) -> f64 {
-        1.0 + EXCESS_RELUCTANCE * self.excess_ms(slowness, prefill_ms) / self.target_ms
+        1.0 + EXCESS_RELUCTANCE * self.excess_ms(slowness, 0.0, prefill_ms) / self.target_ms
+    }
+}
+
+/// The streams with a gap target that run on one engine, and how long the longest of their present pauses is.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RunningStreams {
+    /// This instance's streams: the number of the attempt and the time of the last event.
+    own: Vec<(u64, TimeMs)>,
+    /// The longest pause that a peer reported, and when.
+    peer_pause: (u16, TimeMs),
+}
+
+impl RunningStreams {
+    /// Records an event of a stream of this instance.
+    pub(crate) fn record_event(&mut self, attempt: u64, now: TimeMs) {
+        match self.own.iter_mut().find(|(number, _)| *number == attempt) {
+            Some((_, last_event_at)) => *last_event_at = now,
+            None => self.own.push((attempt, now)),
+        }
+    }
+
+    /// Removes a stream that has ended.
+    pub(crate) fn remove(&mut self, attempt: u64) {
+        self.own.retain(|(number, _)| *number != attempt);
+    }
+
+    /// Returns the longest present pause of this instance's streams, in milliseconds. A stream that pauses for far
+    /// longer waits for its caller, or its engine has ended.
+    pub(crate) fn own_pause_ms(&self, now: TimeMs) -> u16 {
+        let pauses = self
+            .own
+            .iter()
+            .map(|(_, last_event_at)| now.since_ms(*last_event_at));
+        let longest = pauses.filter(|pause_ms| *pause_ms <= PAUSE_MAX_MS).max();
+        longest.unwrap_or(0) as u16
+    }
+
+    /// Stores the pause that a peer reported. A shorter pause replaces a longer one only after that has expired.
+    pub(crate) fn receive(&mut self, pause_ms: u16, now: TimeMs) {
+        if pause_ms >= self.peer_pause_ms(now) {
+            self.peer_pause = (pause_ms, now);
+        }
+    }
+
+    /// Returns the longest known pause, in milliseconds.
+    pub(crate) fn pause_ms(&self, now: TimeMs) -> f64 {
+        f64::from(self.own_pause_ms(now).max(self.peer_pause_ms(now)))
+    }
+
+    fn peer_pause_ms(&self, now: TimeMs) -> u16 {
+        let (pause_ms, received_at) = self.peer_pause;
+        if now.since_ms(received_at) < PEER_PAUSE_VALID_MS {
+            pause_ms
+        } else {
+            0
+        }
     }
 }
--- a/crates/reedsail_dispatch/tests/placement.rs
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -221,6 +221,7 @@
         is_draining: false,
         is_backed_off: false,
         speed: SpeedSums::default(),
+        pause_ms: 0,
     };
     let report = LoadReport {
         servers: vec![row],
@@ -251,6 +252,7 @@
         is_draining: false,
         is_backed_off: false,
         speed: SpeedSums::default(),
+        pause_ms: 0,
     };
     let report = LoadReport {
         servers: vec![row],
--- a/crates/reedsail_dispatch/tests/stream_pause.rs
+++ b/crates/reedsail_dispatch/tests/stream_pause.rs
@@ -70,7 +70,11 @@
         let work_ms = STEP_MS + (CHUNK_TOKENS - chunk) / TOKENS_PER_MS;
         self.now_ms += work_ms * self.time_ratio * self.spell_ratio;
         let now_ms = self.now_ms;
-        for stream in self.streams.iter_mut().filter(|stream| stream.unread_tokens <= 0.0) {
+        for stream in self
+            .streams
+            .iter_mut()
+            .filter(|stream| stream.unread_tokens <= 0.0)
+        {
             if stream.steps % STEPS_PER_EVENT == 0 {
                 dispatcher.record_event(&mut stream.attempt, TimeMs(now_ms as u64));
                 if stream.steps > 0 {
@@ -143,7 +147,9 @@
         streams: Vec::new(),
     };
     let mut engines: Vec<Engine> = (0..ENGINES).map(engine).collect();
-    let keys: Vec<_> = (0..ENGINES).map(|number| dispatcher.server_key(setup(number).name).unwrap()).collect();
+    let keys: Vec<_> = (0..ENGINES)
+        .map(|number| dispatcher.server_key(setup(number).name).unwrap())
+        .collect();
     let mut served = Served::default();
     let mut now_ms = 0.0;
     while now_ms < 40_000.0 {
@@ -154,7 +160,11 @@
             }
         }
         let is_long = random.random_bool(0.1);
-        let own_tokens = if is_long { 16_000 } else { random.random_range(200..3_000) };
+        let own_tokens = if is_long {
+            16_000
+        } else {
+            random.random_range(200..3_000)
+        };
         let prompt = prompt(random.random(), own_tokens);
         let demand = demand(&prompt, gap_target_ms);
         served.asked += 1;
@@ -181,8 +191,22 @@
     let without = replay(UNEVEN, 7.0, None);
     let with = replay(UNEVEN, 7.0, Some(GAP_TARGET_MS));
     let late = |served: &Served| f64::from(served.late) / f64::from(served.streams);
-    println!("{} {} {} | {} {} {} of {}", late(&without), without.streams, without.long, late(&with), with.streams, with.long, with.asked);
-    assert!(late(&with) < late(&without) / 2.0, "{} after {}", late(&with), late(&without));
+    println!(
+        "{} {} {} | {} {} {} of {}",
+        late(&without),
+        without.streams,
+        without.long,
+        late(&with),
+        with.streams,
+        with.long,
+        with.asked
+    );
+    assert!(
+        late(&with) < late(&without) / 2.0,
+        "{} after {}",
+        late(&with),
+        late(&without)
+    );
     let rate = f64::from(with.streams) / f64::from(with.asked);
     let long_rate = f64::from(with.long) / f64::from(with.long_asked);
     assert!(long_rate >= rate / 2.0, "{long_rate} of {rate}");
--- a/crates/reedsail_gossip/src/load_sum.rs
+++ b/crates/reedsail_gossip/src/load_sum.rs
@@ -37,6 +37,7 @@
             sum.is_draining |= row.is_draining;
             sum.is_backed_off |= row.is_backed_off;
             sum.speed.add(row.speed, 1.0);
+            sum.pause_ms = sum.pause_ms.max(row.pause_ms);
         }
         for row in &report.workspaces {
             let sum = self.workspaces.entry(row.workspace).or_insert(WorkspaceUseRow {
--- a/crates/reedsail_gossip/tests/simulated_network/mod.rs
+++ b/crates/reedsail_gossip/tests/simulated_network/mod.rs
@@ -405,6 +405,7 @@
             is_draining: false,
             is_backed_off: false,
             speed: SpeedSums::default(),
+            pause_ms: 0,
         };
         let load = instance
             .exchange
--- a/crates/reedsail_router/benches/instance_cost.rs
+++ b/crates/reedsail_router/benches/instance_cost.rs
@@ -110,6 +110,7 @@
         is_draining: false,
         is_backed_off: false,
         speed: SpeedSums::default(),
+        pause_ms: 0,
     };
     let workspace = |row: u32| WorkspaceUseRow {
         workspace: NameHash::of(&format!("workspace-{row}")),
--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -104,6 +104,9 @@
   speedAnswers @7 :Float32;
   speedLogs @8 :Float32;
   speedLogSquares @9 :Float32;
+  # How long the stream that waits longest there for its next event has waited, of the streams whose route has a target
+  # for that.
+  pauseMs @10 :UInt16;
 }
 
 struct WorkspaceUseRow {
--- a/crates/reedsail_wire/src/load_capnp.rs
+++ b/crates/reedsail_wire/src/load_capnp.rs
@@ -2522,6 +2522,10 @@
         pub fn get_speed_log_squares(self) -> f32 {
             self.reader.get_data_field::<f32>(5)
         }
+        #[inline]
+        pub fn get_pause_ms(self) -> u16 {
+            self.reader.get_data_field::<u16>(12)
+        }
     }
 
     pub struct Builder<'a> {
@@ -2529,7 +2533,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+            ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2685,6 +2689,14 @@
         pub fn set_speed_log_squares(&mut self, value: f32) {
             self.builder.set_data_field::<f32>(5, value);
         }
+        #[inline]
+        pub fn get_pause_ms(self) -> u16 {
+            self.builder.get_data_field::<u16>(12)
+        }
+        #[inline]
+        pub fn set_pause_ms(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(12, value);
+        }
     }
 
     pub struct Pipeline {
@@ -2697,17 +2709,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 176] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 191] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(49, 69, 98, 103, 64, 42, 182, 213),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
@@ -2715,77 +2727,84 @@
             ::capnp::word(114, 76, 111, 97, 100, 82, 111, 119),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 56, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 57, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2874,6 +2893,14 @@
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 117, 115, 101, 77, 115, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2887,6 +2914,7 @@
                 7 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2905,9 +2933,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 5, 2, 1, 0, 7, 9, 8, 4, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 5, 2, 10, 1, 0, 7, 9, 8, 4, 3];
         pub(crate) const TYPE_ID: u64 = 0xd5b6_2a40_6762_4531;
     }
 }
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -199,6 +199,7 @@
             target.set_unreachable(row.is_down);
             target.set_draining(row.is_draining);
             target.set_backed_off(row.is_backed_off);
+            target.set_pause_ms(row.pause_ms);
             target.set_speed_answers(row.speed.answers as f32);
             target.set_speed_logs(row.speed.log_slowness as f32);
             target.set_speed_log_squares(row.speed.log_slowness_squares as f32);
@@ -332,6 +333,7 @@
         is_draining: row.get_draining(),
         is_backed_off: row.get_backed_off(),
         speed: read_speed(row),
+        pause_ms: row.get_pause_ms(),
     };
     let workspace = |row: workspace_use_row::Reader<'_>| WorkspaceUseRow {
         workspace: NameHash(row.get_workspace()),
--- a/crates/reedsail_wire/tests/golden.rs
+++ b/crates/reedsail_wire/tests/golden.rs
@@ -111,6 +111,7 @@
                     log_slowness: -1.25,
                     log_slowness_squares: 2.0,
                 },
+                pause_ms: 0x2727,
             }],
             workspaces: vec![WorkspaceUseRow {
                 workspace: NameHash(0x0e0e),
@@ -154,6 +155,7 @@
     load.servers[0].is_draining = false;
     load.servers[0].is_backed_off = false;
     load.servers[0].speed = SpeedSums::default();
+    load.servers[0].pause_ms = 0;
     load.suspects.clear();
     load.workspaces[0].recent_prefill_tokens = 0.0;
     load.workspaces[0].recent_sent_cost = 0.0;
@@ -191,6 +193,15 @@
     let read = LoadMessage::decode(&snapshot_bytes("load_message_before_speeds")).unwrap();
     let mut expected = load_message();
     expected.load.servers[0].speed = SpeedSums::default();
+    expected.load.servers[0].pause_ms = 0;
+    assert_eq!(read, expected);
+}
+
+#[test]
+fn a_load_message_of_a_release_without_pauses_is_read() {
+    let read = LoadMessage::decode(&snapshot_bytes("load_message_before_pauses")).unwrap();
+    let mut expected = load_message();
+    expected.load.servers[0].pause_ms = 0;
     assert_eq!(read, expected);
 }
 
--- a/crates/reedsail_wire/tests/load_message.rs
+++ b/crates/reedsail_wire/tests/load_message.rs
@@ -62,6 +62,7 @@
                         log_slowness: -1.25,
                         log_slowness_squares: 2.0,
                     },
+                    pause_ms: 250,
                 })
                 .collect(),
             workspaces: (0..rows)
