--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -193,7 +193,7 @@
             pause_bound: self
                 .pauses
                 .get(&demand.service)
-                .and_then(|pauses| pauses.bound(self.servers.fastest_slowness(demand.service), now)),
+                .and_then(|pauses| pauses.bound(now)),
             now,
         };
         let placement = placer.choose(demand);
--- a/crates/reedsail_dispatch/src/engine_speed.rs
+++ b/crates/reedsail_dispatch/src/engine_speed.rs
@@ -137,8 +137,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SpeedSpread {
     is_uneven: bool,
-    /// Slowness of the fastest engine; `None` while the engines count as equally fast.
-    fastest: Option<f64>,
 }
 
 impl SpeedSpread {
@@ -160,18 +158,10 @@
         let sampling_variance = compared().map(SpeedSums::sampling_variance).sum::<f64>() / count as f64;
         let spread = (variance - sampling_variance).max(0.0).sqrt();
         self.is_uneven = spread > if self.is_uneven { UNEVEN_UNTIL } else { UNEVEN_FROM };
-        self.fastest = None;
         for (sums, engine) in &mut engines {
             let relative = (sums.log_estimate() - mean).exp();
             let slowness = relative.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
             engine.relative_slowness = self.is_uneven.then_some(slowness);
-            let fastest = self.fastest.map_or(slowness, |fastest| fastest.min(slowness));
-            self.fastest = self.is_uneven.then_some(fastest);
         }
     }
-
-    /// Returns the slowness of the fastest engine, relative to the mean.
-    pub(crate) fn fastest(self) -> f64 {
-        self.fastest.unwrap_or(1.0)
-    }
 }
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -406,11 +406,6 @@
         }
     }
 
-    /// Returns the slowness of a service's fastest engine, relative to the mean.
-    pub(crate) fn fastest_slowness(&self, service: NameHash) -> f64 {
-        self.spreads.get(&service).copied().unwrap_or_default().fastest()
-    }
-
     /// Drops all load that peers reported.
     pub(crate) fn clear_peers(&mut self) {
         for server in &mut self.servers {
--- a/crates/reedsail_dispatch/src/stream_pause.rs
+++ b/crates/reedsail_dispatch/src/stream_pause.rs
@@ -5,7 +5,7 @@
 //! streams, or an event without prefill if that is longer, and the prefill of the backlog and of the prompt. Half of
 //! the gap target is left for slow spells. Where the pause exceeds that, the prompt is placed on another server, and
 //! refused if there is none. Long prompts belong to engines that keep the target with them. A prompt that exceeds the
-//! target by itself even on the fastest engine is sent where it adds nothing to that excess. The rule holds for engines
+//! target by itself on an engine of mean speed is sent where the excess is no greater than that. The rule holds for engines
 //! at whose speed long gaps are observed; everywhere else prompts are placed and admitted as if pauses did not matter.
 //!
 //! **Inputs.** The gap target of each service's requests, gaps between events, the present pauses of the streams of all
@@ -84,14 +84,13 @@
     }
 
     /// Returns the bound on the pauses of the service's streams, or `None` if they have no gap target.
-    pub(crate) fn bound(&self, fastest_slowness: f64, now: TimeMs) -> Option<PauseBound> {
+    pub(crate) fn bound(&self, now: TimeMs) -> Option<PauseBound> {
         let target_ms = self.target(now)? as f64;
         let gaps: f64 = self.counts.iter().sum();
         (gaps >= GAPS_MIN).then(|| PauseBound {
             target_ms,
-            fastest_slowness,
             decode_ms: self.gap_ms(DECODE_FRACTION * gaps),
-            long_gap_ms: self.gap_ms((1.0 - LATE_GAPS_FRACTION) * gaps),
+            kept_slowness: target_ms / self.gap_ms((1.0 - LATE_GAPS_FRACTION) * gaps),
         })
     }
 
@@ -121,19 +120,17 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct PauseBound {
     target_ms: f64,
-    /// Slowness of the service's fastest engine.
-    fastest_slowness: f64,
     /// Time of an event without prefill.
     decode_ms: f64,
-    /// Gap that few gaps exceed.
-    long_gap_ms: f64,
+    /// Greatest slowness at which all but few gaps keep the target.
+    kept_slowness: f64,
 }
 
 impl PauseBound {
     /// Returns by how much the streams of an engine of the given slowness pause too long if one of them has paused
     /// for `pause_ms` and the engine prefills for `prefill_ms`, in milliseconds.
     pub(crate) fn excess_ms(self, slowness: f64, pause_ms: f64, prefill_ms: f64) -> f64 {
-        if self.long_gap_ms * slowness <= self.target_ms {
+        if slowness <= self.kept_slowness {
             return 0.0;
         }
         let event_ms = self.decode_ms * slowness * SPELL_FACTOR;
@@ -142,7 +139,8 @@
     }
 
     /// Returns by how much the streams of an engine pause too long, beyond what a prompt that takes `own_ms` on an
-    /// engine of mean speed causes on the fastest engine without a backlog, in milliseconds.
+    /// engine of mean speed causes there without a backlog, in milliseconds. A longer prompt thus finds a place among
+    /// others on a fast engine more often, as it has no other.
     pub(crate) fn avoidable_excess_ms(
         self,
         slowness: f64,
@@ -150,8 +148,7 @@
         prefill_ms: f64,
         own_ms: f64,
     ) -> f64 {
-        let fastest = self.fastest_slowness;
-        let unavoidable_ms = self.excess_ms(fastest, 0.0, own_ms * fastest);
+        let unavoidable_ms = self.excess_ms(1.0, 0.0, own_ms);
         (self.excess_ms(slowness, pause_ms, prefill_ms) - unavoidable_ms).max(0.0)
     }
 
