--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -18,7 +18,7 @@
 /// A request that was sent to a server. The caller returns it to the dispatcher when it ends.
 #[derive(Debug)]
 pub struct Attempt {
-    number: u64,
+    pub(crate) number: u64,
     pub(crate) server: ServerKey,
     pub(crate) service: NameHash,
     pub(crate) fingerprint: Option<Fingerprint>,
@@ -36,6 +36,10 @@
     pub(crate) expected_ms: u64,
     pub(crate) began_at: TimeMs,
     pub(crate) has_answered: bool,
+    /// The target for the longest gap between two events, in milliseconds; `None` if there is none.
+    pub(crate) gap_target_ms: Option<u64>,
+    /// Since when the caller has room for the next event; `None` before the first event and while it has not.
+    pub(crate) waiting_since: Option<TimeMs>,
     pub(crate) has_prompt: bool,
     /// Its place in the request window of a server that resumes after a back-off, until it is answered.
     pub(crate) window_permit: Option<WindowPermit>,
@@ -48,6 +52,11 @@
         self.server
     }
 
+    /// Returns whether the answer has begun and its caller is not known to have room for the next event.
+    pub fn is_caller_busy(&self) -> bool {
+        self.has_answered && self.waiting_since.is_none()
+    }
+
     /// Records whether the server may have received the request.
     pub fn set_written(&mut self, is_written: bool) {
         self.is_written = is_written;
@@ -119,6 +128,8 @@
             expected_ms: placement.expected_ms.max(1),
             began_at: now,
             has_answered: false,
+            gap_target_ms: demand.gap_target_ms,
+            waiting_since: None,
             has_prompt: demand.engine_prompt().is_some(),
             window_permit: None,
             is_written: false,
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `placement`, with `candidate_ranking`, `latency_estimate`, `first_event_model` and `prefix_cache_index` | which backend server |
 //! | `engine_speed` | how fast each engine is, relative to the others of its service |
 //! | `event_gaps` | the longest pause between two events of a stream |
+//! | `stream_pause` | which engines get no further prompt because their streams would pause too long |
 //! | `allowed_regions` | in which regions a request may run |
 //! | `server_groups` | which servers a decision considers |
 //! | `load_pressure` | how soon peers must learn of the load |
@@ -80,6 +81,7 @@
 mod slow_reader;
 mod slow_start;
 mod store_reader;
+mod stream_pause;
 
 pub use admission::time_left_ms;
 pub use allowed_regions::AllowedRegions;
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -2,11 +2,12 @@
 //!
 //! **Rule.** A prompt goes to one of the two servers that rank first for its last shared segment, its homes
 //! (`candidate_ranking`). Of these, the server with the earliest expected first event is chosen, with a penalty
-//! for the second one. A request without a prompt goes to the server of its service with the least expected
-//! time. Servers that were already tried are excluded, and so are servers whose lifecycle state or slow start
-//! allows no new request (`server_life`, `slow_start`). Unreachable servers, and servers of an unreachable
-//! failure domain (`domain_reach`), are used only if there is no other. After a connect to another failure
-//! domain failed, servers in the own failure domain are tried first.
+//! for the second one. A server whose streams would pause too long (`stream_pause`) has a penalty of the excess. A
+//! request without a prompt goes to the server of its service with the least expected time. Servers that were already
+//! tried are excluded, and so are servers whose lifecycle state or slow start allows no new request (`server_life`,
+//! `slow_start`). Unreachable servers, and servers of an unreachable failure domain (`domain_reach`), are used only if
+//! there is no other. After a connect to another failure domain failed, servers in the own failure domain are tried
+//! first.
 //!
 //! **Inputs.** Requests and prefill tokens on each server from all instances, slots, health, the
 //! segments each server has cached, the service's first-event model; times in milliseconds.
@@ -37,6 +38,7 @@
 use crate::server_groups::GroupedServer;
 use crate::server_table::ServerState;
 use crate::server_table::ServerTable;
+use crate::stream_pause::PauseBound;
 
 /// Penalty for sending a prompt to its second server if that server has not cached the segment, in
 /// milliseconds.
@@ -75,6 +77,8 @@
     pub(crate) own_region: Option<NameHash>,
     /// The first-event model of the called service.
     pub(crate) model: FirstEventModel,
+    /// The bound on the pauses of the called service's streams; `None` if they have no gap target.
+    pub(crate) pause_bound: Option<PauseBound>,
     pub(crate) now: TimeMs,
 }
 
@@ -156,6 +160,7 @@
             other_wait_ms: 0,
             expected_ms: latency_estimate::plain_ms(state) as u64,
             queue_ms: latency_estimate::plain_queue_ms(state) as u64,
+            pause_excess_ms: 0,
         })
     }
 
@@ -185,7 +190,7 @@
         scope: CandidateScope,
     ) -> Option<Placement> {
         let segment = prompt.last_shared()?;
-        let homes = self.rank::<HOMES>(segment, demand, scope)?;
+        let homes = self.rank::<HOMES>(prompt, segment, demand, scope)?;
         let candidates = homes.iter().map(|(rank, key)| {
             let placement = self.place_prompt(demand, prompt, segment, key, rank);
             let penalty_ms = self.candidate_penalty_ms(demand, segment, &placement);
@@ -199,19 +204,28 @@
     /// Returns the usable servers that rank highest for a segment, in the first group that has any.
     fn rank<const N: usize>(
         &self,
+        prompt: &Prompt,
         segment: PromptSegment,
         demand: &Demand<'_>,
         scope: CandidateScope,
     ) -> Option<RankedServers<N>> {
         let weighted = |server: GroupedServer| {
-            let slowness = self.servers.get(server.key).speed.relative_slowness();
-            rendezvous_score(server, segment.id, slowness)
+            rendezvous_score(server, segment.id, self.ownership_slowness(server, prompt))
         };
         let is_usable = |server: GroupedServer| self.usable(server, demand, scope).is_some();
         let mut groups = self.servers.of_service(demand.service).beginning_with(segment.id);
         groups.find_map(|group| RankedServers::rank(group, weighted, is_usable))
     }
 
+    /// Returns the slowness by which an engine owns segments; `None` while the engines of its service count as equally
+    /// fast. It is higher for an engine whose streams the prompt would make pause too long.
+    fn ownership_slowness(&self, server: GroupedServer, prompt: &Prompt) -> Option<f64> {
+        let slowness = self.servers.get(server.key).speed.relative_slowness()?;
+        let prefill_ms = self.model.prefill_ms(f64::from(prompt.own_tokens())) * slowness;
+        let reluctance = |bound: PauseBound| bound.reluctance(slowness, prefill_ms);
+        Some(slowness * self.pause_bound.map_or(1.0, reluctance))
+    }
+
     /// Returns what is added to a home's expected time before homes are compared, in milliseconds.
     fn candidate_penalty_ms(
         &self,
@@ -221,7 +235,8 @@
     ) -> f64 {
         let server = placement.server;
         let second_server_ms = self.second_server_penalty_ms(segment, server, placement.rank == 0);
-        second_server_ms + self.health_penalty_ms(self.servers.get(server), demand)
+        let health_ms = self.health_penalty_ms(self.servers.get(server), demand);
+        second_server_ms + health_ms + placement.pause_excess_ms as f64
     }
 
     fn second_server_penalty_ms(&self, segment: PromptSegment, server: ServerKey, is_first: bool) -> f64 {
@@ -260,6 +275,7 @@
             other_wait_ms: other_wait_ms as u64,
             expected_ms: (first_event_ms + transfer_ms) as u64,
             queue_ms: queue_ms as u64,
+            pause_excess_ms: self.pause_excess_ms(server, prefill_tokens) as u64,
         }
     }
 
@@ -290,6 +306,20 @@
         })
     }
 
+    /// Returns how much too long the streams of an engine would pause with a prompt, in milliseconds, beyond what the
+    /// prompt alone causes on an engine of mean speed.
+    fn pause_excess_ms(&self, server: &ServerState, prefill_tokens: u32) -> f64 {
+        let Some(bound) = self.pause_bound.filter(|_| server.running() > 0) else {
+            return 0.0;
+        };
+        let slowness = server.speed.relative_slowness().unwrap_or(1.0);
+        let pause_ms = server.streams.pause_ms(self.now);
+        let prefill_ms = latency_estimate::prefill_ms(server, prefill_tokens, &self.model);
+        let own_ms = self.model.prefill_ms(f64::from(prefill_tokens));
+        let unavoidable_ms = bound.excess_ms(1.0, 0.0, own_ms);
+        (bound.excess_ms(slowness, pause_ms, prefill_ms) - unavoidable_ms).max(0.0)
+    }
+
     fn health_penalty_ms(&self, server: &ServerState, demand: &Demand<'_>) -> f64 {
         server.health.penalty_ms(demand.latency_target_ms, self.now)
     }
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -347,6 +347,7 @@
             ("rank", placement.rank.to_string()),
             ("expected_ms", placement.expected_ms.to_string()),
             ("queue_ms", placement.queue_ms.to_string()),
+            ("pause_excess_ms", placement.pause_excess_ms.to_string()),
             ("running_own", own.to_string()),
             ("running_all", all.to_string()),
         ]
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -189,6 +189,7 @@
                 continue;
             }
             let now = self.shared.clock.now();
+            guard.record_event();
             self.log.record_event(now);
             reader.record_written(now);
             let sent = select! {
@@ -201,6 +202,7 @@
             }
             let now = self.shared.clock.now();
             reader.record_writable(now);
+            guard.record_writable(now);
             self.log.record_writable(now);
         }
     }
