--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -7,9 +7,9 @@
 //! is the time until one of them accepts requests again. A request of a workspace over its fair share is also
 //! refused if other requests occupy the server for more than [`OVER_SHARE_TARGET_FRACTION`] of the target.
 //! While queues are short, `pacing` limits how many prompts are sent for a workspace that requests more than
-//! its share. A prompt does not queue behind more than [`TIGHTEST_TARGET_QUEUE_FRACTION`] of the service's tightest
-//! target (`tightest_target`), and a request does not queue at all while more urgent ones are refused
-//! (`priority_pressure`).
+//! its share. A prompt that would make the streams of its server pause too long (`stream_pause`) is refused, and one
+//! of a starved workspace is sent then only if the server is not busy with others.
+//! A request does not queue while more urgent ones to its service are refused (`priority_pressure`).
 //!
 //! **Inputs.** The request's latency target and the time it has waited so far, the placement's expected time
 //! and queue, all in milliseconds; whether the workspace is over its share (`fair_share`).
@@ -22,7 +22,7 @@
 //! the queues. Workspaces over their share are refused only where prompts of other workspaces wait, so spare
 //! capacity stays usable.
 //!
-//! **Tested by** `tests/placement.rs`, `tests/shares.rs`, `tests/flood.rs`, `tests/refusal_order.rs`.
+//! **Tested by** `tests/placement.rs`, `tests/shares.rs`, `tests/flood.rs`.
 
 use reedsail_core::ErrorKind;
 use reedsail_core::Fingerprint;
@@ -41,9 +41,6 @@
 /// Fraction of the latency target for which a server may be busy with other requests and still be sent a
 /// request that would miss its target anyway.
 const QUEUE_TARGET_FRACTION: f64 = 0.2;
-/// Fraction of the tightest latency target of a service for which prompts with longer targets may keep a server busy.
-/// The rest is left for the prefill of a prompt with that target.
-const TIGHTEST_TARGET_QUEUE_FRACTION: f64 = 0.5;
 /// Number of latency targets within which the first event of a starved workspace's request must be expected.
 const STARVED_TARGETS: f64 = 6.0;
 /// Shortest retry-after of a refusal, in milliseconds.
@@ -77,55 +74,49 @@
     }
 }
 
-/// What admission knows about the other requests of a service.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ServicePressure {
-    /// The shortest latency target of recent prompts, in milliseconds; `None` if there is none.
-    pub(crate) tightest_target_ms: Option<u64>,
-    /// Whether more urgent requests were refused recently.
-    pub(crate) yields: bool,
+/// Returns whether a refused request would have been in time on a server without other requests.
+pub(crate) fn is_refused_for_queue(demand: &Demand<'_>, placement: &Placement) -> bool {
+    let own_ms = placement.expected_ms.saturating_sub(placement.queue_ms);
+    let due_ms = (demand.waited_ms + own_ms) as f64;
+    due_ms <= demand.latency_target_ms as f64 * TARGET_FRACTION
 }
 
-impl ServicePressure {
-    /// Returns whether a server's queue leaves room for prompts with the tightest latency target.
-    fn leaves_room(self, target_ms: f64, queue_ms: f64) -> bool {
-        self.tightest_target_ms.is_none_or(|tightest_ms| {
-            let tightest_ms = tightest_ms as f64;
-            tightest_ms >= target_ms || queue_ms <= tightest_ms * TIGHTEST_TARGET_QUEUE_FRACTION
-        })
-    }
-}
-
-/// Decides whether to send a request that placement found a server for.
+/// Decides whether to send a request that placement found a server for. One that `yields` to more urgent requests does
+/// not queue.
 pub(crate) fn admit(
     demand: &Demand<'_>,
     placement: Placement,
-    pressure: ServicePressure,
+    yields: bool,
     share: impl FnOnce() -> WorkspaceShare,
 ) -> Decision {
     let target_ms = demand.latency_target_ms as f64;
-    let queue_ms = placement.queue_ms as f64;
     let excess_ms = (demand.waited_ms + placement.expected_ms) as f64 - target_ms * TARGET_FRACTION;
-    let queue_excess_ms = queue_ms - target_ms * OVER_SHARE_TARGET_FRACTION;
-    if queue_excess_ms <= 0.0 {
+    let queue_excess_ms = placement.queue_ms as f64 - target_ms * OVER_SHARE_TARGET_FRACTION;
+    let is_idle = queue_excess_ms <= 0.0;
+    let is_first_attempt = demand.tried.is_empty();
+    let is_pause_bounded = demand.gap_target_ms.is_some() && is_first_attempt;
+    let is_pause_short = !is_pause_bounded || placement.pause_excess_ms == 0;
+    if is_idle && is_pause_short {
         return Decision::Send(placement);
     }
     let share = share();
     let is_over_share = share.is_exceeded();
-    let is_queue_short = queue_ms <= target_ms * QUEUE_TARGET_FRACTION;
-    let is_in_time = excess_ms <= 0.0 || is_queue_short;
+    let is_queue_short = placement.queue_ms as f64 <= target_ms * QUEUE_TARGET_FRACTION;
+    let is_in_time = (excess_ms <= 0.0 || is_queue_short) && is_pause_short && !yields;
     let is_starved = share.is_starved() && placement.expected_ms as f64 <= STARVED_TARGETS * target_ms;
-    let may_queue = !pressure.yields && pressure.leaves_room(target_ms, queue_ms);
-    if (is_in_time && may_queue || is_starved) && !is_over_share {
+    if (is_in_time || is_starved) && !is_over_share {
         return Decision::Send(placement);
     }
+    let excess_ms = excess_ms
+        .max(queue_excess_ms)
+        .max(placement.pause_excess_ms as f64);
     Decision::Refuse {
         kind: if is_over_share {
             ErrorKind::OverShare
         } else {
             ErrorKind::WouldMissTarget
         },
-        retry_after_ms: retry_after_ms(demand.latency_target_ms, excess_ms.max(queue_excess_ms)),
+        retry_after_ms: retry_after_ms(demand.latency_target_ms, excess_ms),
         placement: Some(placement),
     }
 }
--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -131,6 +131,8 @@
 pub struct Placement {
     /// The backend server.
     pub server: ServerKey,
+    /// Rank of the server for the prompt's last shared segment, from zero; zero for a request without a prompt.
+    pub rank: u8,
     /// The server from which the chosen one transfers the cached segments that it lacks.
     pub cache_source: Option<ServerKey>,
     /// Prompt tokens that the server is expected to prefill itself.
@@ -144,6 +146,9 @@
     pub expected_ms: u64,
     /// Part of the expected time for which the server is busy with other requests, in milliseconds.
     pub queue_ms: u64,
+    /// By how much the prompts that wait at the server already make its streams exceed their gap target, in
+    /// milliseconds.
+    pub pause_excess_ms: u64,
 }
 
 /// Decision about a request.
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -28,14 +28,13 @@
 use crate::ServerSetup;
 use crate::SlowStartLimit;
 use crate::WorkspaceShare;
-use crate::admission::ServicePressure;
 use crate::admission::admit;
+use crate::admission::is_refused_for_queue;
 use crate::admission::refuse_paced;
 use crate::admission::refuse_unplaced;
 use crate::attempt::UnansweredAttempts;
 use crate::domain_reach::DomainReach;
 use crate::fair_share::UsageTable;
-use crate::flood_headroom::FloodHeadroom;
 use crate::latency_estimate::plain_rounds;
 use crate::load_pressure::pressure;
 use crate::pacing::Pacer;
@@ -50,7 +49,7 @@
 use crate::server_ends::BrokenAttempts;
 use crate::server_table::ServerTable;
 use crate::slow_start::Senders;
-use crate::tightest_target::TightestTargets;
+use crate::stream_pause::StreamPauses;
 
 /// Decides where requests go. Each instance has one.
 #[derive(Debug)]
@@ -70,14 +69,13 @@
     /// Detected server ends that the caller has not taken yet.
     server_ends: Vec<ServerEnd>,
     quarantine: Quarantine,
-    tightest_targets: TightestTargets,
     priorities: PriorityPressure,
-    /// Headroom of floods, by service.
-    headrooms: HashMap<NameHash, FloodHeadroom>,
     /// Number of known instances, which may exceed the number of peers that send reports.
     instances: usize,
     /// Learned first-event models, by service.
     models: HashMap<NameHash, FirstEventModel>,
+    /// Pauses of streams, by service.
+    pauses: HashMap<NameHash, StreamPauses>,
 }
 
 impl Dispatcher {
@@ -98,11 +96,10 @@
             broken: BrokenAttempts::default(),
             server_ends: Vec::new(),
             quarantine: Quarantine::default(),
-            tightest_targets: TightestTargets::default(),
             priorities: PriorityPressure::default(),
-            headrooms: HashMap::new(),
             instances: 0,
             models: HashMap::new(),
+            pauses: HashMap::new(),
         }
     }
 
@@ -163,10 +160,6 @@
     pub fn record_arrival(&mut self, demand: &Demand<'_>, now: TimeMs) {
         self.usage.record_request(demand.workspace, demand.cost(), now);
         self.retries.count_request(demand.service, &self.settings, now);
-        if demand.engine_prompt().is_some() {
-            self.tightest_targets
-                .record(demand.service, demand.latency_target_ms, now);
-        }
     }
 
     /// Takes a retry from the service's budget. Returns `false` if the budget has no room.
@@ -191,6 +184,10 @@
             return Decision::Quarantined;
         }
         self.servers.refresh_speeds(now);
+        if let Some(target_ms) = demand.gap_target_ms {
+            let pauses = self.pauses.entry(demand.service).or_default();
+            pauses.record_target(target_ms, now);
+        }
         let placer = Placer {
             servers: &self.servers,
             reach: &self.reach,
@@ -198,6 +195,10 @@
             own_domain: self.own_domain,
             own_region: self.own_region,
             model: self.first_event_model(demand.service),
+            pause_bound: self
+                .pauses
+                .get(&demand.service)
+                .and_then(|pauses| pauses.bound(now)),
             now,
         };
         let placement = placer.choose(demand);
@@ -209,11 +210,12 @@
             let returns_at = self.servers.returns_at(demand.service, demand.regions, now);
             return refuse_unplaced(demand, returns_at, now);
         };
-        let pressure = self.service_pressure(demand, now);
+        let yields = self.priorities.yields(demand.service, demand.priority, now);
         let usage = &mut self.usage;
-        let share = || usage.share(demand.workspace, now);
-        let mut decision = admit(demand, placement, pressure, share);
-        self.record_admission(demand, &decision, now);
+        let mut decision = admit(demand, placement, yields, || usage.share(demand.workspace, now));
+        if !yields {
+            self.record_priority_pressure(demand, &decision, now);
+        }
         if let Decision::Send(placement) = &decision
             && !self.take_pacing_tokens(demand, placement, now)
         {
@@ -222,30 +224,24 @@
         decision
     }
 
-    fn service_pressure(&self, demand: &Demand<'_>, now: TimeMs) -> ServicePressure {
-        ServicePressure {
-            tightest_target_ms: self.tightest_targets.of(demand.service, now),
-            yields: self.priorities.yields(demand.service, demand.priority, now),
-        }
-    }
-
-    /// Records the admission decision about a request within its workspace's share.
-    fn record_admission(&mut self, demand: &Demand<'_>, decision: &Decision, now: TimeMs) {
-        let is_refused = match decision {
-            Decision::Send(_) => false,
-            Decision::Refuse { kind, .. } if *kind == ErrorKind::WouldMissTarget => true,
-            Decision::Refuse { .. } | Decision::Quarantined => return,
+    /// Records the refusal of a request within its workspace's share that another time or server would have served. The
+    /// refusal of one that yields would make the next lower priority yield in turn.
+    fn record_priority_pressure(&mut self, demand: &Demand<'_>, decision: &Decision, now: TimeMs) {
+        let Decision::Refuse {
+            kind: ErrorKind::WouldMissTarget,
+            placement: Some(placement),
+            ..
+        } = decision
+        else {
+            return;
         };
-        if is_refused {
+        let share = self.usage.share(demand.workspace, now);
+        let is_within_share = share.requested_cost <= share.level_cost;
+        let is_first_attempt = demand.tried.is_empty();
+        if is_first_attempt && is_within_share && is_refused_for_queue(demand, placement) {
             self.priorities
                 .record_refusal(demand.service, demand.priority, now);
         }
-        let is_first_attempt = demand.tried.is_empty();
-        let is_prompt = demand.engine_prompt().is_some();
-        if is_first_attempt && is_prompt && self.usage.capped(demand.workspace, now).is_none() {
-            let headroom = self.headrooms.entry(demand.service).or_default();
-            headroom.record(is_refused, now);
-        }
     }
 
     /// Returns whether a request may be written to an idle connection to a server. If no server of another
@@ -264,17 +260,10 @@
             return true;
         }
         let capacity = self.prefill_capacity(demand.service);
-        let headroom = self.headrooms.get(&demand.service).copied().unwrap_or_default();
         let prefill_tokens = f64::from(placement.prefill_tokens);
         self.usage.capped(demand.workspace, now).is_none_or(|workspace| {
-            self.pacer.try_take(
-                demand.workspace,
-                &workspace,
-                capacity,
-                headroom,
-                prefill_tokens,
-                now,
-            )
+            self.pacer
+                .try_take(demand.workspace, &workspace, capacity, prefill_tokens, now)
         })
     }
 
@@ -353,6 +342,30 @@
         }
     }
 
+    /// Records an event of an answer, the first one included.
+    pub fn record_event(&mut self, attempt: &mut Attempt, now: TimeMs) {
+        self.record_first_event(attempt, now);
+        let Some(waiting_since) = attempt.waiting_since.take() else {
+            return;
+        };
+        let server = self.servers.get_mut(attempt.server);
+        server.streams.remove(attempt.number);
+        if attempt.has_prompt {
+            let slowness = server.speed.relative_slowness().unwrap_or(1.0);
+            let pauses = self.pauses.entry(attempt.service).or_default();
+            pauses.record_gap(now.since_ms(waiting_since), slowness, now);
+        }
+    }
+
+    /// Records that the caller has room for the next event of an answer. Until then a pause is the caller's.
+    pub fn record_writable(&mut self, attempt: &mut Attempt, now: TimeMs) {
+        attempt.waiting_since = Some(now);
+        if attempt.gap_target_ms.is_some() {
+            let server = self.servers.get_mut(attempt.server);
+            server.streams.begin_wait(attempt.number, now);
+        }
+    }
+
     /// Ends an attempt and updates the server's health by the outcome.
     pub fn finish_attempt(&mut self, mut attempt: Attempt, outcome: AttemptOutcome, now: TimeMs) {
         if !attempt.may_have_run(outcome) {
@@ -371,6 +384,7 @@
         }
         let server = self.servers.get_mut(attempt.server);
         server.own.running = server.own.running.saturating_sub(1);
+        server.streams.remove(attempt.number);
         if let Some(permit) = attempt.window_permit.take() {
             server.backoff.release(permit);
         }
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -7,9 +7,10 @@
 //!
 //! | module | rule |
 //! |---|---|
-//! | `placement`, with `latency_estimate`, `first_event_model` and `prefix_cache_index` | which backend server |
+//! | `placement`, with `candidate_ranking`, `latency_estimate`, `first_event_model` and `prefix_cache_index` | which backend server |
 //! | `engine_speed` | how fast each engine is, relative to the others of its service |
 //! | `event_gaps` | the longest pause between two events of a stream |
+//! | `stream_pause` | which engines get no further prompt because their streams would pause too long |
 //! | `allowed_regions` | in which regions a request may run |
 //! | `server_groups` | which servers a decision considers |
 //! | `load_pressure` | how soon peers must learn of the load |
@@ -17,8 +18,6 @@
 //! | `retry` | whether a request may be sent again, and whether the retry budget has room |
 //! | `fair_share`, with `max_min` and `decaying_sum` | whether a workspace exceeds its share |
 //! | `pacing` | how fast prompts are sent for a workspace that requests more than its share |
-//! | `flood_headroom` | how far above their share such workspaces are paced |
-//! | `tightest_target` | how long a queue prompts with longer targets may build |
 //! | `priority_pressure` | which requests yield to more urgent ones |
 //! | `server_health`, with `failure_rate` and `attempt` | failure rate, overdue answers, unreachable servers |
 //! | `domain_reach` | whether a failure domain can be connected to at all |
@@ -40,6 +39,7 @@
 mod admission;
 mod allowed_regions;
 mod attempt;
+mod candidate_ranking;
 mod decaying_sum;
 mod demand;
 mod departures;
@@ -52,7 +52,6 @@
 mod failure_rate;
 mod fair_share;
 mod first_event_model;
-mod flood_headroom;
 mod gossip_timing;
 mod latency_estimate;
 mod list_delta;
@@ -84,7 +83,7 @@
 mod slow_reader;
 mod slow_start;
 mod store_reader;
-mod tightest_target;
+mod stream_pause;
 
 pub use admission::time_left_ms;
 pub use allowed_regions::AllowedRegions;
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -1,12 +1,13 @@
 //! Placement: which backend server a request goes to.
 //!
-//! **Rule.** A prompt goes to one of the two servers that rank first for its last shared segment by
-//! rendezvous hashing. Of these, the server with the earliest expected first event is chosen, with a penalty
-//! for the second one. A request without a prompt goes to the server of its service with the least expected
-//! time. Servers that were already tried are excluded, and so are servers whose lifecycle state or slow start
-//! allows no new request (`server_life`, `slow_start`). Unreachable servers, and servers of an unreachable
-//! failure domain (`domain_reach`), are used only if there is no other. After a connect to another failure
-//! domain failed, servers in the own failure domain are tried first.
+//! **Rule.** A prompt goes to one of the two servers that rank first for its last shared segment, its homes
+//! (`candidate_ranking`). Of these, the server with the earliest expected first event is chosen, with a penalty
+//! for the second one. A server whose streams would pause too long (`stream_pause`) has a penalty of the excess. A
+//! request without a prompt goes to the server of its service with the least expected time. Servers that were already
+//! tried are excluded, and so are servers whose lifecycle state or slow start allows no new request (`server_life`,
+//! `slow_start`). Unreachable servers, and servers of an unreachable failure domain (`domain_reach`), are used only if
+//! there is no other. After a connect to another failure domain failed, servers in the own failure domain are tried
+//! first.
 //!
 //! **Inputs.** Requests and prefill tokens on each server from all instances, slots, health, the
 //! segments each server has cached, the service's first-event model; times in milliseconds.
@@ -28,15 +29,17 @@
 use crate::Placement;
 use crate::Prompt;
 use crate::PromptSegment;
+use crate::candidate_ranking::HOMES;
+use crate::candidate_ranking::RankedServers;
+use crate::candidate_ranking::rendezvous_score;
 use crate::domain_reach::DomainReach;
 use crate::latency_estimate;
 use crate::prefix_cache_index::PrefixCacheIndex;
 use crate::server_groups::GroupedServer;
 use crate::server_table::ServerState;
 use crate::server_table::ServerTable;
+use crate::stream_pause::PauseBound;
 
-/// Number of servers over which the prompts with the same shared segment are spread.
-const SERVERS_PER_SEGMENT_MAX: usize = 2;
 /// Penalty for sending a prompt to its second server if that server has not cached the segment, in
 /// milliseconds.
 const SECOND_SERVER_PENALTY_MS: f64 = 250.0;
@@ -74,6 +77,8 @@
     pub(crate) own_region: Option<NameHash>,
     /// The first-event model of the called service.
     pub(crate) model: FirstEventModel,
+    /// The bound on the pauses of the called service's streams; `None` if they have no gap target.
+    pub(crate) pause_bound: Option<PauseBound>,
     pub(crate) now: TimeMs,
 }
 
@@ -148,12 +153,14 @@
         let state = self.servers.get(server);
         Some(Placement {
             server,
+            rank: 0,
             cache_source: None,
             prefill_tokens: 0,
             work: EngineWork::default(),
             other_wait_ms: 0,
             expected_ms: latency_estimate::plain_ms(state) as u64,
             queue_ms: latency_estimate::plain_queue_ms(state) as u64,
+            pause_excess_ms: 0,
         })
     }
 
@@ -175,6 +182,7 @@
         }
     }
 
+    /// Chooses the home with the earliest expected first event.
     fn choose_engine(
         &self,
         demand: &Demand<'_>,
@@ -182,58 +190,53 @@
         scope: CandidateScope,
     ) -> Option<Placement> {
         let segment = prompt.last_shared()?;
-        let mut groups = self.servers.of_service(demand.service).beginning_with(segment.id);
-        let ranked = groups.find_map(|group| self.rank(group, segment.id, demand, scope))?;
-        let candidates = ranked.into_iter().flatten().map(|key| {
-            let placement = self.place_prompt(demand, prompt, segment, key);
-            let second_server_penalty_ms =
-                self.second_server_penalty_ms(segment, key, Some(key) == ranked[0]);
-            let health_penalty_ms = self.health_penalty_ms(self.servers.get(key), demand);
-            (
-                placement,
-                placement.expected_ms as f64 + second_server_penalty_ms + health_penalty_ms,
-            )
+        let homes = self.rank::<HOMES>(prompt, segment, demand, scope)?;
+        let candidates = homes.iter().map(|(rank, key)| {
+            let placement = self.place_prompt(demand, prompt, segment, key, rank);
+            let penalty_ms = self.candidate_penalty_ms(demand, segment, &placement);
+            (placement, placement.expected_ms as f64 + penalty_ms)
         });
         candidates
             .min_by(|(_, left), (_, right)| left.total_cmp(right))
             .map(|(placement, _)| placement)
     }
 
-    /// Returns the usable servers of a group that rank highest for a segment by rendezvous hashing, in
-    /// descending order, or `None` if no server is usable. Usability is checked only for a server that would
-    /// rank among them.
-    fn rank(
+    /// Returns the usable servers that rank highest for a segment, in the first group that has any.
+    fn rank<const N: usize>(
         &self,
-        group: &[GroupedServer],
-        segment: u64,
+        prompt: &Prompt,
+        segment: PromptSegment,
         demand: &Demand<'_>,
         scope: CandidateScope,
-    ) -> Option<[Option<ServerKey>; SERVERS_PER_SEGMENT_MAX]> {
-        let mut ranked: [Option<(f64, ServerKey)>; SERVERS_PER_SEGMENT_MAX] = [None; SERVERS_PER_SEGMENT_MAX];
-        for server in group {
-            let weight = self.rendezvous_score(*server, segment);
-            let outranks = |other: &Option<(f64, ServerKey)>| other.is_none_or(|(other, _)| weight > other);
-            let Some(position) = ranked.iter().position(outranks) else {
-                continue;
-            };
-            if self.usable(*server, demand, scope).is_some() {
-                ranked[position..].rotate_right(1);
-                ranked[position] = Some((weight, server.key));
-            }
-        }
-        ranked[0]?;
-        Some(ranked.map(|server| server.map(|(_, key)| key)))
+    ) -> Option<RankedServers<N>> {
+        let weighted = |server: GroupedServer| {
+            rendezvous_score(server, segment.id, self.ownership_slowness(server, prompt))
+        };
+        let is_usable = |server: GroupedServer| self.usable(server, demand, scope).is_some();
+        let mut groups = self.servers.of_service(demand.service).beginning_with(segment.id);
+        groups.find_map(|group| RankedServers::rank(group, weighted, is_usable))
     }
 
-    /// Returns the score of a server for a segment. Engines that differ in speed own segments in proportion to their
-    /// speed, by weighted rendezvous hashing.
-    fn rendezvous_score(&self, server: GroupedServer, segment: u64) -> f64 {
-        let weight = server.name.rendezvous_weight(segment) as f64;
-        let slowness = self.servers.get(server.key).speed.relative_slowness();
-        slowness.map_or(weight, |slowness| {
-            let uniform = (weight + 1.0) / 2.0_f64.powi(64);
-            uniform.min(1.0).ln() * slowness
-        })
+    /// Returns the slowness by which an engine owns segments; `None` while the engines of its service count as equally
+    /// fast. It is higher for an engine whose streams the prompt would make pause too long.
+    fn ownership_slowness(&self, server: GroupedServer, prompt: &Prompt) -> Option<f64> {
+        let slowness = self.servers.get(server.key).speed.relative_slowness()?;
+        let prefill_ms = self.model.prefill_ms(f64::from(prompt.own_tokens())) * slowness;
+        let reluctance = |bound: PauseBound| bound.reluctance(slowness, prefill_ms);
+        Some(slowness * self.pause_bound.map_or(1.0, reluctance))
+    }
+
+    /// Returns what is added to a home's expected time before homes are compared, in milliseconds.
+    fn candidate_penalty_ms(
+        &self,
+        demand: &Demand<'_>,
+        segment: PromptSegment,
+        placement: &Placement,
+    ) -> f64 {
+        let server = placement.server;
+        let second_server_ms = self.second_server_penalty_ms(segment, server, placement.rank == 0);
+        let health_ms = self.health_penalty_ms(self.servers.get(server), demand);
+        second_server_ms + health_ms + placement.pause_excess_ms as f64
     }
 
     fn second_server_penalty_ms(&self, segment: PromptSegment, server: ServerKey, is_first: bool) -> f64 {
@@ -251,6 +254,7 @@
         prompt: &Prompt,
         last_shared: PromptSegment,
         key: ServerKey,
+        rank: usize,
     ) -> Placement {
         let server = self.servers.get(key);
         let cache_source = self.cache_source(demand, last_shared.id, key);
@@ -264,12 +268,14 @@
         let other_wait_ms = transfer_ms + latency_estimate::slot_wait_ms(server);
         Placement {
             server: key,
+            rank: rank as u8,
             cache_source,
             prefill_tokens,
             work,
             other_wait_ms: other_wait_ms as u64,
             expected_ms: (first_event_ms + transfer_ms) as u64,
             queue_ms: queue_ms as u64,
+            pause_excess_ms: self.pause_excess_ms(server, prefill_tokens) as u64,
         }
     }
 
@@ -300,6 +306,20 @@
         })
     }
 
+    /// Returns how much too long the streams of an engine would pause with a prompt, in milliseconds, beyond what the
+    /// prompt alone causes on an engine of mean speed.
+    fn pause_excess_ms(&self, server: &ServerState, prefill_tokens: u32) -> f64 {
+        let Some(bound) = self.pause_bound.filter(|_| server.running() > 0) else {
+            return 0.0;
+        };
+        let slowness = server.speed.relative_slowness().unwrap_or(1.0);
+        let pause_ms = server.streams.pause_ms(self.now);
+        let prefill_ms = latency_estimate::prefill_ms(server, prefill_tokens, &self.model);
+        let own_ms = self.model.prefill_ms(f64::from(prefill_tokens));
+        let unavoidable_ms = bound.excess_ms(1.0, 0.0, own_ms);
+        (bound.excess_ms(slowness, pause_ms, prefill_ms) - unavoidable_ms).max(0.0)
+    }
+
     fn health_penalty_ms(&self, server: &ServerState, demand: &Demand<'_>) -> f64 {
         server.health.penalty_ms(demand.latency_target_ms, self.now)
     }
--- a/crates/reedsail_dispatch/src/priority_pressure.rs
+++ b/crates/reedsail_dispatch/src/priority_pressure.rs
@@ -1,7 +1,9 @@
 //! Priority pressure: which requests yield because more urgent ones are refused.
 //!
-//! **Rule.** A refusal of a request within its workspace's share is remembered for [`REMEMBERED_MS`] with its service
-//! and priority. Meanwhile, less urgent requests to that service are sent only to servers on which nobody waits.
+//! **Rule.** A refusal is remembered for [`REMEMBERED_MS`] with its service and priority if other requests were the
+//! cause: the request's workspace is within its share, and it would have been in time on a server without them.
+//! Meanwhile, less urgent requests to that service are sent only to servers with next to no queue. Their own refusals
+//! are not remembered. A starved workspace is sent all the same.
 //!
 //! **Inputs.** Refusals, by service and priority. Operators set priorities; that of a workspace goes before that of a
 //! route.
--- a/crates/reedsail_router/src/traffic/attempt_guard.rs
+++ b/crates/reedsail_router/src/traffic/attempt_guard.rs
@@ -4,6 +4,7 @@
 
 use hyper::HeaderMap;
 use reedsail_core::ServerKey;
+use reedsail_core::TimeMs;
 use reedsail_dispatch::Attempt;
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_dispatch::Demand;
@@ -46,6 +47,21 @@
         }
     }
 
+    /// Records an event of the response, the first one included.
+    pub(crate) fn record_event(&mut self) {
+        if let Some(attempt) = &mut self.attempt {
+            let now = self.shared.clock.now();
+            self.shared.dispatcher().record_event(attempt, now);
+        }
+    }
+
+    /// Records that the caller has room for the next event. Later calls do nothing until that event.
+    pub(crate) fn record_writable(&mut self, now: TimeMs) {
+        if let Some(attempt) = self.attempt.as_mut().filter(|attempt| attempt.is_caller_busy()) {
+            self.shared.dispatcher().record_writable(attempt, now);
+        }
+    }
+
     /// Ends the attempt with its outcome.
     pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
         self.end(outcome);
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -74,12 +74,15 @@
         let now = self.clock.now();
         self.reader.record_writable(now);
         self.log.record_writable(now);
+        if let Some(attempt) = &mut self.attempt {
+            attempt.guard.record_writable(now);
+        }
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 let now = self.clock.now();
                 self.reader.record_written(now);
                 if let Some(attempt) = &mut self.attempt {
-                    attempt.guard.record_first_event();
+                    attempt.guard.record_event();
                 }
                 self.log.record_event(now);
                 if self.body.is_end_stream() {
