Refuse prompts for pauses only beyond the share of their workspace

Change: pauses are a reason to refuse only for workspaces that request more than their share; all prompts are still placed by them.

Tests: stream_pause.rs replays its load beyond the share, with the same bounds, and sends a prompt within the share under the same pause.

--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -7,9 +7,8 @@
 //! is the time until one of them accepts requests again. A request of a workspace over its fair share is also
 //! refused if other requests occupy the server for more than [`OVER_SHARE_TARGET_FRACTION`] of the target.
 //! While queues are short, `pacing` limits how many prompts are sent for a workspace that requests more than
-//! its share. A prompt that would make the streams of its server pause too long (`stream_pause`) is refused, and one
-//! of a starved workspace is sent then only if the server is not busy with others.
-//! A request does not queue while more urgent ones to its service are refused (`priority_pressure`).
+//! its share. A prompt of such a workspace that would make the streams of its server pause too long (`stream_pause`) is
+//! refused. A request does not queue while more urgent ones to its service are refused (`priority_pressure`).
 //!
 //! **Inputs.** The request's latency target and the time it has waited so far, the placement's expected time
 //! and queue, all in milliseconds; whether the workspace is over its share (`fair_share`).
@@ -22,7 +21,11 @@
 //! the queues. Workspaces over their share are refused only where prompts of other workspaces wait, so spare
 //! capacity stays usable.
 //!
-//! **Tested by** `tests/placement.rs`, `tests/shares.rs`, `tests/flood.rs`.
+//! A pause makes an answer late, and a refused caller that is refused again gets none. So pauses are a reason to refuse
+//! only what a workspace requests beyond its share; other prompts are placed where the pause is shortest.
+//!
+//! **Tested by** `tests/placement.rs`, `tests/shares.rs`, `tests/flood.rs`, `tests/stream_pause.rs`,
+//! `tests/refusal_order.rs`.
 
 use reedsail_core::ErrorKind;
 use reedsail_core::Fingerprint;
@@ -100,9 +103,13 @@
         return Decision::Send(placement);
     }
     let share = share();
+    let may_pause = is_pause_short || share.requested_cost <= share.level_cost;
+    if is_idle && may_pause {
+        return Decision::Send(placement);
+    }
     let is_over_share = share.is_exceeded();
     let is_queue_short = placement.queue_ms as f64 <= target_ms * QUEUE_TARGET_FRACTION;
-    let is_in_time = (excess_ms <= 0.0 || is_queue_short) && is_pause_short && !yields;
+    let is_in_time = (excess_ms <= 0.0 || is_queue_short) && may_pause && !yields;
     let is_starved = share.is_starved() && placement.expected_ms as f64 <= STARVED_TARGETS * target_ms;
     if (is_in_time || is_starved) && !is_over_share {
         return Decision::Send(placement);
--- a/crates/reedsail_dispatch/src/stream_pause.rs
+++ b/crates/reedsail_dispatch/src/stream_pause.rs
@@ -3,17 +3,17 @@
 //! **Rule.** An engine prefills prompts between the decode steps of its streams, so prompts that wait for prefill
 //! lengthen the events of all its streams. The pause that a prompt would cause is the present pause of the engine's
 //! streams, or an event without prefill if that is longer, and the prefill of the backlog and of the prompt. Half of
-//! the gap target is left for slow spells. Where the pause exceeds that, the prompt is placed on another server, and
-//! refused if there is none. Long prompts belong to engines that keep the target with them. A prompt that exceeds the
-//! target by itself on an engine of mean speed is sent where the excess is no greater than that. Retries, resumed streams and prompts without a gap target are never refused by this rule.
-//! It holds for engines at whose speed long gaps are observed; everywhere else prompts are placed and admitted as if
-//! pauses did not matter.
+//! the gap target is left for short slowdowns. Where the pause exceeds that, the excess counts against the engine in
+//! placement, and admission refuses the prompt if its workspace requests more than its share. Retries, resumed streams
+//! and prompts without a gap target are not refused. Long prompts belong to engines that keep the target with them. A
+//! prompt that exceeds the target by itself on an engine of mean speed is sent where the excess is no greater than that.
+//! The rule holds for engines at whose speed long gaps are observed. Elsewhere pauses do not matter.
 //!
 //! **Inputs.** The gap target of each service's requests, gaps between events, the present pauses of the streams of all
 //! instances, the backlog and the prompt's own prefill time at the engine's speed; all in milliseconds.
 //!
 //! **Why.** A stream is late if one of its events is. On a slow engine a few long prompts fill all steps of an event
-//! with prefill, while a fast engine keeps the target with any backlog. The backlog alone does not tell of a slow spell,
+//! with prefill, while a fast engine keeps the target with any backlog. The backlog alone does not tell of a slowdown,
 //! since new prompts replace those that were prefilled during one event; the present pause does.
 //!
 //! **Tested by** `tests/stream_pause.rs`.
@@ -28,7 +28,7 @@
 const GAP_MIN_MS: f64 = 8.0;
 /// Number of classes in which the length doubles.
 const CLASSES_PER_OCTAVE: f64 = 4.0;
-/// Time constant of the counts, in milliseconds: several streams and many slow spells.
+/// Time constant of the counts, in milliseconds: several streams and many short slowdowns.
 const COUNT_MS: u64 = 10_000;
 /// Interval at which the counts decay, in milliseconds.
 const DECAY_INTERVAL_MS: u64 = 100;
@@ -39,8 +39,8 @@
 const LATE_GAPS_FRACTION: f64 = 0.002;
 /// Fraction of gaps that are no longer than an event without prefill.
 const DECODE_FRACTION: f64 = 0.2;
-/// Factor by which a pause may turn out longer than estimated, because engines have slow spells that no report shows
-/// yet: half of the target is left for them.
+/// Factor by which a pause may turn out longer than estimated, because engines have short slowdowns that no report
+/// shows yet: half of the target is left for them.
 const SPELL_FACTOR: f64 = 2.0;
 /// Factor by which an engine owns fewer prompts that make its streams pause for twice the target.
 const EXCESS_RELUCTANCE: f64 = 10.0;
