--- a/crates/reedsail_dispatch/src/candidate_ranking.rs
+++ b/crates/reedsail_dispatch/src/candidate_ranking.rs
@@ -13,8 +13,9 @@
 
 use crate::server_groups::GroupedServer;
 
-/// Number of servers over which the prompts with the same shared segment are spread while these can take them.
+/// Number of servers over which the prompts with the same shared segment are spread.
 pub(crate) const HOMES: usize = 2;
+
 /// The `N` servers that rank highest for a segment, in descending order.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RankedServers<const N: usize> {
