Let hopeless requests press nobody, and mend what a second reading found

Cause, from reading the whole change: a request whose own prefill misses its target counted as refused because of a queue if the queue was long (the estimate counts queued tokens at less than the queue does), so less urgent requests yielded to it for nothing; a resumed stream no longer counted among its engine's streams with a gap target; a pause that was no reason of a refusal lengthened its retry-after; two pieces of code tracked the pauses of a stream; some comments and names did not say what the code does.

Measured: refusal_order.rs with a hopeless prompt behind 60,000 queued tokens failed before and passes now; tests of reedsail_dispatch and reedsail_gossip pass, decision_trace is unchanged.

--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -77,11 +77,9 @@
     }
 }
 
-/// Returns whether a refused request would have been in time on a server without other requests.
-pub(crate) fn is_refused_for_queue(demand: &Demand<'_>, placement: &Placement) -> bool {
-    let own_ms = placement.expected_ms.saturating_sub(placement.queue_ms);
-    let due_ms = (demand.waited_ms + own_ms) as f64;
-    due_ms <= demand.latency_target_ms as f64 * TARGET_FRACTION
+/// Returns whether a request would be in time on a server without other requests, where it takes `alone_ms`.
+pub(crate) fn is_in_time_alone(demand: &Demand<'_>, alone_ms: f64) -> bool {
+    demand.waited_ms as f64 + alone_ms <= demand.latency_target_ms as f64 * TARGET_FRACTION
 }
 
 /// Decides whether to send a request that placement found a server for. One that `yields` to more urgent requests does
@@ -114,9 +112,8 @@
     if (is_in_time || is_starved) && !is_over_share {
         return Decision::Send(placement);
     }
-    let excess_ms = excess_ms
-        .max(queue_excess_ms)
-        .max(placement.pause_excess_ms as f64);
+    let pause_excess_ms = if may_pause { 0 } else { placement.pause_excess_ms };
+    let excess_ms = excess_ms.max(queue_excess_ms).max(pause_excess_ms as f64);
     Decision::Refuse {
         kind: if is_over_share {
             ErrorKind::OverShare
--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -11,6 +11,7 @@
 
 use crate::Demand;
 use crate::EngineWork;
+use crate::EventGaps;
 use crate::Placement;
 use crate::server_backoff::WindowPermit;
 use crate::server_health::overdue_at;
@@ -38,8 +39,8 @@
     pub(crate) has_answered: bool,
     /// The target for the longest gap between two events, in milliseconds; `None` if there is none.
     pub(crate) gap_target_ms: Option<u64>,
-    /// Since when the caller has room for the next event; `None` before the first event and while it has not.
-    pub(crate) waiting_since: Option<TimeMs>,
+    /// The pauses between the events that this attempt's server has sent.
+    pub(crate) gaps: EventGaps,
     pub(crate) has_prompt: bool,
     /// Its place in the request window of a server that resumes after a back-off, until it is answered.
     pub(crate) window_permit: Option<WindowPermit>,
@@ -52,9 +53,9 @@
         self.server
     }
 
-    /// Returns whether the answer has begun and its caller is not known to have room for the next event.
+    /// Returns whether an event arrived and the caller has no room for the next one yet.
     pub fn is_caller_busy(&self) -> bool {
-        self.has_answered && self.waiting_since.is_none()
+        self.gaps.is_caller_busy()
     }
 
     /// Records whether the server may have received the request.
@@ -129,7 +130,7 @@
             began_at: now,
             has_answered: false,
             gap_target_ms: demand.gap_target_ms,
-            waiting_since: None,
+            gaps: EventGaps::default(),
             has_prompt: demand.engine_prompt().is_some(),
             window_permit: None,
             is_written: false,
--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -110,7 +110,6 @@
         Self {
             waited_ms: 0,
             latency_target_ms: timeout_ms,
-            gap_target_ms: None,
             ..self
         }
     }
@@ -146,8 +145,8 @@
     pub expected_ms: u64,
     /// Part of the expected time for which the server is busy with other requests, in milliseconds.
     pub queue_ms: u64,
-    /// By how much the prompts that wait at the server already make its streams exceed their gap target, in
-    /// milliseconds.
+    /// By how much the server's streams would pause too long with the prompt, in milliseconds, beyond what the prompt
+    /// alone causes on an engine of mean speed.
     pub pause_excess_ms: u64,
 }
 
--- a/crates/reedsail_dispatch/src/dispatcher.rs
+++ b/crates/reedsail_dispatch/src/dispatcher.rs
@@ -29,12 +29,14 @@
 use crate::SlowStartLimit;
 use crate::WorkspaceShare;
 use crate::admission::admit;
-use crate::admission::is_refused_for_queue;
+use crate::admission::is_in_time_alone;
 use crate::admission::refuse_paced;
 use crate::admission::refuse_unplaced;
 use crate::attempt::UnansweredAttempts;
 use crate::domain_reach::DomainReach;
 use crate::fair_share::UsageTable;
+use crate::latency_estimate::engine_alone_ms;
+use crate::latency_estimate::plain_mean_ms;
 use crate::latency_estimate::plain_rounds;
 use crate::load_pressure::pressure;
 use crate::pacing::Pacer;
@@ -238,7 +240,12 @@
         let share = self.usage.share(demand.workspace, now);
         let is_within_share = share.requested_cost <= share.level_cost;
         let is_first_attempt = demand.tried.is_empty();
-        if is_first_attempt && is_within_share && is_refused_for_queue(demand, placement) {
+        let server = self.servers.get(placement.server);
+        let alone_ms = match demand.engine_prompt() {
+            Some(_) => engine_alone_ms(server, placement.work, &self.first_event_model(demand.service)),
+            None => plain_mean_ms(server),
+        };
+        if is_first_attempt && is_within_share && is_in_time_alone(demand, alone_ms) {
             self.priorities
                 .record_refusal(demand.service, demand.priority, now);
         }
@@ -332,10 +339,7 @@
                 .speed
                 .record(engine_ms, model.expected_ms(attempt.work), now);
             // The model describes an engine of the service's mean speed.
-            model.learn(
-                attempt.work,
-                engine_ms / server.speed.relative_slowness().unwrap_or(1.0),
-            );
+            model.learn(attempt.work, engine_ms / server.speed.slowness());
         } else {
             // The wait for a slot is no measure of the server's speed.
             server.health.learn_plain_time(took_ms / attempt.rounds);
@@ -345,21 +349,25 @@
     /// Records an event of an answer, the first one included.
     pub fn record_event(&mut self, attempt: &mut Attempt, now: TimeMs) {
         self.record_first_event(attempt, now);
-        let Some(waiting_since) = attempt.waiting_since.take() else {
+        let Some(gap_ms) = attempt.gaps.record_event(now) else {
             return;
         };
         let server = self.servers.get_mut(attempt.server);
-        server.streams.remove(attempt.number);
+        server.streams.end_wait(attempt.number);
         if attempt.has_prompt {
-            let slowness = server.speed.relative_slowness().unwrap_or(1.0);
+            let slowness = server.speed.slowness();
             let pauses = self.pauses.entry(attempt.service).or_default();
-            pauses.record_gap(now.since_ms(waiting_since), slowness, now);
+            pauses.record_gap(gap_ms, slowness, now);
         }
     }
 
-    /// Records that the caller has room for the next event of an answer. Until then a pause is the caller's.
+    /// Records that the caller has room for the next event of an answer; until then a pause is the caller's. Later calls
+    /// do nothing until that event.
     pub fn record_writable(&mut self, attempt: &mut Attempt, now: TimeMs) {
-        attempt.waiting_since = Some(now);
+        if !attempt.is_caller_busy() {
+            return;
+        }
+        attempt.gaps.record_writable(now);
         if attempt.gap_target_ms.is_some() {
             let server = self.servers.get_mut(attempt.server);
             server.streams.begin_wait(attempt.number, now);
@@ -384,7 +392,7 @@
         }
         let server = self.servers.get_mut(attempt.server);
         server.own.running = server.own.running.saturating_sub(1);
-        server.streams.remove(attempt.number);
+        server.streams.end_wait(attempt.number);
         if let Some(permit) = attempt.window_permit.take() {
             server.backoff.release(permit);
         }
--- a/crates/reedsail_dispatch/src/engine_speed.rs
+++ b/crates/reedsail_dispatch/src/engine_speed.rs
@@ -163,6 +163,11 @@
     pub(crate) fn relative_slowness(&self) -> Option<f64> {
         self.relative_slowness
     }
+
+    /// Returns the slowness relative to the service's mean; one while the service's engines count as equally fast.
+    pub(crate) fn slowness(&self) -> f64 {
+        self.relative_slowness.unwrap_or(1.0)
+    }
 }
 
 /// Whether the engines of one service differ in speed.
--- a/crates/reedsail_dispatch/src/event_gaps.rs
+++ b/crates/reedsail_dispatch/src/event_gaps.rs
@@ -5,7 +5,8 @@
 //!
 //! **Inputs.** The times of events, and the times at which the caller has room for the next one.
 //!
-//! **Why.** Operators compare the longest pause of a stream with its target. A caller that does not read delays its
+//! **Why.** Operators compare the longest pause of a stream with its target, and `stream_pause` learns from the pauses
+//! of each engine. A caller that does not read delays its
 //! events itself, so the time until it has room is no pause of the server.
 //!
 //! **Tested by** `tests/event_gaps.rs`.
@@ -23,13 +24,20 @@
 }
 
 impl EventGaps {
-    /// Records an event of the stream.
-    pub fn record_event(&mut self, now: TimeMs) {
+    /// Returns whether an event arrived and the caller has no room for the next one yet.
+    pub(crate) fn is_caller_busy(&self) -> bool {
+        self.is_caller_busy
+    }
+
+    /// Records an event of the stream. Returns the pause before it in milliseconds; `None` for the first event, and if
+    /// the caller had no room for it.
+    pub fn record_event(&mut self, now: TimeMs) -> Option<u64> {
         let since = self.waiting_since.filter(|_| !self.is_caller_busy);
         let gap_ms = since.map(|since| now.since_ms(since));
         self.longest_ms = self.longest_ms.max(gap_ms);
         self.waiting_since = Some(now);
         self.is_caller_busy = true;
+        gap_ms
     }
 
     /// Records that the caller has room for the next event. Later calls do nothing until that event.
--- a/crates/reedsail_dispatch/src/latency_estimate.rs
+++ b/crates/reedsail_dispatch/src/latency_estimate.rs
@@ -27,6 +27,15 @@
     model.expected_ms(work) * slowness(server) + slot_wait_ms(server)
 }
 
+/// Returns the expected time to an engine's first event if it has no other requests, in milliseconds.
+pub(crate) fn engine_alone_ms(server: &ServerState, work: EngineWork, model: &FirstEventModel) -> f64 {
+    let alone = EngineWork {
+        own_tokens: work.own_tokens,
+        ..EngineWork::default()
+    };
+    model.expected_ms(alone) * slowness(server)
+}
+
 /// Returns the slowness of an engine: by the answers of all instances if the engines of its service differ in speed,
 /// and otherwise by the answers to this instance alone.
 fn slowness(server: &ServerState) -> f64 {
@@ -79,6 +88,7 @@
     rounds.max(1.0)
 }
 
-fn plain_mean_ms(server: &ServerState) -> f64 {
+/// Returns the mean time of a plain server without a wait for a slot, in milliseconds.
+pub(crate) fn plain_mean_ms(server: &ServerState) -> f64 {
     server.health.plain_mean_ms().unwrap_or(PLAIN_INITIAL_MS)
 }
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -77,7 +77,7 @@
     pub(crate) own_region: Option<NameHash>,
     /// The first-event model of the called service.
     pub(crate) model: FirstEventModel,
-    /// The bound on the pauses of the called service's streams; `None` if they have no gap target.
+    /// The bound on the pauses of the called service's streams; `None` if there is none.
     pub(crate) pause_bound: Option<PauseBound>,
     pub(crate) now: TimeMs,
 }
@@ -312,7 +312,7 @@
         let Some(bound) = self.pause_bound.filter(|_| server.running() > 0) else {
             return 0.0;
         };
-        let slowness = server.speed.relative_slowness().unwrap_or(1.0);
+        let slowness = server.speed.slowness();
         let pause_ms = server.streams.pause_ms(self.now);
         let prefill_ms = latency_estimate::prefill_ms(server, prefill_tokens, &self.model);
         let own_ms = self.model.prefill_ms(f64::from(prefill_tokens));
--- a/crates/reedsail_dispatch/src/stream_pause.rs
+++ b/crates/reedsail_dispatch/src/stream_pause.rs
@@ -41,16 +41,18 @@
 const DECODE_FRACTION: f64 = 0.2;
 /// Factor by which a pause may turn out longer than estimated, because engines have short slowdowns that no report
 /// shows yet: half of the target is left for them.
-const SPELL_FACTOR: f64 = 2.0;
-/// Factor by which an engine owns fewer prompts that make its streams pause for twice the target.
+const SLOWDOWN_FACTOR: f64 = 2.0;
+/// Weight of a pause beyond the target in how few of the prompts that cause it an engine owns: it owns a part of one by
+/// one plus this weight times the excess, as a ratio of the target.
 const EXCESS_RELUCTANCE: f64 = 10.0;
 /// Longest pause that counts, in milliseconds. Callers give up a stream that pauses for longer, and an engine that hangs
 /// must not be judged by it.
 const PAUSE_MAX_MS: u64 = 2_000;
-/// How long a pause that a peer reported counts, in milliseconds: until the next report but one.
+/// How long a pause that a peer reported counts, in milliseconds: two intervals between the
+/// sums of busy aggregators. Where reports come less often, the pause is unknown in between.
 const PEER_PAUSE_VALID_MS: u64 = 50;
 /// How long a gap target counts after the last request that had it, in milliseconds.
-const TARGET_MS: u64 = 10_000;
+const TARGET_REMEMBERED_MS: u64 = 10_000;
 
 /// What is known of the gaps between events of one service's streams, as on an engine of mean speed.
 #[derive(Clone, Copy, Debug, Default)]
@@ -68,7 +70,7 @@
         let is_shortest = self.target(now).is_none_or(|known_ms| target_ms <= known_ms);
         if is_shortest {
             self.target_ms = Some(target_ms);
-            self.target_until = now.plus_ms(TARGET_MS);
+            self.target_until = now.plus_ms(TARGET_REMEMBERED_MS);
         }
     }
 
@@ -86,7 +88,8 @@
         self.counts[gap_class(gap_ms as f64 / slowness)] += 1.0;
     }
 
-    /// Returns the bound on the pauses of the service's streams, or `None` if they have no gap target.
+    /// Returns the bound on the pauses of the service's streams, or `None` if they have no gap target or too few gaps were
+    /// counted.
     pub(crate) fn bound(&self, now: TimeMs) -> Option<PauseBound> {
         let target_ms = self.target(now)? as f64;
         let gaps: f64 = self.counts.iter().sum();
@@ -137,8 +140,8 @@
         if slowness <= self.kept_slowness {
             return 0.0;
         }
-        let event_ms = self.decode_ms * slowness * SPELL_FACTOR;
-        let pause_ms = event_ms.max(pause_ms) + prefill_ms * SPELL_FACTOR;
+        let event_ms = self.decode_ms * slowness * SLOWDOWN_FACTOR;
+        let pause_ms = event_ms.max(pause_ms) + prefill_ms * SLOWDOWN_FACTOR;
         (pause_ms - self.target_ms).max(0.0)
     }
 
@@ -149,7 +152,7 @@
     }
 }
 
-/// The streams with a gap target that run on one engine, and how long the longest of their present pauses is.
+/// The streams with a gap target that run on one engine, and the longest of their present pauses.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunningStreams {
     /// This instance's streams that wait for an event: the number of the attempt and the time since which it waits.
@@ -164,8 +167,8 @@
         self.own.push((attempt, now));
     }
 
-    /// Removes a stream that has ended, or whose caller does not read.
-    pub(crate) fn remove(&mut self, attempt: u64) {
+    /// Records that a stream got its event or has ended.
+    pub(crate) fn end_wait(&mut self, attempt: u64) {
         self.own.retain(|(number, _)| *number != attempt);
     }
 
@@ -174,7 +177,7 @@
         let pauses = self
             .own
             .iter()
-            .map(|(_, last_event_at)| now.since_ms(*last_event_at));
+            .map(|(_, waiting_since)| now.since_ms(*waiting_since));
         let longest = pauses.filter(|pause_ms| *pause_ms <= PAUSE_MAX_MS).max();
         longest.unwrap_or(0) as u16
     }
--- a/crates/reedsail_dispatch/tests/refusal_order.rs
+++ b/crates/reedsail_dispatch/tests/refusal_order.rs
@@ -17,7 +17,9 @@
 
 const START: TimeMs = TimeMs(10_000);
 const SHORT_TARGET_MS: u64 = 400;
-const LONG_TARGET_MS: u64 = 1_000;
+const LONG_TARGET_MS: u64 = 1_200;
+/// A queue that a long target allows and a short one does not.
+const QUEUE_TOKENS: u32 = 22_000;
 
 fn engine(number: u32) -> ServerSetup {
     ServerSetup {
@@ -62,13 +64,13 @@
     }
 }
 
-/// Returns a dispatcher whose only engine has a queue that a long target allows and a short one does not.
-fn behind_a_queue() -> Dispatcher {
+/// Returns a dispatcher whose only engine has a queue.
+fn behind_a_queue(queue_tokens: u32) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("hall"));
     dispatcher.set_servers(&[engine(0)]);
     let row = ServerLoadRow {
         server: engine(0).name,
-        prefill_tokens: 22_000,
+        prefill_tokens: queue_tokens,
         ..ServerLoadRow::default()
     };
     let report = LoadReport {
@@ -91,7 +93,7 @@
 /// Load: requests of two priorities at a server with a queue.
 #[test]
 fn a_less_urgent_request_does_not_queue_while_more_urgent_ones_are_refused() {
-    let mut dispatcher = behind_a_queue();
+    let mut dispatcher = behind_a_queue(QUEUE_TOKENS);
     assert!(is_sent(&mut dispatcher, 500, LONG_TARGET_MS, 2, START));
     assert!(!is_sent(&mut dispatcher, 500, SHORT_TARGET_MS, 1, START));
     assert!(!is_sent(&mut dispatcher, 500, LONG_TARGET_MS, 2, START));
@@ -114,15 +116,20 @@
 
 #[test]
 fn a_refusal_that_no_other_request_caused_makes_nobody_yield() {
-    let mut dispatcher = behind_a_queue();
-    assert!(!is_sent(&mut dispatcher, 40_000, SHORT_TARGET_MS, 1, START));
-    assert!(is_sent(&mut dispatcher, 500, LONG_TARGET_MS, 2, START));
+    for queue_tokens in [QUEUE_TOKENS, 60_000] {
+        let mut dispatcher = behind_a_queue(queue_tokens);
+        assert!(!is_sent(&mut dispatcher, 40_000, SHORT_TARGET_MS, 1, START));
+        assert!(
+            is_sent(&mut dispatcher, 500, LONG_TARGET_MS, 2, START),
+            "{queue_tokens}"
+        );
+    }
 }
 
 /// Load: a workspace that requests far more urgent prompts than its share.
 #[test]
 fn a_flood_of_urgent_requests_makes_nobody_yield() {
-    let mut dispatcher = behind_a_queue();
+    let mut dispatcher = behind_a_queue(QUEUE_TOKENS);
     let report = LoadReport {
         workspaces: vec![workspace_use("labska", 1e8, 5e7)],
         ..LoadReport::default()
--- a/crates/reedsail_dispatch/tests/stream_pause.rs
+++ b/crates/reedsail_dispatch/tests/stream_pause.rs
@@ -294,7 +294,11 @@
         matches!(decision, Decision::Send(_)),
         "within its share: {decision:?}"
     );
-    let resumed = demand(&prompt, Some(GAP_TARGET_MS)).resumed(10_000);
+    let broken = [dispatcher.server_key(setup(0).name).unwrap()];
+    let resumed = Demand {
+        tried: &broken,
+        ..demand(&prompt, Some(GAP_TARGET_MS)).resumed(10_000)
+    };
     let decision = dispatcher.decide(&resumed, now);
     assert!(
         matches!(decision, Decision::Send(_)),
