Start the paused reedsaild of a test in a process group of its own

The shell that had started the run had ended while the process was stopped; the kernel sends SIGHUP to a process group that becomes orphaned with a stopped member, and that ended the process.

Change: the test starts the process in its own group, which has a parent outside for as long as the test lives; nothing it asserts has changed.

--- a/crates/reedsail_daemon/tests/process.rs
+++ b/crates/reedsail_daemon/tests/process.rs
@@ -4,6 +4,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -80,6 +81,8 @@
         .arg(&file)
         .env("RUST_LOG", "error")
         .stdout(Stdio::piped())
+        // If the shell that started the tests ends, the kernel sends SIGHUP to a stopped process of their group.
+        .process_group(0)
         .spawn()
         .unwrap();
     let mut line = String::new();
