Decode software versions and continued streams, and log them

Cause of the blind spot: the version in a server's record was decoded and dropped, and a caller's resumption was not read at all, so no line told whether a stream that went on at another version was resumed by the instance or by its caller. No decision reads any of it.

--- a/crates/reedsail_dispatch/benches/large_fleet.rs
+++ b/crates/reedsail_dispatch/benches/large_fleet.rs
@@ -54,6 +54,7 @@
         is_draining,
         cold_left_ms: 0,
         born_ms: Some(1_700_000_000_000),
+        software_version: Some("v1".to_owned()),
     }
 }
 
--- a/crates/reedsail_dispatch/src/server_record.rs
+++ b/crates/reedsail_dispatch/src/server_record.rs
@@ -32,6 +32,10 @@
     /// When it started, in milliseconds of Unix time by its own clock; `None` if the record does not say.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub born_ms: Option<u64>,
+    /// The version of its software, not of a model's weights; `None` if the record comes from a peer of a release that
+    /// does not send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software_version: Option<String>,
 }
 
 impl ServerRecord {
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -389,6 +389,7 @@
         is_draining,
         cold_left_ms: 0,
         born_ms: None,
+        software_version: Some("v1".to_owned()),
     }
 }
 
--- a/crates/reedsail_dispatch/tests/server_list.rs
+++ b/crates/reedsail_dispatch/tests/server_list.rs
@@ -22,6 +22,7 @@
         is_draining,
         cold_left_ms: 0,
         born_ms: None,
+        software_version: Some("v1".to_owned()),
     }
 }
 
--- a/crates/reedsail_dispatch/tests/store_era_fleets.rs
+++ b/crates/reedsail_dispatch/tests/store_era_fleets.rs
@@ -67,6 +67,7 @@
         is_draining: false,
         cold_left_ms: 0,
         born_ms: Some(u64::from(server)),
+        software_version: Some("v1".to_owned()),
     }
 }
 
--- a/crates/reedsail_dispatch/tests/store_eras.rs
+++ b/crates/reedsail_dispatch/tests/store_eras.rs
@@ -29,6 +29,7 @@
         is_draining: false,
         cold_left_ms: 0,
         born_ms: Some(1),
+        software_version: Some("v1".to_owned()),
     }
 }
 
--- a/crates/reedsail_router/src/configuration.rs
+++ b/crates/reedsail_router/src/configuration.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Returns whether another server may continue the route's streams.
+    pub fn has_resumable_streams(&self) -> bool {
+        matches!(self.answer, AnswerShape::Events { resumable: true })
+    }
+
     /// Returns the retry policy of the route.
     pub fn retry_policy(&self) -> RetryPolicy {
         RetryPolicy {
--- a/crates/reedsail_router/src/header_values.rs
+++ b/crates/reedsail_router/src/header_values.rs
@@ -8,6 +8,7 @@
 use reedsail_dispatch::PromptSegment;
 
 use crate::HeaderError;
+use crate::ResumptionHead;
 
 /// Reads a non-negative integer, or `None` if the header is absent.
 ///
@@ -72,6 +73,42 @@
     })
 }
 
+/// Reads the maximum number of tokens of the response, the second of two numbers separated by a comma; zero if the
+/// header is absent.
+///
+/// # Errors
+/// The header has no valid second number.
+pub fn read_output_tokens(headers: &HeaderMap, name: &'static str) -> Result<u32, HeaderError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(0);
+    };
+    // A value that is not ASCII doesn't hold two numbers, so the caller receives an error.
+    let second = value.to_str().ok().and_then(|text| text.split_once(','));
+    second
+        .and_then(|(_, output_max)| output_max.trim().parse().ok())
+        .ok_or(HeaderError {
+            name,
+            expected: "the tokens of the prompt and the maximum tokens of the response, separated by a comma",
+        })
+}
+
+/// Reads the headers with which a caller continues a stream. Either of them marks the request as a continuation.
+pub fn read_resumption(
+    headers: &HeaderMap,
+    first_attempt: &str,
+    last_event_id: &str,
+) -> Option<ResumptionHead> {
+    let only = |name: &str| {
+        let mut values = headers.get_all(name).iter().filter(|value| !value.is_empty());
+        values.next().filter(|_| values.next().is_none()).cloned()
+    };
+    let is_present = |name: &str| headers.get_all(name).iter().any(|value| !value.is_empty());
+    (is_present(first_attempt) || is_present(last_event_id)).then(|| ResumptionHead {
+        first_attempt: only(first_attempt),
+        last_event_id: only(last_event_id),
+    })
+}
+
 /// Reads the `retry-after` header in milliseconds. It must be a number of seconds, with an optional fraction. The dates
 /// that RFC 9110 also allows are ignored.
 pub fn read_retry_after_ms(headers: &HeaderMap) -> Option<u64> {
--- a/crates/reedsail_router/src/protocol.rs
+++ b/crates/reedsail_router/src/protocol.rs
@@ -22,6 +22,17 @@
     pub key: Option<String>,
     /// The prompt, if the request has one.
     pub prompt: Option<Prompt>,
+    /// The earlier stream that the request continues, if it does.
+    pub resumption: Option<ResumptionHead>,
+}
+
+/// The headers with which a caller continues a stream that an earlier attempt began.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ResumptionHead {
+    /// The id of the attempt that brought the stream's first event; `None` if the caller names none, or several.
+    pub first_attempt: Option<HeaderValue>,
+    /// The last event that the caller has received.
+    pub last_event_id: Option<HeaderValue>,
 }
 
 /// A header with an invalid value.
--- a/crates/reedsail_router/src/server_views.rs
+++ b/crates/reedsail_router/src/server_views.rs
@@ -1,4 +1,4 @@
-//! The ids and addresses of the backend servers, by the dispatcher's server keys.
+//! The ids, addresses and software versions of the backend servers, by the dispatcher's server keys.
 //!
 //! The control thread owns the table and updates single servers. The traffic thread looks up one server for each
 //! attempt.
@@ -11,11 +11,13 @@
 
 use reedsail_core::ServerKey;
 
-/// The id and address of a backend server.
+/// The id, the address and the software version of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct ServerView {
     pub(crate) id: Arc<str>,
     pub(crate) address: SocketAddr,
+    /// The version of its software; empty if it is unknown.
+    pub(crate) software_version: Arc<str>,
 }
 
 /// The listed servers. The lock is held for one lookup or one update, never across an await.
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -32,6 +32,7 @@
 use crate::CallHead;
 use crate::HeaderError;
 use crate::HeaderProtocol;
+use crate::ResumptionHead;
 use crate::Route;
 use crate::route_table::CallerIdentity;
 use crate::route_table::RouteTable;
@@ -53,6 +54,8 @@
     pub(crate) regions: AllowedRegions,
     pub(crate) configuration_version: u64,
     pub(crate) prompt: Option<Prompt>,
+    /// The earlier stream that the request continues, on a route whose streams may be continued.
+    pub(crate) resumption: Option<ResumptionHead>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -185,6 +188,7 @@
         regions,
         configuration_version: routes.version(),
         prompt: head.prompt,
+        resumption: head.resumption.filter(|_| route.has_resumable_streams()),
         uri: origin_form(&parts.uri),
         method: parts.method,
         headers: parts.headers,
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use hyper::StatusCode;
+use hyper::header::HeaderValue;
 use reedsail_core::ErrorKind;
 use reedsail_core::Failure;
 use reedsail_core::Fingerprint;
@@ -17,6 +18,7 @@
 
 use super::call::Call;
 use crate::CallHead;
+use crate::ResumptionHead;
 use crate::route_table::WorkspaceEntry;
 use crate::share_fields::share_fields;
 use crate::shared::Shared;
@@ -101,8 +103,12 @@
     latency_target_ms: u64,
     /// The route's target for the longest pause between two events, in milliseconds, if it has one.
     gap_target_ms: Option<u64>,
+    /// The earlier stream that the request continues.
+    resumption: Option<ResumptionHead>,
     /// The server of the last attempt, or the one chosen when the request was refused.
     server: String,
+    /// The software version of that server.
+    version: Arc<str>,
     arrived_at: TimeMs,
     first_event_ms: Option<u64>,
     gaps: EventGaps,
@@ -128,7 +134,9 @@
             cost_tokens: request_cost(head.and_then(|head| head.prompt.as_ref())) as u64,
             latency_target_ms: 0,
             gap_target_ms: None,
+            resumption: None,
             server: String::new(),
+            version: Arc::from(""),
             arrived_at,
             first_event_ms: None,
             gaps: EventGaps::default(),
@@ -146,6 +154,7 @@
         self.configuration_version = call.configuration_version;
         self.latency_target_ms = call.route.latency_target_ms;
         self.gap_target_ms = call.route.gap_target_ms;
+        self.resumption.clone_from(&call.resumption);
     }
 
     /// Logs the server that was chosen for the request, with the inputs of the decision.
@@ -170,7 +179,9 @@
             fields.push(("unread_tokens", placement.prefill_tokens.to_string()));
             fields.extend(slowness.and_then(slowness_field));
             fields.push(("configuration", self.configuration_version.to_string()));
+            fields.push(("version", self.version.to_string()));
             fields.extend(self.request_fields());
+            fields.extend(self.resumption_fields());
             fields.extend(self.decision_fields());
             fields
         });
@@ -190,11 +201,16 @@
 
     /// Logs that a stream resumes on another server, after the last event that the caller has received.
     pub(crate) fn record_resume(&mut self, placement: &Placement, last_event_id: Option<&str>) {
+        let broken_server = std::mem::take(&mut self.server);
+        let broken_version = std::mem::replace(&mut self.version, Arc::from(""));
         self.set_server(placement);
         self.count_tokens(TokenStage::Sent);
         self.emit(EventKind::StreamResumed, || {
             vec![
                 ("server", self.server.clone()),
+                ("version", self.version.to_string()),
+                ("broken_server", broken_server),
+                ("broken_version", broken_version.to_string()),
                 ("after_event", last_event_id.unwrap_or("").to_owned()),
             ]
         });
@@ -261,6 +277,7 @@
                 fields.push(("retry_after_ms", after_ms.to_string()));
             }
             fields.extend(self.request_fields());
+            fields.extend(self.resumption_fields());
             fields.push(self.fingerprint_field());
             fields.push(("configuration", self.configuration_version.to_string()));
             fields.extend(extra_fields(&self));
@@ -335,6 +352,18 @@
         ]
     }
 
+    /// Returns the attempt that began the stream which the request continues, and the last event that its caller has
+    /// received. Empty for a request that continues none.
+    fn resumption_fields(&self) -> Vec<Field> {
+        let Some(resumption) = &self.resumption else {
+            return Vec::new();
+        };
+        vec![
+            ("resumes", header_text(resumption.first_attempt.as_ref())),
+            ("after_event", header_text(resumption.last_event_id.as_ref())),
+        ]
+    }
+
     /// Returns the field that identifies retries by the caller.
     fn fingerprint_field(&self) -> Field {
         ("fingerprint", self.fingerprint.to_string())
@@ -382,6 +411,7 @@
     fn set_server(&mut self, placement: &Placement) {
         if let Some(server) = self.shared.servers.get(placement.server) {
             self.server = server.id.to_string();
+            self.version = server.software_version;
         }
     }
 
@@ -398,6 +428,12 @@
     }
 }
 
+/// Returns a header value for a log line; a missing value and one that is not text are empty.
+fn header_text(value: Option<&HeaderValue>) -> String {
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
+
 /// Returns the field of an engine's slowness if it differs from the mean of the service.
 fn slowness_field(slowness: f64) -> Option<Field> {
     let text = format!("{slowness:.2}");
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -167,6 +167,7 @@
         is_draining: false,
         cold_left_ms: 0,
         born_ms: None,
+        software_version: Some("v1".to_owned()),
     }
 }
 
--- a/crates/reedsail_router/tests/common/test_headers.rs
+++ b/crates/reedsail_router/tests/common/test_headers.rs
@@ -14,6 +14,7 @@
 use reedsail_router::read_bearer;
 use reedsail_router::read_number;
 use reedsail_router::read_prompt;
+use reedsail_router::read_resumption;
 use reedsail_router::read_retry_after_ms;
 
 /// The id of a request, echoed by the server.
@@ -30,6 +31,8 @@
 const WORKSPACE: &str = "reedsail-workspace";
 /// The server to copy the prompt cache from.
 const COPY_FROM: &str = "reedsail-copy-from";
+/// The caller's attempt that brought the first event of the stream that a request continues.
+const RESUMES: &str = "reedsail-resumes";
 /// The id of the last event that the caller received.
 const RESUME_AFTER: &str = "last-event-id";
 /// Makes the router panic while it writes the forwarded request.
@@ -54,6 +57,7 @@
                 PROMPT,
                 read_number(headers, OUTPUT_TOKENS)?.unwrap_or(0) as u32,
             )?,
+            resumption: read_resumption(headers, RESUMES, RESUME_AFTER),
         })
     }
 
