--- a/crates/reedsail_bench/tests/decisions_page.rs
+++ b/crates/reedsail_bench/tests/decisions_page.rs
@@ -88,10 +88,14 @@
 /// Each constant of a decision needs a comment with the reason for its value, for the engineer on call.
 #[test]
 fn every_constant_of_the_decisions_has_a_comment() {
-    let folder = root().join("crates/reedsail_dispatch/src");
+    let mut paths = vec![root().join("crates/reedsail_dispatch/src")];
     let mut count = 0;
-    for entry in std::fs::read_dir(folder).unwrap() {
-        let path = entry.unwrap().path();
+    while let Some(path) = paths.pop() {
+        if path.is_dir() {
+            let entries = std::fs::read_dir(path).unwrap();
+            paths.extend(entries.map(|entry| entry.unwrap().path()));
+            continue;
+        }
         let code = std::fs::read_to_string(&path).unwrap();
         let lines: Vec<&str> = code.lines().map(str::trim).collect();
         for (index, line) in lines.iter().enumerate() {
--- a/crates/reedsail_core/src/error_kind.rs
+++ b/crates/reedsail_core/src/error_kind.rs
@@ -132,6 +132,12 @@
     /// The workspace has used its share while other workspaces wait.
     OverShare = "over_share", 429, NotRun, Some(300),
         "the workspace has had its share of the backend servers while others wait; come back when told";
+    /// A stream is continued, and this instance cannot determine the software version that began it.
+    StreamVersionUnknown = "stream_version_unknown", 503, NotRun, Some(500),
+        "the software version that began this stream is not known here; come back when told, or begin the stream anew";
+    /// A stream is continued, and no backend server runs the software version that began it.
+    StreamVersionGone = "stream_version_gone", 503, NotRun, None,
+        "no backend server runs the software version that began this stream; begin the stream anew";
     /// Backend servers ended repeatedly while they ran this request.
     Quarantined = "quarantined", 503, NotRun, None,
         "several backend servers ended while they ran this request, so it is not sent again; change the request, or report its fingerprint to the operators";
--- a/crates/reedsail_dispatch/src/admission.rs
+++ b/crates/reedsail_dispatch/src/admission.rs
@@ -8,7 +8,8 @@
 //! refused if other requests occupy the server for more than [`OVER_SHARE_TARGET_FRACTION`] of the target.
 //! While queues are short, `pacing` limits how many prompts are sent for a workspace that requests more than
 //! its share. A prompt of such a workspace that would make the streams of its server pause too long (`stream_pause`) is
-//! refused. A request does not queue while more urgent ones to its service are refused (`priority_pressure`).
+//! refused. A request does not queue while more urgent ones to its service are refused (`priority_pressure`). A request that
+//! continues a stream is sent if it continues before its deadline.
 //!
 //! **Inputs.** The request's latency target and the time it has waited so far, the placement's expected time
 //! and queue, all in milliseconds; whether the workspace is over its share (`fair_share`).
@@ -90,6 +91,9 @@
     yields: bool,
     share: impl FnOnce() -> WorkspaceShare,
 ) -> Decision {
+    if demand.version.is_continuation() {
+        return admit_continuation(demand, placement);
+    }
     let target_ms = demand.latency_target_ms as f64;
     let excess_ms = (demand.waited_ms + placement.expected_ms) as f64 - target_ms * TARGET_FRACTION;
     let queue_excess_ms = placement.queue_ms as f64 - target_ms * OVER_SHARE_TARGET_FRACTION;
@@ -125,6 +129,22 @@
     }
 }
 
+/// Decides whether to send a request that continues a stream. Its caller has received a part of the answer, and only
+/// few servers may be able to continue it, so neither shares nor less urgent requests hold it back: it is sent if it
+/// continues before the caller's deadline.
+fn admit_continuation(demand: &Demand<'_>, placement: Placement) -> Decision {
+    let expected_ms = demand.waited_ms + placement.expected_ms;
+    if expected_ms <= demand.latency_target_ms {
+        return Decision::Send(placement);
+    }
+    let excess_ms = (expected_ms - demand.latency_target_ms) as f64;
+    Decision::Refuse {
+        kind: ErrorKind::WouldMissTarget,
+        retry_after_ms: retry_after_ms(demand.latency_target_ms, excess_ms),
+        placement: Some(placement),
+    }
+}
+
 /// Refuses a prompt that exceeds its workspace's pacing rate. The workspace's token bucket refills
 /// continuously, so the retry-after is short.
 pub(crate) fn refuse_paced(demand: &Demand<'_>, placement: &Placement) -> Decision {
--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -106,13 +106,13 @@
 }
 
 impl<'a> Demand<'a> {
-    /// Returns the request that resumes a broken stream on another server. Its latency target was already met
-    /// or missed, so only the route's timeout limits which servers it may use.
+    /// Returns the request that continues a stream. Its latency target was already met or missed, so only the time left
+    /// limits which servers it may use.
     #[must_use]
-    pub fn resumed(self, timeout_ms: u64) -> Self {
+    pub fn resumed(self, left_ms: u64) -> Self {
         Self {
             waited_ms: 0,
-            latency_target_ms: timeout_ms,
+            latency_target_ms: left_ms,
             ..self
         }
     }
@@ -160,6 +160,8 @@
     Send(Placement),
     /// Don't send the request: it is quarantined because servers ended while running it.
     Quarantined,
+    /// Don't send the request: it continues a stream, and no listed server that doesn't drain may continue it.
+    VersionGone,
     /// Refuse the request without running it.
     Refuse {
         /// Reason for the refusal.
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -12,6 +12,8 @@
 //! | `event_gaps` | the longest pause between two events of a stream |
 //! | `stream_pause` | which engines get no further prompt because their streams would pause too long |
 //! | `software_version` | which software versions may serve a request |
+//! | `version_history` | which versions a service runs, or ran while streams of today may have begun |
+//! | `stream_version_table` | which version began each stream, and how long that is kept |
 //! | `allowed_regions` | in which regions a request may run |
 //! | `server_groups` | which servers a decision considers |
 //! | `load_pressure` | how soon peers must learn of the load |
@@ -86,6 +88,9 @@
 mod software_version;
 mod store_reader;
 mod stream_pause;
+mod stream_row;
+mod stream_version_table;
+mod version_history;
 
 pub use admission::time_left_ms;
 pub use allowed_regions::AllowedRegions;
@@ -158,3 +163,8 @@
 pub use store_reader::is_reader;
 pub use store_reader::is_turn;
 pub use store_reader::staleness;
+pub use stream_row::StreamId;
+pub use stream_row::StreamKnowledge;
+pub use stream_row::StreamRow;
+pub use stream_version_table::StreamVersionTable;
+pub use version_history::STREAM_LIFE_MAX_MS;
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -29,6 +29,7 @@
 use crate::Placement;
 use crate::Prompt;
 use crate::PromptSegment;
+use crate::VersionDemand;
 use crate::candidate_ranking::HOMES;
 use crate::candidate_ranking::RankedServers;
 use crate::candidate_ranking::rendezvous_score;
@@ -55,6 +56,10 @@
 /// regions is about ten milliseconds each way.
 const OTHER_REGION_PENALTY_MS: f64 = 20.0;
 
+/// Penalty of a server of a scarce version for requests that other versions may serve, in milliseconds. It is longer than
+/// the wait for which admission sends a request to a busy server.
+const SCARCE_VERSION_PENALTY_MS: f64 = 1_000.0;
+
 /// The set of servers that are considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CandidateScope {
@@ -79,12 +84,29 @@
     pub(crate) model: FirstEventModel,
     /// The bound on the pauses of the called service's streams; `None` if there is none.
     pub(crate) pause_bound: Option<PauseBound>,
+    /// Whether servers of a version that peers may not know yet are excluded.
+    pub(crate) excludes_new_versions: bool,
+    /// Whether the called service runs a version that is scarce.
+    pub(crate) has_scarce_version: bool,
     pub(crate) now: TimeMs,
 }
 
 impl Placer<'_> {
     /// Chooses a server. Returns `None` if no server of the service may be tried.
     pub(crate) fn choose(&self, demand: &Demand<'_>) -> Option<Placement> {
+        let versions = self.servers.versions();
+        if demand.version == VersionDemand::Resumable && versions.has_new(demand.service, self.now) {
+            let established = Self {
+                excludes_new_versions: true,
+                ..*self
+            };
+            let placement = established.choose_by_reach(demand);
+            return placement.or_else(|| self.choose_by_reach(demand));
+        }
+        self.choose_by_reach(demand)
+    }
+
+    fn choose_by_reach(&self, demand: &Demand<'_>) -> Option<Placement> {
         let is_partition_suspected = demand.tried.iter().any(|key| self.may_be_partitioned(*key));
         let in_own_domain = || self.choose_among(demand, CandidateScope::OwnDomain);
         is_partition_suspected
@@ -135,11 +157,25 @@
         let is_usable = self.is_in_scope(state, scope)
             && self.servers.accepts_work(state, self.now)
             && demand.regions.allows(state.setup.region)
-            && demand.version.allows(state.setup.version)
+            && self.allows_version(state, demand)
             && !demand.tried.contains(&server.key);
         is_usable.then_some(state)
     }
 
+    /// Returns whether the version of a server may serve a request.
+    fn allows_version(&self, server: &ServerState, demand: &Demand<'_>) -> bool {
+        let setup = &server.setup;
+        match demand.version {
+            VersionDemand::Any | VersionDemand::Resumable => {
+                let versions = self.servers.versions();
+                !self.excludes_new_versions || !versions.is_new(setup.service, setup.version, self.now)
+            }
+            VersionDemand::Only(_) | VersionDemand::Unknown => {
+                demand.version.allows(setup.version) && !self.servers.may_have_restarted(server)
+            }
+        }
+    }
+
     fn choose_plain(&self, demand: &Demand<'_>, scope: CandidateScope) -> Option<Placement> {
         let own = u64::from(self.servers.own().0);
         let mut groups = self.servers.of_service(demand.service).beginning_with(own);
@@ -168,7 +204,23 @@
     fn plain_score_ms(&self, server: &ServerState, demand: &Demand<'_>) -> f64 {
         let load = f64::from(server.running()) / f64::from(server.setup.slots.max(1));
         let wait_ms = latency_estimate::plain_ms(server) * (1.0 + load);
-        wait_ms + self.distance_penalty_ms(server) + self.health_penalty_ms(server, demand)
+        let version_ms = self.version_penalty_ms(server, demand);
+        wait_ms + self.distance_penalty_ms(server) + self.health_penalty_ms(server, demand) + version_ms
+    }
+
+    /// Returns the penalty of a server that is needed for streams which only servers of its version may continue, in
+    /// milliseconds. A request that continues a stream has none.
+    fn version_penalty_ms(&self, server: &ServerState, demand: &Demand<'_>) -> f64 {
+        let setup = &server.setup;
+        let is_scarce = || {
+            let versions = self.servers.versions();
+            versions.is_scarce(setup.service, setup.version, self.now)
+        };
+        if self.has_scarce_version && !demand.version.is_continuation() && is_scarce() {
+            SCARCE_VERSION_PENALTY_MS
+        } else {
+            0.0
+        }
     }
 
     /// Returns the penalty for a server in another region or failure domain, in milliseconds.
@@ -237,7 +289,8 @@
         let server = placement.server;
         let second_server_ms = self.second_server_penalty_ms(segment, server, placement.rank == 0);
         let health_ms = self.health_penalty_ms(self.servers.get(server), demand);
-        second_server_ms + health_ms + placement.pause_excess_ms as f64
+        let version_ms = self.version_penalty_ms(self.servers.get(server), demand);
+        second_server_ms + health_ms + version_ms + placement.pause_excess_ms as f64
     }
 
     fn second_server_penalty_ms(&self, segment: PromptSegment, server: ServerKey, is_first: bool) -> f64 {
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -13,7 +13,7 @@
 use reedsail_core::TableKey;
 use reedsail_core::TimeMs;
 
-use crate::AllowedRegions;
+use crate::Demand;
 use crate::LifeEvent;
 use crate::LifeState;
 use crate::ServerLife;
@@ -29,6 +29,7 @@
 use crate::slow_start::ColdRateLimit;
 use crate::slow_start::Senders;
 use crate::stream_pause::RunningStreams;
+use crate::version_history::VersionHistory;
 
 /// Value of a failure rate of one in a load report, where the rate is one byte.
 pub(crate) const FAILURE_RATE_ONE: f64 = 255.0;
@@ -41,6 +42,10 @@
 /// How long peers are told that nothing listens at a server's address, in milliseconds: some reports may be lost.
 const DOWN_REPORTED_MS: u64 = 1_000;
 
+/// Time within which the record of a server that has ended lapses, or that of its next start replaces it, in
+/// milliseconds: three of its heartbeats, and the time until the list has it.
+const RECORD_LAPSE_MS: u64 = 5_000;
+
 /// A backend server as described by service discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerSetup {
@@ -174,6 +179,9 @@
     /// Whether the engines of each service differ in speed.
     spreads: HashMap<NameHash, SpeedSpread>,
     spreads_until: TimeMs,
+    versions: VersionHistory,
+    /// The time as of which the list is known from the store.
+    list_known_at: TimeMs,
     /// Returned for a service without servers.
     no_servers: ServerGroups,
 }
@@ -221,6 +229,8 @@
         }
         let grouped = server.grouped(key);
         self.by_service.entry(setup.service).or_default().insert(grouped);
+        self.versions
+            .add(setup.service, setup.version, !setup.is_draining);
         *self.slots.entry(setup.service).or_default() += u64::from(setup.slots);
     }
 
@@ -230,7 +240,9 @@
         if !server.life.is_listed() {
             return;
         }
-        let (service, slots) = (server.setup.service, u64::from(server.setup.slots));
+        let setup = server.setup;
+        let (service, slots) = (setup.service, u64::from(setup.slots));
+        self.versions.remove(service, setup.version, !setup.is_draining);
         if let Some(groups) = self.by_service.get_mut(&service) {
             groups.remove(server.grouped(key));
         }
@@ -308,7 +320,9 @@
     /// Records that this instance or a peer found nothing listening at a server's address. The server may have
     /// restarted and be cold.
     pub(crate) fn record_down(&mut self, key: ServerKey, is_own: bool, now: TimeMs) {
-        let limit = self.limit(self.get(key).setup.service);
+        let setup = self.get(key).setup;
+        let limit = self.limit(setup.service);
+        self.versions.record_lost(setup.service, setup.version, now);
         let server = self.get_mut(key);
         if is_own {
             server.down_at = Some(now);
@@ -369,19 +383,49 @@
         self.slots.get(&service).copied().unwrap_or(0)
     }
 
-    /// Returns the time from which one of a service's servers that are backed off, or are limited by the window after
-    /// a back-off, may get a request; `None` if there is no such server in these regions.
-    pub(crate) fn returns_at(
-        &self,
-        service: NameHash,
-        regions: &AllowedRegions,
-        now: TimeMs,
-    ) -> Option<TimeMs> {
-        let listed = self.of_service(service).beginning_with(0).flatten();
+    /// Returns the versions of every service.
+    pub(crate) fn versions(&self) -> &VersionHistory {
+        &self.versions
+    }
+
+    /// Returns the versions of every service, for a change.
+    pub(crate) fn versions_mut(&mut self) -> &mut VersionHistory {
+        &mut self.versions
+    }
+
+    /// Sets the time as of which the list is known from the store.
+    pub(crate) fn set_list_known_at(&mut self, known_at: TimeMs) {
+        self.list_known_at = known_at;
+    }
+
+    /// Returns whether a server may have restarted under its id since its record was read. A server that was found not
+    /// listening may have ended; its record lapses or changes within [`RECORD_LAPSE_MS`] then.
+    pub(crate) fn may_have_restarted(&self, server: &ServerState) -> bool {
+        let found_down_at = server.found_down_at;
+        found_down_at.is_some_and(|at| self.list_known_at < at.plus_ms(RECORD_LAPSE_MS))
+    }
+
+    /// Returns whether a listed server that doesn't drain has the version and a region that a request requires.
+    pub(crate) fn has_server_for(&self, demand: &Demand<'_>) -> bool {
+        let mut listed = self.of_service(demand.service).beginning_with(0).flatten();
+        listed.any(|server| {
+            let server = self.get(server.key);
+            !server.life.drains()
+                && demand.regions.allows(server.setup.region)
+                && demand.version.allows(server.setup.version)
+        })
+    }
+
+    /// Returns the time from which one of the servers for a request that are backed off, or are limited by the window
+    /// after a back-off, may get it; `None` if there is no such server.
+    pub(crate) fn returns_at(&self, demand: &Demand<'_>, now: TimeMs) -> Option<TimeMs> {
+        let listed = self.of_service(demand.service).beginning_with(0).flatten();
         let servers = listed.map(|server| self.get(server.key));
         let in_use = servers.filter(|server| {
             let is_in_use = matches!(server.life.state(now), LifeState::Warm | LifeState::Cold);
-            is_in_use && regions.allows(server.setup.region) && !server.backoff.allows(now)
+            let is_allowed =
+                demand.regions.allows(server.setup.region) && demand.version.allows(server.setup.version);
+            is_in_use && is_allowed && !server.backoff.allows(now)
         });
         in_use.map(|server| server.backoff.until().max(now)).min()
     }
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -338,6 +338,7 @@
             placement.queue_ms
         ),
         Decision::Quarantined => "quarantined".to_owned(),
+        Decision::VersionGone => "version gone".to_owned(),
         Decision::Refuse {
             kind,
             retry_after_ms,
--- a/crates/reedsail_dispatch/tests/quarantine.rs
+++ b/crates/reedsail_dispatch/tests/quarantine.rs
@@ -73,7 +73,7 @@
         let decision = self.dispatcher.decide(&demand(fingerprint, "own"), self.now);
         match decision {
             Decision::Send(_) => true,
-            Decision::Quarantined => false,
+            Decision::Quarantined | Decision::VersionGone => false,
             Decision::Refuse { kind, .. } => panic!("refused as {}", kind.name()),
         }
     }
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -138,7 +138,7 @@
     /// A request is retried on another backend server.
     RequestRetried = 504, "request_retried", Info, "a request is retried on another backend server";
     /// A broken stream is resumed.
-    StreamResumed = 505, "stream_resumed", Info, "a broken stream is resumed from the last token delivered";
+    StreamResumed = 505, "stream_resumed", Info, "a broken stream is resumed from the last token delivered, at the software version that began it (`version`, `broken_version`)";
     /// A caller disconnected.
     CallerGone = 506, "caller_gone", Debug, "the caller disconnected; its request was withdrawn or its stream was cancelled";
     /// A stream was preempted.
@@ -146,7 +146,7 @@
     /// The outcome of a claim is known.
     ClaimSettled = 507, "claim_settled", Debug, "a claim was read back from the log and its outcome is known";
     /// A request was placed on a backend server.
-    RequestPlaced = 510, "request_placed", Info, "a request is sent to a backend server; see the fields for the reason (`slowness`: of an engine that differs from the mean of its service)";
+    RequestPlaced = 510, "request_placed", Info, "a request is sent to a backend server; see the fields for the reason (`slowness`: of an engine that differs from the mean of its service; `resumes`: the attempt that began the stream which the request continues, `version_known_by`: how its version became known)";
     /// A request ended.
     RequestEnded = 511, "request_ended", Info, "a request was answered by a backend server, or failed after it was sent; streams tell their longest pause (`longest_gap_ms`) beside its target (`gap_target_ms`)";
     /// A request was refused.
--- a/crates/reedsail_gossip/src/lib.rs
+++ b/crates/reedsail_gossip/src/lib.rs
@@ -25,6 +25,7 @@
 mod peer_table;
 mod prefix_relay;
 mod sent_reports;
+mod stream_holders;
 mod urgent_fields;
 
 pub use exchange_messages::DomainPosition;
@@ -46,3 +47,7 @@
 pub use peer_table::PeerTable;
 pub use prefix_relay::PrefixRelay;
 pub use sent_reports::SentReports;
+pub use stream_holders::ASKED_MAX;
+pub use stream_holders::HOLDERS;
+pub use stream_holders::StreamPeer;
+pub use stream_holders::rank_holders;
--- a/crates/reedsail_gossip/src/load_exchange/mod.rs
+++ b/crates/reedsail_gossip/src/load_exchange/mod.rs
@@ -24,6 +24,7 @@
 use crate::PrefixRelay;
 use crate::ReportTarget;
 use crate::SentReports;
+use crate::StreamPeer;
 use crate::aggregator_choice::AggregatorChoice;
 use crate::exchange_timing::DIRECT_INSTANCES_MAX;
 use crate::exchange_timing::DIRECT_TICK_MS;
@@ -179,6 +180,13 @@
         members
     }
 
+    /// Returns the peers that may keep rows of streams, in the order of their names.
+    pub fn stream_peers(&self, now: TimeMs) -> Vec<StreamPeer> {
+        let mut peers: Vec<StreamPeer> = self.peers.stream_peers(self.is_aggregated(now), now).collect();
+        peers.sort_unstable_by_key(|peer| peer.instance);
+        peers
+    }
+
     /// Returns this instance's position among the instances of its failure domain.
     pub fn domain_position(&self, now: TimeMs) -> DomainPosition {
         self.fleet.domain_position(now).unwrap_or_else(|| {
--- a/crates/reedsail_gossip/src/peer_table.rs
+++ b/crates/reedsail_gossip/src/peer_table.rs
@@ -17,6 +17,7 @@
 
 use crate::Arrival;
 use crate::Peer;
+use crate::StreamPeer;
 use crate::exchange_timing::SILENT_PEER_RETRY_MS;
 
 /// Silence after which a peer is removed, in milliseconds.
@@ -322,6 +323,30 @@
         peers.map(|(instance, peer)| (*instance, peer.failure_domain))
     }
 
+    /// Returns the peers that may keep rows of streams: those that are alive and not stopping and, with
+    /// `includes_mentioned`, those that other instances named recently.
+    pub(crate) fn stream_peers(
+        &self,
+        includes_mentioned: bool,
+        now: TimeMs,
+    ) -> impl Iterator<Item = StreamPeer> {
+        let peers = self.peers.iter().filter(move |(_, peer)| {
+            !peer.is_stopping && (peer.is_alive || (includes_mentioned && is_recently_seen(peer, now)))
+        });
+        peers.map(|(instance, peer)| StreamPeer {
+            instance: *instance,
+            failure_domain: peer.failure_domain,
+            address: peer.address,
+            incarnation: peer.incarnation,
+        })
+    }
+
+    /// Returns whether every known peer is alive and none has a newer list of servers than `revision`.
+    pub fn confirm_list(&self, revision: StorePosition) -> bool {
+        let mut peers = self.peers.values();
+        peers.all(|peer| peer.is_alive && peer.servers_revision <= revision)
+    }
+
     /// Returns the timing of direct messages.
     pub fn timing(&self) -> GossipTiming {
         self.timing
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -63,6 +63,7 @@
 use super::share_watch::ShareWatch;
 use super::store_era::StoreEraWatch;
 use super::store_status::StoreStatus;
+use super::stream_watch::StreamWatch;
 use super::suspension_watch::SuspensionWatch;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
@@ -92,6 +93,7 @@
     store: StoreStatus,
     shares: ShareWatch,
     suspensions: SuspensionWatch,
+    streams: StreamWatch,
     pages: ServerPages,
     next_fetch_at: TimeMs,
     /// Whether the peer of the last fetch could not compute the difference to this instance's list.
@@ -121,6 +123,7 @@
             store: StoreStatus::default(),
             shares: ShareWatch::default(),
             suspensions: SuspensionWatch::default(),
+            streams: StreamWatch::default(),
             pages: ServerPages::default(),
             next_fetch_at: TimeMs(0),
             needs_whole_list: false,
@@ -504,6 +507,8 @@
         self.drop_silent_peers(now);
         self.publish_fleet(now);
         self.publish_members(now);
+        self.streams
+            .tick(&self.shared, &self.exchange, &self.servers, now);
         let fetches = self.plan_fetches(now);
         Outbox {
             datagrams: self.due_messages(now),
--- a/crates/reedsail_router/src/control/mod.rs
+++ b/crates/reedsail_router/src/control/mod.rs
@@ -21,6 +21,7 @@
 mod share_watch;
 mod store_era;
 mod store_status;
+mod stream_watch;
 mod suspension_watch;
 mod thread;
 
--- a/crates/reedsail_router/src/control/server_publication.rs
+++ b/crates/reedsail_router/src/control/server_publication.rs
@@ -53,6 +53,7 @@
 fn view_of(record: &ServerRecord) -> ServerView {
     ServerView {
         id: Arc::from(record.id.as_str()),
+        service: Arc::from(record.service.as_str()),
         address: record.address,
         software_version: Arc::from(record.software_version.as_deref().unwrap_or_default()),
     }
--- a/crates/reedsail_router/src/control/thread.rs
+++ b/crates/reedsail_router/src/control/thread.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use reedsail_wire::LoadMessage;
+use reedsail_wire::PeerMessage;
 use tokio::net::UdpSocket;
 use tokio::select;
 use tokio::sync::mpsc;
@@ -74,7 +74,11 @@
         shared.clock,
     ));
     let socket = Arc::new(UdpSocket::from_std(thread.peer_socket)?);
-    spawn_local(receive_messages(Arc::clone(&socket), control.clone()));
+    spawn_local(receive_messages(
+        Arc::clone(&shared),
+        Arc::clone(&socket),
+        control.clone(),
+    ));
     spawn_local(forward_seeds(thread.seeds, control.clone()));
     run_ticks(&shared, &socket, &control).await;
     Ok(())
@@ -118,7 +122,11 @@
     }
 }
 
-async fn receive_messages<H: HeaderProtocol>(socket: Arc<UdpSocket>, control: Address<Control<H>>) {
+async fn receive_messages<H: HeaderProtocol>(
+    shared: Arc<Shared<H>>,
+    socket: Arc<UdpSocket>,
+    control: Address<Control<H>>,
+) {
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     loop {
         // An error here reports that an earlier datagram found no listener. The peer is silent then, which is
@@ -126,9 +134,17 @@
         let Ok((length, SocketAddr::V4(from))) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        match LoadMessage::decode(&buffer[..length]) {
-            // The actor ends only with the instance.
-            Ok(message) => drop(control.send(MessageReceived { message, from }).await),
+        match PeerMessage::decode(&buffer[..length]) {
+            Ok(PeerMessage::Load(message)) => {
+                let message = *message;
+                // The actor ends only with the instance.
+                drop(control.send(MessageReceived { message, from }).await);
+            }
+            Ok(PeerMessage::Streams(message)) => {
+                let now = shared.clock.now();
+                let only_version = |service| shared.dispatcher().only_version(service, now);
+                shared.streams.receive(&message, from, only_version, now);
+            }
             Err(error) => log::debug!("cannot decode a datagram from {from}: {error}"),
         }
     }
--- a/crates/reedsail_router/src/lib.rs
+++ b/crates/reedsail_router/src/lib.rs
@@ -20,6 +20,7 @@
 mod share_fields;
 mod shared;
 mod source;
+mod stream_exchange;
 mod traffic;
 mod workspace_tokens;
 
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -21,6 +22,50 @@
 /// Upper bounds of the buckets of an engine's slowness, a ratio.
 const SLOWNESS_BUCKETS: &[f64] = &[0.35, 0.5, 0.7, 0.85, 1.0, 1.2, 1.4, 2.0, 2.8, 4.0];
 
+/// Metrics about the software versions of servers and streams.
+#[derive(Debug)]
+pub(crate) struct VersionMetrics {
+    /// Messages about streams' software versions exchanged with peers, by direction.
+    pub(crate) messages: IntCounterVec,
+    /// Requests that continue a stream, by how the version that began it became known.
+    pub(crate) resumptions: IntCounterVec,
+    /// Streams that may be continued and are known here, by software version.
+    pub(crate) bound_streams: IntGaugeVec,
+    /// Listed servers, by service and software version.
+    pub(crate) servers: IntGaugeVec,
+}
+
+impl VersionMetrics {
+    fn new(registry: &Registry) -> Self {
+        Self {
+            messages: counter_vec(
+                registry,
+                "reedsail_router_stream_messages_total",
+                "Messages about the software versions of streams exchanged with peers, by direction.",
+                &["direction"],
+            ),
+            resumptions: counter_vec(
+                registry,
+                "reedsail_router_stream_resumptions_total",
+                "Requests that continue a stream, by how the version that began it became known.",
+                &["version_known_by"],
+            ),
+            bound_streams: gauge_vec(
+                registry,
+                "reedsail_router_bound_streams",
+                "Streams that may be continued and are known here, by software version.",
+                &["version"],
+            ),
+            servers: gauge_vec(
+                registry,
+                "reedsail_router_service_versions",
+                "Listed backend servers, by service and software version.",
+                &["service", "version"],
+            ),
+        }
+    }
+}
+
 /// The router's counters, gauges and histograms.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -45,6 +90,8 @@
     pub(crate) store_reads: IntCounterVec,
     /// Load messages exchanged with peers, by direction.
     pub(crate) peer_messages: IntCounterVec,
+    /// Software versions of servers and streams.
+    pub(crate) versions: VersionMetrics,
     /// Servers that ended while requests of this instance ran on them.
     pub(crate) server_ends: IntCounter,
     /// Notices (draining, back-off) in servers' responses, by kind.
@@ -121,6 +168,7 @@
                 "Load messages exchanged with peers, by direction.",
                 &["direction"],
             ),
+            versions: VersionMetrics::new(&registry),
             server_ends: counter(
                 &registry,
                 "reedsail_router_server_ends_total",
@@ -185,6 +233,12 @@
     counters
 }
 
+fn gauge_vec(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), labels).expect("the name and labels are valid");
+    register(registry, gauges.clone());
+    gauges
+}
+
 fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     let counter = IntCounter::new(name, help).expect("the name is valid");
     register(registry, counter.clone());
--- a/crates/reedsail_router/src/running.rs
+++ b/crates/reedsail_router/src/running.rs
@@ -86,7 +86,8 @@
     {
         let listeners = Listeners::bind(&settings.listen)?;
         let addresses = listeners.addresses()?;
-        let shared = Arc::new(Shared::new(clock, settings, protocol));
+        let sending_socket = listeners.peer_socket.try_clone()?;
+        let shared = Arc::new(Shared::new(clock, settings, protocol, sending_socket));
         let fields = [
             ("failure_domain", shared.settings.failure_domain.clone()),
             ("callers", addresses.callers.to_string()),
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -3,6 +3,7 @@
 //! The control thread owns `routes` and `servers`, the traffic thread `overload` and `connections`. Both use the
 //! dispatcher, whose lock is held for microseconds.
 
+use std::net::UdpSocket;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -27,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::route_table::RouteTable;
 use crate::server_views::ServerViews;
+use crate::stream_exchange::StreamExchange;
 
 /// State shared by all threads.
 #[derive(Debug)]
@@ -42,6 +44,7 @@
     pub(crate) connections: AtomicUsize,
     pub(crate) routes: ArcSwap<RouteTable>,
     pub(crate) servers: ServerViews,
+    pub(crate) streams: StreamExchange,
     /// Wakes the control thread to send a message to peers immediately.
     pub(crate) peer_send_requested: Notify,
     /// Wakes the traffic thread to check a server after a connection to it broke.
@@ -53,17 +56,20 @@
 }
 
 impl<H> Shared<H> {
-    pub(crate) fn new(clock: Clock, settings: RouterSettings, protocol: H) -> Self {
+    /// Creates the state. `peer_socket` is the socket on which peers' messages arrive.
+    pub(crate) fn new(clock: Clock, settings: RouterSettings, protocol: H, peer_socket: UdpSocket) -> Self {
         let own_domain = NameHash::of(&settings.failure_domain);
         let mut dispatcher = Dispatcher::new(settings.dispatch, own_domain);
         dispatcher.set_region(settings.region_of(&settings.failure_domain));
+        let metrics = Metrics::new();
         Self {
             events: EventLog::bounded(&settings.instance, 0, settings.log_lines_per_s),
             dispatcher: Mutex::new(dispatcher),
             settings,
             protocol,
             clock,
-            metrics: Metrics::new(),
+            streams: StreamExchange::new(peer_socket, metrics.versions.messages.clone()),
+            metrics,
             shutdown: Shutdown::default(),
             overload: OverloadMonitor::default(),
             connections: AtomicUsize::new(0),
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -23,6 +23,8 @@
 use reedsail_dispatch::Demand;
 use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
+use reedsail_dispatch::STREAM_LIFE_MAX_MS;
+use reedsail_dispatch::StreamId;
 use reedsail_dispatch::VersionDemand;
 use reedsail_dispatch::time_left_ms;
 use reedsail_net::header_bytes;
@@ -67,6 +69,11 @@
     pub(crate) arrived_at: TimeMs,
     /// The caller's deadline or the end of the route's timeout, whichever comes first.
     pub(crate) deadline: TimeMs,
+    /// The stream that the request begins or continues, on a route whose streams may be continued; `None` if it
+    /// continues one and its caller does not say which.
+    pub(crate) stream: Option<StreamId>,
+    /// Until when the caller may continue the stream.
+    pub(crate) stream_until: TimeMs,
 }
 
 impl Call {
@@ -93,12 +100,9 @@
         regions: &'a AllowedRegions,
         now: TimeMs,
     ) -> Demand<'a> {
-        Demand {
+        let demand = Demand {
             service: self.service,
-            workspace: self
-                .workspace
-                .as_ref()
-                .map_or(NameHash::default(), |workspace| workspace.hash),
+            workspace: self.workspace_hash(),
             prompt: self.prompt.as_ref(),
             latency_target_ms: self.route.latency_target_ms,
             gap_target_ms: self.route.gap_target_ms,
@@ -108,9 +112,29 @@
             regions,
             version: self.version,
             fingerprint: Some(self.fingerprint),
+        };
+        if self.version.is_continuation() {
+            demand.resumed(self.deadline.since_ms(now))
+        } else {
+            demand
         }
     }
 
+    /// Returns the workspace, or the default of a request without one.
+    pub(crate) fn workspace_hash(&self) -> NameHash {
+        let workspace = self.workspace.as_ref();
+        workspace.map_or_else(NameHash::default, |workspace| workspace.hash)
+    }
+
+    /// Sends the request to a service of its route. Returns `None` if the route does not lead there.
+    pub(crate) fn set_service(&mut self, service: NameHash) -> Option<()> {
+        let mut targets = self.route.targets.iter();
+        let target = targets.find(|target| NameHash::of(&target.service) == service)?;
+        self.service = service;
+        self.service_name.clone_from(&target.service);
+        Some(())
+    }
+
     /// Returns the priority of the workspace, or that of the route if the workspace has none.
     fn priority(&self) -> Priority {
         let workspace = self.workspace.as_ref();
@@ -184,8 +208,15 @@
     parts.headers.remove(CONTENT_LENGTH);
     parts.headers.remove(EXPECT);
     let deadline_ms = head.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS);
+    let id = request_id(head.request_id);
+    let resumption = head.resumption.filter(|_| route.has_resumable_streams());
+    let stream_id = |id: &HeaderValue| StreamId::of(caller.unwrap_or_default(), id.as_bytes());
+    let stream = match &resumption {
+        Some(resumption) => resumption.first_attempt.as_ref().map(stream_id),
+        None => route.has_resumable_streams().then(|| stream_id(&id)),
+    };
     Ok(Call {
-        id: request_id(head.request_id),
+        id,
         service: NameHash::of(&service_name),
         service_name,
         workspace,
@@ -197,7 +228,7 @@
         } else {
             VersionDemand::Any
         },
-        resumption: head.resumption.filter(|_| route.has_resumable_streams()),
+        resumption,
         uri: origin_form(&parts.uri),
         method: parts.method,
         headers: parts.headers,
@@ -205,6 +236,8 @@
         fingerprint,
         arrived_at,
         deadline: arrived_at.plus_ms(deadline_ms.min(route.timeout_ms)),
+        stream,
+        stream_until: arrived_at.plus_ms(deadline_ms.min(STREAM_LIFE_MAX_MS)),
         route,
     })
 }
--- a/crates/reedsail_router/src/traffic/forward.rs
+++ b/crates/reedsail_router/src/traffic/forward.rs
@@ -34,6 +34,8 @@
 use super::response::ResponseBody;
 use super::response::build_response;
 use super::resume::ResumableBody;
+use super::stream_version::VersionSource;
+use super::stream_version::resolve_version;
 use crate::AnswerShape;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
@@ -45,9 +47,18 @@
 pub(crate) async fn forward<H: HeaderProtocol>(
     shared: &Arc<Shared<H>>,
     pool: &Arc<Pool>,
-    call: Call,
-    log: RequestLog<H>,
+    mut call: Call,
+    mut log: RequestLog<H>,
 ) -> Result<CallerResponse<H>, Failure> {
+    match resolve_version(shared, &mut call).await {
+        Ok(source) => log.set_version_source(source),
+        Err(kind) => {
+            log.set_version_source(Some(VersionSource::Unknown));
+            let failure = Unsent::new().refuse(kind);
+            log.record_refusal(&failure, None);
+            return Err(failure);
+        }
+    }
     let now = shared.clock.now();
     shared
         .dispatcher()
@@ -142,6 +153,7 @@
         match self.shared.dispatcher().decide(&demand, now) {
             Decision::Send(placement) => Ok(placement),
             Decision::Quarantined => Err(Refusal::of(ErrorKind::Quarantined)),
+            Decision::VersionGone => Err(Refusal::of(ErrorKind::StreamVersionGone)),
             Decision::Refuse {
                 kind,
                 retry_after_ms,
--- a/crates/reedsail_router/src/traffic/mod.rs
+++ b/crates/reedsail_router/src/traffic/mod.rs
@@ -1,7 +1,7 @@
 //! The traffic thread: serves callers' requests from the first byte to the last.
 //!
 //! In the order of a request: `thread` accepts connections, `serve` handles one request, `call` reads and checks it
-//! (`fingerprint` identifies retries by the caller), `forward` places and retries it, `exchange` makes one attempt,
+//! (`fingerprint` identifies retries by the caller), `stream_version` finds the version at which a stream continues, `forward` places and retries it, `exchange` makes one attempt,
 //! `relay_buffered`, `relay_stream` or `resume` relays the response, and `response` builds what the caller receives.
 //! These modules share `request_log`, `attempt_guard`, `server_notices` and `response_aborted`. `server_check` connects
 //! to servers whose connections broke. The imports between the modules form no cycle.
@@ -20,6 +20,7 @@
 mod serve;
 mod server_check;
 mod server_notices;
+mod stream_version;
 mod thread;
 
 use reedsail_core::ServerKey;
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -17,6 +17,7 @@
 use reedsail_events::EventKind;
 
 use super::call::Call;
+use super::stream_version::VersionSource;
 use crate::CallHead;
 use crate::ResumptionHead;
 use crate::route_table::WorkspaceEntry;
@@ -105,6 +106,8 @@
     gap_target_ms: Option<u64>,
     /// The earlier stream that the request continues.
     resumption: Option<ResumptionHead>,
+    /// How the version that began that stream became known.
+    version_source: Option<VersionSource>,
     /// The server of the last attempt, or the one chosen when the request was refused.
     server: String,
     /// The software version of that server.
@@ -135,6 +138,7 @@
             latency_target_ms: 0,
             gap_target_ms: None,
             resumption: None,
+            version_source: None,
             server: String::new(),
             version: Arc::from(""),
             arrived_at,
@@ -157,6 +161,11 @@
         self.resumption.clone_from(&call.resumption);
     }
 
+    /// Records how the version that began the stream became known, if the request continues one.
+    pub(crate) fn set_version_source(&mut self, source: Option<VersionSource>) {
+        self.version_source = source;
+    }
+
     /// Logs the server that was chosen for the request, with the inputs of the decision.
     pub(crate) fn record_placement(&mut self, placement: &Placement) {
         self.set_server(placement);
@@ -361,6 +370,10 @@
         vec![
             ("resumes", header_text(resumption.first_attempt.as_ref())),
             ("after_event", header_text(resumption.last_event_id.as_ref())),
+            (
+                "version_known_by",
+                self.version_source.map_or("", VersionSource::name).to_owned(),
+            ),
         ]
     }
 
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -35,6 +35,7 @@
 use super::request_log::RequestLog;
 use super::request_log::RequestOutcome;
 use super::response_aborted::ResponseAborted;
+use super::stream_version::bind_version;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
 
@@ -217,10 +218,10 @@
         if std::mem::replace(&mut self.has_version, true) {
             return;
         }
-        let version = guard
-            .server()
-            .and_then(|server| self.shared.dispatcher().software_version(server));
-        self.call.version = version.map_or(VersionDemand::Unknown, VersionDemand::Only);
+        let server = guard.server();
+        self.call.version = server.map_or(VersionDemand::Unknown, |server| {
+            bind_version(&self.shared, &self.call, server)
+        });
     }
 
     /// Returns the events that `data` completes, and stores the id of the last one.
@@ -269,7 +270,7 @@
     /// Chooses another server, if time and retry budget are left and a server accepts the stream.
     fn place(&self) -> Option<(Placement, AttemptGuard<H>)> {
         let now = self.shared.clock.now();
-        self.call.time_left_ms(now)?;
+        let left_ms = self.call.time_left_ms(now)?;
         if !self.shared.dispatcher().take_retry(self.call.service, now) {
             return None;
         }
@@ -277,14 +278,14 @@
         // A stream without an allowed region ends like one that no server can resume.
         let regions = self.call.allowed_regions(&newest).ok()?;
         let demand = self.call.demand(&self.tried, &regions, now);
-        let demand = demand.resumed(self.call.route.timeout_ms);
+        let demand = demand.resumed(left_ms);
         let decision = self.shared.dispatcher().decide(&demand, now);
         match decision {
             Decision::Send(placement) => {
                 let guard = AttemptGuard::begin(&self.shared, &demand, &placement);
                 Some((placement, guard))
             }
-            Decision::Quarantined | Decision::Refuse { .. } => None,
+            Decision::Quarantined | Decision::VersionGone | Decision::Refuse { .. } => None,
         }
     }
 }
--- a/crates/reedsail_router/tests/golden.rs
+++ b/crates/reedsail_router/tests/golden.rs
@@ -398,6 +398,26 @@
     ask(fixture.callers(), "/nowhere/", &[]).await;
     fixture.app.answer_with(&[RoutedAnswer::NotRun]);
     ask(fixture.callers(), "/once/", &[]).await;
+    continue_streams(fixture).await;
+}
+
+/// Continues a stream that the router knows, and one that it does not know.
+async fn continue_streams(fixture: &RouterFixture) {
+    let stream = RoutedAnswer::Stream {
+        events: 2,
+        pause_after: None,
+    };
+    fixture.llm.answer_with(&[stream]);
+    let first = [("reedsail-request-id", "first")];
+    ask(fixture.callers(), "/resume/", &first).await;
+    for first_attempt in ["first", "never-sent"] {
+        let continuation = [
+            ("reedsail-request-id", "second"),
+            ("reedsail-resumes", first_attempt),
+            ("last-event-id", "1"),
+        ];
+        ask(fixture.callers(), "/resume/", &continuation).await;
+    }
 }
 
 /// Fills a router with requests that are never answered, and stops it with the requests still open.
--- a/crates/reedsail_router/tests/software_versions.rs
+++ b/crates/reedsail_router/tests/software_versions.rs
@@ -10,12 +10,15 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use reedsail_dispatch::ServerRecord;
 use reedsail_router::RunningRouter;
+use reedsail_router::WorkspaceDefinition;
 use reedsail_standin::RoutedAnswer;
 use reedsail_standin::RoutedStandin;
 
 use common::Caller;
+use common::Reply;
 use common::Store;
 use common::ask;
 use common::configuration;
@@ -83,8 +86,15 @@
             running.push(Engine { id, version, server });
         }
         let records = running.iter().map(Engine::record).collect();
+        let mut configuration = configuration(1);
+        configuration.workspaces.push(WorkspaceDefinition {
+            name: "harrachov".to_owned(),
+            keys: vec!["key-3".to_owned()],
+            priority: None,
+            allowed_regions: None,
+        });
         let mut fleet = Self {
-            store: Store::new(Some(configuration(1)), Some(records)),
+            store: Store::new(Some(configuration), Some(records)),
             engines: running,
             routers: Vec::new(),
         };
@@ -139,6 +149,34 @@
         self.engines.remove(index).server.close();
     }
 
+    /// Ends an engine, and waits until no instance lists it.
+    async fn remove_engine(&mut self, id: &'static str) {
+        self.close_engine(id);
+        let records: Vec<ServerRecord> = self.engines.iter().map(Engine::record).collect();
+        self.store.servers.send_replace(Some(records));
+        for router in &self.routers {
+            let admin = router.addresses().admin;
+            wait_for("removal", async || {
+                !ask(admin, "/servers", &[]).await.text().contains(id)
+            })
+            .await;
+        }
+    }
+
+    /// Sends a continuation to an instance, and checks that it is refused with a kind and without a run.
+    async fn expect_refusal(&self, instance: usize, continuation: Request<Full<Bytes>>, kind: &str) -> Reply {
+        let request_id = continuation.headers()["reedsail-request-id"]
+            .to_str()
+            .unwrap()
+            .to_owned();
+        let mut caller = Caller::connect(self.callers(instance)).await;
+        let reply = read(caller.send(continuation).await).await;
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{}", reply.text());
+        assert!(reply.text().starts_with(kind), "{}", reply.text());
+        assert!(self.engines.iter().all(|engine| engine.runs_of(&request_id) == 0));
+        reply
+    }
+
     /// Begins the streams of a test at the first instance. They stay open while the answers are kept.
     async fn begin_streams(&self) -> Vec<Response<Incoming>> {
         let mut open = Vec::new();
@@ -209,7 +247,6 @@
 }
 
 #[tokio::test]
-#[ignore = "an instance doesn't know at which version a returning caller's stream began"]
 async fn a_caller_that_returns_to_another_instance_continues_at_the_version_that_began() {
     let mut fleet = Fleet::start(3, &TWO_OF_EACH).await;
     let _open = fleet.begin_streams().await;
@@ -222,7 +259,6 @@
 }
 
 #[tokio::test]
-#[ignore = "an instance doesn't know at which version a returning caller's stream began"]
 async fn a_caller_that_returns_to_an_instance_that_has_just_started_continues_at_the_version_that_began() {
     let mut fleet = Fleet::start(3, &TWO_OF_EACH).await;
     let _open = fleet.begin_streams().await;
@@ -236,12 +272,65 @@
 }
 
 #[tokio::test]
-#[ignore = "an instance places a stream that it doesn't know on any version"]
 async fn a_stream_that_nobody_knows_is_refused_while_a_service_runs_two_versions() {
     let fleet = Fleet::start(2, &[("llm-1", "v1"), ("llm-2", "v2")]).await;
     fleet.complete_streams();
-    let mut caller = Caller::connect(fleet.callers(0)).await;
-    let reply = read(caller.send(continuation("second", "never-sent", 0)).await).await;
-    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{}", reply.text());
-    assert!(fleet.engines.iter().all(|engine| engine.runs_of("second") == 0));
+    let unknown = continuation("second", "never-sent", 0);
+    let reply = fleet.expect_refusal(0, unknown, "stream_version_unknown").await;
+    assert_ne!(reply.header("retry-after"), "");
+}
+
+#[tokio::test]
+async fn a_workspace_cannot_continue_the_stream_of_another_one() {
+    let fleet = Fleet::start(2, &TWO_OF_EACH).await;
+    let _open = begin_stream(fleet.callers(0), "first", 0).await;
+    fleet.complete_streams();
+    let mut foreign = continuation("second", "first", 0);
+    let key = HeaderValue::from_static("Bearer key-3");
+    foreign.headers_mut().insert("authorization", key);
+    fleet.expect_refusal(0, foreign, "stream_version_unknown").await;
+}
+
+#[tokio::test]
+async fn a_stream_whose_caller_does_not_name_it_is_refused_while_a_service_runs_two_versions() {
+    let fleet = Fleet::start(2, &TWO_OF_EACH).await;
+    let _open = begin_stream(fleet.callers(0), "first", 0).await;
+    fleet.complete_streams();
+    let mut nameless = continuation("second", "first", 0);
+    nameless.headers_mut().remove("reedsail-resumes");
+    fleet.expect_refusal(0, nameless, "stream_version_unknown").await;
+    let mut ambiguous = continuation("third", "first", 0);
+    let other = HeaderValue::from_static("another");
+    ambiguous.headers_mut().append("reedsail-resumes", other);
+    fleet.expect_refusal(0, ambiguous, "stream_version_unknown").await;
+}
+
+#[tokio::test]
+async fn an_id_of_two_streams_of_different_versions_continues_neither() {
+    let fleet = Fleet::start(2, &TWO_OF_EACH).await;
+    let mut open = Vec::new();
+    for number in 0..STREAMS {
+        open.push(begin_stream(fleet.callers(0), "first", number).await);
+    }
+    fleet.complete_streams();
+    for instance in [0, 1] {
+        let request_id = format!("second-{instance}");
+        let reused = continuation(&request_id, "first", 0);
+        fleet
+            .expect_refusal(instance, reused, "stream_version_unknown")
+            .await;
+    }
+}
+
+#[tokio::test]
+async fn a_stream_without_a_server_of_its_version_is_refused_at_once() {
+    let mut fleet = Fleet::start(1, &[("llm-1", "v1"), ("llm-2", "v2")]).await;
+    let response = begin_stream(fleet.callers(0), "first", 0).await;
+    fleet.complete_streams();
+    let began = fleet.engine_of("first").id;
+    fleet.remove_engine(began).await;
+    assert!(!read(response).await.is_whole);
+    let orphan = continuation("second", "first", 0);
+    let reply = fleet.expect_refusal(0, orphan, "stream_version_gone").await;
+    assert_eq!(reply.header("retry-after"), "");
 }
--- a/crates/reedsail_simulation/src/crash_fleet.rs
+++ b/crates/reedsail_simulation/src/crash_fleet.rs
@@ -340,7 +340,7 @@
             let placement = match dispatcher.decide(&demand, now) {
                 Decision::Send(placement) => placement,
                 Decision::Quarantined => return self.count_quarantined(request),
-                Decision::Refuse { .. } => return self.count_refusal(request),
+                Decision::Refuse { .. } | Decision::VersionGone => return self.count_refusal(request),
             };
             let mut attempt = dispatcher.begin_attempt(&demand, &placement, now);
             tried.push(placement.server);
--- a/crates/reedsail_simulation/src/fleet.rs
+++ b/crates/reedsail_simulation/src/fleet.rs
@@ -220,6 +220,7 @@
                     return;
                 }
                 Decision::Quarantined => unreachable!("no request of this fleet has a fingerprint"),
+                Decision::VersionGone => unreachable!("no request of this fleet continues a stream"),
             }
         }
         let kind = ErrorKind::NoBackend;
@@ -436,6 +437,7 @@
         Decision::Send(placement) => (None, Some(*placement)),
         Decision::Refuse { kind, placement, .. } => (Some(*kind), *placement),
         Decision::Quarantined => (Some(ErrorKind::Quarantined), None),
+        Decision::VersionGone => (Some(ErrorKind::StreamVersionGone), None),
     };
     DecisionRow {
         at_ms: now_us / 1_000,
--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -55,6 +55,42 @@
   loadIntervalMs @25 :UInt32;
 }
 
+# Which software version began a stream, told to the instances that keep it and asked of them. A datagram of its own,
+# which begins with the byte 0xFF.
+struct StreamVersions {
+  rows @0 :List(StreamVersionRow);
+  queries @1 :List(StreamQuery);
+  answers @2 :List(StreamAnswer);
+}
+
+struct StreamVersionRow {
+  # The hash of the workspace and of the id of the attempt that brought the stream's first event.
+  stream @0 :UInt64;
+  service @1 :UInt32;
+  workspace @2 :UInt32;
+  # The hash of the version's name; zero where it is not known.
+  version @3 :UInt32;
+  # How much longer the caller may continue the stream.
+  leftMs @4 :UInt32;
+}
+
+struct StreamQuery {
+  # Chosen by the sender, repeated in the answer.
+  number @0 :UInt32;
+  stream @1 :UInt64;
+  # The service at which the caller wants to continue.
+  service @2 :UInt32;
+}
+
+struct StreamAnswer {
+  number @0 :UInt32;
+  # 0: the sender does not know. 1: the stream began at this service and version. 2: no stream of the service that
+  # may be continued can have begun at another version than this one.
+  knowledge @1 :UInt8;
+  service @2 :UInt32;
+  version @3 :UInt32;
+}
+
 struct SuspectRow {
   # The halves of the request's fingerprint.
   fingerprintHigh @0 :UInt64;
--- a/crates/reedsail_wire/src/lib.rs
+++ b/crates/reedsail_wire/src/lib.rs
@@ -1,5 +1,5 @@
-//! The messages between daemons, over capnp-rpc on TCP streams that count their bytes, and the load message
-//! between instances.
+//! The messages between daemons, over capnp-rpc on TCP streams that count their bytes, and the datagrams
+//! between instances: load messages and stream messages.
 //!
 //! Peers' messages are validated and bounded like callers' requests. A row with a name that is unknown to
 //! this process is dropped, since it only means that the sender has a newer bundle.
@@ -25,8 +25,10 @@
     reason = "generated from schema/peer.capnp"
 )]
 mod peer_capnp;
+mod peer_message;
 mod report;
 mod server;
+mod stream_message;
 
 pub use claim_rows::ClaimBatch;
 pub use link::LinkError;
@@ -40,5 +42,9 @@
 pub use message::ClaimVerdict;
 pub use message::Grant;
 pub use message::Report;
+pub use peer_message::PeerMessage;
 pub use server::PeerHandler;
 pub use server::serve_peers;
+pub use stream_message::StreamAnswer;
+pub use stream_message::StreamMessage;
+pub use stream_message::StreamQuery;
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddrV4;
 
 use capnp::message::Builder;
+use capnp::message::Reader;
 use capnp::message::ReaderOptions;
+use capnp::serialize::OwnedSegments;
 use capnp::serialize_packed;
 use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
@@ -287,10 +289,8 @@
     ///
     /// # Errors
     /// Returns an error if the bytes are not a load message, or a list is longer than any instance sends.
-    pub fn decode(mut bytes: &[u8]) -> Result<Self, capnp::Error> {
-        let mut options = ReaderOptions::new();
-        options.traversal_limit_in_words(Some(TRAVERSAL_WORDS_MAX));
-        let message = serialize_packed::read_message(&mut bytes, options)?;
+    pub fn decode(bytes: &[u8]) -> Result<Self, capnp::Error> {
+        let message = read_datagram(bytes)?;
         let root = message.get_root::<load_report::Reader<'_>>()?;
         Ok(Self {
             instance: NameHash(root.get_instance()),
@@ -319,6 +319,13 @@
     }
 }
 
+/// Reads the framing of a datagram, and limits the work of reading its content.
+pub(crate) fn read_datagram(mut bytes: &[u8]) -> Result<Reader<OwnedSegments>, capnp::Error> {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(TRAVERSAL_WORDS_MAX));
+    serialize_packed::read_message(&mut bytes, options)
+}
+
 fn read_load(root: load_report::Reader<'_>) -> Result<LoadReport, capnp::Error> {
     let (servers, workspaces, prefixes) = (root.get_servers()?, root.get_workspaces()?, root.get_parts()?);
     for rows in [servers.len(), workspaces.len(), prefixes.len()] {
@@ -422,7 +429,7 @@
     Ok(included.iter().map(row).collect())
 }
 
-fn check_rows(rows: u32) -> Result<(), capnp::Error> {
+pub(crate) fn check_rows(rows: u32) -> Result<(), capnp::Error> {
     if rows > ROWS_MAX {
         return Err(capnp::Error::failed(format!(
             "a list in a load message has {rows} rows; at most {ROWS_MAX} are accepted"
