Copy cached segments only between servers of one software version

Placement took any holder of a segment as the source of a copy, filtered by region only, so an engine of one version could be told to read what another version wrote. Change: the source must run the version of the chosen server; an unknown version copies from none.

--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -346,15 +346,18 @@
     }
 
     /// Returns a server that probably has a cached segment that the chosen server lacks. The server must be
-    /// in a region where the request may run, because a transfer copies its prompt.
+    /// in a region where the request may run, because a transfer copies its prompt, and must run the software version of
+    /// the chosen one, which reads what it wrote.
     fn cache_source(&self, demand: &Demand<'_>, segment: u64, chosen: ServerKey) -> Option<ServerKey> {
         if self.prefixes.has(segment, chosen, self.now) {
             return None;
         }
+        let version = self.servers.get(chosen).setup.version?;
         self.prefixes.holders(segment, self.now).find(|key| {
             let server = self.servers.get(*key);
             *key != chosen
                 && demand.regions.allows(server.setup.region)
+                && server.setup.version == Some(version)
                 && server.life.is_listed()
                 && server.health.is_reachable(self.now)
         })
--- a/crates/reedsail_dispatch/tests/version_history.rs
+++ b/crates/reedsail_dispatch/tests/version_history.rs
@@ -337,6 +337,51 @@
     assert!(!instance.continues_within_ms(&prompt(1), old, 10));
 }
 
+#[test]
+fn cached_segments_are_copied_only_between_servers_of_one_version() {
+    let engines = [
+        engine("a", "v1"),
+        engine("b", "v1"),
+        engine("c", "v2"),
+        engine("d", "v2"),
+        engine("e", ""),
+        engine("f", ""),
+    ];
+    let mut instance = Instance::start(&engines);
+    let (mut copies, mut without_copy) = (0, 0);
+    for number in 0..60 {
+        let prompt = prompt(number);
+        let first = demand(&prompt, VersionDemand::Any);
+        let Decision::Send(placement) = instance.dispatcher.decide(&first, instance.now) else {
+            panic!("an idle server takes a request");
+        };
+        let _running = instance
+            .dispatcher
+            .begin_attempt(&first, &placement, instance.now);
+        let tried = [placement.server];
+        let retry = Demand {
+            tried: &tried,
+            ..demand(&prompt, VersionDemand::Any).resumed(1_000_000)
+        };
+        let Decision::Send(second) = instance.dispatcher.decide(&retry, instance.now) else {
+            panic!("a retry with much time is sent");
+        };
+        let version = instance.dispatcher.software_version(second.server);
+        match second.cache_source {
+            Some(source) => {
+                assert_eq!(instance.dispatcher.software_version(source), version);
+                assert!(version.is_some());
+                copies += 1;
+            }
+            None => without_copy += 1,
+        }
+    }
+    assert!(
+        copies > 0 && without_copy > 0,
+        "{copies} copies, {without_copy} without"
+    );
+}
+
 fn record(id: &str, software_version: Option<&str>) -> ServerRecord {
     ServerRecord {
         id: id.to_owned(),
