Simulate who knows the versions of streams, and send rows only to new holders

Change: a row remembers the starts of the peers that have it. A simulation of streams and killed instances, with the real table, choice of holders and messages, compares three ways.

--- a/crates/reedsail_dispatch/src/stream_row.rs
+++ b/crates/reedsail_dispatch/src/stream_row.rs
@@ -8,6 +8,18 @@
 /// Seed of the hash that identifies a stream. All instances must use the same one.
 const STREAM_SEED: u64 = 0x73;
 
+/// Number of peers that keep a stream's row.
+pub const STREAM_HOLDERS: usize = 3;
+
+/// A start of a peer that may keep rows. A peer that has started again has lost its rows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamHolder {
+    /// The instance.
+    pub instance: NameHash,
+    /// The incarnation of its start.
+    pub incarnation: u32,
+}
+
 /// Identifies a stream to all instances: a hash of its workspace and of the id of the attempt that brought its first
 /// event. A workspace can't name the streams of another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/reedsail_dispatch/src/stream_version_table.rs
+++ b/crates/reedsail_dispatch/src/stream_version_table.rs
@@ -19,7 +19,9 @@
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
 
+use crate::STREAM_HOLDERS;
 use crate::SoftwareVersion;
+use crate::StreamHolder;
 use crate::StreamId;
 use crate::StreamRow;
 
@@ -38,8 +40,10 @@
     expires_at: TimeMs,
     /// Whether this instance served the stream.
     is_own: bool,
-    /// The generation of peers that the row was sent to; zero if it was not sent.
+    /// The generation of peers for which the row was last sent; zero if it was not sent.
     sent_generation: u64,
+    /// The peers that the row was sent to.
+    holders: [Option<StreamHolder>; STREAM_HOLDERS],
 }
 
 impl BoundStream {
@@ -54,6 +58,15 @@
     }
 }
 
+/// A row that may have to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnsentRow {
+    /// The row.
+    pub row: StreamRow,
+    /// The peers that it was sent to.
+    pub holders: [Option<StreamHolder>; STREAM_HOLDERS],
+}
+
 /// The streams that may be continued.
 #[derive(Clone, Debug, Default)]
 pub struct StreamVersionTable {
@@ -80,6 +93,8 @@
         if known.is_none() {
             self.make_room(row.workspace);
         }
+        // A row that has changed must be sent again.
+        let sent = known.filter(|_| !is_contradicted);
         let expires_at = now.plus_ms(u64::from(row.left_ms));
         let bound = BoundStream {
             service: row.service,
@@ -87,9 +102,8 @@
             version: row.version.filter(|_| !is_contradicted),
             expires_at: known.map_or(expires_at, |known| known.expires_at.max(expires_at)),
             is_own: is_own || known.is_some_and(|known| known.is_own),
-            sent_generation: known
-                .filter(|_| !is_contradicted)
-                .map_or(0, |known| known.sent_generation),
+            sent_generation: sent.map_or(0, |sent| sent.sent_generation),
+            holders: sent.map_or([None; STREAM_HOLDERS], |sent| sent.holders),
         };
         let order = self.by_workspace.entry(bound.workspace).or_default();
         order.insert((bound.expires_at, row.stream));
@@ -161,29 +175,30 @@
         own.map(|bound| bound.service).collect()
     }
 
-    /// Returns the rows of this instance's own streams of some services that were not sent to this generation of peers,
-    /// and marks them as sent.
-    pub fn take_unsent(
-        &mut self,
-        services: &BTreeSet<NameHash>,
-        generation: u64,
-        now: TimeMs,
-    ) -> Vec<StreamRow> {
-        let mut rows = Vec::new();
-        for (stream, bound) in &mut self.streams {
+    /// Returns the rows of this instance's own streams of some services that were not sent for this generation of peers,
+    /// each with the peers that it was sent to.
+    pub fn unsent(&self, services: &BTreeSet<NameHash>, generation: u64, now: TimeMs) -> Vec<UnsentRow> {
+        let unsent = self.streams.iter().filter(|(_, bound)| {
             let is_due = bound.is_own && bound.sent_generation != generation && bound.expires_at > now;
-            if is_due && services.contains(&bound.service) {
-                bound.sent_generation = generation;
-                rows.push(bound.row(*stream, now));
-            }
-        }
-        rows
+            is_due && services.contains(&bound.service)
+        });
+        let rows = unsent.map(|(stream, bound)| UnsentRow {
+            row: bound.row(*stream, now),
+            holders: bound.holders,
+        });
+        rows.collect()
     }
 
-    /// Marks a stream as sent to a generation of peers.
-    pub fn mark_sent(&mut self, stream: StreamId, generation: u64) {
+    /// Records the peers that have a stream's row for a generation of peers.
+    pub fn record_sent(
+        &mut self,
+        stream: StreamId,
+        generation: u64,
+        holders: [Option<StreamHolder>; STREAM_HOLDERS],
+    ) {
         if let Some(bound) = self.streams.get_mut(&stream) {
             bound.sent_generation = generation;
+            bound.holders = holders;
         }
     }
 
--- a/crates/reedsail_gossip/src/lib.rs
+++ b/crates/reedsail_gossip/src/lib.rs
@@ -48,6 +48,6 @@
 pub use prefix_relay::PrefixRelay;
 pub use sent_reports::SentReports;
 pub use stream_holders::ASKED_MAX;
-pub use stream_holders::HOLDERS;
 pub use stream_holders::StreamPeer;
+pub use stream_holders::missing_holders;
 pub use stream_holders::rank_holders;
--- a/crates/reedsail_router/src/stream_exchange.rs
+++ b/crates/reedsail_router/src/stream_exchange.rs
@@ -24,9 +24,10 @@
 use reedsail_dispatch::StreamKnowledge;
 use reedsail_dispatch::StreamRow;
 use reedsail_dispatch::StreamVersionTable;
+use reedsail_dispatch::UnsentRow;
 use reedsail_gossip::ASKED_MAX;
-use reedsail_gossip::HOLDERS;
 use reedsail_gossip::StreamPeer;
+use reedsail_gossip::missing_holders;
 use reedsail_gossip::rank_holders;
 use reedsail_wire::StreamAnswer;
 use reedsail_wire::StreamMessage;
@@ -87,13 +88,14 @@
         if !is_sent {
             return;
         }
-        table.mark_sent(row.stream, peers.generation);
+        let (missing, holders) = missing_holders(row.stream, &[], &peers.peers);
+        table.record_sent(row.stream, peers.generation, holders);
         drop(table);
         let message = StreamMessage {
             rows: vec![bound],
             ..StreamMessage::default()
         };
-        self.send(&message, &rank_holders(row.stream, &peers.peers, HOLDERS));
+        self.send(&message, &missing);
     }
 
     /// Replaces the peers. The rows that they need are sent by the next [`StreamExchange::send_rows`].
@@ -115,12 +117,14 @@
             return;
         }
         let peers = self.peers.load();
-        let rows = self.table().take_unsent(&services, peers.generation, now);
+        let unsent = self.table().unsent(&services, peers.generation, now);
         let mut by_holder: HashMap<SocketAddrV4, Vec<StreamRow>> = HashMap::new();
-        for row in rows {
-            for holder in rank_holders(row.stream, &peers.peers, HOLDERS) {
+        for UnsentRow { row, holders } in unsent {
+            let (missing, holders) = missing_holders(row.stream, &holders, &peers.peers);
+            for holder in missing {
                 by_holder.entry(holder).or_default().push(row);
             }
+            self.table().record_sent(row.stream, peers.generation, holders);
         }
         for (holder, rows) in by_holder {
             for rows in rows.chunks(ROWS_PER_MESSAGE_MAX) {
@@ -137,6 +141,7 @@
     /// after the time-out.
     pub(crate) async fn ask(&self, stream: StreamId, service: NameHash) -> StreamKnowledge {
         let asked = rank_holders(stream, &self.peers.load().peers, ASKED_MAX);
+        let asked: Vec<SocketAddrV4> = asked.iter().map(|peer| peer.address).collect();
         let (mut answers, guard) = self.open_query();
         let message = StreamMessage {
             queries: vec![StreamQuery {
--- a/crates/reedsail_simulation/src/lib.rs
+++ b/crates/reedsail_simulation/src/lib.rs
@@ -9,6 +9,9 @@
 //!
 //! A [`CrashScenario`] describes servers that end, with or without a request as the cause. [`simulate_crashes`]
 //! runs it and returns what instances learned about the ends from each other.
+//!
+//! A [`StreamScenario`] describes streams and instances that are killed. [`simulate_streams`] runs it and returns which
+//! of the streams' software versions were still known, and the bytes that this cost.
 
 mod callers;
 mod crash_fleet;
@@ -20,6 +23,8 @@
 mod outcome;
 mod requests;
 mod scenario;
+mod stream_fleet;
+mod stream_scenario;
 
 pub use crash_fleet::simulate_crashes;
 pub use crash_scenario::CrashOutcome;
@@ -43,3 +48,7 @@
 pub use scenario::Scenario;
 pub use scenario::Shedding;
 pub use scenario::WorkspacePlan;
+pub use stream_fleet::simulate_streams;
+pub use stream_scenario::RowSpread;
+pub use stream_scenario::StreamOutcome;
+pub use stream_scenario::StreamScenario;
