Confirm the start of a server before a stream continues there

Cause: a server may start again under its id and address with other software while an instance's list is old; X-Expect-Instance names the id only. Until then a server found not listening was left out for five seconds, which helps only the instance that finds it. Change: a request that continues a stream is sent only on a connection on which the server has told the start of its record (one GET without a slot). One process serves a connection to its end. Records without a start have ids that are never used again. Why it works: it needs no fresh list, so it holds for an instance that is cut off.

--- a/crates/reedsail_dispatch/src/dispatcher/attempts.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/attempts.rs
@@ -179,6 +179,11 @@
         health.record_outcome(AttemptOutcome::Down, now);
     }
 
+    /// Records that a server has started again since its record was read.
+    pub fn record_restarted(&mut self, server: ServerKey, now: TimeMs) {
+        self.servers.record_down(server, true, now);
+    }
+
     /// Returns the servers that were found to have ended since the last call, each with the requests that
     /// broke off there.
     pub fn take_server_ends(&mut self) -> Vec<ServerEnd> {
--- a/crates/reedsail_dispatch/src/dispatcher/mod.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/mod.rs
@@ -140,10 +140,8 @@
         self.models.get(&service).copied().unwrap_or_default()
     }
 
-    /// Sets the time as of which the list is known from the store, and the time as of which it is current because the
-    /// store or all peers confirm it.
-    pub fn set_list_times(&mut self, known_at: TimeMs, current_at: TimeMs) {
-        self.servers.set_list_known_at(known_at);
+    /// Sets the time as of which the server list is current.
+    pub fn set_list_current_at(&mut self, current_at: TimeMs) {
         self.servers.versions_mut().set_list_current_at(current_at);
     }
 
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -170,9 +170,7 @@
                 let versions = self.servers.versions();
                 !self.excludes_new_versions || !versions.is_new(setup.service, setup.version, self.now)
             }
-            VersionDemand::Only(_) | VersionDemand::Unknown => {
-                demand.version.allows(setup.version) && !self.servers.may_have_restarted(server)
-            }
+            VersionDemand::Only(_) | VersionDemand::Unknown => demand.version.allows(setup.version),
         }
     }
 
--- a/crates/reedsail_dispatch/src/server_table.rs
+++ b/crates/reedsail_dispatch/src/server_table.rs
@@ -42,10 +42,6 @@
 /// How long peers are told that nothing listens at a server's address, in milliseconds: some reports may be lost.
 const DOWN_REPORTED_MS: u64 = 1_000;
 
-/// Time within which the record of a server that has ended lapses, or that of its next start replaces it, in
-/// milliseconds: three of its heartbeats, and the time until the list has it.
-const RECORD_LAPSE_MS: u64 = 5_000;
-
 /// A backend server as described by service discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerSetup {
@@ -180,8 +176,6 @@
     spreads: HashMap<NameHash, SpeedSpread>,
     spreads_until: TimeMs,
     versions: VersionHistory,
-    /// The time as of which the list is known from the store.
-    list_known_at: TimeMs,
     /// Returned for a service without servers.
     no_servers: ServerGroups,
 }
@@ -393,18 +387,6 @@
         &mut self.versions
     }
 
-    /// Sets the time as of which the list is known from the store.
-    pub(crate) fn set_list_known_at(&mut self, known_at: TimeMs) {
-        self.list_known_at = known_at;
-    }
-
-    /// Returns whether a server may have restarted under its id since its record was read. A server that was found not
-    /// listening may have ended; its record lapses or changes within [`RECORD_LAPSE_MS`] then.
-    pub(crate) fn may_have_restarted(&self, server: &ServerState) -> bool {
-        let found_down_at = server.found_down_at;
-        found_down_at.is_some_and(|at| self.list_known_at < at.plus_ms(RECORD_LAPSE_MS))
-    }
-
     /// Returns whether a listed server that doesn't drain has the version and a region that a request requires.
     pub(crate) fn has_server_for(&self, demand: &Demand<'_>) -> bool {
         let mut listed = self.of_service(demand.service).beginning_with(0).flatten();
--- a/crates/reedsail_router/src/control/server_publication.rs
+++ b/crates/reedsail_router/src/control/server_publication.rs
@@ -55,6 +55,7 @@
         id: Arc::from(record.id.as_str()),
         service: Arc::from(record.service.as_str()),
         address: record.address,
+        born_ms: record.born_ms,
         software_version: Arc::from(record.software_version.as_deref().unwrap_or_default()),
     }
 }
--- a/crates/reedsail_router/src/control/stream_watch.rs
+++ b/crates/reedsail_router/src/control/stream_watch.rs
@@ -80,7 +80,7 @@
                 self.confirming_peers.is_subset(&alive)
             };
         let current_at = if is_confirmed { now } else { known_at };
-        shared.dispatcher().set_list_times(known_at, current_at);
+        shared.dispatcher().set_list_current_at(current_at);
     }
 
     /// Shows which versions each service runs.
--- a/crates/reedsail_router/src/protocol.rs
+++ b/crates/reedsail_router/src/protocol.rs
@@ -75,6 +75,9 @@
 
 /// Reads and writes the headers of one platform.
 pub trait HeaderProtocol: Clone + Send + Sync + 'static {
+    /// The path at which a server tells when it started.
+    const START_PATH: &'static str;
+
     /// Reads the head of a caller's request.
     ///
     /// # Errors
@@ -91,6 +94,9 @@
     /// server responded in place of the one that the request was sent to.
     fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> ServerNotice;
 
+    /// Reads the time of a server's start from its answer, in milliseconds of Unix time; `None` if the answer lacks it.
+    fn read_start_ms(&self, body: &[u8]) -> Option<u64>;
+
     /// Writes the id of the request into a response that the router itself generates.
     fn write_router_response(&self, headers: &mut HeaderMap, request_id: Option<&HeaderValue>);
 
--- a/crates/reedsail_router/src/server_views.rs
+++ b/crates/reedsail_router/src/server_views.rs
@@ -20,6 +20,8 @@
     pub(crate) id: Arc<str>,
     pub(crate) service: Arc<str>,
     pub(crate) address: SocketAddr,
+    /// When it started, in milliseconds of Unix time by its own clock; `None` if its record does not say.
+    pub(crate) born_ms: Option<u64>,
     /// The version of its software; empty if it is unknown.
     pub(crate) software_version: Arc<str>,
 }
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -12,6 +12,7 @@
 use hyper::http::response::Parts;
 use reedsail_core::ErrorKind;
 use reedsail_core::Sent;
+use reedsail_core::ServerKey;
 use reedsail_core::Unsent;
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_dispatch::Placement;
@@ -23,6 +24,8 @@
 use super::attempt_guard::AttemptGuard;
 use super::attempt_guard::OpenAttempt;
 use super::call::Call;
+use super::incarnation_check::Confirmation;
+use super::incarnation_check::confirm_incarnation;
 use super::server_notices::ServerResponseHead;
 use super::server_notices::process_notice;
 use crate::ForwardHead;
@@ -79,7 +82,17 @@
     let deadline = || shared.clock.timer(call.deadline);
     let is_trusted = shared.dispatcher().may_reuse_connection(placement.server, now);
     // A pooled connection that is not trusted closes here, and a new one replaces it.
-    let pooled = pool.take(placement.server, now).filter(|_| is_trusted);
+    let mut pooled = pool.take(placement.server, now).filter(|_| is_trusted);
+    // Only the incarnation that has the required version may get a request that continues a stream.
+    let confirmed_start_ms = server.born_ms.filter(|_| call.version.is_continuation());
+    if let (Some(born_ms), Some(connection)) = (confirmed_start_ms, pooled.take()) {
+        match confirm_incarnation(shared, &server, born_ms, connection).await {
+            Confirmation::Confirmed(connection) => pooled = Some(connection),
+            Confirmation::Restarted => return fail_restarted(shared, placement.server, guard, unsent),
+            // The server may have closed the idle connection.
+            Confirmation::Unanswered => {}
+        }
+    }
     let (request, unsent) = match pooled {
         Some(connection) => {
             guard.set_written(true);
@@ -102,6 +115,17 @@
             return AttemptResult::NotSent(unsent);
         }
     };
+    let connection = match confirmed_start_ms {
+        None => connection,
+        Some(born_ms) => match confirm_incarnation(shared, &server, born_ms, connection).await {
+            Confirmation::Confirmed(connection) => connection,
+            Confirmation::Restarted => return fail_restarted(shared, placement.server, guard, unsent),
+            Confirmation::Unanswered => {
+                guard.finish(AttemptOutcome::Unreachable);
+                return AttemptResult::NotSent(unsent);
+            }
+        },
+    };
     // During the connect, another response or a new server list may have excluded this server.
     let now = shared.clock.now();
     if !shared.dispatcher().may_still_send_to(placement.server, now) {
@@ -122,6 +146,18 @@
     }
 }
 
+/// Ends an attempt whose server has started again since its record was read.
+fn fail_restarted<H>(
+    shared: &Shared<H>,
+    server: ServerKey,
+    guard: AttemptGuard<H>,
+    unsent: Unsent,
+) -> AttemptResult<H> {
+    shared.dispatcher().record_restarted(server, shared.clock.now());
+    guard.finish(AttemptOutcome::Abandoned);
+    AttemptResult::NotSent(unsent)
+}
+
 fn fail_attempt<H>(guard: AttemptGuard<H>, sent: Sent, kind: ErrorKind) -> AttemptResult<H> {
     guard.finish(outcome_of_error(kind));
     AttemptResult::Failed(sent, kind)
--- a/crates/reedsail_router/src/traffic/mod.rs
+++ b/crates/reedsail_router/src/traffic/mod.rs
@@ -1,7 +1,7 @@
 //! The traffic thread: serves callers' requests from the first byte to the last.
 //!
 //! In the order of a request: `thread` accepts connections, `serve` handles one request, `call` reads and checks it
-//! (`fingerprint` identifies retries by the caller), `stream_version` finds the version at which a stream continues, `forward` places and retries it, `exchange` makes one attempt,
+//! (`fingerprint` identifies retries by the caller), `stream_version` finds the version at which a stream continues, `forward` places and retries it, `exchange` makes one attempt (`incarnation_check` confirms which start of a server answers),
 //! `relay_buffered`, `relay_stream` or `resume` relays the response, and `response` builds what the caller receives.
 //! These modules share `request_log`, `attempt_guard`, `server_notices` and `response_aborted`. `server_check` connects
 //! to servers whose connections broke. The imports between the modules form no cycle.
@@ -11,6 +11,7 @@
 mod exchange;
 mod fingerprint;
 mod forward;
+mod incarnation_check;
 mod relay_buffered;
 mod relay_stream;
 mod request_log;
--- a/crates/reedsail_router/tests/common/test_headers.rs
+++ b/crates/reedsail_router/tests/common/test_headers.rs
@@ -47,6 +47,8 @@
 pub(crate) struct TestHeaders;
 
 impl HeaderProtocol for TestHeaders {
+    const START_PATH: &'static str = "/start";
+
     fn read_call(&self, headers: &HeaderMap) -> Result<CallHead, HeaderError> {
         Ok(CallHead {
             request_id: headers.get(REQUEST_ID).cloned(),
@@ -104,6 +106,10 @@
         }
     }
 
+    fn read_start_ms(&self, body: &[u8]) -> Option<u64> {
+        std::str::from_utf8(body).ok()?.parse().ok()
+    }
+
     fn write_router_response(&self, headers: &mut HeaderMap, request_id: Option<&HeaderValue>) {
         if let Some(id) = request_id {
             headers.insert(REQUEST_ID, id.clone());
--- a/crates/reedsail_router/tests/software_versions.rs
+++ b/crates/reedsail_router/tests/software_versions.rs
@@ -135,6 +135,25 @@
         engines.find(|engine| engine.runs_of(request_id) > 0).unwrap()
     }
 
+    /// Sets the time at which all engines have started, in their records as well.
+    async fn set_starts(&self, born_ms: u64) {
+        self.store.servers.send_modify(|records| {
+            for record in records.as_mut().unwrap() {
+                record.born_ms = Some(born_ms);
+            }
+        });
+        for engine in &self.engines {
+            engine.server.set_start_ms(born_ms);
+        }
+        let admin = self.routers[0].addresses().admin;
+        let shown = format!("\"born_ms\":{born_ms}");
+        wait_for("the starts", async || {
+            let page = ask(admin, "/servers", &[]).await;
+            page.text().matches(&shown).count() == self.engines.len()
+        })
+        .await;
+    }
+
     /// Returns the versions at which the streams of a test began.
     fn first_versions(&self) -> Vec<&'static str> {
         let first = (0..STREAMS).map(|number| format!("first-{number}"));
@@ -334,3 +353,26 @@
     let reply = fleet.expect_refusal(0, orphan, "stream_version_gone").await;
     assert_eq!(reply.header("retry-after"), "");
 }
+
+#[tokio::test]
+async fn a_server_that_started_again_under_its_id_continues_no_stream_while_the_list_is_old() {
+    let fleet = Fleet::start(1, &[("llm-1", "v1"), ("llm-2", "v1")]).await;
+    fleet.set_starts(1).await;
+    let response = begin_stream(fleet.callers(0), "first", 0).await;
+    fleet.complete_streams();
+    // Both are later starts, of which the list does not know yet.
+    for engine in &fleet.engines {
+        engine.server.set_start_ms(2);
+    }
+    fleet.engine_of("first").server.crash();
+    assert!(!read(response).await.is_whole);
+    let early = continuation("second", "first", 0);
+    fleet.expect_refusal(0, early, "no_backend").await;
+    // Only the incarnation of the record continues it.
+    for engine in &fleet.engines {
+        engine.server.set_start_ms(1);
+    }
+    let mut caller = Caller::connect(fleet.callers(0)).await;
+    let reply = read(caller.send(continuation("third", "first", 0)).await).await;
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+}
--- a/crates/reedsail_standin/src/routed_server.rs
+++ b/crates/reedsail_standin/src/routed_server.rs
@@ -32,6 +32,8 @@
 const REQUEST_ID: &str = "reedsail-request-id";
 /// The header with the id of the last event that the caller has received.
 const LAST_EVENT: &str = "last-event-id";
+/// The path at which a server tells the time of its start.
+const START_PATH: &str = "/start";
 /// Pause between two events of a stream, in milliseconds.
 const EVENT_PAUSE_MS: u64 = 5;
 
@@ -99,6 +101,8 @@
     script: Vec<RoutedAnswer>,
     /// Additional headers of each answer.
     answer_headers: HeaderMap,
+    /// The time of its start, which it tells on request.
+    start_ms: Option<u64>,
     runs: Vec<RoutedRun>,
 }
 
@@ -141,6 +145,11 @@
         self.handler.lock().answer_headers = answer_headers.collect();
     }
 
+    /// Sets the time of its start, which it tells at [`START_PATH`], in milliseconds of Unix time.
+    pub fn set_start_ms(&self, start_ms: u64) {
+        self.handler.lock().start_ms = Some(start_ms);
+    }
+
     /// Returns all requests that the server received, in order.
     pub fn runs(&self) -> Vec<RoutedRun> {
         self.handler.lock().runs.clone()
@@ -203,6 +212,11 @@
 
 impl RoutedHandler {
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, StandinError> {
+        if request.uri().path() == START_PATH {
+            let start_ms = self.lock().start_ms;
+            let text = start_ms.map_or_else(String::new, |start_ms| start_ms.to_string());
+            return Ok(full_response(StatusCode::OK, text));
+        }
         let call = format!("{} {}", request.method(), request.uri());
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| StandinError)?.to_bytes();
