--- a/crates/reedsail_bench/src/main.rs
+++ b/crates/reedsail_bench/src/main.rs
@@ -90,6 +90,10 @@
             cmd soak-server {
                 /// The id of the server.
                 required --id id: String
+                /// The software version of the server.
+                required --version version: String
+                /// When it started, in milliseconds of Unix time.
+                required --born-ms born_ms: u64
                 /// Answers with streams.
                 optional --streams
             }
@@ -122,7 +126,9 @@
         flags::ReedsailBenchCmd::Soak(soak) => run_soak_command(soak).await,
         flags::ReedsailBenchCmd::SoakStore(_) => run_store().await.map(|()| true),
         flags::ReedsailBenchCmd::SoakServer(server) => {
-            run_server(server.id, server.streams).await.map(|()| true)
+            run_server(server.id, server.version, server.born_ms, server.streams)
+                .await
+                .map(|()| true)
         }
     }
 }
--- a/crates/reedsail_soak/src/caller.rs
+++ b/crates/reedsail_soak/src/caller.rs
@@ -1,4 +1,5 @@
-//! Callers: they reuse a connection while it stays open, and record the outcome of each attempt.
+//! Callers: they reuse a connection while it stays open, continue broken streams at any instance, and record the outcome
+//! of each attempt.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -10,6 +11,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HOST;
@@ -27,14 +29,16 @@
 use crate::Attempt;
 use crate::CallKind;
 use crate::Outcome;
+use crate::StreamPart;
 use crate::fleet::Fleet;
 use crate::layout;
 use crate::layout::CHANGING_WORKSPACE;
 use crate::layout::HOST as SOAK_HOST;
+use crate::server::EVENTS;
 use crate::server::SERVED_BY;
 use crate::server::plain_answer;
-use crate::server::stream_answer;
 use crate::soak_clock::SoakClock;
+use crate::stream_progress::StreamProgress;
 
 /// Deadline that a caller sends with its request.
 const DEADLINE_MS: u64 = layout::TIMEOUT_MS;
@@ -46,6 +50,14 @@
 const RECONNECT_DELAY_MS: u64 = 50;
 /// Number of different shared prompt prefixes.
 const PROMPT_COUNT: u64 = 12;
+/// How often a stream's caller disconnects on purpose, to continue the stream at another instance.
+const HANG_UP_PROBABILITY: f64 = 0.2;
+/// Maximum number of attempts that continue a stream.
+const CONTINUATIONS_MAX: usize = 4;
+/// A stream is not continued with less time left than this.
+const CONTINUATION_TIME_MIN_MS: u64 = 300;
+/// Longest pause before a stream is continued.
+const RETURN_PAUSE_MAX_MS: u64 = 40;
 /// Tokens of a prompt's shared prefix and of its own part.
 const PROMPT_TOKENS: (u32, u32) = (2_000, 300);
 
@@ -74,27 +86,150 @@
     instance: usize,
 }
 
+/// One caller.
+struct Caller {
+    shared: Arc<CallerShared>,
+    profile: CallerProfile,
+    number: u64,
+    random: StdRng,
+    /// The number of its last attempt.
+    count: u64,
+    connection: Option<Connection>,
+}
+
 /// Sends requests until the end of the soak.
 pub(crate) async fn run_caller(shared: Arc<CallerShared>, profile: CallerProfile, number: u64, seed: u64) {
-    let mut random = StdRng::seed_from_u64(seed ^ (number << 32));
-    let mut connection = None;
-    let mut count = 0_u64;
-    while shared.clock.now_ms() < shared.end_ms {
-        let pause_ms = random.random_range(0..=profile.pause_ms * 2);
+    let mut caller = Caller {
+        shared,
+        profile,
+        number,
+        random: StdRng::seed_from_u64(seed ^ (number << 32)),
+        count: 0,
+        connection: None,
+    };
+    while caller.shared.clock.now_ms() < caller.shared.end_ms {
+        caller.run_request().await;
+    }
+}
+
+impl Caller {
+    /// Sends one request and, if its stream breaks, continues it elsewhere.
+    async fn run_request(&mut self) {
+        let pause_ms = self.random.random_range(0..=self.profile.pause_ms * 2);
         sleep(Duration::from_millis(pause_ms)).await;
-        if connection.is_none() {
-            connection = connect(&shared, &mut random).await;
+        let kind = CallKind::ALL[self.random.random_range(0..CallKind::ALL.len())];
+        let prompt = self.random.random_range(0..PROMPT_COUNT);
+        let until_ms = self.shared.clock.now_ms() + DEADLINE_MS;
+        let mut progress = StreamProgress::default();
+        let can_hang_up = kind == CallKind::Chat && self.random.random_bool(HANG_UP_PROBABILITY);
+        let hang_up_after = can_hang_up.then(|| self.random.random_range(1..EVENTS));
+        let request = CallerRequest {
+            kind,
+            prompt,
+            until_ms,
+        };
+        self.attempt(request, &mut progress, hang_up_after).await;
+        for _ in 0..CONTINUATIONS_MAX {
+            let has_time = self.shared.clock.now_ms() + CONTINUATION_TIME_MIN_MS < until_ms;
+            if !progress.is_open() || !has_time {
+                return;
+            }
+            let pause_ms = self.random.random_range(0..=RETURN_PAUSE_MAX_MS);
+            sleep(Duration::from_millis(pause_ms)).await;
+            self.connection = None;
+            self.attempt(request, &mut progress, None).await;
+        }
+    }
+
+    /// Makes one attempt, on the open connection if there is one.
+    async fn attempt(
+        &mut self,
+        request: CallerRequest,
+        progress: &mut StreamProgress,
+        hang_up_after: Option<u32>,
+    ) {
+        if self.connection.is_none() {
+            self.connection = connect(&self.shared, &mut self.random).await;
         }
-        let Some(open) = connection.take() else {
+        let Some(mut connection) = self.connection.take() else {
             sleep(Duration::from_millis(RECONNECT_DELAY_MS)).await;
-            continue;
+            return;
         };
-        count += 1;
-        let id = format!("{number:02x}-{count:05x}");
-        connection = attempt(&shared, profile, open, id, &mut random).await;
+        if !connection.http.ready().await {
+            return;
+        }
+        self.count += 1;
+        let id = format!("{:02x}-{:05x}", self.number, self.count);
+        let key = choose_key(&self.shared, self.profile, &mut self.random);
+        let began_ms = self.shared.clock.now_ms();
+        let head = request.head(&id, progress, began_ms);
+        let message = build_request(request.kind, head, &layout::key(self.profile.workspace, key));
+        let limit = Duration::from_millis(request.until_ms.saturating_sub(began_ms) + GRACE_MS);
+        let exchange = send_request(
+            &mut connection.http,
+            message,
+            &id,
+            request.kind,
+            progress,
+            hang_up_after,
+        );
+        let reply = timeout(limit, exchange).await.unwrap_or(CallerReply {
+            outcome: Outcome::Silent,
+            stream: None,
+            is_reusable: false,
+        });
+        let attempt = Attempt {
+            id,
+            kind: request.kind,
+            workspace: self.profile.workspace.to_owned(),
+            key,
+            daemon: connection.instance,
+            began_ms,
+            ended_ms: self.shared.clock.now_ms(),
+            outcome: reply.outcome,
+            stream: reply.stream,
+        };
+        // The receiver is dropped when the soak has ended.
+        let _ = self.shared.attempts.send(attempt);
+        self.connection = reply.is_reusable.then_some(connection);
+    }
+}
+
+/// What a caller asks for, over all attempts.
+#[derive(Clone, Copy, Debug)]
+struct CallerRequest {
+    kind: CallKind,
+    /// The number of the shared part of its prompt.
+    prompt: u64,
+    /// The caller's deadline.
+    until_ms: u64,
+}
+
+impl CallerRequest {
+    /// Returns the headers of an attempt, without the key.
+    fn head<'a>(self, id: &'a str, progress: &'a StreamProgress, now_ms: u64) -> CallerHead<'a> {
+        let has_prompt = matches!(self.kind, CallKind::Letter | CallKind::Chat);
+        let (shared_tokens, own_tokens) = PROMPT_TOKENS;
+        CallerHead {
+            request_id: id,
+            deadline_ms: self.until_ms.saturating_sub(now_ms),
+            key: None,
+            resumes: progress
+                .is_open()
+                .then_some((progress.first_attempt.as_str(), progress.last_event)),
+            prompt: has_prompt.then_some((self.prompt + 1, shared_tokens, own_tokens)),
+        }
     }
 }
 
+/// How an attempt ended for its caller.
+struct CallerReply {
+    outcome: Outcome,
+    stream: Option<StreamPart>,
+    /// Whether the connection stays open.
+    is_reusable: bool,
+}
+
 /// Connects to a random ready instance, or to any instance if none is ready.
 async fn connect(shared: &CallerShared, random: &mut StdRng) -> Option<Connection> {
     let instances = &shared.fleet.instances;
@@ -113,39 +248,6 @@
     })
 }
 
-/// Makes one attempt; returns the connection if it can be reused.
-async fn attempt(
-    shared: &CallerShared,
-    profile: CallerProfile,
-    mut connection: Connection,
-    id: String,
-    random: &mut StdRng,
-) -> Option<Connection> {
-    let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
-    let key = choose_key(shared, profile, random);
-    if !connection.http.ready().await {
-        return None;
-    }
-    let request = build_request(&id, kind, &layout::key(profile.workspace, key), random);
-    let began_ms = shared.clock.now_ms();
-    let limit = Duration::from_millis(DEADLINE_MS + GRACE_MS);
-    let exchange = send_request(&mut connection.http, request, &id, kind);
-    let (outcome, is_reusable) = timeout(limit, exchange).await.unwrap_or((Outcome::Silent, false));
-    let attempt = Attempt {
-        id,
-        kind,
-        workspace: profile.workspace.to_owned(),
-        key,
-        daemon: connection.instance,
-        began_ms,
-        ended_ms: shared.clock.now_ms(),
-        outcome,
-    };
-    // The receiver is dropped when the soak has ended.
-    let _ = shared.attempts.send(attempt);
-    is_reusable.then_some(connection)
-}
-
 /// Returns the newest key of the caller's workspace, or sometimes the previous one.
 fn choose_key(shared: &CallerShared, profile: CallerProfile, random: &mut StdRng) -> u64 {
     if profile.workspace != CHANGING_WORKSPACE {
@@ -159,47 +261,68 @@
     }
 }
 
-fn build_request(id: &str, kind: CallKind, key: &str, random: &mut StdRng) -> Request<Full<Bytes>> {
-    let has_prompt = matches!(kind, CallKind::Letter | CallKind::Chat);
-    let (shared_tokens, own_tokens) = PROMPT_TOKENS;
-    let prompt = random.random_range(0..PROMPT_COUNT);
-    let head = CallerHead {
-        request_id: id,
-        deadline_ms: DEADLINE_MS,
-        key: Some(key),
-        prompt: has_prompt.then_some((prompt + 1, shared_tokens, own_tokens)),
-    };
+fn build_request(kind: CallKind, head: CallerHead<'_>, key: &str) -> Request<Full<Bytes>> {
+    let body = format!("question of {}", head.request_id);
     let mut request = Request::post(layout::path(kind))
         .header(HOST, SOAK_HOST)
-        .body(Full::new(Bytes::from(format!("question of {id}"))))
+        .body(Full::new(Bytes::from(body)))
         .expect("the path and host are valid");
+    let head = CallerHead {
+        key: Some(key),
+        ..head
+    };
     head.write(request.headers_mut());
     request
 }
 
-/// Sends a request; returns its outcome and whether the connection stays open.
+/// Sends a request and reads its answer.
 async fn send_request(
     http: &mut HttpConnection,
     request: Request<Full<Bytes>>,
     id: &str,
     kind: CallKind,
-) -> (Outcome, bool) {
+    progress: &mut StreamProgress,
+    hang_up_after: Option<u32>,
+) -> CallerReply {
+    let is_resumable = kind == CallKind::Chat;
+    // A stream without an answer has a part without events.
+    let empty_part = is_resumable.then(|| progress.empty_part());
     let Ok(response) = http.send(request).await else {
-        return (Outcome::Cut { had_begun: false }, false);
+        return CallerReply {
+            outcome: Outcome::Cut { had_begun: false },
+            stream: empty_part,
+            is_reusable: false,
+        };
     };
     let is_closing = response
         .headers()
         .get(CONNECTION)
         .is_some_and(|value| value.as_bytes() == b"close");
-    let outcome = read_outcome(response, id, kind).await;
-    let is_reusable = !is_closing && !matches!(outcome, Outcome::Cut { .. });
-    (outcome, is_reusable)
+    let is_success = response.status() == StatusCode::OK;
+    let (outcome, stream) = if is_resumable && is_success {
+        let (outcome, part) = progress.read(id, response.into_body(), hang_up_after).await;
+        (outcome, Some(part))
+    } else {
+        (read_outcome(response, id, kind).await, empty_part)
+    };
+    let is_open = !matches!(outcome, Outcome::Cut { .. } | Outcome::HungUp);
+    CallerReply {
+        outcome,
+        stream,
+        is_reusable: !is_closing && is_open,
+    }
 }
 
 async fn read_outcome(response: Response<Incoming>, id: &str, kind: CallKind) -> Outcome {
     let status = response.status().as_u16();
     let by_server = response.headers().contains_key(SERVED_BY);
     let has_retry_after = response.headers().contains_key(RETRY_AFTER);
+    if status == 200 && matches!(kind, CallKind::Letter | CallKind::Chat) {
+        let (outcome, _) = StreamProgress::default()
+            .read(id, response.into_body(), None)
+            .await;
+        return outcome;
+    }
     let Ok(body) = response.into_body().collect().await else {
         return Outcome::Cut { had_begun: true };
     };
@@ -210,10 +333,7 @@
             Outcome::Failed { status, by_server }
         };
     }
-    let expected = match kind {
-        CallKind::Lookup | CallKind::Order => plain_answer(id),
-        CallKind::Letter | CallKind::Chat => stream_answer(id),
-    };
+    let expected = plain_answer(id);
     let body = body.to_bytes();
     if body == expected.as_bytes() {
         Outcome::Answered
--- a/crates/reedsail_soak/src/checker.rs
+++ b/crates/reedsail_soak/src/checker.rs
@@ -9,6 +9,7 @@
 use crate::Run;
 use crate::Target;
 use crate::notice_checks::check_notices;
+use crate::version_checks::check_stream_versions;
 
 /// A version must be in force after this time on an instance without faults.
 const IN_FORCE_WITHIN_MS: u64 = 6_000;
@@ -78,6 +79,7 @@
     check_keys(history, &mut found);
     check_departures(history, &mut found);
     check_notices(history, &mut found);
+    check_stream_versions(history, &mut found);
     check_exits(history, &mut found);
     check_fairness(history, &mut found);
     check_recovery(history, &mut found);
@@ -341,7 +343,7 @@
         let own = history
             .attempts
             .iter()
-            .filter(|attempt| attempt.workspace == workspace);
+            .filter(|attempt| attempt.workspace == workspace && attempt.outcome != Outcome::HungUp);
         let own: Vec<&Attempt> = own.collect();
         let answered = own
             .iter()
@@ -369,7 +371,10 @@
         return;
     }
     let last = history.attempts.iter().filter(|attempt| {
-        attempt.workspace == "small" && attempt.began_ms >= from_ms && attempt.ended_ms <= history.for_ms
+        attempt.workspace == "small"
+            && attempt.outcome != Outcome::HungUp
+            && attempt.began_ms >= from_ms
+            && attempt.ended_ms <= history.for_ms
     });
     let last: Vec<&Attempt> = last.collect();
     let answered = last
--- a/crates/reedsail_soak/src/draw.rs
+++ b/crates/reedsail_soak/src/draw.rs
@@ -19,18 +19,26 @@
 const SERIES_INTERVAL_MS: u64 = 1_500;
 /// Maximum number of faults in one series.
 const FAULTS_PER_SERIES_MAX: u64 = 4;
+/// Number of software versions of engines.
+const VERSION_COUNT: u32 = 3;
 /// Maximum duration of a fault.
 const FAULT_DURATION_MAX_MS: u64 = 4_000;
 
 /// Draws a schedule. The same seed, duration and number of instances give the same schedule.
 pub fn draw_schedule(seed: u64, for_ms: u64, instances: Option<usize>) -> Schedule {
     let mut random = StdRng::seed_from_u64(seed);
+    let daemons = instances.unwrap_or_else(|| random.random_range(3..=5));
+    let engines = random.random_range(4..=6);
+    let versions_at_start = random.random_range(1..=VERSION_COUNT);
     let mut schedule = Schedule {
         seed,
         for_ms,
-        daemons: instances.unwrap_or_else(|| random.random_range(3..=5)),
-        engines: random.random_range(3..=4),
+        daemons,
+        engines,
         plain_servers: 2,
+        engine_versions: (0..engines)
+            .map(|_| random.random_range(1..=versions_at_start))
+            .collect(),
         faults: Vec::new(),
         cause: String::new(),
     };
@@ -51,6 +59,7 @@
     let mut at_ms = random.random_range(FAULT_FREE_START_MS..last_ms);
     let kind = random.random_range(0..KIND_COUNT);
     let first_target = random.random_range(0..64);
+    let version = random.random_range(1..=VERSION_COUNT);
     let is_target_advancing = random.random_bool(0.5);
     let mut faults = Vec::new();
     for number in 0..count {
@@ -61,7 +70,7 @@
         faults.push(Fault {
             at_ms,
             for_ms,
-            kind: draw_kind(random, schedule, kind, target),
+            kind: draw_kind(random, schedule, kind, target, version),
         });
         at_ms += random.random_range(for_ms / 2..=for_ms + 500);
         if at_ms >= last_ms {
@@ -72,9 +81,10 @@
 }
 
 /// Number of indices that [`draw_kind`] maps to a fault kind.
-const KIND_COUNT: u32 = 21;
+const KIND_COUNT: u32 = 25;
 
-fn draw_kind(random: &mut StdRng, schedule: &Schedule, kind: u32, target: usize) -> FaultKind {
+fn draw_kind(random: &mut StdRng, schedule: &Schedule, kind: u32, target: usize, version: u32) -> FaultKind {
+    let engine = target % schedule.engines;
     let instance = target % schedule.daemons;
     let server = target % schedule.servers();
     match kind {
@@ -95,6 +105,9 @@
         17 => FaultKind::HideServer(server),
         18 => FaultKind::StoreGoesBack(random.random_range(1..6)),
         19 => FaultKind::DrainByAnswers(server),
+        20 | 21 => FaultKind::ReleaseServer(engine, version),
+        22 => FaultKind::RestartServer(engine, version),
+        23 => FaultKind::KillServer(engine),
         _ => FaultKind::ReplaceKey,
     }
 }
--- a/crates/reedsail_soak/src/fleet.rs
+++ b/crates/reedsail_soak/src/fleet.rs
@@ -4,10 +4,12 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use anyhow::Context as _;
+use reedsail_net::Clock;
 use reedsail_platform_standin::ServerSpec;
 use reedsail_platform_standin::StoreCommand;
 use tokio::io::AsyncBufReadExt;
@@ -28,6 +30,7 @@
 use crate::layout;
 use crate::process::Process;
 use crate::proxy::Proxy;
+use crate::server_lives::ServerLives;
 
 /// Number of concurrent requests that a server announces.
 const SLOTS: u32 = 8;
@@ -67,6 +70,9 @@
 #[derive(Debug)]
 pub(crate) struct RunningServer {
     pub(crate) id: String,
+    pub(crate) version: String,
+    /// When it started, in milliseconds of Unix time.
+    born_ms: u64,
     pub(crate) process: Process,
     input: ChildStdin,
 }
@@ -88,6 +94,9 @@
     pub(crate) proxy: Proxy,
     pub(crate) running: Mutex<Option<RunningServer>>,
     start_count: AtomicU64,
+    /// The software version of the next process.
+    version: AtomicU32,
+    lives: ServerLives,
     lines: UnboundedSender<ServerLine>,
 }
 
@@ -98,32 +107,55 @@
         if running.is_some() {
             return Ok(());
         }
-        let lives = self.start_count.fetch_add(1, Ordering::Relaxed);
-        let id = format!("server-{}-{lives}", self.number);
+        let start = self.start_count.fetch_add(1, Ordering::Relaxed);
+        let id = format!("server-{}-{start}", self.number);
+        let started = self.spawn_process(&id, Clock::unix_ms()).await?;
+        store
+            .send_command(&StoreCommand::Announce(self.spec(&started, false)))
+            .await?;
+        self.lives.begin(self.number, &id, &started.version);
+        *running = Some(started);
+        Ok(())
+    }
+
+    /// Sets the software version of the next process.
+    pub(crate) fn set_version(&self, version: u32) {
+        self.version.store(version, Ordering::Relaxed);
+    }
+
+    /// Starts a process with an id, behind the proxy.
+    pub(crate) async fn spawn_process(&self, id: &str, born_ms: u64) -> anyhow::Result<RunningServer> {
+        let version = format!("v{}", self.version.load(Ordering::Relaxed));
         let mut command = Command::new(&self.standins);
-        command.arg("soak-server").arg("--id").arg(&id);
+        command.arg("soak-server").arg("--id").arg(id);
+        command.arg("--version").arg(&version);
+        command.arg("--born-ms").arg(born_ms.to_string());
         if self.service == layout::ENGINE_SERVICE {
             command.arg("--streams");
         }
         let (process, input, output, address) = start_standin(&mut command).await?;
         tokio::spawn(forward_lines(output, self.lines.clone()));
         self.proxy.set_upstream(Some(address));
-        store
-            .send_command(&StoreCommand::Announce(self.spec(&id, false)))
-            .await?;
-        *running = Some(RunningServer { id, process, input });
-        Ok(())
+        Ok(RunningServer {
+            id: id.to_owned(),
+            version,
+            born_ms,
+            process,
+            input,
+        })
     }
 
     /// Returns the record of a server process.
-    pub(crate) fn spec(&self, id: &str, is_draining: bool) -> ServerSpec {
+    pub(crate) fn spec(&self, running: &RunningServer, is_draining: bool) -> ServerSpec {
         ServerSpec {
-            id: id.to_owned(),
+            id: running.id.clone(),
             service: self.service.to_owned(),
             address: self.proxy.address,
             failure_domain: layout::domain(self.number),
             slots: SLOTS,
             is_draining,
+            version: running.version.clone(),
+            born_ms: Some(running.born_ms),
         }
     }
 }
@@ -133,6 +165,7 @@
 pub(crate) struct Fleet {
     pub(crate) store: Store,
     pub(crate) servers: Vec<Server>,
+    pub(crate) lives: ServerLives,
     pub(crate) instances: Vec<Instance>,
 }
 
@@ -149,6 +182,7 @@
         store
             .send_command(&StoreCommand::Configure(configuration))
             .await?;
+        let server_lives = ServerLives::default();
         let mut servers = Vec::new();
         for number in 0..schedule.servers() {
             let server = Server {
@@ -162,6 +196,8 @@
                 proxy: Proxy::start(None).await?,
                 running: Mutex::new(None),
                 start_count: AtomicU64::new(0),
+                version: AtomicU32::new(schedule.engine_versions.get(number).copied().unwrap_or(1)),
+                lives: server_lives.clone(),
                 lines: lines.clone(),
             };
             server.start_process(&store).await?;
@@ -176,6 +212,7 @@
         Ok(Arc::new(Self {
             store,
             servers,
+            lives: server_lives,
             instances,
         }))
     }
--- a/crates/reedsail_soak/src/history.rs
+++ b/crates/reedsail_soak/src/history.rs
@@ -56,6 +56,19 @@
     },
     /// No answer arrived within the caller's time limit.
     Silent,
+    /// The caller disconnected on purpose, to continue the stream at another instance.
+    HungUp,
+}
+
+/// The events of one attempt of a stream that another server may continue.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamPart {
+    /// The attempt that brought the stream's first event.
+    pub first_attempt: String,
+    /// The number of the last event before this attempt; zero for a new stream.
+    pub after_event: u32,
+    /// The software versions of the servers that wrote this attempt's events, in order.
+    pub versions: Vec<String>,
 }
 
 /// One attempt of a caller.
@@ -77,6 +90,9 @@
     pub ended_ms: u64,
     /// How it ended.
     pub outcome: Outcome,
+    /// The events that it brought, if it is a stream that may be continued.
+    #[serde(default)]
+    pub stream: Option<StreamPart>,
 }
 
 /// A request that a backend server ran.
@@ -157,6 +173,21 @@
     pub until_ms: u64,
 }
 
+/// The time during which a server process took requests.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ServerLife {
+    /// The number of the server.
+    pub server: usize,
+    /// The id of the process.
+    pub id: String,
+    /// Its software version.
+    pub version: String,
+    /// When its record was written.
+    pub from_ms: u64,
+    /// When it left, ended, or its record was removed.
+    pub until_ms: u64,
+}
+
 /// A version of the configuration that was written.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct VersionWrite {
@@ -225,6 +256,9 @@
     /// The statuses that servers reported.
     #[serde(default)]
     pub notices: Vec<Notice>,
+    /// When servers took requests.
+    #[serde(default)]
+    pub lives: Vec<ServerLife>,
     /// The faults that were injected.
     pub faults: Vec<FaultSpan>,
     /// The configuration versions that were written.
--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -69,7 +69,7 @@
 /// Plays a schedule.
 #[derive(Debug)]
 pub(crate) struct Player {
-    fleet: Arc<Fleet>,
+    pub(crate) fleet: Arc<Fleet>,
     callers: Arc<CallerShared>,
     newest_version: Arc<AtomicU64>,
     record: Mutex<PlayerRecord>,
@@ -117,6 +117,13 @@
             FaultKind::FreezeServer(server) => self.freeze_server(server, fault.for_ms).await,
             FaultKind::RetireServer(server) => self.retire_server(server, fault.for_ms).await?,
             FaultKind::DrainByAnswers(server) => self.drain_by_answers(server, fault.for_ms).await?,
+            FaultKind::ReleaseServer(server, version) => {
+                self.release_server(server, version, fault.for_ms).await?;
+            }
+            FaultKind::RestartServer(server, version) => {
+                self.restart_server_under_its_id(server, version, fault.for_ms)
+                    .await?;
+            }
             FaultKind::HideServer(server) => self.hide_server(server, fault.for_ms).await?,
             FaultKind::ServerAnswers(server, kind) => self.disturb_answers(server, kind, fault.for_ms).await,
             FaultKind::StoreRefuses => {
@@ -242,6 +249,7 @@
             return Ok(());
         };
         let span = self.begin_span(Target::Server(number));
+        self.fleet.lives.end(&running.id);
         server.proxy.set_upstream(None);
         running.process.close().await;
         sleep(Duration::from_millis(RECORD_EXPIRY_MS)).await;
@@ -279,12 +287,13 @@
         Some(running.id.clone())
     }
 
-    async fn retire_server(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
+    pub(crate) async fn retire_server(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
         let server = &self.fleet.servers[number];
         let Some(running) = server.running.lock().await.take() else {
             return Ok(());
         };
-        let leaving = server.spec(&running.id, true);
+        let leaving = server.spec(&running, true);
+        self.fleet.lives.end(&running.id);
         self.fleet
             .store
             .send_command(&StoreCommand::Announce(leaving))
@@ -326,6 +335,7 @@
         let Some(mut running) = server.running.lock().await.take() else {
             return Ok(());
         };
+        self.fleet.lives.end(&running.id);
         let draining_span = self.begin_span(Target::Notices(number));
         running.set_answer_fault(Some(AnswerFault::Draining)).await;
         sleep(Duration::from_millis(SERVER_DRAIN_MS + for_ms)).await;
@@ -340,6 +350,7 @@
             return Ok(());
         };
         drop(running);
+        self.fleet.lives.end(&id);
         self.fleet
             .store
             .send_command(&StoreCommand::Drop(id.clone()))
@@ -347,12 +358,13 @@
         sleep(Duration::from_millis(for_ms)).await;
         // The server may have been killed or have left in the meantime.
         let running = server.running.lock().await;
-        if running.as_ref().is_some_and(|running| running.id == id) {
-            let announced = server.spec(&id, false);
+        if let Some(running) = running.as_ref().filter(|running| running.id == id) {
+            let announced = server.spec(running, false);
             self.fleet
                 .store
                 .send_command(&StoreCommand::Announce(announced))
                 .await?;
+            self.fleet.lives.begin(number, &id, &running.version);
         }
         Ok(())
     }
@@ -429,7 +441,7 @@
         Ok(())
     }
 
-    fn begin_span(&self, target: Target) -> usize {
+    pub(crate) fn begin_span(&self, target: Target) -> usize {
         let mut record = self.record();
         record.faults.push(FaultSpan {
             target,
@@ -439,7 +451,7 @@
         record.faults.len() - 1
     }
 
-    fn end_span(&self, span: usize) {
+    pub(crate) fn end_span(&self, span: usize) {
         let now_ms = self.now_ms();
         self.record().faults[span].until_ms = now_ms;
     }
--- a/crates/reedsail_soak/src/prober.rs
+++ b/crates/reedsail_soak/src/prober.rs
@@ -98,6 +98,7 @@
             request_id: "probe",
             deadline_ms: PROBE_TIMEOUT_MS,
             key: None,
+            resumes: None,
             prompt: None,
         };
         head.write(request.headers_mut());
--- a/crates/reedsail_soak/src/report.rs
+++ b/crates/reedsail_soak/src/report.rs
@@ -7,6 +7,7 @@
 
 use crate::History;
 use crate::Outcome;
+use crate::StreamPart;
 use crate::Violation;
 
 /// Maximum number of violations shown on the terminal.
@@ -27,6 +28,8 @@
     pub faults: BTreeMap<String, u64>,
     /// Number of attempts by outcome.
     pub outcomes: BTreeMap<String, u64>,
+    /// Number of attempts that continue a stream, and of those that brought an event.
+    pub continued: (usize, usize),
     /// Number of requests that backend servers ran.
     pub runs: usize,
     /// The violations of the guarantees.
@@ -54,6 +57,8 @@
         };
         // Writing to a string cannot fail.
         let _ = writeln!(text, "attempts: {}", joined(&self.outcomes));
+        let (asked, went_on) = self.continued;
+        let _ = writeln!(text, "streams taken up again: {asked}, went on: {went_on}");
         let _ = writeln!(text, "faults: {}", joined(&self.faults));
         let _ = writeln!(text, "promises broken: {}", self.violations.len());
         for violation in self.violations.iter().take(VIOLATIONS_SHOWN_MAX) {
@@ -63,6 +68,17 @@
     }
 }
 
+/// Counts the attempts that continue a stream, and those that brought an event.
+pub(crate) fn count_continued(history: &History) -> (usize, usize) {
+    let parts = history
+        .attempts
+        .iter()
+        .filter_map(|attempt| attempt.stream.as_ref());
+    let continued: Vec<&StreamPart> = parts.filter(|part| part.after_event > 0).collect();
+    let went_on = continued.iter().filter(|part| !part.versions.is_empty()).count();
+    (continued.len(), went_on)
+}
+
 /// Counts attempts by outcome.
 pub(crate) fn count_outcomes(history: &History) -> BTreeMap<String, u64> {
     let mut counts = BTreeMap::new();
@@ -82,6 +98,7 @@
             Outcome::Cut { had_begun: true } => "cut in the answer".to_owned(),
             Outcome::Cut { had_begun: false } => "cut without an answer".to_owned(),
             Outcome::Silent => "silent".to_owned(),
+            Outcome::HungUp => "hung up".to_owned(),
         };
         *counts.entry(name).or_default() += 1;
     }
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -77,6 +77,11 @@
     DrainByAnswers(usize),
     /// A server's record is missing until the fault's end, although the server serves requests.
     HideServer(usize),
+    /// A server leaves gracefully, and a new server of the given software version starts at the fault's end.
+    ReleaseServer(usize, u32),
+    /// A server is killed and starts again under its id and address, at the given software version; its record follows
+    /// later.
+    RestartServer(usize, u32),
     /// A server's answers are faulty.
     ServerAnswers(usize, AnswerFault),
     /// The store refuses every call.
@@ -113,6 +118,8 @@
             Self::KillServer(_) => "server killed",
             Self::FreezeServer(_) => "server paused",
             Self::RetireServer(_) => "server leaving",
+            Self::ReleaseServer(..) => "server released",
+            Self::RestartServer(..) => "server started again under its id",
             Self::HideServer(_) => "server's record missing",
             Self::DrainByAnswers(_) => "server draining by its answers",
             Self::ServerAnswers(_, AnswerFault::Busy(_)) => "server asking for time",
@@ -152,6 +159,9 @@
     pub engines: usize,
     /// Number of backend servers that answer plain requests.
     pub plain_servers: usize,
+    /// The software version of each engine at the start; engines beyond its length run version 1.
+    #[serde(default)]
+    pub engine_versions: Vec<u32>,
     /// The faults, sorted by start time.
     pub faults: Vec<Fault>,
     /// Why a stored schedule failed; empty for a newly drawn one.
--- a/crates/reedsail_soak/src/server.rs
+++ b/crates/reedsail_soak/src/server.rs
@@ -14,12 +14,14 @@
     format!("the answer to {request_id}, ").repeat(20)
 }
 
-/// Returns an event of a stream.
-pub(crate) fn event(request_id: &str, number: u32) -> String {
-    format!("id: {number}\ndata: part {number} for {request_id}\n\n")
+/// Returns an event of a stream, written by a server of a software version.
+pub(crate) fn event(request_id: &str, number: u32, version: &str) -> String {
+    format!("id: {number}\ndata: part {number} for {request_id} by {version}\n\n")
 }
 
-/// Returns a complete stream.
-pub(crate) fn stream_answer(request_id: &str) -> String {
-    (1..=EVENTS).map(|number| event(request_id, number)).collect()
+/// Returns the software version that wrote an event, if it is the expected event of the request.
+pub(crate) fn parse_event(text: &str, request_id: &str, number: u32) -> Option<String> {
+    let start = format!("id: {number}\ndata: part {number} for {request_id} by ");
+    let version = text.strip_prefix(&start)?.strip_suffix("\n\n")?;
+    Some(version.to_owned())
 }
--- a/crates/reedsail_soak/src/server_program.rs
+++ b/crates/reedsail_soak/src/server_program.rs
@@ -20,11 +20,13 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderValue;
 use reedsail_net::Clock;
+use reedsail_platform_standin::REPORT_PATH;
 use reedsail_platform_standin::ServerHead;
 use reedsail_platform_standin::mark_answer;
 use reedsail_platform_standin::mark_backoff;
 use reedsail_platform_standin::mark_draining;
 use reedsail_platform_standin::mark_not_run;
+use reedsail_platform_standin::report_body;
 use reedsail_standin::Body;
 use reedsail_standin::Handler;
 use reedsail_standin::HttpServer;
@@ -59,6 +61,8 @@
 #[derive(Debug)]
 struct SoakServer {
     id: String,
+    version: String,
+    born_ms: u64,
     streams: bool,
     fault: Mutex<Option<AnswerFault>>,
     slots: Arc<Semaphore>,
@@ -68,9 +72,11 @@
 ///
 /// # Errors
 /// Returns an error if the server cannot listen, the input cannot be read, or a line is not a fault.
-pub async fn run_server(id: String, streams: bool) -> anyhow::Result<()> {
+pub async fn run_server(id: String, version: String, born_ms: u64, streams: bool) -> anyhow::Result<()> {
     let server = Arc::new(SoakServer {
         id,
+        version,
+        born_ms,
         streams,
         fault: Mutex::new(None),
         slots: Arc::new(Semaphore::new(SLOTS)),
@@ -101,6 +107,10 @@
 
 impl SoakServer {
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, StandinError> {
+        if request.uri().path() == REPORT_PATH {
+            let report = report_body(self.born_ms);
+            return Ok(Response::new(Either::Left(Full::new(report.into()))));
+        }
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(head) = ServerHead::read(request.headers()) else {
             return Ok(self.full_response(StatusCode::BAD_REQUEST, "no id"));
@@ -131,9 +141,9 @@
         let mut response = if self.streams {
             sleep(Duration::from_millis(PREFILL_MS)).await;
             let (sender, body) = Channel::new(1);
-            let (request_id, last) = (head.request_id.clone(), head.resume_after);
+            let (head, version) = (head.clone(), self.version.clone());
             tokio::spawn(async move {
-                send_events(sender, &request_id, last, fault).await;
+                send_events(sender, &head, &version, fault).await;
                 drop(slot);
             });
             let mut response = Response::new(Either::Right(body));
@@ -233,11 +243,11 @@
 
 async fn send_events(
     mut sender: Sender<Bytes, StandinError>,
-    request_id: &str,
-    last: Option<u32>,
+    head: &ServerHead,
+    version: &str,
     fault: Option<AnswerFault>,
 ) {
-    let first = last.map_or(1, |last| last + 1);
+    let first = head.resume_after.map_or(1, |last| last + 1);
     for number in first..=EVENTS {
         let is_middle = number == EVENTS / 2;
         match fault {
@@ -248,7 +258,7 @@
             }
             _ => {}
         }
-        let chunk = Bytes::from(event(request_id, number));
+        let chunk = Bytes::from(event(&head.request_id, number, version));
         if sender.send_data(chunk).await.is_err() {
             return;
         }
--- a/crates/reedsail_soak/src/soak.rs
+++ b/crates/reedsail_soak/src/soak.rs
@@ -18,6 +18,7 @@
 use crate::History;
 use crate::Probe;
 use crate::Schedule;
+use crate::ServerLife;
 use crate::ServerLine;
 use crate::SoakReport;
 use crate::caller::CallerProfile;
@@ -29,6 +30,7 @@
 use crate::player::Player;
 use crate::player::PlayerRecord;
 use crate::prober::run_prober;
+use crate::report::count_continued;
 use crate::report::count_outcomes;
 use crate::soak_clock::SoakClock;
 
@@ -91,7 +93,7 @@
     let fleet = Fleet::start(programs, schedule, folder.path(), line_sender).await?;
     sleep(Duration::from_millis(SETTLE_MS)).await;
     let observations = play(&fleet, schedule).await?;
-    let (history, figures) = observations.into_history(schedule, lines);
+    let (history, figures) = observations.into_history(schedule, lines, fleet.lives.take());
     let processes = fleet.processes();
     let fleet = Arc::into_inner(fleet).context("cannot stop the fleet: a task still uses it")?;
     fleet.close().await;
@@ -104,6 +106,7 @@
         peak_memory_mb: figures.peak_memory_kb / 1_024,
         faults: figures.faults,
         outcomes: count_outcomes(&history),
+        continued: count_continued(&history),
         runs: history.runs.len(),
         violations,
     };
@@ -140,7 +143,14 @@
         mut self,
         schedule: &Schedule,
         mut lines: UnboundedReceiver<ServerLine>,
+        mut server_lives: Vec<ServerLife>,
     ) -> (History, Figures) {
+        for life in &mut server_lives {
+            life.from_ms = self.clock.since_start_ms(life.from_ms);
+            if life.until_ms < u64::MAX {
+                life.until_ms = self.clock.since_start_ms(life.until_ms);
+            }
+        }
         let mut history = History {
             for_ms: schedule.for_ms,
             timeout_ms: layout::TIMEOUT_MS,
@@ -151,6 +161,7 @@
             departures: self.player_record.departures,
             exits: self.player_record.exits,
             ended_by_themselves: self.ended_by_themselves,
+            lives: server_lives,
             ..History::default()
         };
         while let Ok(attempt) = self.attempts.try_recv() {
--- a/crates/reedsail_soak/tests/checker.rs
+++ b/crates/reedsail_soak/tests/checker.rs
@@ -11,6 +11,8 @@
 use reedsail_soak::Outcome;
 use reedsail_soak::Probe;
 use reedsail_soak::Run;
+use reedsail_soak::ServerLife;
+use reedsail_soak::StreamPart;
 use reedsail_soak::Target;
 use reedsail_soak::VersionWrite;
 use reedsail_soak::check;
@@ -25,6 +27,7 @@
         began_ms: 10_000,
         ended_ms: 10_100,
         outcome,
+        stream: None,
     }
 }
 
@@ -438,3 +441,74 @@
     history.faults.push(fault(Target::Server(1), 9_000, 11_500));
     assert_eq!(violated_promises(&history), Vec::<&str>::new());
 }
+
+/// Returns an attempt of a stream, which continues after an event and brings events of some versions.
+fn stream_attempt(number: usize, first_attempt: &str, after_event: u32, versions: &[&str]) -> Attempt {
+    let outcome = if versions.is_empty() {
+        Outcome::NotRun { status: 503 }
+    } else {
+        Outcome::Answered
+    };
+    Attempt {
+        stream: Some(StreamPart {
+            first_attempt: first_attempt.to_owned(),
+            after_event,
+            versions: versions.iter().map(ToString::to_string).collect(),
+        }),
+        ..attempt(&format!("stream-{number}"), CallKind::Chat, outcome)
+    }
+}
+
+#[test]
+fn a_stream_of_two_versions_is_found_within_an_answer_and_over_attempts() {
+    let mut history = history();
+    history.attempts = vec![
+        stream_attempt(1, "stream-1", 0, &["v1"]),
+        stream_attempt(2, "stream-1", 4, &["v1"]),
+        stream_attempt(3, "stream-3", 0, &["v2"]),
+    ];
+    assert_eq!(check(&history), []);
+    history.attempts.push(stream_attempt(4, "stream-3", 4, &["v1"]));
+    history
+        .attempts
+        .push(stream_attempt(5, "stream-5", 0, &["v1", "v2"]));
+    let promise = "one software version a stream";
+    assert_eq!(violated_promises(&history), [promise, promise]);
+}
+
+/// Returns a history in which `continued` of 20 streams of `v1` are continued while new ones begin, and `servers`
+/// servers of their version serve.
+fn continued_streams(continued: usize, servers: usize) -> History {
+    let mut history = history();
+    for number in 0..20 {
+        let first = format!("stream-{number}");
+        history.attempts.push(stream_attempt(number, &first, 0, &["v1"]));
+        let versions: &[&str] = if number < continued { &["v1"] } else { &[] };
+        history
+            .attempts
+            .push(stream_attempt(100 + number, &first, 4, versions));
+    }
+    history.lives = (0..servers)
+        .map(|server| ServerLife {
+            server,
+            id: format!("server-{server}"),
+            version: "v1".to_owned(),
+            from_ms: 1_000,
+            until_ms: u64::MAX,
+        })
+        .collect();
+    history
+}
+
+#[test]
+fn streams_that_are_not_continued_are_found_while_two_servers_of_their_version_serve() {
+    assert_eq!(check(&continued_streams(10, 2)), []);
+    assert_eq!(
+        violated_promises(&continued_streams(9, 2)),
+        ["streams are continued"]
+    );
+    assert_eq!(check(&continued_streams(0, 1)), []);
+    let mut disturbed = continued_streams(0, 2);
+    disturbed.faults.push(fault(Target::Server(0), 9_000, 9_500));
+    assert_eq!(check(&disturbed), []);
+}
