Confirm the start of a server before a stream begins while two versions may run

Cause: a stream is bound to the version in its server's record; if the server had started again under its id and the list was old, that was not the version that wrote the events. Change: while a service may run two versions, or the list is too old to tell, a server is asked once on each connection for its start before a resumable stream begins there. A service of one version with a current list asks nothing.

--- a/crates/reedsail_dispatch/src/dispatcher/mod.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/mod.rs
@@ -151,6 +151,11 @@
         self.servers.versions().only_version(service, now)
     }
 
+    /// Returns whether a service may run servers of two versions, as far as this instance knows.
+    pub fn may_run_two_versions(&self, service: NameHash, now: TimeMs) -> bool {
+        self.servers.versions().may_run_two(service, now)
+    }
+
     /// Accepts a peer's word that all streams of a service began at one version.
     pub fn accept_only_version(&mut self, service: NameHash, version: SoftwareVersion, now: TimeMs) {
         self.servers
--- a/crates/reedsail_dispatch/src/version_history.rs
+++ b/crates/reedsail_dispatch/src/version_history.rs
@@ -139,8 +139,19 @@
     pub(crate) fn only_version(&self, service: NameHash, now: TimeMs) -> Option<SoftwareVersion> {
         let versions = self.services.get(&service)?;
         let is_past_known = versions.known_from.is_some_and(|known_from| known_from <= now);
-        let is_current = now.since_ms(self.list_current_at) <= LIST_CURRENT_MS;
-        versions.only().filter(|_| is_past_known && is_current)
+        versions
+            .only()
+            .filter(|_| is_past_known && self.is_list_current(now))
+    }
+
+    /// Returns whether a service may run servers of two versions: it runs or ran them, or the list is too old to tell.
+    pub(crate) fn may_run_two(&self, service: NameHash, now: TimeMs) -> bool {
+        let versions = self.services.get(&service);
+        versions.is_none_or(|versions| versions.only().is_none()) || !self.is_list_current(now)
+    }
+
+    fn is_list_current(&self, now: TimeMs) -> bool {
+        now.since_ms(self.list_current_at) <= LIST_CURRENT_MS
     }
 
     /// Accepts a peer's word that all streams of a service began at a version, unless this instance knows of another
--- a/crates/reedsail_net/src/http_connection.rs
+++ b/crates/reedsail_net/src/http_connection.rs
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// What identifies the process at the other end, if it has told that on this connection.
+    identity: Option<u64>,
 }
 
 impl HttpConnection {
@@ -48,7 +50,10 @@
             // The affected request returns the error.
             let _ = connection.await;
         });
-        Ok(Self { sender })
+        Ok(Self {
+            sender,
+            identity: None,
+        })
     }
 
     /// Connects to a server and waits until a request can be sent, for at most `limit_ms` milliseconds.
@@ -70,6 +75,16 @@
             .unwrap_or_else(timed_out)
     }
 
+    /// Records what identifies the process at the other end. It serves the connection to its end.
+    pub fn set_identity(&mut self, identity: u64) {
+        self.identity = Some(identity);
+    }
+
+    /// Returns what identifies the process at the other end, if that was recorded.
+    pub fn identity(&self) -> Option<u64> {
+        self.identity
+    }
+
     /// Returns whether the connection can accept a request now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -16,6 +16,7 @@
 use reedsail_core::Unsent;
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_dispatch::Placement;
+use reedsail_dispatch::VersionDemand;
 use reedsail_net::Exchange;
 use reedsail_net::HttpConnection;
 use reedsail_net::exchange;
@@ -83,8 +84,12 @@
     let is_trusted = shared.dispatcher().may_reuse_connection(placement.server, now);
     // A pooled connection that is not trusted closes here, and a new one replaces it.
     let mut pooled = pool.take(placement.server, now).filter(|_| is_trusted);
-    // Only the incarnation that has the required version may get a request that continues a stream.
-    let confirmed_start_ms = server.born_ms.filter(|_| call.version.is_continuation());
+    let needs_confirmation = match call.version {
+        VersionDemand::Any => false,
+        VersionDemand::Resumable => shared.dispatcher().may_run_two_versions(call.service, now),
+        VersionDemand::Only(_) | VersionDemand::Unknown => true,
+    };
+    let confirmed_start_ms = server.born_ms.filter(|_| needs_confirmation);
     if let (Some(born_ms), Some(connection)) = (confirmed_start_ms, pooled.take()) {
         match confirm_incarnation(shared, &server, born_ms, connection).await {
             Confirmation::Confirmed(connection) => pooled = Some(connection),
--- a/crates/reedsail_router/src/traffic/incarnation_check.rs
+++ b/crates/reedsail_router/src/traffic/incarnation_check.rs
@@ -2,7 +2,8 @@
 //!
 //! A server may start again under its id and address, at another software version, while this instance's list is old. The
 //! request that continues a stream is sent only on a connection on which the server has told the start that is in its
-//! record. One process serves a connection to its end, so no later start can receive the request.
+//! record, and so is one that begins a stream while its service may run two versions: else the stream would be bound to
+//! a version that did not begin it. One process serves a connection to its end, so it is asked once on each.
 
 use std::time::Duration;
 
@@ -36,17 +37,23 @@
     Unanswered,
 }
 
-/// Asks the server on a connection for the time of its start.
+/// Asks the server on a connection for the time of its start, unless it has told that before.
 pub(super) async fn confirm_incarnation<H: HeaderProtocol>(
     shared: &Shared<H>,
     server: &ServerView,
     born_ms: u64,
     connection: HttpConnection,
 ) -> Confirmation {
+    if connection.identity() == Some(born_ms) {
+        return Confirmation::Confirmed(connection);
+    }
     let limit = Duration::from_millis(CONFIRM_TIMEOUT_MS);
     let answer = timeout(limit, read_start(shared, server, connection)).await;
     match answer {
-        Ok(Some((connection, start_ms))) if start_ms == born_ms => Confirmation::Confirmed(connection),
+        Ok(Some((mut connection, start_ms))) if start_ms == born_ms => {
+            connection.set_identity(start_ms);
+            Confirmation::Confirmed(connection)
+        }
         Ok(Some(_)) => Confirmation::Restarted,
         Ok(None) | Err(_) => Confirmation::Unanswered,
     }
--- a/crates/reedsail_router/tests/software_versions.rs
+++ b/crates/reedsail_router/tests/software_versions.rs
@@ -376,3 +376,23 @@
     let reply = read(caller.send(continuation("third", "first", 0)).await).await;
     assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
 }
+
+#[tokio::test]
+async fn a_stream_does_not_begin_at_a_later_start_of_a_server_while_two_versions_run() {
+    let fleet = Fleet::start(1, &[("llm-1", "v1"), ("llm-2", "v2")]).await;
+    fleet.set_starts(1).await;
+    fleet.complete_streams();
+    // The second engine has started again, of which the list does not know yet.
+    fleet.engines[1].server.set_start_ms(2);
+    for number in 0..STREAMS {
+        let prompt = prompt_of(number);
+        let request_id = format!("first-{number}");
+        let headers = [
+            ("reedsail-request-id", request_id.as_str()),
+            ("reedsail-prompt", &prompt),
+        ];
+        let reply = ask(fleet.callers(0), "/resume/", &headers).await;
+        assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+        assert_eq!(fleet.engine_of(&request_id).id, "llm-1");
+    }
+}
