--- a/crates/reedsail_cli/src/requests_command.rs
+++ b/crates/reedsail_cli/src/requests_command.rs
@@ -1,5 +1,8 @@
 //! `reedsail requests`.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
 use reedsail_events::Event;
 use reedsail_events::merge_events;
 use reedsail_fairness::ShareWindow;
@@ -41,9 +44,16 @@
     Ok(())
 }
 
-/// Prints every event of one request.
+/// Prints every event of one request and, if it belongs to a stream that its caller continued, of the stream's other
+/// attempts.
 fn print_request(mut events: Vec<Event>, id: &str) -> Result<(), Failure> {
-    events.retain(|event| event.fields.get("request").is_some_and(|request| request == id));
+    let attempts = attempts_of_stream(&events, id);
+    events.retain(|event| {
+        event
+            .fields
+            .get("request")
+            .is_some_and(|request| attempts.contains(request))
+    });
     if events.is_empty() {
         let text =
             format!("no event of request `{id}` found: it was not logged, or another instance handled it");
@@ -55,6 +65,22 @@
     Ok(())
 }
 
+/// Returns the requests of the stream that a request belongs to, that request included: the attempt that began the stream,
+/// and all that continued it.
+fn attempts_of_stream(events: &[Event], id: &str) -> BTreeSet<String> {
+    let resumes = |event: &Event| {
+        let resumes = event.fields.get("resumes").filter(|first| !first.is_empty());
+        Some((event.fields.get("request")?.clone(), resumes?.clone()))
+    };
+    let continued: BTreeMap<String, String> = events.iter().filter_map(resumes).collect();
+    let first = continued.get(id).map_or(id, String::as_str);
+    let of_stream = continued
+        .iter()
+        .filter(|(_, of)| *of == first)
+        .map(|(request, _)| request.as_str());
+    of_stream.chain([first, id]).map(str::to_owned).collect()
+}
+
 fn print_summary(events: &[Event]) {
     let summary = RequestSummary::from_events(events);
     let ends: u64 = summary.reasons.values().sum();
--- a/crates/reedsail_cli/tests/golden.rs
+++ b/crates/reedsail_cli/tests/golden.rs
@@ -32,6 +32,16 @@
     insta::assert_snapshot!("requests_without_lines", run(&["requests", "Cargo.toml"]));
 }
 
+#[test]
+fn a_stream_is_followed_over_its_attempts_from_any_of_them() {
+    let log = "tests/recorded/streams.log";
+    let of_first = run(&["requests", log, "--request", "first"]);
+    insta::assert_snapshot!("requests_stream", of_first);
+    for attempt in ["second", "third"] {
+        assert_eq!(run(&["requests", log, "--request", attempt]), of_first);
+    }
+}
+
 #[test]
 fn workspaces_below_their_share_are_listed_first() {
     insta::assert_snapshot!("shares", run(&["requests", "tests/recorded/shares.log"]));
