Reuse pooled connections again, give precedence only to known streams, and log version_gone

The new test counts connections; it was not run on the code before. - Any request with the id of a last event passed shares and pacing while a service ran one version. Only a stream that an instance knows has precedence now. - An answer that ends since no server runs its version said backend_broke_off; it says version_gone.

--- a/crates/reedsail_dispatch/src/dispatcher/decide.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/decide.rs
@@ -54,7 +54,7 @@
             self.usage.record_prefill(demand.workspace, prefill_tokens, now);
         }
         let Some(placement) = placement else {
-            if demand.version.is_continuation() && !self.servers.has_server_for(demand) {
+            if demand.version.is_bound() && !self.servers.has_server_for(demand) {
                 return Decision::VersionGone;
             }
             return refuse_unplaced(demand, self.servers.returns_at(demand, now), now);
--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -170,7 +170,9 @@
                 let versions = self.servers.versions();
                 !self.excludes_new_versions || !versions.is_new(setup.service, setup.version, self.now)
             }
-            VersionDemand::Only(_) | VersionDemand::Unknown => demand.version.allows(setup.version),
+            VersionDemand::Only(_) | VersionDemand::OnlyUnverified(_) | VersionDemand::Unknown => {
+                demand.version.allows(setup.version)
+            }
         }
     }
 
--- a/crates/reedsail_dispatch/src/software_version.rs
+++ b/crates/reedsail_dispatch/src/software_version.rs
@@ -25,12 +25,23 @@
     Resumable,
     /// Only the version that began the stream which the request continues.
     Only(SoftwareVersion),
+    /// Only this version, at which every stream of the service began. The stream that the request claims to continue is
+    /// not known, so it has no precedence over a new one.
+    OnlyUnverified(SoftwareVersion),
     /// No version: it is not known which version began the stream that the request continues.
     Unknown,
 }
 
 impl VersionDemand {
-    /// Returns whether the request continues a stream.
+    /// Returns whether the version must be that of an earlier answer.
+    pub fn is_bound(self) -> bool {
+        match self {
+            Self::Any | Self::Resumable => false,
+            Self::Only(_) | Self::OnlyUnverified(_) | Self::Unknown => true,
+        }
+    }
+
+    /// Returns whether the request is known to continue a stream.
     pub fn is_continuation(self) -> bool {
         matches!(self, Self::Only(_) | Self::Unknown)
     }
@@ -39,7 +50,7 @@
     pub(crate) fn allows(self, version: Option<SoftwareVersion>) -> bool {
         match self {
             Self::Any | Self::Resumable => true,
-            Self::Only(required) => version == Some(required),
+            Self::Only(required) | Self::OnlyUnverified(required) => version == Some(required),
             Self::Unknown => false,
         }
     }
--- a/crates/reedsail_dispatch/tests/version_history.rs
+++ b/crates/reedsail_dispatch/tests/version_history.rs
@@ -319,6 +319,9 @@
     let new = instance.chosen_version(&prompt(1), VersionDemand::Resumable);
     assert_eq!(new, Some(version("v2")));
     assert!(instance.continues_within_ms(&prompt(1), old, 60_000));
+    // A stream that nobody knows waits like a new one.
+    let unverified = VersionDemand::OnlyUnverified(version("v1"));
+    assert_eq!(instance.chosen_version(&prompt(1), unverified), None);
     // One that would continue after its caller's deadline is refused.
     assert!(!instance.continues_within_ms(&prompt(1), old, 10));
 }
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -13,6 +13,7 @@
 use reedsail_core::ErrorKind;
 use reedsail_core::Sent;
 use reedsail_core::ServerKey;
+use reedsail_core::TimeMs;
 use reedsail_core::Unsent;
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_dispatch::Placement;
@@ -82,22 +83,17 @@
     let now = shared.clock.now();
     let deadline = || shared.clock.timer(call.deadline);
     let is_trusted = shared.dispatcher().may_reuse_connection(placement.server, now);
+    let start_ms = required_start_ms(shared, call, &server, now);
     // A pooled connection that is not trusted closes here, and a new one replaces it.
-    let mut pooled = pool.take(placement.server, now).filter(|_| is_trusted);
-    let needs_confirmation = match call.version {
-        VersionDemand::Any => false,
-        VersionDemand::Resumable => shared.dispatcher().may_run_two_versions(call.service, now),
-        VersionDemand::Only(_) | VersionDemand::Unknown => true,
-    };
-    let confirmed_start_ms = server.born_ms.filter(|_| needs_confirmation);
-    if let (Some(born_ms), Some(connection)) = (confirmed_start_ms, pooled.take()) {
-        match confirm_incarnation(shared, &server, born_ms, connection).await {
-            Confirmation::Confirmed(connection) => pooled = Some(connection),
+    let pooled = match pool.take(placement.server, now).filter(|_| is_trusted) {
+        None => None,
+        Some(connection) => match confirm_incarnation(shared, &server, start_ms, connection).await {
+            Confirmation::Confirmed(connection) => Some(connection),
             Confirmation::Restarted => return fail_restarted(shared, placement.server, guard, unsent),
             // The server may have closed the idle connection.
-            Confirmation::Unanswered => {}
-        }
-    }
+            Confirmation::Unanswered => None,
+        },
+    };
     let (request, unsent) = match pooled {
         Some(connection) => {
             guard.set_written(true);
@@ -120,16 +116,13 @@
             return AttemptResult::NotSent(unsent);
         }
     };
-    let connection = match confirmed_start_ms {
-        None => connection,
-        Some(born_ms) => match confirm_incarnation(shared, &server, born_ms, connection).await {
-            Confirmation::Confirmed(connection) => connection,
-            Confirmation::Restarted => return fail_restarted(shared, placement.server, guard, unsent),
-            Confirmation::Unanswered => {
-                guard.finish(AttemptOutcome::Unreachable);
-                return AttemptResult::NotSent(unsent);
-            }
-        },
+    let connection = match confirm_incarnation(shared, &server, start_ms, connection).await {
+        Confirmation::Confirmed(connection) => connection,
+        Confirmation::Restarted => return fail_restarted(shared, placement.server, guard, unsent),
+        Confirmation::Unanswered => {
+            guard.finish(AttemptOutcome::Unreachable);
+            return AttemptResult::NotSent(unsent);
+        }
     };
     // During the connect, another response or a new server list may have excluded this server.
     let now = shared.clock.now();
@@ -151,6 +144,17 @@
     }
 }
 
+/// Returns the start that the server must confirm before the request is sent; `None` if any start may get the request, or
+/// the record names none.
+fn required_start_ms<H>(shared: &Shared<H>, call: &Call, server: &ServerView, now: TimeMs) -> Option<u64> {
+    let is_required = match call.version {
+        VersionDemand::Any => false,
+        VersionDemand::Resumable => shared.dispatcher().may_run_two_versions(call.service, now),
+        VersionDemand::Only(_) | VersionDemand::OnlyUnverified(_) | VersionDemand::Unknown => true,
+    };
+    server.born_ms.filter(|_| is_required)
+}
+
 /// Ends an attempt whose server has started again since its record was read.
 fn fail_restarted<H>(
     shared: &Shared<H>,
--- a/crates/reedsail_router/src/traffic/incarnation_check.rs
+++ b/crates/reedsail_router/src/traffic/incarnation_check.rs
@@ -37,20 +37,22 @@
     Unanswered,
 }
 
-/// Asks the server on a connection for the time of its start, unless it has told that before.
+/// Asks the server on a connection for the time of its start, unless it has told that before or any start will do.
 pub(super) async fn confirm_incarnation<H: HeaderProtocol>(
     shared: &Shared<H>,
     server: &ServerView,
-    born_ms: u64,
+    required_start_ms: Option<u64>,
     connection: HttpConnection,
 ) -> Confirmation {
-    if connection.identity() == Some(born_ms) {
+    let Some(required_ms) =
+        required_start_ms.filter(|required_ms| connection.identity() != Some(*required_ms))
+    else {
         return Confirmation::Confirmed(connection);
-    }
+    };
     let limit = Duration::from_millis(CONFIRM_TIMEOUT_MS);
     let answer = timeout(limit, read_start(shared, server, connection)).await;
     match answer {
-        Ok(Some((mut connection, start_ms))) if start_ms == born_ms => {
+        Ok(Some((mut connection, start_ms))) if start_ms == required_ms => {
             connection.set_identity(start_ms);
             Confirmation::Confirmed(connection)
         }
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -34,6 +34,8 @@
     AnsweredWithFailure,
     /// A stream broke and could not resume on another server.
     BackendBrokeOff,
+    /// A stream broke, and no server runs the software version that began it.
+    VersionGone,
     /// The response broke because the caller had stopped reading.
     CallerStalled,
     /// The caller disconnected before the end.
@@ -51,6 +53,7 @@
             Self::Answered => "answered",
             Self::AnsweredWithFailure => "answered_with_failure",
             Self::BackendBrokeOff => "backend_broke_off",
+            Self::VersionGone => "version_gone",
             Self::CallerStalled => "caller_stalled",
             Self::CallerGone => "caller_gone",
             Self::Deadline => "deadline",
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -153,11 +153,13 @@
                 StreamEnd::Broken => attempt.abort(AttemptOutcome::Broken),
             }
             drop(body);
-            let Some(next) = self.resume_on_another_server().await else {
-                self.log.end(RequestOutcome::BackendBrokeOff);
-                break;
-            };
-            response_start = next;
+            match self.resume_on_another_server().await {
+                Ok(next) => response_start = next,
+                Err(outcome) => {
+                    self.log.end(outcome);
+                    break;
+                }
+            }
         }
         // If the caller has disconnected, nobody receives the error.
         let _ = self.sender.send(Err(ResponseAborted)).await;
@@ -237,12 +239,15 @@
     }
 
     /// Asks another server to continue after the last relayed event.
-    async fn resume_on_another_server(&mut self) -> Option<ResponseStart<H>> {
+    ///
+    /// # Errors
+    /// Returns how the request ends if no server can continue it.
+    async fn resume_on_another_server(&mut self) -> Result<ResponseStart<H>, RequestOutcome> {
         let failure = AttemptFailure::StreamBroken {
             servers_tried: self.tried.len(),
         };
         if self.call.route.retry_policy().after(failure) == RetryVerdict::Never {
-            return None;
+            return Err(RequestOutcome::BackendBrokeOff);
         }
         loop {
             let (placement, guard) = self.place()?;
@@ -259,33 +264,40 @@
             );
             match attempt.await {
                 AttemptResult::ResponseStarted(response_start) if response_start.head.status.is_success() => {
-                    return Some(*response_start);
+                    return Ok(*response_start);
+                }
+                AttemptResult::ResponseStarted(_) | AttemptResult::Failed(..) => {
+                    return Err(RequestOutcome::BackendBrokeOff);
                 }
-                AttemptResult::ResponseStarted(_) | AttemptResult::Failed(..) => return None,
                 AttemptResult::NotSent(_) | AttemptResult::Rejected(_) => {}
             }
         }
     }
 
     /// Chooses another server, if time and retry budget are left and a server accepts the stream.
-    fn place(&self) -> Option<(Placement, AttemptGuard<H>)> {
+    ///
+    /// # Errors
+    /// Returns how the request ends if there is none.
+    fn place(&self) -> Result<(Placement, AttemptGuard<H>), RequestOutcome> {
+        let broke_off = RequestOutcome::BackendBrokeOff;
         let now = self.shared.clock.now();
-        let left_ms = self.call.time_left_ms(now)?;
+        let left_ms = self.call.time_left_ms(now).ok_or(broke_off)?;
         if !self.shared.dispatcher().take_retry(self.call.service, now) {
-            return None;
+            return Err(broke_off);
         }
         let newest = self.shared.routes.load();
         // A stream without an allowed region ends like one that no server can resume.
-        let regions = self.call.allowed_regions(&newest).ok()?;
+        let regions = self.call.allowed_regions(&newest).map_err(|_kind| broke_off)?;
         let demand = self.call.demand(&self.tried, &regions, now);
         let demand = demand.resumed(left_ms);
         let decision = self.shared.dispatcher().decide(&demand, now);
         match decision {
             Decision::Send(placement) => {
                 let guard = AttemptGuard::begin(&self.shared, &demand, &placement);
-                Some((placement, guard))
+                Ok((placement, guard))
             }
-            Decision::Quarantined | Decision::VersionGone | Decision::Refuse { .. } => None,
+            Decision::VersionGone => Err(RequestOutcome::VersionGone),
+            Decision::Quarantined | Decision::Refuse { .. } => Err(broke_off),
         }
     }
 }
--- a/crates/reedsail_router/src/traffic/stream_version.rs
+++ b/crates/reedsail_router/src/traffic/stream_version.rs
@@ -68,7 +68,7 @@
             call.set_service(service).ok_or(ErrorKind::StreamVersionGone)?;
             VersionDemand::Only(version)
         }
-        StreamKnowledge::OnlyVersion(version) => VersionDemand::Only(version),
+        StreamKnowledge::OnlyVersion(version) => VersionDemand::OnlyUnverified(version),
         StreamKnowledge::Began { version: None, .. } | StreamKnowledge::Unknown => {
             return Err(ErrorKind::StreamVersionUnknown);
         }
--- a/crates/reedsail_router/tests/software_versions.rs
+++ b/crates/reedsail_router/tests/software_versions.rs
@@ -396,3 +396,20 @@
         assert_eq!(fleet.engine_of(&request_id).id, "llm-1");
     }
 }
+
+#[tokio::test]
+async fn requests_of_a_service_of_one_version_share_a_connection() {
+    let fleet = Fleet::start(1, &[("llm-1", "v1")]).await;
+    fleet.set_starts(1).await;
+    fleet.complete_streams();
+    for number in 0..STREAMS {
+        let request_id = format!("first-{number}");
+        let headers = [("reedsail-request-id", request_id.as_str())];
+        let reply = ask(fleet.callers(0), "/resume/", &headers).await;
+        assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    }
+    let admin = fleet.routers[0].addresses().admin;
+    let metrics = ask(admin, "/metrics", &[]).await;
+    let opened = r#"reedsail_router_connects_total{outcome="opened"} 1"#;
+    assert!(metrics.text().contains(opened), "{}", metrics.text());
+}
