Call a version that a peer sent ahead announced

Change: the value of version_known_by is announced, the field's word. Measured: linter clean; the log's golden list has names of fields only.

--- a/crates/reedsail_router/src/traffic/stream_version.rs
+++ b/crates/reedsail_router/src/traffic/stream_version.rs
@@ -21,8 +21,8 @@
 pub(crate) enum VersionSource {
     /// It served the stream itself.
     Own,
-    /// A peer had told it.
-    Told,
+    /// A peer had announced it.
+    Announced,
     /// It asked its peers.
     Asked,
     /// All streams of the service began at one version.
@@ -36,7 +36,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Own => "own",
-            Self::Told => "told",
+            Self::Announced => "announced",
             Self::Asked => "asked",
             Self::OnlyVersion => "only_version",
             Self::Unknown => "unknown",
@@ -113,7 +113,7 @@
     let source = if table.is_own(stream) {
         VersionSource::Own
     } else {
-        VersionSource::Told
+        VersionSource::Announced
     };
     let knowledge = StreamKnowledge::Began {
         service: row.service,
