Bound the life of a peer's row, and compare peers only where they confirm a list

Cause: a row from a peer could name any time left; in fleets with aggregators the peers were collected at each change of the list's age although only the store confirms there. Measured: the test of the table covers the bound and passes.

--- a/crates/reedsail_dispatch/src/stream_version_table.rs
+++ b/crates/reedsail_dispatch/src/stream_version_table.rs
@@ -1,7 +1,7 @@
 //! Stream versions: which software version began each stream that its caller may still continue.
 //!
 //! **Rule.** A stream is bound to the version of the server that sent its first event, under the id of that attempt,
-//! until its caller's deadline. Attempts that continue the stream are bound under the same id. If one id is bound to two
+//! until its caller's deadline, for [`STREAM_LIFE_MAX_MS`] at most. Attempts that continue the stream are bound under the same id. If one id is bound to two
 //! versions, its caller has used it for two streams, and no version may continue either. Rows of this instance's own
 //! streams are sent to peers while the service may have streams of another version (`version_history`), again when the
 //! peers change. If there are too many rows, those are dropped that end first of the workspace with the most.
@@ -20,6 +20,7 @@
 use reedsail_core::TimeMs;
 
 use crate::STREAM_HOLDERS;
+use crate::STREAM_LIFE_MAX_MS;
 use crate::SoftwareVersion;
 use crate::StreamHolder;
 use crate::StreamId;
@@ -95,7 +96,7 @@
         }
         // A row that has changed must be sent again.
         let sent = known.filter(|_| !is_contradicted);
-        let expires_at = now.plus_ms(u64::from(row.left_ms));
+        let expires_at = now.plus_ms(u64::from(row.left_ms).min(STREAM_LIFE_MAX_MS));
         let bound = BoundStream {
             service: row.service,
             workspace: row.workspace,
--- a/crates/reedsail_dispatch/tests/stream_versions.rs
+++ b/crates/reedsail_dispatch/tests/stream_versions.rs
@@ -5,6 +5,7 @@
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::STREAM_HOLDERS;
+use reedsail_dispatch::STREAM_LIFE_MAX_MS;
 use reedsail_dispatch::SoftwareVersion;
 use reedsail_dispatch::StreamHolder;
 use reedsail_dispatch::StreamId;
@@ -39,6 +40,10 @@
     assert_eq!(table.get(first.stream, START.plus_ms(5_000)), None);
     table.tick(START.plus_ms(5_000));
     assert!(table.is_empty());
+    // A peer can't make an instance keep a stream for longer than streams live.
+    table.receive(&row("labska", "long", "v1", u32::MAX), START);
+    table.tick(START.plus_ms(STREAM_LIFE_MAX_MS));
+    assert!(table.is_empty());
     // A later attempt binds it again under the id of the first one.
     table.bind(&first, START.plus_ms(6_000));
     assert!(table.get(first.stream, START.plus_ms(10_999)).is_some());
--- a/crates/reedsail_router/src/control/stream_watch.rs
+++ b/crates/reedsail_router/src/control/stream_watch.rs
@@ -69,18 +69,30 @@
             return;
         }
         let known_at = TimeMs(now.0.saturating_sub(servers.age_ms(now)));
-        let alive = || exchange.stream_peers(now).into_iter().map(|peer| peer.instance);
+        let current_at =
+            if !exchange.is_aggregated(now) && self.is_confirmed_by_peers(exchange, servers, known_at, now) {
+                now
+            } else {
+                known_at
+            };
+        shared.dispatcher().set_list_current_at(current_at);
+    }
+
+    /// Returns whether all peers of the last confirmation by the store are alive, and no peer has a newer list.
+    fn is_confirmed_by_peers(
+        &mut self,
+        exchange: &LoadExchange,
+        servers: &ServerList,
+        known_at: TimeMs,
+        now: TimeMs,
+    ) -> bool {
+        let peers = exchange.stream_peers(now).into_iter();
+        let alive: HashSet<NameHash> = peers.map(|peer| peer.instance).collect();
         if known_at > self.confirmed_at {
             self.confirmed_at = known_at;
-            self.confirming_peers = alive().collect();
+            self.confirming_peers.clone_from(&alive);
         }
-        let is_confirmed =
-            !exchange.is_aggregated(now) && exchange.peers().confirm_list(servers.revision()) && {
-                let alive: HashSet<NameHash> = alive().collect();
-                self.confirming_peers.is_subset(&alive)
-            };
-        let current_at = if is_confirmed { now } else { known_at };
-        shared.dispatcher().set_list_current_at(current_at);
+        self.confirming_peers.is_subset(&alive) && exchange.peers().confirm_list(servers.revision())
     }
 
     /// Shows which versions each service runs.
