--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -148,7 +148,7 @@
     /// A request was placed on a backend server.
     RequestPlaced = 510, "request_placed", Info, "a request is sent to a backend server; see the fields for the reason (`slowness`: of an engine that differs from the mean of its service; `resumes`: the attempt that began the stream which the request continues, `version_known_by`: how its version became known)";
     /// A request ended.
-    RequestEnded = 511, "request_ended", Info, "a request was answered by a backend server, or failed after it was sent; streams tell their longest pause (`longest_gap_ms`) beside its target (`gap_target_ms`)";
+    RequestEnded = 511, "request_ended", Info, "a request was answered by a backend server, or failed after it was sent; streams tell their longest pause (`longest_gap_ms`) beside its target (`gap_target_ms`); `response_end` tells whether the server's response was framed or ended with its connection, and whether that was inside an event";
     /// A request was refused.
     RequestRefused = 512, "request_refused", Info, "a request was refused; see its error kind and the fields for the reason";
     /// A request is sent again.
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -3,12 +3,14 @@
 //! Owns only the state of connections. `reedsail_core` provides time and error kinds. `NetGate` cuts links between
 //! parts of one process in tests.
 
+mod body_framing;
 mod byte_counter;
 mod clock;
 mod connection_pool;
 mod counted_stream;
 mod deadline_timer;
 mod deflate_stream;
+mod event_scanner;
 mod event_splitter;
 mod exchange;
 mod hop_headers;
@@ -20,6 +22,7 @@
 mod request_limits;
 mod workers;
 
+pub use body_framing::BodyFraming;
 pub use byte_counter::ByteCounter;
 pub use clock::Clock;
 pub use clock::SimulatedSuspension;
@@ -28,6 +31,7 @@
 pub use counted_stream::connect;
 pub use deadline_timer::DeadlineTimer;
 pub use deflate_stream::DeflateStream;
+pub use event_scanner::EventScanner;
 pub use event_splitter::EventSplitter;
 pub use exchange::Exchange;
 pub use exchange::exchange;
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -72,6 +72,8 @@
     registry: Registry,
     /// Requests, by outcome: `answered`, another way in which a sent request ended, or the error kind.
     pub(crate) answers: IntCounterVec,
+    /// Response bodies of servers that were read to their end without an error, by how they ended.
+    pub(crate) response_ends: IntCounterVec,
     /// Time from a request's arrival to the first event of its response, by service.
     pub(crate) first_event: HistogramVec,
     /// Longest pause between two events of each stream, by service.
@@ -122,6 +124,12 @@
                 "Requests.",
                 &["outcome"],
             ),
+            response_ends: counter_vec(
+                &registry,
+                "reedsail_router_response_ends_total",
+                "Response bodies of backend servers that were read to their end without an error, by how they ended.",
+                &["end"],
+            ),
             first_event: latency_histograms(
                 &registry,
                 "reedsail_router_first_part_seconds",
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -18,6 +18,7 @@
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_dispatch::Placement;
 use reedsail_dispatch::VersionDemand;
+use reedsail_net::BodyFraming;
 use reedsail_net::Exchange;
 use reedsail_net::HttpConnection;
 use reedsail_net::exchange;
@@ -47,6 +48,7 @@
     pub(crate) sent: Sent,
     pub(crate) head: Parts,
     pub(crate) body: Incoming,
+    pub(crate) framing: BodyFraming,
     pub(crate) attempt: OpenAttempt<H>,
 }
 
@@ -259,10 +261,12 @@
         }
         ResponseKind::Ran => {
             let (head, body) = response.into_parts();
+            let framing = BodyFraming::of(&head.headers, &body);
             AttemptResult::ResponseStarted(Box::new(ResponseStart {
                 sent,
                 head,
                 body,
+                framing,
                 attempt: OpenAttempt { guard, connection },
             }))
         }
--- a/crates/reedsail_router/src/traffic/forward.rs
+++ b/crates/reedsail_router/src/traffic/forward.rs
@@ -33,6 +33,7 @@
 use super::request_log::RetryCause;
 use super::response::ResponseBody;
 use super::response::build_response;
+use super::response_end::ResponseEnd;
 use super::resume::ResumableBody;
 use super::stream_version::VersionSource;
 use super::stream_version::resolve_version;
@@ -222,6 +223,8 @@
 
     fn respond(mut self, response: BufferedResponse) -> CallerResponse<H> {
         self.log.record_first_event();
+        self.log
+            .record_response_end(ResponseEnd::of_body(response.framing));
         self.log.end(RequestOutcome::Answered);
         buffered_response(response)
     }
@@ -251,6 +254,8 @@
         let failure = match self.result {
             AttemptsResult::ServerFailure(response) => {
                 self.log.record_first_event();
+                self.log
+                    .record_response_end(ResponseEnd::of_body(response.framing));
                 self.log.end_with_failure(response.status);
                 return Ok(buffered_response(response));
             }
--- a/crates/reedsail_router/src/traffic/relay_buffered.rs
+++ b/crates/reedsail_router/src/traffic/relay_buffered.rs
@@ -11,6 +11,7 @@
 use reedsail_core::ErrorKind;
 use reedsail_core::Failure;
 use reedsail_dispatch::AttemptOutcome;
+use reedsail_net::BodyFraming;
 use reedsail_net::remove_hop_headers;
 use tokio::select;
 
@@ -28,6 +29,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// How the server's response delimited the body.
+    pub(crate) framing: BodyFraming,
 }
 
 impl BufferedResponse {
@@ -48,6 +51,7 @@
         sent,
         head,
         body,
+        framing,
         mut attempt,
     } = response_start;
     attempt.guard.record_first_event();
@@ -71,6 +75,7 @@
         status: head.status,
         headers,
         body,
+        framing,
     })
 }
 
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -14,8 +14,10 @@
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_dispatch::BreakCause;
 use reedsail_dispatch::SlowReaderWatch;
+use reedsail_net::BodyFraming;
 use reedsail_net::Clock;
 use reedsail_net::DeadlineTimer;
+use reedsail_net::EventScanner;
 
 use super::Pool;
 use super::attempt_guard::OpenAttempt;
@@ -24,6 +26,7 @@
 use super::request_log::RequestLog;
 use super::request_log::RequestOutcome;
 use super::response_aborted::ResponseAborted;
+use super::response_end::ResponseEnd;
 use crate::shared::Shared;
 
 /// The body of a relayed stream. Dropping it cancels the attempt.
@@ -31,6 +34,8 @@
 pub(crate) struct StreamBody<H> {
     pool: Arc<Pool>,
     body: Incoming,
+    framing: BodyFraming,
+    scanner: EventScanner,
     response_headers: HeaderMap,
     /// `None` once the stream has ended.
     attempt: Option<OpenAttempt<H>>,
@@ -53,6 +58,8 @@
         Self {
             pool: Arc::clone(pool),
             body: response_start.body,
+            framing: response_start.framing,
+            scanner: EventScanner::default(),
             response_headers: response_start.head.headers,
             attempt: Some(response_start.attempt),
             deadline: shared.clock.timer(call.deadline),
@@ -85,6 +92,9 @@
                     attempt.guard.record_event();
                 }
                 self.log.record_event(now);
+                if let Some(data) = frame.data_ref() {
+                    self.scanner.read(data);
+                }
                 if self.body.is_end_stream() {
                     self.finish();
                 }
@@ -118,6 +128,10 @@
     fn finish(&mut self) {
         if let Some(attempt) = self.attempt.take() {
             attempt.complete(&self.pool, &self.response_headers, AttemptOutcome::Answered);
+            self.log.record_response_end(ResponseEnd {
+                framing: self.framing,
+                is_inside_event: self.scanner.is_inside_event(),
+            });
             self.log.end(RequestOutcome::Answered);
         }
     }
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -17,6 +17,7 @@
 use reedsail_events::EventKind;
 
 use super::call::Call;
+use super::response_end::ResponseEnd;
 use super::stream_version::VersionSource;
 use crate::CallHead;
 use crate::ResumptionHead;
@@ -118,6 +119,8 @@
     arrived_at: TimeMs,
     first_event_ms: Option<u64>,
     gaps: EventGaps,
+    /// How the last response body ended that was read without an error.
+    response_end: Option<ResponseEnd>,
     has_ended: bool,
 }
 
@@ -147,6 +150,7 @@
             arrived_at,
             first_event_ms: None,
             gaps: EventGaps::default(),
+            response_end: None,
             has_ended: false,
         };
         log.count_tokens(TokenStage::Requested);
@@ -254,6 +258,13 @@
         self.gaps.record_writable(now);
     }
 
+    /// Records how a server's response body ended, if reading it brought no error.
+    pub(crate) fn record_response_end(&mut self, end: ResponseEnd) {
+        self.response_end = Some(end);
+        let response_ends = &self.shared.metrics.response_ends;
+        response_ends.with_label_values(&[end.name()]).inc();
+    }
+
     /// Records that the request was refused before a server was chosen.
     pub(crate) fn record_unplaced_refusal(self, failure: &Failure) {
         self.end_with_refusal(failure, |_| Vec::new());
@@ -328,6 +339,10 @@
             fields.extend(self.request_fields());
             fields.extend(self.gap_fields());
             fields.extend(status);
+            fields.extend(
+                self.response_end
+                    .map(|end| ("response_end", end.name().to_owned())),
+            );
             fields.push(self.fingerprint_field());
             fields
         });
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -21,6 +21,7 @@
 use reedsail_dispatch::RetryVerdict;
 use reedsail_dispatch::SlowReaderWatch;
 use reedsail_dispatch::VersionDemand;
+use reedsail_net::BodyFraming;
 use reedsail_net::EventSplitter;
 use tokio::select;
 use tokio::sync::mpsc;
@@ -35,6 +36,7 @@
 use super::request_log::RequestLog;
 use super::request_log::RequestOutcome;
 use super::response_aborted::ResponseAborted;
+use super::response_end::ResponseEnd;
 use super::stream_version::bind_version;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
@@ -131,10 +133,11 @@
             let ResponseStart {
                 head,
                 mut body,
+                framing,
                 mut attempt,
                 ..
             } = response_start;
-            match self.relay_events(&mut body, &mut attempt.guard).await {
+            match self.relay_events(&mut body, framing, &mut attempt.guard).await {
                 StreamEnd::Complete => {
                     attempt.complete(&self.pool, &head.headers, AttemptOutcome::Answered);
                     self.log.end(RequestOutcome::Answered);
@@ -166,7 +169,12 @@
     }
 
     /// Relays complete events until the server's response ends.
-    async fn relay_events(&mut self, body: &mut Incoming, guard: &mut AttemptGuard<H>) -> StreamEnd {
+    async fn relay_events(
+        &mut self,
+        body: &mut Incoming,
+        framing: BodyFraming,
+        guard: &mut AttemptGuard<H>,
+    ) -> StreamEnd {
         self.splitter.clear();
         let mut deadline = self.shared.clock.timer(self.call.deadline);
         let mut reader = SlowReaderWatch::default();
@@ -176,6 +184,12 @@
                 frame = body.frame() => frame,
                 () = &mut deadline => return StreamEnd::Deadline,
             };
+            if frame.is_none() {
+                self.log.record_response_end(ResponseEnd {
+                    framing,
+                    is_inside_event: self.splitter.partial_bytes() > 0,
+                });
+            }
             let frame = match frame {
                 Some(Ok(frame)) => frame,
                 None if self.splitter.partial_bytes() == 0 => return StreamEnd::Complete,
