--- a/crates/reedsail_router/src/control/store_era.rs
+++ b/crates/reedsail_router/src/control/store_era.rs
@@ -22,7 +22,7 @@
     pub(crate) fn log_era_change<H>(&mut self, shared: &Shared<H>, servers: &ServerList, origin: Origin) {
         let before = std::mem::replace(&mut self.last_position, servers.revision());
         let after = self.last_position;
-        shared.metrics.store_era.set(i64::from(after.era));
+        shared.metrics.store.era.set(i64::from(after.era));
         if before.era == after.era || before == StorePosition::default() {
             return;
         }
@@ -38,6 +38,6 @@
     /// Publishes how many records of the store do not take effect yet.
     pub(crate) fn tick<H>(shared: &Shared<H>, servers: &ServerList, evacuations: &EvacuationState) {
         let withheld = servers.kept_departures().len() + evacuations.withheld();
-        shared.metrics.records_withheld.set(withheld as i64);
+        shared.metrics.store.records_withheld.set(withheld as i64);
     }
 }
--- a/crates/reedsail_router/src/control/store_status.rs
+++ b/crates/reedsail_router/src/control/store_status.rs
@@ -16,7 +16,7 @@
     pub(crate) fn record_read<H>(&mut self, shared: &Shared<H>, topic: StoreTopic, fault: Option<String>) {
         let outcome = if fault.is_some() { "failed" } else { "read" };
         let labels = [topic.name(), outcome];
-        shared.metrics.store_reads.with_label_values(&labels).inc();
+        shared.metrics.store.reads.with_label_values(&labels).inc();
         let was_lost = self.lost.contains(&topic);
         match fault {
             Some(fault) if !was_lost => {
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -66,6 +66,40 @@
     }
 }
 
+/// Metrics about the store.
+#[derive(Debug)]
+pub(crate) struct StoreMetrics {
+    /// Reads, by target and outcome.
+    pub(crate) reads: IntCounterVec,
+    /// The era, which rises each time the store is restored from an older copy.
+    pub(crate) era: IntGauge,
+    /// Records of a restored store that are ignored because newer ones are known.
+    pub(crate) records_withheld: IntGauge,
+}
+
+impl StoreMetrics {
+    fn new(registry: &Registry) -> Self {
+        Self {
+            reads: counter_vec(
+                registry,
+                "reedsail_router_store_reads_total",
+                "Reads of the store, by target and outcome.",
+                &["what", "outcome"],
+            ),
+            era: gauge(
+                registry,
+                "reedsail_router_store_era",
+                "Era of the store, which increases by one each time the store is restored from an older copy.",
+            ),
+            records_withheld: gauge(
+                registry,
+                "reedsail_router_records_withheld",
+                "Records of a restored store that are ignored because newer departures or evacuations are known.",
+            ),
+        }
+    }
+}
+
 /// The router's counters, gauges and histograms.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -88,8 +122,8 @@
     pub(crate) connects: IntCounterVec,
     /// Tokens of requests, by workspace and stage.
     pub(crate) workspace_tokens: WorkspaceTokens,
-    /// Reads of the store, by target and outcome.
-    pub(crate) store_reads: IntCounterVec,
+    /// Reads and state of the store.
+    pub(crate) store: StoreMetrics,
     /// Load messages exchanged with peers, by direction.
     pub(crate) peer_messages: IntCounterVec,
     /// Software versions of servers and streams.
@@ -110,8 +144,6 @@
     pub(crate) configuration_version: IntGauge,
     /// Number of live peers.
     pub(crate) peers_alive: IntGauge,
-    pub(crate) store_era: IntGauge,
-    pub(crate) records_withheld: IntGauge,
 }
 
 impl Metrics {
@@ -164,12 +196,7 @@
                 "Tokens of requests, by workspace and stage.",
                 &["workspace", "what"],
             )),
-            store_reads: counter_vec(
-                &registry,
-                "reedsail_router_store_reads_total",
-                "Reads of the store, by target and outcome.",
-                &["what", "outcome"],
-            ),
+            store: StoreMetrics::new(&registry),
             peer_messages: counter_vec(
                 &registry,
                 "reedsail_router_peer_messages_total",
@@ -210,16 +237,6 @@
                 "The version of the configuration in force.",
             ),
             peers_alive: gauge(&registry, "reedsail_router_peers_alive", "Number of live peers."),
-            store_era: gauge(
-                &registry,
-                "reedsail_router_store_era",
-                "Era of the store, which increases by one each time the store is restored from an older copy.",
-            ),
-            records_withheld: gauge(
-                &registry,
-                "reedsail_router_records_withheld",
-                "Records of a restored store that are ignored because newer departures or evacuations are known.",
-            ),
             registry,
         }
     }
