Give a response a frame only if its server's response had one

Cause: the end of the input was taken for the end of the message in three places. hyper reports the close of a connection as the end of a body without a length or chunks; the buffered relay then set a length, the relay of streams that may not be resumed ended its chunks, the resumable one believed an end between events. The second did so inside an event too, framed or not.

Change: one type says how a body ended and what that proves. Inside an event is broken off. Framed is whole. An end with the connection is settled by one connect, whose connection replaces the one that ended: a server that has ended broke off (retry, resumption, quarantine and health learn it), one that listens has answered. Such a response goes on without a length or chunks, ended by its connection, which is reset unless the body was sent to its end, also if this process is killed; the same holds for streams to HTTP/1.0 callers. The splitter of events knows CR, and streams may end with a comment. A response of another media type on a stream's route is no stream.

--- a/crates/reedsail_dispatch/src/dispatcher/attempts.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/attempts.rs
@@ -190,6 +190,11 @@
         std::mem::take(&mut self.server_ends)
     }
 
+    /// Returns whether a server is draining, by the list or by a notice.
+    pub fn is_draining(&self, server: ServerKey) -> bool {
+        self.servers.get(server).life.drains()
+    }
+
     /// Returns whether a request that was placed on a server may still be sent there. Changes learned from a
     /// list or an answer since the placement also apply to requests that are still connecting.
     pub fn may_still_send_to(&self, server: ServerKey, now: TimeMs) -> bool {
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -20,6 +20,7 @@
 mod pages;
 mod persistent_client;
 mod request_limits;
+mod resettable_stream;
 mod workers;
 
 pub use body_framing::BodyFraming;
@@ -47,4 +48,6 @@
 pub use persistent_client::PersistentClient;
 pub use request_limits::header_bytes;
 pub use request_limits::read_body;
+pub use resettable_stream::ResetOnClose;
+pub use resettable_stream::ResettableStream;
 pub use workers::Workers;
--- a/crates/reedsail_router/src/traffic/attempt_guard.rs
+++ b/crates/reedsail_router/src/traffic/attempt_guard.rs
@@ -9,6 +9,7 @@
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_dispatch::Demand;
 use reedsail_dispatch::Placement;
+use reedsail_net::BodyFraming;
 use reedsail_net::HttpConnection;
 
 use super::Pool;
@@ -97,9 +98,17 @@
 }
 
 impl<H> OpenAttempt<H> {
-    /// Ends an attempt whose response was read completely, and returns its connection to the pool.
-    pub(crate) fn complete(self, pool: &Pool, response_headers: &HeaderMap, outcome: AttemptOutcome) {
-        if let Some(server) = self.guard.server() {
+    /// Ends an attempt whose response was read completely, and returns its connection to the pool unless the response
+    /// ended with it.
+    pub(crate) fn complete(
+        self,
+        pool: &Pool,
+        framing: BodyFraming,
+        response_headers: &HeaderMap,
+        outcome: AttemptOutcome,
+    ) {
+        let is_reusable = framing == BodyFraming::Framed;
+        if let Some(server) = self.guard.server().filter(|_| is_reusable) {
             let now = self.guard.shared.clock.now();
             pool.give_back(server, self.connection, response_headers, now);
         }
--- a/crates/reedsail_router/src/traffic/forward.rs
+++ b/crates/reedsail_router/src/traffic/forward.rs
@@ -6,7 +6,10 @@
 use std::sync::Arc;
 
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Response;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use reedsail_core::ErrorKind;
 use reedsail_core::Failure;
 use reedsail_core::Sent;
@@ -17,6 +20,7 @@
 use reedsail_dispatch::Decision;
 use reedsail_dispatch::Placement;
 use reedsail_dispatch::RetryVerdict;
+use reedsail_net::BodyFraming;
 use reedsail_net::remove_hop_headers;
 
 use super::Pool;
@@ -41,6 +45,9 @@
 use crate::HeaderProtocol;
 use crate::shared::Shared;
 
+/// The media type of a stream of events.
+const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
+
 /// A response to the caller.
 type CallerResponse<H> = Response<ResponseBody<H>>;
 
@@ -185,8 +192,9 @@
     }
 
     async fn receive_response(&mut self, response_start: Box<ResponseStart<H>>) -> ForwardStep<H> {
-        let is_event_stream = matches!(self.call.route.answer, AnswerShape::Events { .. });
-        if is_event_stream && response_start.head.status.is_success() {
+        let has_events = matches!(self.call.route.answer, AnswerShape::Events { .. })
+            && has_event_type(&response_start.head.headers);
+        if has_events && response_start.head.status.is_success() {
             return ForwardStep::Streaming(response_start);
         }
         match relay_buffered(&self.shared, &self.pool, &self.call, *response_start).await {
@@ -231,6 +239,7 @@
 
     fn relay_stream(self, response_start: ResponseStart<H>) -> CallerResponse<H> {
         let status = response_start.head.status;
+        let framing = response_start.framing;
         let mut headers = response_start.head.headers.clone();
         remove_hop_headers(&mut headers);
         let body = if self.call.route.is_repeatable() {
@@ -246,7 +255,7 @@
             let body = StreamBody::start(&self.shared, &self.pool, &self.call, response_start, self.log);
             ResponseBody::Stream(Box::new(body))
         };
-        build_response(status, headers, body)
+        build_response(status, headers, framing, body)
     }
 
     /// Ends the request with the result of its attempts, or with the refusal if no attempt ran it.
@@ -273,7 +282,17 @@
     }
 }
 
+/// Returns whether a response is a stream of events, unless it states another type.
+fn has_event_type(headers: &HeaderMap) -> bool {
+    let stated = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    stated.is_none_or(|stated| stated.to_ascii_lowercase().starts_with(EVENT_STREAM_TYPE))
+}
+
 fn buffered_response<H>(response: BufferedResponse) -> CallerResponse<H> {
-    let body = ResponseBody::Buffered(Full::new(response.body));
-    build_response(response.status, response.headers, body)
+    let body = Full::new(response.body);
+    let body = match response.framing {
+        BodyFraming::Framed => ResponseBody::Buffered(body),
+        BodyFraming::ConnectionEnd => ResponseBody::Unframed(body),
+    };
+    build_response(response.status, response.headers, response.framing, body)
 }
--- a/crates/reedsail_router/src/traffic/relay_buffered.rs
+++ b/crates/reedsail_router/src/traffic/relay_buffered.rs
@@ -1,5 +1,7 @@
 //! Buffers a complete response before the caller receives any of it, so that the caller gets all of it or an error.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -16,9 +18,14 @@
 use tokio::select;
 
 use super::Pool;
+use super::attempt_guard::OpenAttempt;
 use super::call::Call;
 use super::exchange::ResponseStart;
 use super::exchange::outcome_of_error;
+use super::response_end::EndVerdict;
+use super::response_end::ResponseEnd;
+use super::response_end::settle_unproven;
+use crate::HeaderProtocol;
 use crate::shared::Shared;
 
 /// Maximum size of a buffered response body, in bytes.
@@ -41,8 +48,8 @@
 }
 
 /// Reads a complete response within the request's deadline.
-pub(crate) async fn relay_buffered<H>(
-    shared: &Shared<H>,
+pub(crate) async fn relay_buffered<H: HeaderProtocol>(
+    shared: &Arc<Shared<H>>,
     pool: &Pool,
     call: &Call,
     response_start: ResponseStart<H>,
@@ -62,12 +69,20 @@
             return Err(sent.fail(kind));
         }
     };
-    let outcome = if head.status.is_server_error() {
-        AttemptOutcome::Failed
-    } else {
-        AttemptOutcome::Answered
+    let verdict = match ResponseEnd::of_body(framing).verdict() {
+        EndVerdict::Unproven => settle(shared, pool, &attempt).await,
+        proven => proven,
+    };
+    let outcome = match verdict {
+        EndVerdict::BrokenOff => {
+            attempt.abort(AttemptOutcome::Broken);
+            return Err(sent.fail(ErrorKind::AnswerIncomplete));
+        }
+        EndVerdict::Unproven => AttemptOutcome::Abandoned,
+        EndVerdict::Whole if head.status.is_server_error() => AttemptOutcome::Failed,
+        EndVerdict::Whole => AttemptOutcome::Answered,
     };
-    attempt.complete(pool, &head.headers, outcome);
+    attempt.complete(pool, framing, &head.headers, outcome);
     let mut headers = head.headers;
     remove_hop_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
@@ -79,6 +94,17 @@
     })
 }
 
+async fn settle<H: HeaderProtocol>(
+    shared: &Arc<Shared<H>>,
+    pool: &Pool,
+    attempt: &OpenAttempt<H>,
+) -> EndVerdict {
+    match attempt.guard.server() {
+        Some(server) => settle_unproven(shared, pool, server).await,
+        None => EndVerdict::Unproven,
+    }
+}
+
 async fn buffer_body<H>(shared: &Shared<H>, call: &Call, body: Incoming) -> Result<Bytes, ErrorKind> {
     let read = select! {
         biased;
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -1,4 +1,7 @@
 //! Relays a stream as it arrives. If the stream breaks, the response to the caller is aborted.
+//!
+//! `response_end` says whether a stream that ended without an error is whole. A check of its server runs in a task of its
+//! own, whose result this body waits for.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,6 +14,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
+use reedsail_core::ServerKey;
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_dispatch::BreakCause;
 use reedsail_dispatch::SlowReaderWatch;
@@ -18,6 +22,7 @@
 use reedsail_net::Clock;
 use reedsail_net::DeadlineTimer;
 use reedsail_net::EventScanner;
+use tokio::sync::oneshot;
 
 use super::Pool;
 use super::attempt_guard::OpenAttempt;
@@ -26,12 +31,19 @@
 use super::request_log::RequestLog;
 use super::request_log::RequestOutcome;
 use super::response_aborted::ResponseAborted;
+use super::response_end::EndVerdict;
 use super::response_end::ResponseEnd;
+use super::response_end::settle_unproven;
+use crate::HeaderProtocol;
 use crate::shared::Shared;
 
+/// The result of polling a body for its next chunk.
+type PollChunk = Poll<Option<Result<Frame<Bytes>, ResponseAborted>>>;
+
 /// The body of a relayed stream. Dropping it cancels the attempt.
 #[derive(Debug)]
 pub(crate) struct StreamBody<H> {
+    shared: Arc<Shared<H>>,
     pool: Arc<Pool>,
     body: Incoming,
     framing: BodyFraming,
@@ -39,6 +51,8 @@
     response_headers: HeaderMap,
     /// `None` once the stream has ended.
     attempt: Option<OpenAttempt<H>>,
+    /// The result of the check of the server, once the stream has ended unproven.
+    settling: Option<oneshot::Receiver<EndVerdict>>,
     /// The time at which the stream is aborted if it has not ended.
     deadline: DeadlineTimer,
     clock: Clock,
@@ -46,22 +60,24 @@
     log: RequestLog<H>,
 }
 
-impl<H> StreamBody<H> {
+impl<H: HeaderProtocol> StreamBody<H> {
     /// Starts to relay a stream.
     pub(crate) fn start(
-        shared: &Shared<H>,
+        shared: &Arc<Shared<H>>,
         pool: &Arc<Pool>,
         call: &Call,
         response_start: ResponseStart<H>,
         log: RequestLog<H>,
     ) -> Self {
         Self {
+            shared: Arc::clone(shared),
             pool: Arc::clone(pool),
             body: response_start.body,
             framing: response_start.framing,
             scanner: EventScanner::default(),
             response_headers: response_start.head.headers,
             attempt: Some(response_start.attempt),
+            settling: None,
             deadline: shared.clock.timer(call.deadline),
             clock: shared.clock,
             reader: SlowReaderWatch::default(),
@@ -74,47 +90,29 @@
     }
 
     /// Relays the next chunk.
-    pub(crate) fn poll_chunk(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
+    pub(crate) fn poll_chunk(&mut self, context: &mut Context<'_>) -> PollChunk {
         let now = self.clock.now();
         self.reader.record_writable(now);
         self.log.record_writable(now);
         if let Some(attempt) = &mut self.attempt {
             attempt.guard.record_writable(now);
         }
+        if self.settling.is_some() {
+            return self.poll_settling(context);
+        }
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                let now = self.clock.now();
-                self.reader.record_written(now);
-                if let Some(attempt) = &mut self.attempt {
-                    attempt.guard.record_event();
-                }
-                self.log.record_event(now);
-                if let Some(data) = frame.data_ref() {
-                    self.scanner.read(data);
-                }
-                if self.body.is_end_stream() {
-                    self.finish();
+                self.record_frame(&frame);
+                // The last frame of a body with a length is not followed by another poll.
+                if self.body.is_end_stream()
+                    && let Poll::Ready(Some(Err(aborted))) = self.end_body(context)
+                {
+                    return Poll::Ready(Some(Err(aborted)));
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(None) => {
-                self.finish();
-                Poll::Ready(None)
-            }
-            Poll::Ready(Some(Err(_error))) => {
-                match self.reader.break_cause(self.clock.now()) {
-                    BreakCause::Server => {
-                        self.abort(AttemptOutcome::Broken, RequestOutcome::BackendBrokeOff);
-                    }
-                    BreakCause::CallerStalled => {
-                        self.abort(AttemptOutcome::Abandoned, RequestOutcome::CallerStalled);
-                    }
-                }
-                Poll::Ready(Some(Err(ResponseAborted)))
-            }
+            Poll::Ready(None) => self.end_body(context),
+            Poll::Ready(Some(Err(_error))) => self.break_off(),
             Poll::Pending => {
                 if Pin::new(&mut self.deadline).poll(context).is_pending() {
                     return Poll::Pending;
@@ -125,15 +123,84 @@
         }
     }
 
-    fn finish(&mut self) {
+    fn record_frame(&mut self, frame: &Frame<Bytes>) {
+        let now = self.clock.now();
+        self.reader.record_written(now);
+        if let Some(attempt) = &mut self.attempt {
+            attempt.guard.record_event();
+        }
+        self.log.record_event(now);
+        if let Some(data) = frame.data_ref() {
+            self.scanner.read(data);
+        }
+    }
+
+    /// Ends the stream after its body was read without an error.
+    fn end_body(&mut self, context: &mut Context<'_>) -> PollChunk {
+        let end = ResponseEnd {
+            framing: self.framing,
+            is_inside_event: self.scanner.is_inside_event(),
+        };
+        self.log.record_response_end(end);
+        match end.verdict() {
+            EndVerdict::Whole => self.finish(AttemptOutcome::Answered),
+            EndVerdict::BrokenOff => self.break_off(),
+            EndVerdict::Unproven => {
+                let Some(server) = self.attempt.as_ref().and_then(|attempt| attempt.guard.server()) else {
+                    return Poll::Ready(None);
+                };
+                self.settling = Some(self.start_settling(server));
+                self.poll_settling(context)
+            }
+        }
+    }
+
+    fn start_settling(&self, server: ServerKey) -> oneshot::Receiver<EndVerdict> {
+        let (sender, receiver) = oneshot::channel();
+        let (shared, pool) = (Arc::clone(&self.shared), Arc::clone(&self.pool));
+        tokio::spawn(async move {
+            let verdict = settle_unproven(&shared, &pool, server).await;
+            // The caller may have disconnected meanwhile.
+            let _ = sender.send(verdict);
+        });
+        receiver
+    }
+
+    fn poll_settling(&mut self, context: &mut Context<'_>) -> PollChunk {
+        let Some(settling) = &mut self.settling else {
+            return Poll::Ready(None);
+        };
+        let Poll::Ready(verdict) = Pin::new(settling).poll(context) else {
+            return Poll::Pending;
+        };
+        self.settling = None;
+        match verdict.unwrap_or(EndVerdict::Unproven) {
+            EndVerdict::Whole => self.finish(AttemptOutcome::Answered),
+            EndVerdict::BrokenOff => self.break_off(),
+            EndVerdict::Unproven => self.finish(AttemptOutcome::Abandoned),
+        }
+    }
+
+    /// Ends the stream, whose end leaves nothing more to tell the caller.
+    fn finish(&mut self, attempt_outcome: AttemptOutcome) -> PollChunk {
         if let Some(attempt) = self.attempt.take() {
-            attempt.complete(&self.pool, &self.response_headers, AttemptOutcome::Answered);
-            self.log.record_response_end(ResponseEnd {
-                framing: self.framing,
-                is_inside_event: self.scanner.is_inside_event(),
-            });
+            attempt.complete(&self.pool, self.framing, &self.response_headers, attempt_outcome);
             self.log.end(RequestOutcome::Answered);
         }
+        Poll::Ready(None)
+    }
+
+    /// Aborts the response because the server's response broke off.
+    fn break_off(&mut self) -> PollChunk {
+        match self.reader.break_cause(self.clock.now()) {
+            BreakCause::Server => {
+                self.abort(AttemptOutcome::Broken, RequestOutcome::BackendBrokeOff);
+            }
+            BreakCause::CallerStalled => {
+                self.abort(AttemptOutcome::Abandoned, RequestOutcome::CallerStalled);
+            }
+        }
+        Poll::Ready(Some(Err(ResponseAborted)))
     }
 
     fn abort(&mut self, attempt_outcome: AttemptOutcome, outcome: RequestOutcome) {
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -36,7 +36,9 @@
 use super::request_log::RequestLog;
 use super::request_log::RequestOutcome;
 use super::response_aborted::ResponseAborted;
+use super::response_end::EndVerdict;
 use super::response_end::ResponseEnd;
+use super::response_end::settle_unproven;
 use super::stream_version::bind_version;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
@@ -73,6 +75,7 @@
             splitter: EventSplitter::default(),
             last_event_id: None,
             has_version: false,
+            framing: response_start.framing,
             log,
         };
         let task = tokio::spawn(relay.run(response_start));
@@ -100,11 +103,14 @@
 }
 
 /// How one server's part of a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
     /// The stream is complete.
     Complete,
     /// The server's response broke or ended early.
     Broken,
+    /// The server's response ended with its connection, between two events.
+    Unproven,
     /// It broke because the caller had stopped reading.
     CallerStalled,
     /// The request's deadline expired.
@@ -124,6 +130,8 @@
     last_event_id: Option<String>,
     /// Whether an event was relayed, after which only servers of one software version may continue.
     has_version: bool,
+    /// How the first server's response delimits its body, and so the response to the caller.
+    framing: BodyFraming,
     log: RequestLog<H>,
 }
 
@@ -137,12 +145,18 @@
                 mut attempt,
                 ..
             } = response_start;
-            match self.relay_events(&mut body, framing, &mut attempt.guard).await {
+            let mut end = self.relay_events(&mut body, framing, &mut attempt.guard).await;
+            let mut outcome = AttemptOutcome::Answered;
+            if let (StreamEnd::Unproven, Some(server)) = (end, attempt.guard.server()) {
+                (end, outcome) = self.settle(server).await;
+            }
+            match end {
                 StreamEnd::Complete => {
-                    attempt.complete(&self.pool, &head.headers, AttemptOutcome::Answered);
+                    attempt.complete(&self.pool, framing, &head.headers, outcome);
                     self.log.end(RequestOutcome::Answered);
                     return;
                 }
+                StreamEnd::Unproven => attempt.abort(outcome),
                 StreamEnd::CallerGone => return,
                 StreamEnd::Deadline => {
                     self.log.end(RequestOutcome::Deadline);
@@ -184,21 +198,14 @@
                 frame = body.frame() => frame,
                 () = &mut deadline => return StreamEnd::Deadline,
             };
-            if frame.is_none() {
-                self.log.record_response_end(ResponseEnd {
-                    framing,
-                    is_inside_event: self.splitter.partial_bytes() > 0,
-                });
-            }
             let frame = match frame {
                 Some(Ok(frame)) => frame,
-                None if self.splitter.partial_bytes() == 0 => return StreamEnd::Complete,
-                None | Some(Err(_)) => {
-                    return match reader.break_cause(self.shared.clock.now()) {
-                        BreakCause::Server => StreamEnd::Broken,
-                        BreakCause::CallerStalled => StreamEnd::CallerStalled,
-                    };
-                }
+                None => match self.end_body(framing) {
+                    EndVerdict::Whole => return self.relay_rest().await,
+                    EndVerdict::Unproven => return StreamEnd::Unproven,
+                    EndVerdict::BrokenOff => return self.broken_end(reader),
+                },
+                Some(Err(_)) => return self.broken_end(reader),
             };
             let Ok(data) = frame.into_data() else { continue };
             guard.record_first_event();
@@ -229,6 +236,47 @@
         }
     }
 
+    /// Records that a server's response was read without an error, and returns what its end proves.
+    fn end_body(&mut self, framing: BodyFraming) -> EndVerdict {
+        let end = ResponseEnd {
+            framing,
+            is_inside_event: self.splitter.is_inside_event(),
+        };
+        self.log.record_response_end(end);
+        end.verdict()
+    }
+
+    fn broken_end(&self, reader: SlowReaderWatch) -> StreamEnd {
+        match reader.break_cause(self.shared.clock.now()) {
+            BreakCause::Server => StreamEnd::Broken,
+            BreakCause::CallerStalled => StreamEnd::CallerStalled,
+        }
+    }
+
+    /// Relays what follows the last event, such as a comment.
+    async fn relay_rest(&mut self) -> StreamEnd {
+        let rest = self.splitter.take_rest();
+        if !rest.is_empty() && self.sender.send(Ok(Bytes::from(rest))).await.is_err() {
+            return StreamEnd::CallerGone;
+        }
+        StreamEnd::Complete
+    }
+
+    /// Finds out how a stream ended whose response ended with its connection, and the outcome of the attempt.
+    async fn settle(&mut self, server: ServerKey) -> (StreamEnd, AttemptOutcome) {
+        let outcome = match settle_unproven(&self.shared, &self.pool, server).await {
+            EndVerdict::BrokenOff => return (StreamEnd::Broken, AttemptOutcome::Broken),
+            EndVerdict::Whole => AttemptOutcome::Answered,
+            EndVerdict::Unproven => AttemptOutcome::Abandoned,
+        };
+        match self.framing {
+            // The caller's response ends with its connection too, and certifies nothing.
+            BodyFraming::ConnectionEnd => (self.relay_rest().await, outcome),
+            // Only a server that ends the rest in a frame proves that the stream is whole.
+            BodyFraming::Framed => (StreamEnd::Unproven, outcome),
+        }
+    }
+
     /// Binds the stream to the software version of the server that sends its first event.
     fn bind_version(&mut self, guard: &AttemptGuard<H>) {
         if std::mem::replace(&mut self.has_version, true) {
--- a/crates/reedsail_router/src/traffic/serve.rs
+++ b/crates/reedsail_router/src/traffic/serve.rs
@@ -9,25 +9,28 @@
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use reedsail_core::Unsent;
+use reedsail_net::ResetOnClose;
 
 use super::Pool;
 use super::call::read_call;
 use super::forward::forward;
 use super::request_log::RequestLog;
-use super::response::ResponseBody;
+use super::response::CallerBody;
 use super::response::failure_response;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
 
-/// Serves one request. Every failure becomes an error response.
+/// Serves one request. Every failure becomes an error response. `reset` belongs to the caller's connection.
 pub(crate) async fn serve_request<H: HeaderProtocol>(
     shared: Arc<Shared<H>>,
     pool: Arc<Pool>,
     request: Request<Incoming>,
-) -> Result<Response<ResponseBody<H>>, Infallible> {
+    reset: ResetOnClose,
+) -> Result<Response<CallerBody<H>>, Infallible> {
     let arrived_at = shared.clock.now();
     let head = shared.protocol.read_call(request.headers());
     let request_id = head.as_ref().ok().and_then(|head| head.request_id.clone());
+    let (method, version) = (request.method().clone(), request.version());
     let mut log = RequestLog::begin(&shared, head.as_ref().ok(), arrived_at);
     let outcome = match read_call(&*shared, request, head, arrived_at).await {
         Ok(call) => {
@@ -46,5 +49,5 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
+    Ok(CallerBody::wrap(response, &method, version, &reset))
 }
--- a/crates/reedsail_router/src/traffic/server_check.rs
+++ b/crates/reedsail_router/src/traffic/server_check.rs
@@ -1,6 +1,7 @@
 //! Connects to servers whose connections broke, to determine whether they have ended.
 //!
-//! The dispatcher provides the list of these servers. A connection that opens goes to the pool for later requests.
+//! The dispatcher provides the list of servers whose connections broke; `response_end` asks about a server whose response
+//! ended with its connection. A connection that opens goes to the pool for later requests.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,25 +28,45 @@
         sleep(Duration::from_millis(CHECK_DELAY_MS)).await;
         let servers = shared.dispatcher().take_servers_to_check();
         for server in servers {
-            tokio::spawn(check_server(Arc::clone(&shared), Arc::clone(&pool), server));
+            let (shared, pool) = (Arc::clone(&shared), Arc::clone(&pool));
+            tokio::spawn(async move { check_server(&shared, &pool, server).await });
         }
     }
 }
 
-async fn check_server<H: HeaderProtocol>(shared: Arc<Shared<H>>, pool: Arc<Pool>, key: ServerKey) {
-    // A server without a record has ended. The dispatcher detects that without a check.
+/// What a connect to a server tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ServerCheck {
+    /// The server accepts connections.
+    Listening,
+    /// Nothing listens at the server's address.
+    Ended,
+    /// The server is no longer listed, this instance is late, or the server has too many connections.
+    Inconclusive,
+}
+
+/// Connects to a server once and records what that tells.
+pub(super) async fn check_server<H: HeaderProtocol>(
+    shared: &Arc<Shared<H>>,
+    pool: &Pool,
+    key: ServerKey,
+) -> ServerCheck {
+    // The dispatcher detects without a check that a server without a record has ended.
     let Some(server) = shared.servers.get(key) else {
-        return;
+        return ServerCheck::Inconclusive;
     };
-    let outcome = connect(&shared, &server, CONNECT_TIMEOUT_MS).await;
+    let outcome = connect(shared, &server, CONNECT_TIMEOUT_MS).await;
     let now = shared.clock.now();
     match outcome {
         Ok(connection) => {
             pool.give_back(key, connection, &HeaderMap::new(), now);
             shared.dispatcher().record_check(key, true, now);
+            ServerCheck::Listening
+        }
+        Err(AttemptOutcome::Down) => {
+            shared.dispatcher().record_check(key, false, now);
+            ServerCheck::Ended
         }
-        Err(AttemptOutcome::Down) => shared.dispatcher().record_check(key, false, now),
-        // This instance is late, or the server has too many connections: the result is inconclusive.
-        Err(_) => {}
+        Err(_) => ServerCheck::Inconclusive,
     }
 }
--- a/crates/reedsail_router/src/traffic/thread.rs
+++ b/crates/reedsail_router/src/traffic/thread.rs
@@ -12,6 +12,8 @@
 use reedsail_events::EventKind;
 use reedsail_net::ByteCounter;
 use reedsail_net::CountedStream;
+use reedsail_net::ResetOnClose;
+use reedsail_net::ResettableStream;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -98,7 +100,10 @@
     let limits = shared.routes.load().configuration.limits;
     // This timeout starts at the last response, so it also limits how long a connection is idle.
     let header_timeout_ms = limits.idle_ms.max(limits.header_ms);
-    let service = service_fn(|request| serve_request(Arc::clone(&shared), Arc::clone(&pool), request));
+    let reset = ResetOnClose::default();
+    let stream = ResettableStream::new(stream, reset.clone());
+    let service =
+        service_fn(|request| serve_request(Arc::clone(&shared), Arc::clone(&pool), request, reset.clone()));
     // An error of the connection ends its requests, and the end of each request is logged.
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/reedsail_router/tests/broken_answers.rs
+++ b/crates/reedsail_router/tests/broken_answers.rs
@@ -66,14 +66,13 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn a_body_that_ends_with_its_connection_is_not_framed_as_complete() {
-    for path in ["/once/a", "/again/a", "/stream/a", "/resume/a"] {
-        let text = if path.ends_with("e/a") {
-            BODY
-        } else {
-            BETWEEN_EVENTS
-        };
+    for (path, text) in [
+        ("/once/a", BODY),
+        ("/again/a", BODY),
+        ("/stream/a", BETWEEN_EVENTS),
+        ("/resume/a", BETWEEN_EVENTS),
+    ] {
         let reply = ask_living(path, unframed(text, false)).await;
         assert_eq!(reply.status, StatusCode::OK, "{path}");
         assert_eq!(reply.text(), text, "{path}");
@@ -83,7 +82,6 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn a_stream_that_ends_inside_an_event_is_aborted() {
     for path in ["/stream/a", "/resume/a"] {
         for answer in [unframed(INSIDE_EVENT, false), chunked(INSIDE_EVENT)] {
@@ -94,7 +92,6 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn a_body_that_ends_with_its_server_is_no_answer() {
     let fixture = RouterFixture::start().await;
     fixture.app.answer_with(&[unframed(BODY, true)]);
@@ -105,7 +102,6 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn a_repeatable_request_whose_body_ends_with_its_server_is_retried() {
     let fixture = RouterFixture::start().await;
     let second = fixture.add_server("app-2", "app").await;
@@ -118,7 +114,6 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn a_stream_that_ends_with_its_server_between_events_is_aborted() {
     for path in ["/stream/a", "/resume/a"] {
         let fixture = RouterFixture::start().await;
@@ -130,7 +125,6 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn a_resumable_stream_that_ends_with_its_server_continues_elsewhere() {
     let fixture = RouterFixture::start().await;
     let second = fixture.add_server("llm-2", "llm").await;
@@ -185,7 +179,6 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn an_empty_body_that_ends_with_its_connection_is_not_framed_as_complete() {
     let reply = ask_living("/once/a", unframed("", false)).await;
     assert_eq!(reply.status, StatusCode::OK);
@@ -194,7 +187,6 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn a_stream_with_events_ended_by_cr_is_complete() {
     for path in ["/stream/a", "/resume/a"] {
         let text = "id: 1\rdata: a\r\rid: 2\rdata: b\r\n\r\n: end\n";
@@ -205,7 +197,18 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
+async fn an_answer_of_another_type_on_a_stream_route_is_no_broken_stream() {
+    for path in ["/stream/a", "/resume/a"] {
+        let fixture = RouterFixture::start().await;
+        fixture.llm.answer_with(&[chunked(BODY)]);
+        fixture.llm.set_headers(&[("content-type", "application/json")]);
+        let reply = ask(fixture.callers(), path, &[]).await;
+        assert!(reply.is_certified(), "{path}");
+        assert_eq!(reply.text(), BODY, "{path}");
+    }
+}
+
+#[tokio::test]
 async fn an_http_1_0_caller_sees_a_broken_stream_reset() {
     for (path, answer) in [
         ("/stream/a", chunked(INSIDE_EVENT)),
