Relay a response without a frame as one in reedsaild too

It now goes on without a frame. Streams were right already: they need their last event. The parts that end a response with its connection serve both programs.

--- a/crates/reedsail_bench/tests/common/mod.rs
+++ b/crates/reedsail_bench/tests/common/mod.rs
@@ -19,6 +19,7 @@
 use reedsail_daemon::PolicyChoice;
 use reedsail_daemon::RunningDaemon;
 use reedsail_daemon::Settings;
+use reedsail_net::BodyFraming;
 use reedsail_net::ByteCounter;
 use reedsail_net::HttpConnection;
 use reedsail_standin::PlatformConfig;
@@ -113,6 +114,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// How the answer delimits its body.
+    pub(crate) framing: BodyFraming,
 }
 
 impl Answer {
@@ -150,7 +153,9 @@
     assert!(connection.ready().await);
     let response = connection.send(request).await.expect("the instance answers");
     let (parts, body) = response.into_parts();
+    let framing = BodyFraming::of(&parts.headers, &body);
     Answer {
+        framing,
         status: parts.status,
         headers: parts.headers,
         body: body.collect().await.expect("the answer is complete").to_bytes(),
--- a/crates/reedsail_bench/tests/failures.rs
+++ b/crates/reedsail_bench/tests/failures.rs
@@ -10,6 +10,7 @@
 use reedsail_bench::Outcome;
 use reedsail_bench::RequestPlan;
 use reedsail_daemon::Stage;
+use reedsail_net::BodyFraming;
 use tokio::task::JoinSet;
 
 use common::chat_body;
@@ -411,6 +412,21 @@
     });
 }
 
+#[test]
+fn an_answer_that_ends_with_its_connection_is_not_framed_as_complete() {
+    run(async {
+        let fleet = common::small_fleet(1, 1).await;
+        let address = fleet.callers["hall-a-1"];
+        first_plain(&fleet).set_faults(|faults| faults.answers_unframed = 1);
+        let call = request("GET", "/booking/beds", "labska").body(Full::default());
+        let answer = send(address, call.unwrap()).await;
+        assert_eq!(answer.status, 200);
+        assert!(answer.body.ends_with(b"}"), "{:?}", answer.body);
+        assert_eq!(answer.framing, BodyFraming::ConnectionEnd);
+        fleet.close().await;
+    });
+}
+
 #[test]
 fn a_leaving_server_gets_no_new_request() {
     run(async {
--- a/crates/reedsail_daemon/src/traffic/relay.rs
+++ b/crates/reedsail_daemon/src/traffic/relay.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Full;
+use http_body_util::channel::Channel;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
@@ -17,6 +18,8 @@
 use reedsail_core::ErrorKind;
 use reedsail_core::Sent;
 use reedsail_core::ServerKey;
+use reedsail_net::BodyFraming;
+use reedsail_net::remove_frame;
 use reedsail_scheduling::SharePolicy;
 use tokio::time::timeout;
 
@@ -58,6 +61,7 @@
 ) -> Result<BufferedAnswer, IncompleteAnswer> {
     let (parts, body) = started_answer.response.into_parts();
     record_server_state(shared, call, started_answer.server, &parts.headers);
+    let framing = BodyFraming::of(&parts.headers, &body);
     let limits = &shared.settings.limits;
     let body = match read_answer(body, limits.answer_bytes_max, limits.stall_max_ms).await {
         Ok(body) => body,
@@ -73,18 +77,34 @@
             });
         }
     };
-    pool.give_back(
-        started_answer.address,
-        started_answer.connection,
-        &parts.headers,
-        shared.clock.now(),
-    );
+    if framing == BodyFraming::Framed {
+        pool.give_back(
+            started_answer.address,
+            started_answer.connection,
+            &parts.headers,
+            shared.clock.now(),
+        );
+    }
     let cost = buffered_answer_cost(shared, call, &body);
-    let body = Either::Left(Full::new(body));
-    let answer = answer_from(parts.status, &parts.headers, &call.id, body);
+    let body = match framing {
+        BodyFraming::Framed => Either::Left(Full::new(body)),
+        BodyFraming::ConnectionEnd => body_without_length(body).await,
+    };
+    let mut answer = answer_from(parts.status, &parts.headers, &call.id, body);
+    if framing == BodyFraming::ConnectionEnd {
+        remove_frame(&mut answer);
+    }
     Ok(BufferedAnswer { answer, cost })
 }
 
+/// Returns a body whose length is not told: nothing proves that it is whole.
+async fn body_without_length(body: Bytes) -> AnswerBody {
+    let (mut sender, channel) = Channel::new(1);
+    // The receiver is alive, and the channel has room for one frame.
+    let _ = sender.send_data(body).await;
+    Either::Right(channel)
+}
+
 /// Reads a body to its end. The total time is not limited, but a pause longer than `stall_ms` is an error.
 async fn read_answer(mut body: Incoming, bytes_max: usize, stall_ms: u64) -> Result<Bytes, ErrorKind> {
     let stall = Duration::from_millis(stall_ms);
--- a/crates/reedsail_daemon/src/traffic/serve.rs
+++ b/crates/reedsail_daemon/src/traffic/serve.rs
@@ -14,6 +14,8 @@
 use reedsail_core::RanState;
 use reedsail_core::Unsent;
 use reedsail_events::EventKind;
+use reedsail_net::ResetOnClose;
+use reedsail_net::ResettingBody;
 use reedsail_scheduling::SharePolicy;
 
 use super::Pool;
@@ -37,13 +39,15 @@
 /// The number of the next request of the process.
 static NEXT_REQUEST_NUMBER: AtomicU64 = AtomicU64::new(1);
 
-/// Serves one request. Every failure becomes an answer.
+/// Serves one request. Every failure becomes an answer. `reset` belongs to the caller's connection.
 pub(crate) async fn serve_request<P: SharePolicy>(
     shared: Arc<Shared<P>>,
     pool: Arc<Pool>,
     request: Request<Incoming>,
-) -> Result<Response<AnswerBody>, Infallible> {
+    reset: ResetOnClose,
+) -> Result<Response<ResettingBody<AnswerBody>>, Infallible> {
     let open = shared.open_request();
+    let (method, version) = (request.method().clone(), request.version());
     let number = NEXT_REQUEST_NUMBER.fetch_add(1, Ordering::Relaxed);
     let id = format!("{}-{:08x}-{number}", shared.settings.instance, shared.incarnation);
     let outcome = match read_call(&shared, request, id.clone()).await {
@@ -53,10 +57,11 @@
             Err(after_ms.map_or(failure, |after_ms| failure.with_retry_after_ms(after_ms)))
         }
     };
-    Ok(outcome.unwrap_or_else(|failure| {
+    let answer = outcome.unwrap_or_else(|failure| {
         note_failure(&shared, &id, &failure);
         failure_answer(&failure, &id)
-    }))
+    });
+    Ok(ResettingBody::wrap(answer, &method, version, &reset))
 }
 
 /// Runs a validated call. A call that must not be repeated runs in a separate task, so that its end is
--- a/crates/reedsail_daemon/src/traffic/thread.rs
+++ b/crates/reedsail_daemon/src/traffic/thread.rs
@@ -6,6 +6,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use reedsail_net::ResetOnClose;
+use reedsail_net::ResettableStream;
 use reedsail_scheduling::SharePolicy;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -66,7 +68,10 @@
         return;
     }
     let header_bytes_max = shared.settings.limits.header_bytes_max;
-    let service = service_fn(|request| serve_request(Arc::clone(&shared), Arc::clone(&pool), request));
+    let reset = ResetOnClose::default();
+    let stream = ResettableStream::new(stream, reset.clone());
+    let service =
+        service_fn(|request| serve_request(Arc::clone(&shared), Arc::clone(&pool), request, reset.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .max_buf_size(header_bytes_max.max(8_192) * 2)
--- a/crates/reedsail_net/src/counted_stream.rs
+++ b/crates/reedsail_net/src/counted_stream.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
+use std::os::fd::BorrowedFd;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
@@ -37,14 +39,11 @@
         SockRef::from(&stream).set_tcp_user_timeout(Some(Duration::from_millis(TCP_USER_TIMEOUT_MS)))?;
         Ok(Self { stream, counter })
     }
+}
 
-    /// Sets whether closing the stream resets the connection and drops what was not sent yet.
-    ///
-    /// # Errors
-    /// Returns the system's error if the socket is already closed.
-    pub fn set_reset_on_close(&self, resets: bool) -> io::Result<()> {
-        let linger = resets.then_some(Duration::ZERO);
-        SockRef::from(&self.stream).set_linger(linger)
+impl AsFd for CountedStream {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
     }
 }
 
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -21,6 +21,7 @@
 mod persistent_client;
 mod request_limits;
 mod resettable_stream;
+mod unframed_response;
 mod workers;
 
 pub use body_framing::BodyFraming;
@@ -50,4 +51,6 @@
 pub use request_limits::read_body;
 pub use resettable_stream::ResetOnClose;
 pub use resettable_stream::ResettableStream;
+pub use unframed_response::ResettingBody;
+pub use unframed_response::remove_frame;
 pub use workers::Workers;
--- a/crates/reedsail_net/src/resettable_stream.rs
+++ b/crates/reedsail_net/src/resettable_stream.rs
@@ -1,19 +1,20 @@
 //! A stream whose connection is reset, rather than closed in order, while its response is incomplete.
 
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
-use crate::CountedStream;
-
 /// Says whether closing a connection resets it. Set while a response without a length or chunks is being sent: its reader
 /// takes an orderly end of the connection for the end of the body, also when this process is killed.
 #[derive(Clone, Debug, Default)]
@@ -32,16 +33,16 @@
 
 /// A stream that closes as its [`ResetOnClose`] says.
 #[derive(Debug)]
-pub struct ResettableStream {
-    stream: CountedStream,
+pub struct ResettableStream<S> {
+    stream: S,
     reset: ResetOnClose,
     /// What the socket was last told.
     is_applied: bool,
 }
 
-impl ResettableStream {
+impl<S: AsFd> ResettableStream<S> {
     /// Wraps a stream that closes in order until `reset` is set.
-    pub fn new(stream: CountedStream, reset: ResetOnClose) -> Self {
+    pub fn new(stream: S, reset: ResetOnClose) -> Self {
         Self {
             stream,
             reset,
@@ -52,14 +53,16 @@
     fn apply(&mut self) -> io::Result<()> {
         let resets = self.reset.is_set();
         if resets != self.is_applied {
-            self.stream.set_reset_on_close(resets)?;
+            // Zero drops what was not sent yet and resets the connection.
+            let linger = resets.then_some(Duration::ZERO);
+            SockRef::from(&self.stream).set_linger(linger)?;
             self.is_applied = resets;
         }
         Ok(())
     }
 }
 
-impl AsyncRead for ResettableStream {
+impl<S: AsyncRead + Unpin> AsyncRead for ResettableStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -69,7 +72,7 @@
     }
 }
 
-impl AsyncWrite for ResettableStream {
+impl<S: AsyncWrite + AsFd + Unpin> AsyncWrite for ResettableStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/reedsail_router/src/traffic/response.rs
+++ b/crates/reedsail_router/src/traffic/response.rs
@@ -7,20 +7,17 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::HeaderMap;
-use hyper::Method;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
-use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use reedsail_core::Failure;
 use reedsail_net::BodyFraming;
-use reedsail_net::ResetOnClose;
+use reedsail_net::remove_frame;
 
 use super::relay_stream::StreamBody;
 use super::response_aborted::ResponseAborted;
@@ -73,64 +70,6 @@
     }
 }
 
-/// A response body that resets the caller's connection unless it is sent to its end, if the response ends with the
-/// connection.
-#[derive(Debug)]
-pub(crate) struct CallerBody<H> {
-    body: ResponseBody<H>,
-    /// Set until the body has ended; `None` if the response has a frame.
-    reset: Option<ResetOnClose>,
-}
-
-impl<H> CallerBody<H> {
-    /// Wraps the body of a response to a request with the given method and version.
-    pub(crate) fn wrap(
-        response: Response<ResponseBody<H>>,
-        method: &Method,
-        caller_version: Version,
-        reset: &ResetOnClose,
-    ) -> Response<Self>
-    where
-        ResponseBody<H>: Body,
-    {
-        let has_body = *method != Method::HEAD
-            && response.status() != StatusCode::NO_CONTENT
-            && response.status() != StatusCode::NOT_MODIFIED;
-        let has_length = response.body().size_hint().exact().is_some();
-        let allows_chunks = caller_version >= Version::HTTP_11 && response.version() >= Version::HTTP_11;
-        let ends_with_connection = has_body && !has_length && !allows_chunks;
-        reset.set(ends_with_connection);
-        response.map(|body| Self {
-            body,
-            reset: ends_with_connection.then(|| reset.clone()),
-        })
-    }
-}
-
-impl<H: HeaderProtocol> Body for CallerBody<H> {
-    type Data = Bytes;
-    type Error = ResponseAborted;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(context);
-        if let (Poll::Ready(None), Some(reset)) = (&polled, &self.reset) {
-            reset.set(false);
-        }
-        polled
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Builds a response with a backend server's status and headers. It gets a frame only if the server's response had one.
 pub(crate) fn build_response<H>(
     status: StatusCode,
@@ -142,10 +81,7 @@
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     if framing == BodyFraming::ConnectionEnd {
-        // To HTTP/1.1 responses of unknown length, hyper adds chunks.
-        *response.version_mut() = Version::HTTP_10;
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        remove_frame(&mut response);
     }
     response
 }
--- a/crates/reedsail_router/src/traffic/serve.rs
+++ b/crates/reedsail_router/src/traffic/serve.rs
@@ -10,12 +10,13 @@
 use hyper::header::HeaderValue;
 use reedsail_core::Unsent;
 use reedsail_net::ResetOnClose;
+use reedsail_net::ResettingBody;
 
 use super::Pool;
 use super::call::read_call;
 use super::forward::forward;
 use super::request_log::RequestLog;
-use super::response::CallerBody;
+use super::response::ResponseBody;
 use super::response::failure_response;
 use crate::HeaderProtocol;
 use crate::shared::Shared;
@@ -26,7 +27,7 @@
     pool: Arc<Pool>,
     request: Request<Incoming>,
     reset: ResetOnClose,
-) -> Result<Response<CallerBody<H>>, Infallible> {
+) -> Result<Response<ResettingBody<ResponseBody<H>>>, Infallible> {
     let arrived_at = shared.clock.now();
     let head = shared.protocol.read_call(request.headers());
     let request_id = head.as_ref().ok().and_then(|head| head.request_id.clone());
@@ -49,5 +50,5 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(CallerBody::wrap(response, &method, version, &reset))
+    Ok(ResettingBody::wrap(response, &method, version, &reset))
 }
--- a/crates/reedsail_standin/src/http_server.rs
+++ b/crates/reedsail_standin/src/http_server.rs
@@ -9,10 +9,12 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use reedsail_net::remove_frame;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -140,6 +142,18 @@
     }
 }
 
+/// Returns a response with a body that has neither a length nor chunks, and ends with its connection.
+pub(crate) fn unframed_response(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let (mut sender, channel) = Channel::new(1);
+    sender
+        .try_send(Frame::data(body.into()))
+        .expect("the channel has room for one frame");
+    let mut response = full_response(status, "");
+    *response.body_mut() = Either::Right(channel);
+    remove_frame(&mut response);
+    response
+}
+
 /// Returns a response with a complete body.
 pub(crate) fn full_response(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
     Response::builder()
--- a/crates/reedsail_standin/src/plain_service.rs
+++ b/crates/reedsail_standin/src/plain_service.rs
@@ -21,6 +21,7 @@
 use crate::http_server::Handler;
 use crate::http_server::HttpServer;
 use crate::http_server::full_response;
+use crate::http_server::unframed_response;
 
 /// The active faults of a service.
 #[derive(Clone, Copy, Debug, Default)]
@@ -31,6 +32,8 @@
     pub answers_crossed: u32,
     /// Number of next answers whose body is shorter than announced.
     pub answers_short: u32,
+    /// Number of next answers without a length or chunks, which end with their connection.
+    pub answers_unframed: u32,
     /// Duration of a call, in milliseconds.
     pub delay_ms: u64,
 }
@@ -68,6 +71,7 @@
     Lost,
     Crossed,
     Short,
+    Unframed,
 }
 
 impl PlainStandin {
@@ -121,6 +125,7 @@
             (&mut faults.answers_lost, AnswerFault::Lost),
             (&mut faults.answers_crossed, AnswerFault::Crossed),
             (&mut faults.answers_short, AnswerFault::Short),
+            (&mut faults.answers_unframed, AnswerFault::Unframed),
         ];
         for (remaining, fault) in fault_counters {
             if *remaining > 0 {
@@ -162,9 +167,12 @@
             let length = "4000".parse().expect("a valid header value");
             response.headers_mut().insert("content-length", length);
         }
+        if fault == AnswerFault::Unframed {
+            response = unframed_response(StatusCode::OK, body);
+        }
         let echoed = match fault {
             AnswerFault::Crossed => format!("not-{request_id}"),
-            AnswerFault::None | AnswerFault::Lost | AnswerFault::Short => request_id,
+            AnswerFault::None | AnswerFault::Lost | AnswerFault::Short | AnswerFault::Unframed => request_id,
         };
         if let Ok(value) = echoed.parse() {
             response.headers_mut().insert("x-request-id", value);
--- a/crates/reedsail_standin/src/routed_server.rs
+++ b/crates/reedsail_standin/src/routed_server.rs
@@ -16,10 +16,10 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use reedsail_net::remove_frame;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -273,8 +273,7 @@
                 tokio::spawn(send_text(sender, text, stopper, guard));
                 let mut response = Response::new(Either::Right(body));
                 if !is_framed {
-                    // hyper frames bodies of unknown length with chunks, unless the response is HTTP/1.0.
-                    *response.version_mut() = Version::HTTP_10;
+                    remove_frame(&mut response);
                 }
                 Ok(with_id(response, id))
             }
