Refuse an instance's answer without a frame in the tool

The same cause: the lines of a timeline and the text of a bundle don't show where they were cut. Answers in JSON, pages of the store and records end inside a value where they are cut, and are refused already.

--- a/crates/reedsail_cli/src/admin_client.rs
+++ b/crates/reedsail_cli/src/admin_client.rs
@@ -9,6 +9,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use reedsail_daemon::Status;
+use reedsail_net::BodyFraming;
 use reedsail_net::ByteCounter;
 use reedsail_net::HttpConnection;
 use tokio::time::timeout;
@@ -37,13 +38,13 @@
             .send(request)
             .await
             .map_err(|error| unreachable(&error))?;
-        let status = response.status();
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|error| unreachable(&error))?;
-        Ok((status, body.to_bytes()))
+        let (head, body) = response.into_parts();
+        // The text of a bundle does not show where it was cut.
+        if BodyFraming::of(&head.headers, &body) == BodyFraming::ConnectionEnd {
+            return Err(unreachable(&"its answer has neither a length nor chunks"));
+        }
+        let body = body.collect().await.map_err(|error| unreachable(&error))?;
+        Ok((head.status, body.to_bytes()))
     };
     match timeout(Duration::from_millis(TIMEOUT_MS), exchange).await {
         Ok(outcome) => outcome,
