Play answers without a length or chunks in the soak

Servers answer whole without a frame, end such answers in the middle in order, between and inside events, and end chunked streams inside an event. A caller takes an answer without a frame that is short for a broken one, and a framed one for a broken promise, as before.

--- a/crates/reedsail_soak/src/caller.rs
+++ b/crates/reedsail_soak/src/caller.rs
@@ -19,6 +19,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use reedsail_net::BodyFraming;
 use reedsail_net::ByteCounter;
 use reedsail_net::HttpConnection;
 use reedsail_platform_standin::CallerHead;
@@ -300,7 +301,7 @@
         .is_some_and(|value| value.as_bytes() == b"close");
     let is_success = response.status() == StatusCode::OK;
     let (outcome, stream) = if is_resumable && is_success {
-        let (outcome, part) = progress.read(id, response.into_body(), hang_up_after).await;
+        let (outcome, part) = progress.read(id, response, hang_up_after).await;
         (outcome, Some(part))
     } else {
         (read_outcome(response, id, kind).await, empty_part)
@@ -318,12 +319,12 @@
     let by_server = response.headers().contains_key(SERVED_BY);
     let has_retry_after = response.headers().contains_key(RETRY_AFTER);
     if status == 200 && matches!(kind, CallKind::Letter | CallKind::Chat) {
-        let (outcome, _) = StreamProgress::default()
-            .read(id, response.into_body(), None)
-            .await;
+        let (outcome, _) = StreamProgress::default().read(id, response, None).await;
         return outcome;
     }
-    let Ok(body) = response.into_body().collect().await else {
+    let (head, body) = response.into_parts();
+    let framing = BodyFraming::of(&head.headers, &body);
+    let Ok(body) = body.collect().await else {
         return Outcome::Cut { had_begun: true };
     };
     if status != 200 {
@@ -337,6 +338,9 @@
     let body = body.to_bytes();
     if body == expected.as_bytes() {
         Outcome::Answered
+    } else if framing == BodyFraming::ConnectionEnd {
+        // Nothing told the caller that the body was complete.
+        Outcome::Cut { had_begun: true }
     } else {
         let shown = String::from_utf8_lossy(&body);
         let shown: String = shown.chars().take(400).collect();
--- a/crates/reedsail_soak/src/draw.rs
+++ b/crates/reedsail_soak/src/draw.rs
@@ -81,7 +81,7 @@
 }
 
 /// Number of indices that [`draw_kind`] maps to a fault kind.
-const KIND_COUNT: u32 = 25;
+const KIND_COUNT: u32 = 26;
 
 fn draw_kind(random: &mut StdRng, schedule: &Schedule, kind: u32, target: usize, version: u32) -> FaultKind {
     let engine = target % schedule.engines;
@@ -96,7 +96,7 @@
         8 => FaultKind::KillServer(server),
         9 => FaultKind::FreezeServer(server),
         10 => FaultKind::RetireServer(server),
-        11 => FaultKind::ServerAnswers(server, draw_answer_fault(random)),
+        11 | 24 => FaultKind::ServerAnswers(server, draw_answer_fault(random)),
         12 => FaultKind::StoreRefuses,
         13 => FaultKind::StoreSlow(random.random_range(50..1_500)),
         14 => FaultKind::StoreLoses(random.random_range(1..4)),
@@ -132,7 +132,7 @@
 }
 
 fn draw_answer_fault(random: &mut StdRng) -> AnswerFault {
-    match random.random_range(0..8) {
+    match random.random_range(0..12) {
         0 => AnswerFault::Error,
         1 => AnswerFault::Slow(random.random_range(50..1_500)),
         2 => AnswerFault::Hang,
@@ -140,6 +140,10 @@
         4 => AnswerFault::WrongId,
         5 => AnswerFault::NotRun,
         6 => AnswerFault::Busy(random.random_range(500..3_000)),
+        7 => AnswerFault::Unframed,
+        8 => AnswerFault::UnframedCut,
+        9 => AnswerFault::UnframedCutInsideEvent,
+        10 => AnswerFault::ChunkedCutInsideEvent,
         _ => AnswerFault::Break,
     }
 }
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -52,6 +52,33 @@
     Draining,
     /// Closes the connection in the middle of the answer.
     Break,
+    /// Answers correctly, without a length or chunks.
+    Unframed,
+    /// Ends an answer without a length or chunks in the middle, in order: a stream between two events.
+    UnframedCut,
+    /// Ends a stream inside an event, without a length or chunks.
+    UnframedCutInsideEvent,
+    /// Ends a stream inside an event, with a last chunk as a complete one has it.
+    ChunkedCutInsideEvent,
+}
+
+impl AnswerFault {
+    /// Returns whether the answers have neither a length nor chunks.
+    pub(crate) fn is_unframed(self) -> bool {
+        match self {
+            Self::Unframed | Self::UnframedCut | Self::UnframedCutInsideEvent => true,
+            Self::Error
+            | Self::Slow(_)
+            | Self::Hang
+            | Self::Short
+            | Self::WrongId
+            | Self::NotRun
+            | Self::Busy(_)
+            | Self::Draining
+            | Self::Break
+            | Self::ChunkedCutInsideEvent => false,
+        }
+    }
 }
 
 /// A kind of fault or operator action.
--- a/crates/reedsail_soak/src/server_program.rs
+++ b/crates/reedsail_soak/src/server_program.rs
@@ -20,6 +20,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderValue;
 use reedsail_net::Clock;
+use reedsail_net::remove_frame;
 use reedsail_platform_standin::REPORT_PATH;
 use reedsail_platform_standin::ServerHead;
 use reedsail_platform_standin::mark_answer;
@@ -31,6 +32,7 @@
 use reedsail_standin::Handler;
 use reedsail_standin::HttpServer;
 use reedsail_standin::StandinError;
+use reedsail_standin::unframed_response;
 use tokio::io::AsyncBufReadExt;
 use tokio::io::BufReader;
 use tokio::io::stdin;
@@ -147,6 +149,9 @@
                 drop(slot);
             });
             let mut response = Response::new(Either::Right(body));
+            if fault.is_some_and(AnswerFault::is_unframed) {
+                remove_frame(&mut response);
+            }
             self.add_server_header(&mut response);
             response
         } else {
@@ -179,6 +184,12 @@
                 headers.insert(CONTENT_LENGTH, HeaderValue::from_static("100000"));
                 Ok(response)
             }
+            Some(AnswerFault::Unframed) => Ok(self.unframed_response(plain_answer(&head.request_id))),
+            Some(AnswerFault::UnframedCut | AnswerFault::UnframedCutInsideEvent) => {
+                let mut body = plain_answer(&head.request_id);
+                body.truncate(body.len() / 2);
+                Ok(self.unframed_response(body))
+            }
             _ => Ok(self.full_response(StatusCode::OK, plain_answer(&head.request_id))),
         }
     }
@@ -190,6 +201,12 @@
         response
     }
 
+    fn unframed_response(&self, body: String) -> Response<Body> {
+        let mut response = unframed_response(StatusCode::OK, body);
+        self.add_server_header(&mut response);
+        response
+    }
+
     fn not_run_response(&self, status: StatusCode) -> Response<Body> {
         let mut response = self.full_response(status, "");
         mark_not_run(response.headers_mut());
@@ -256,6 +273,14 @@
                 sender.abort(StandinError);
                 return;
             }
+            Some(AnswerFault::UnframedCut) if is_middle => return,
+            Some(AnswerFault::UnframedCutInsideEvent | AnswerFault::ChunkedCutInsideEvent) if is_middle => {
+                let mut cut = event(&head.request_id, number, version);
+                cut.truncate(cut.len() - 1);
+                // The stream ends here for a reader that has left too.
+                let _ = sender.send_data(Bytes::from(cut)).await;
+                return;
+            }
             _ => {}
         }
         let chunk = Bytes::from(event(&head.request_id, number, version));
--- a/crates/reedsail_soak/src/stream_progress.rs
+++ b/crates/reedsail_soak/src/stream_progress.rs
@@ -1,7 +1,9 @@
 //! A stream of a caller over its attempts: which events arrived, and which software versions wrote them.
 
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::Incoming;
+use reedsail_net::BodyFraming;
 
 use crate::Outcome;
 use crate::StreamPart;
@@ -22,16 +24,20 @@
     pub(crate) async fn read(
         &mut self,
         attempt_id: &str,
-        mut body: Incoming,
+        response: Response<Incoming>,
         hang_up_after: Option<u32>,
     ) -> (Outcome, StreamPart) {
         let mut part = self.empty_part();
+        let (head, mut body) = response.into_parts();
+        let framing = BodyFraming::of(&head.headers, &body);
         let mut received = Vec::new();
         let outcome = loop {
             let data = match body.frame().await {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_)) => break Outcome::Cut { had_begun: true },
                 None if received.is_empty() && self.last_event == EVENTS => break Outcome::Answered,
+                // Nothing told the caller that the stream was complete.
+                None if framing == BodyFraming::ConnectionEnd => break Outcome::Cut { had_begun: true },
                 None => {
                     let rest = String::from_utf8_lossy(&received).into_owned();
                     break Outcome::Wrong(format!("ended after event {}: {rest:?}", self.last_event));
--- a/crates/reedsail_standin/src/http_server.rs
+++ b/crates/reedsail_standin/src/http_server.rs
@@ -143,7 +143,7 @@
 }
 
 /// Returns a response with a body that has neither a length nor chunks, and ends with its connection.
-pub(crate) fn unframed_response(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+pub fn unframed_response(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
     let (mut sender, channel) = Channel::new(1);
     sender
         .try_send(Frame::data(body.into()))
--- a/crates/reedsail_standin/src/lib.rs
+++ b/crates/reedsail_standin/src/lib.rs
@@ -22,6 +22,7 @@
 pub use http_server::Handler;
 pub use http_server::HttpServer;
 pub use http_server::StandinError;
+pub use http_server::unframed_response;
 pub use plain_service::PlainFaults;
 pub use plain_service::PlainRun;
 pub use plain_service::PlainStandin;
