Name the segments of prompts in the lines of servers that ended

Change: line 316 has the ids of the segments before the last of requests whose answers had just begun. An attempt keeps these ids, and knows whether the head of its answer and how many events have arrived. No decision is changed.

--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -13,9 +13,16 @@
 use crate::EngineWork;
 use crate::EventGaps;
 use crate::Placement;
+use crate::Prompt;
 use crate::server_backoff::WindowPermit;
 use crate::server_health::overdue_at;
 
+/// Number of events up to which an answer counts as just begun. What crashes a server when it begins to write has crashed
+/// it by then.
+const EVENTS_BEGUN_MAX: u32 = 8;
+/// Maximum number of segments that an attempt keeps: the first and the last ones of a longer prompt.
+const SEGMENTS_MAX: usize = 64;
+
 /// A request that was sent to a server. The caller returns it to the dispatcher when it ends.
 #[derive(Debug)]
 pub struct Attempt {
@@ -37,6 +44,12 @@
     pub(crate) expected_ms: u64,
     pub(crate) began_at: TimeMs,
     pub(crate) has_answered: bool,
+    /// Whether the head of the answer has arrived.
+    pub(crate) has_started: bool,
+    /// Number of events of the answer so far.
+    pub(crate) events: u32,
+    /// Ids of the prompt's segments before the last one, [`SEGMENTS_MAX`] at most.
+    pub(crate) segments: Box<[u64]>,
     /// The target for the longest gap between two events, in milliseconds; `None` if there is none.
     pub(crate) gap_target_ms: Option<u64>,
     /// The pauses between the events that this attempt's server has sent.
@@ -58,6 +71,16 @@
         self.gaps.is_caller_busy()
     }
 
+    /// Records that the head of the answer has arrived.
+    pub fn record_started(&mut self) {
+        self.has_started = true;
+    }
+
+    /// Returns whether the server has just begun to write the answer.
+    pub(crate) fn has_just_begun(&self) -> bool {
+        self.has_started && self.events <= EVENTS_BEGUN_MAX
+    }
+
     /// Records whether the server may have received the request.
     pub fn set_written(&mut self, is_written: bool) {
         self.is_written = is_written;
@@ -95,6 +118,14 @@
     Abandoned,
 }
 
+/// Returns the ids of the segments of a request's prompt that may be suspected if its server ends.
+fn kept_segments(demand: &Demand<'_>) -> Box<[u64]> {
+    let segments = demand.prompt.map_or(&[][..], Prompt::segments_before_last);
+    let (first, rest) = segments.split_at(segments.len().min(SEGMENTS_MAX / 2));
+    let last = &rest[rest.len().saturating_sub(SEGMENTS_MAX / 2)..];
+    first.iter().chain(last).map(|segment| segment.id).collect()
+}
+
 /// Attempts whose answer has not begun, with the time from which each is overdue.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UnansweredAttempts {
@@ -129,6 +160,9 @@
             expected_ms: placement.expected_ms.max(1),
             began_at: now,
             has_answered: false,
+            has_started: false,
+            events: 0,
+            segments: kept_segments(demand),
             gap_target_ms: demand.gap_target_ms,
             gaps: EventGaps::default(),
             has_prompt: demand.engine_prompt().is_some(),
--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Returns the segments before the last one, which is the request's own.
+    pub fn segments_before_last(&self) -> &[PromptSegment] {
+        match self.segments.as_slice() {
+            [] => &[],
+            [before_last @ .., _] => before_last,
+        }
+    }
+
     /// Returns the cost in tokens. A generated token counts twice.
     pub fn cost(&self) -> f64 {
         f64::from(self.tokens()) + OUTPUT_TOKEN_COST * f64::from(self.output_tokens)
--- a/crates/reedsail_dispatch/src/dispatcher/attempts.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/attempts.rs
@@ -67,6 +67,7 @@
     /// Records an event of an answer, the first one included.
     pub fn record_event(&mut self, attempt: &mut Attempt, now: TimeMs) {
         self.record_first_event(attempt, now);
+        attempt.events = attempt.events.saturating_add(1);
         let Some(gap_ms) = attempt.gaps.record_event(now) else {
             return;
         };
@@ -141,6 +142,10 @@
             let request = BrokenRequest {
                 fingerprint,
                 workspace: attempt.workspace,
+                service: attempt.service,
+                segments: attempt.segments.clone(),
+                has_just_begun: attempt.has_just_begun(),
+                sent_at: attempt.began_at,
                 broke_at: now,
             };
             self.broken.record(attempt.server, request);
--- a/crates/reedsail_dispatch/src/server_ends.rs
+++ b/crates/reedsail_dispatch/src/server_ends.rs
@@ -33,12 +33,20 @@
 const PENDING_ATTEMPTS_MAX: usize = 4_096;
 
 /// A request whose connection to a server broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BrokenRequest {
     /// The request.
     pub fingerprint: Fingerprint,
     /// The workspace that the request is charged to.
     pub workspace: NameHash,
+    /// The service of the server.
+    pub service: NameHash,
+    /// Ids of the segments of its prompt before the last one.
+    pub segments: Box<[u64]>,
+    /// Whether the server had just begun to write the answer.
+    pub has_just_begun: bool,
+    /// When it was sent to the server.
+    pub sent_at: TimeMs,
     /// When its connection broke.
     pub broke_at: TimeMs,
 }
@@ -92,11 +100,11 @@
                 return now.since_ms(request.broke_at) < END_DETECTION_MAX_MS;
             }
             match ends.iter_mut().find(|end| end.server == *server) {
-                Some(end) => end.requests.push(*request),
+                Some(end) => end.requests.push(request.clone()),
                 None => ends.push(ServerEnd {
                     server: *server,
                     name: servers.get(*server).setup.name,
-                    requests: vec![*request],
+                    requests: vec![request.clone()],
                 }),
             }
             false
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -108,7 +108,7 @@
     DomainReturned = 315, "domain_returned", Info, "the operator ended the evacuation of a failure domain; its backend servers count as cold at first";
 
     /// A backend server exited while it ran requests.
-    ServerEnded = 316, "server_ended", Warn, "a backend server exited while it ran requests of this instance; a fingerprint that appears in several of these events belongs to the request that makes the servers exit";
+    ServerEnded = 316, "server_ended", Warn, "a backend server exited while it ran requests of this instance; a fingerprint that appears in several of these events belongs to the request that makes the servers exit, and a segment (`segments`: of prompts whose answers had just begun) that appears in all of them makes them exit";
     /// A backend server asked this instance to back off.
     ServerBackedOff = 317, "server_backed_off", Info, "a backend server rejected a request and asked this instance to back off; see the fields for the duration";
 
--- a/crates/reedsail_router/src/control/server_end_log.rs
+++ b/crates/reedsail_router/src/control/server_end_log.rs
@@ -1,10 +1,14 @@
 //! Logs and counts the servers that ended while requests of this instance ran there.
 
+use std::collections::BTreeSet;
+
 use reedsail_dispatch::ServerEnd;
 use reedsail_events::EventKind;
 
 use crate::shared::Shared;
 
+/// Maximum number of segments in one log line.
+const SEGMENTS_MAX: usize = 32;
 /// Maximum number of fingerprints in one log line.
 const FINGERPRINTS_MAX: usize = 8;
 
@@ -17,6 +21,7 @@
             ("server", server_id(shared, &end)),
             ("requests", end.requests.len().to_string()),
             ("fingerprints", fingerprints(&end)),
+            ("segments", segments(&end)),
         ];
         shared.emit(EventKind::ServerEnded, &fields);
     }
@@ -28,6 +33,20 @@
     view.map_or_else(|| format!("{:08x}", end.name.0), |view| view.id.to_string())
 }
 
+/// Returns the ids of the segments of prompts whose answers the server had just begun, in hexadecimal digits.
+fn segments(end: &ServerEnd) -> String {
+    let begun = end.requests.iter().filter(|request| request.has_just_begun);
+    let ids: BTreeSet<u64> = begun
+        .flat_map(|request| request.segments.iter().copied())
+        .collect();
+    let shown: Vec<String> = ids
+        .iter()
+        .take(SEGMENTS_MAX)
+        .map(|id| format!("{id:x}"))
+        .collect();
+    shown.join(" ")
+}
+
 fn fingerprints(end: &ServerEnd) -> String {
     let shown = end.requests.iter().take(FINGERPRINTS_MAX);
     let shown: Vec<String> = shown.map(|request| request.fingerprint.to_string()).collect();
--- a/crates/reedsail_router/src/traffic/attempt_guard.rs
+++ b/crates/reedsail_router/src/traffic/attempt_guard.rs
@@ -40,6 +40,13 @@
         }
     }
 
+    /// Records that the head of the response has arrived.
+    pub(crate) fn record_started(&mut self) {
+        if let Some(attempt) = &mut self.attempt {
+            attempt.record_started();
+        }
+    }
+
     /// Records the first event of the response. Later calls do nothing.
     pub(crate) fn record_first_event(&mut self) {
         if let Some(attempt) = &mut self.attempt {
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -238,7 +238,7 @@
     sent: Sent,
     response: Response<Incoming>,
     connection: HttpConnection,
-    guard: AttemptGuard<H>,
+    mut guard: AttemptGuard<H>,
 ) -> AttemptResult<H> {
     if let Some(server) = guard.server() {
         let response_head = ServerResponseHead {
@@ -260,6 +260,7 @@
             AttemptResult::Rejected(sent.into_unsent())
         }
         ResponseKind::Ran => {
+            guard.record_started();
             let (head, body) = response.into_parts();
             let framing = BodyFraming::of(&head.headers, &body);
             AttemptResult::ResponseStarted(Box::new(ResponseStart {
