--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -23,6 +23,14 @@
 /// Maximum number of segments that an attempt keeps: the first and the last ones of a longer prompt.
 const SEGMENTS_MAX: usize = 64;
 
+/// How much of an answer has arrived.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct AnswerProgress {
+    has_head: bool,
+    /// Number of events so far.
+    pub(crate) events: u32,
+}
+
 /// A request that was sent to a server. The caller returns it to the dispatcher when it ends.
 #[derive(Debug)]
 pub struct Attempt {
@@ -44,10 +52,8 @@
     pub(crate) expected_ms: u64,
     pub(crate) began_at: TimeMs,
     pub(crate) has_answered: bool,
-    /// Whether the head of the answer has arrived.
-    pub(crate) has_started: bool,
-    /// Number of events of the answer so far.
-    pub(crate) events: u32,
+    /// How much of the answer has arrived.
+    pub(crate) progress: AnswerProgress,
     /// Ids of the prompt's segments before the last one, [`SEGMENTS_MAX`] at most.
     pub(crate) segments: Box<[u64]>,
     /// The target for the longest gap between two events, in milliseconds; `None` if there is none.
@@ -73,12 +79,12 @@
 
     /// Records that the head of the answer has arrived.
     pub fn record_started(&mut self) {
-        self.has_started = true;
+        self.progress.has_head = true;
     }
 
     /// Returns whether the server has just begun to write the answer.
     pub(crate) fn has_just_begun(&self) -> bool {
-        self.has_started && self.events <= EVENTS_BEGUN_MAX
+        self.progress.has_head && self.progress.events <= EVENTS_BEGUN_MAX
     }
 
     /// Records whether the server may have received the request.
@@ -160,8 +166,7 @@
             expected_ms: placement.expected_ms.max(1),
             began_at: now,
             has_answered: false,
-            has_started: false,
-            events: 0,
+            progress: AnswerProgress::default(),
             segments: kept_segments(demand),
             gap_target_ms: demand.gap_target_ms,
             gaps: EventGaps::default(),
--- a/crates/reedsail_dispatch/src/dispatcher/attempts.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/attempts.rs
@@ -67,7 +67,7 @@
     /// Records an event of an answer, the first one included.
     pub fn record_event(&mut self, attempt: &mut Attempt, now: TimeMs) {
         self.record_first_event(attempt, now);
-        attempt.events = attempt.events.saturating_add(1);
+        attempt.progress.events = attempt.progress.events.saturating_add(1);
         let Some(gap_ms) = attempt.gaps.record_event(now) else {
             return;
         };
