--- a/crates/reedsail_simulation/src/crash_fleet.rs
+++ b/crates/reedsail_simulation/src/crash_fleet.rs
@@ -7,7 +7,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
-use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
 use reedsail_core::ServerKey;
 use reedsail_core::TimeMs;
@@ -28,6 +27,9 @@
 use crate::CrashOutcome;
 use crate::CrashScenario;
 use crate::PoisonOutcome;
+use crate::crash_requests::Request;
+use crate::crash_requests::draw_poison_request;
+use crate::crash_requests::draw_sound_request;
 use crate::crash_scenario::PROPAGATION_MAX_MS;
 use crate::crash_scenario::QUARANTINE_DEADLINE_MS;
 use crate::event_queue::EventQueue;
@@ -39,20 +41,11 @@
 /// Silence after which a peer counts as new when it reports again, in milliseconds. The load exchange uses the
 /// same value.
 const PEER_SILENT_MS: u64 = 1_000;
+/// Time between two events of an answer, in milliseconds.
+const EVENT_INTERVAL_MS: u64 = 25;
 /// Maximum number of requests that a server runs at the same time.
 const SLOTS: u32 = 64;
 
-/// A request of a caller.
-#[derive(Clone, Copy, Debug)]
-struct Request {
-    fingerprint: Fingerprint,
-    /// Index of the poison request in the scenario; `None` for a request that crashes no server.
-    poison: Option<usize>,
-    /// Whether the caller has retried it already. It is always true for poison requests: `Event::PoisonArrival`
-    /// repeats them.
-    has_retried: bool,
-}
-
 /// A scheduled event.
 #[derive(Debug)]
 enum Event {
@@ -61,6 +54,10 @@
         poison: usize,
     },
     Retry(Request),
+    /// The server begins to write the answer.
+    RunBegins {
+        run: u64,
+    },
     RunEnds {
         run: u64,
     },
@@ -109,6 +106,10 @@
     instance: usize,
     server: usize,
     attempt: Attempt,
+    /// When the server began to write the answer, in milliseconds from the start.
+    begun_ms: Option<u64>,
+    /// Whether the caller sent the request for the first time, and no server was tried before.
+    is_first_attempt: bool,
 }
 
 struct CrashFleet<'a> {
@@ -234,6 +235,7 @@
             Event::Arrival => self.draw_request(now_ms),
             Event::PoisonArrival { poison } => self.draw_poison(poison, now_ms),
             Event::Retry(request) => self.arrive(request, now_ms),
+            Event::RunBegins { run } => self.begin_answer(run, now_ms),
             Event::RunEnds { run } => self.end_run(run, now_ms),
             Event::MassCrash { fraction } => self.crash_fraction(fraction, now_ms),
             Event::ServerRestarts { server } => self.start_server(server),
@@ -292,11 +294,8 @@
         let uniform: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
         let wait_ms = -uniform.ln() / self.scenario.requests_per_s * 1_000.0;
         self.events.add(now_ms + wait_ms as u64, Event::Arrival);
-        let request = Request {
-            fingerprint: Fingerprint(u128::from(self.last_id) << 64),
-            poison: None,
-            has_retried: false,
-        };
+        let request = draw_sound_request(self.scenario, &mut self.random, self.last_id);
+        self.outcome.arrived += 1;
         self.arrive(request, now_ms);
     }
 
@@ -306,11 +305,8 @@
         if next_ms < plan.until_ms {
             self.events.add(next_ms, Event::PoisonArrival { poison });
         }
-        let request = Request {
-            fingerprint: Fingerprint(poison as u128 + 1),
-            poison: Some(poison),
-            has_retried: true,
-        };
+        self.last_id += 1;
+        let request = draw_poison_request(self.scenario, &mut self.random, poison, self.last_id);
         self.arrive(request, now_ms);
     }
 
@@ -322,8 +318,8 @@
         while tried.len() < ATTEMPTS_MAX {
             let demand = Demand {
                 service: service(),
-                workspace: NameHash::of("workspace"),
-                prompt: None,
+                workspace: request.workspace,
+                prompt: Some(&request.prompt),
                 latency_target_ms: 2_000,
                 gap_target_ms: None,
                 priority: Priority::default(),
@@ -339,8 +335,8 @@
             }
             let placement = match dispatcher.decide(&demand, now) {
                 Decision::Send(placement) => placement,
-                Decision::Quarantined => return self.count_quarantined(request),
-                Decision::Refuse { .. } | Decision::VersionGone => return self.count_refusal(request),
+                Decision::Quarantined => return self.count_quarantined(&request),
+                Decision::Refuse { .. } | Decision::VersionGone => return self.count_refusal(&request),
             };
             let mut attempt = dispatcher.begin_attempt(&demand, &placement, now);
             tried.push(placement.server);
@@ -350,7 +346,8 @@
                 continue;
             };
             attempt.set_written(true);
-            return self.run(request, instance, server, attempt, now_ms);
+            let is_first = tried.len() == 1;
+            return self.run(request, is_first, (instance, server), attempt, now_ms);
         }
         self.outcome.refused += 1;
     }
@@ -367,32 +364,44 @@
         (state.is_up && is_current_start).then_some(*server)
     }
 
-    fn run(&mut self, request: Request, instance: usize, server: usize, attempt: Attempt, now_ms: u64) {
+    fn run(
+        &mut self,
+        request: Request,
+        is_first: bool,
+        (instance, server): (usize, usize),
+        attempt: Attempt,
+        now_ms: u64,
+    ) {
         self.last_id += 1;
         let run_ms = match request.poison {
             Some(poison) => {
                 self.count_send(poison, instance, now_ms);
-                self.scenario.time_to_crash_ms
+                self.scenario.time_to_begin_ms + self.scenario.time_to_crash_ms
             }
             None => self.scenario.run_ms,
         };
         let run = Run {
+            is_first_attempt: is_first && !request.has_retried,
             request,
             instance,
             server,
             attempt,
+            begun_ms: None,
         };
         self.runs.insert(self.last_id, run);
+        let run = self.last_id;
         self.events
-            .add(now_ms + run_ms, Event::RunEnds { run: self.last_id });
+            .add(now_ms + self.scenario.time_to_begin_ms, Event::RunBegins { run });
+        self.events.add(now_ms + run_ms, Event::RunEnds { run });
     }
 
     /// Counts a send of a poison request if the instance must have known by then that it ends servers.
     fn count_send(&mut self, poison: usize, instance: usize, now_ms: u64) {
         let outcome = &self.outcome.poisons[poison];
-        let is_late = self.must_know(outcome.third_end_ms, instance, QUARANTINE_DEADLINE_MS, now_ms);
-        let is_after_propagation =
-            self.must_know(outcome.third_knowable_ms(), instance, PROPAGATION_MAX_MS, now_ms);
+        let cause = self.scenario.poisons[poison].cause;
+        let is_late = self.must_know(outcome.bounding_end_ms, instance, QUARANTINE_DEADLINE_MS, now_ms);
+        let knowable_ms = outcome.bounding_knowable_ms(cause);
+        let is_after_propagation = self.must_know(knowable_ms, instance, PROPAGATION_MAX_MS, now_ms);
         let outcome = &mut self.outcome.poisons[poison];
         outcome.late_sends += u64::from(is_late);
         outcome.sends_after_propagation += u64::from(is_after_propagation);
@@ -409,14 +418,27 @@
             && !self.scenario.was_partitioned(instance, within_ms, now_ms)
     }
 
-    fn count_quarantined(&mut self, request: Request) {
+    fn count_quarantined(&mut self, request: &Request) {
         self.outcome.wrongly_quarantined += u64::from(request.poison.is_none());
     }
 
-    fn count_refusal(&mut self, request: Request) {
+    fn count_refusal(&mut self, request: &Request) {
         self.outcome.refused += u64::from(request.poison.is_none());
     }
 
+    /// Begins the answer of a run, if its server has not crashed.
+    fn begin_answer(&mut self, number: u64, now_ms: u64) {
+        let Some(run) = self.runs.get_mut(&number) else {
+            return;
+        };
+        run.attempt.record_started();
+        run.begun_ms = Some(now_ms);
+        let dispatcher = &mut self.instances[run.instance].dispatcher;
+        dispatcher.record_event(&mut run.attempt, to_time(now_ms));
+        let is_sound = run.request.poison.is_none();
+        self.outcome.begun_at_first += u64::from(is_sound && run.is_first_attempt);
+    }
+
     /// Ends a run: a poison request crashes its server, and any other request is answered.
     fn end_run(&mut self, number: u64, now_ms: u64) {
         let Some(run) = self.runs.get(&number) else {
@@ -428,14 +450,14 @@
             let outcome = &mut self.outcome.poisons[poison];
             outcome.knowable_ends_ms.extend(knowable_ms);
             outcome.servers_ended += 1;
-            if outcome.servers_ended == 3 {
-                outcome.third_end_ms = Some(now_ms);
+            let bounding_end = self.scenario.poisons[poison].cause.bounding_end();
+            if outcome.servers_ended == bounding_end as u64 {
+                outcome.bounding_end_ms = Some(now_ms);
             }
             return self.crash(server, now_ms);
         }
-        if let Some(mut run) = self.runs.remove(&number) {
+        if let Some(run) = self.runs.remove(&number) {
             let dispatcher = &mut self.instances[run.instance].dispatcher;
-            dispatcher.record_first_event(&mut run.attempt, to_time(now_ms));
             dispatcher.finish_attempt(run.attempt, AttemptOutcome::Answered, to_time(now_ms));
             self.outcome.answered += 1;
         }
@@ -470,8 +492,14 @@
         }
     }
 
-    fn break_run(&mut self, run: Run, now_ms: u64) {
+    fn break_run(&mut self, mut run: Run, now_ms: u64) {
         let dispatcher = &mut self.instances[run.instance].dispatcher;
+        let events = run
+            .begun_ms
+            .map_or(0, |begun_ms| (now_ms - begun_ms) / EVENT_INTERVAL_MS);
+        for _ in 0..events {
+            dispatcher.record_event(&mut run.attempt, to_time(now_ms));
+        }
         dispatcher.finish_attempt(run.attempt, AttemptOutcome::Broken, to_time(now_ms));
         if run.request.poison.is_some() {
             return;
--- a/crates/reedsail_simulation/src/crash_scenario.rs
+++ b/crates/reedsail_simulation/src/crash_scenario.rs
@@ -5,9 +5,34 @@
 use rand::rngs::StdRng;
 use reedsail_dispatch::SERVERS_TO_QUARANTINE;
 
-/// A poison request: it ends each server that begins it, and its caller sends it repeatedly.
+/// What ends servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoisonCause {
+    /// One request, which its caller sends repeatedly.
+    Request,
+    /// The first segment of prompts, below which each request has one of several segments.
+    FirstSegment,
+    /// The second segment of prompts. Other requests share the first one.
+    SecondSegment,
+    /// The second segment of prompts, with one of several segments below it.
+    MiddleSegment,
+}
+
+impl PoisonCause {
+    /// Returns the number of ended servers from which on the users count what is sent too late.
+    pub(crate) fn bounding_end(self) -> usize {
+        match self {
+            Self::Request => SERVERS_TO_QUARANTINE,
+            Self::FirstSegment | Self::SecondSegment | Self::MiddleSegment => 5,
+        }
+    }
+}
+
+/// Something that ends each server that begins a request with it, and is sent repeatedly.
 #[derive(Clone, Copy, Debug)]
 pub struct PoisonPlan {
+    /// What ends the servers.
+    pub cause: PoisonCause,
     /// First arrival, in milliseconds from the start.
     pub from_ms: u64,
     /// Time after which it no longer arrives, in milliseconds from the start.
@@ -49,7 +74,9 @@
     pub requests_per_s: f64,
     /// How long a server runs such a request, in milliseconds.
     pub run_ms: u64,
-    /// How long a poison request runs before its server crashes, in milliseconds.
+    /// Time until a server begins to write an answer, in milliseconds.
+    pub time_to_begin_ms: u64,
+    /// Time from then until a server crashes whose request makes it, in milliseconds.
     pub time_to_crash_ms: u64,
     /// Time from a server's crash to its restart, in milliseconds.
     pub downtime_ms: u64,
@@ -61,7 +88,13 @@
     pub report_delay_ms: u64,
     /// Probability that a report is lost.
     pub report_loss: f64,
-    /// Poison requests.
+    /// Number of second segments of prompts that most requests share.
+    pub neighbours: u32,
+    /// Number of second segments that a tenth of the requests share.
+    pub rare_neighbours: u32,
+    /// Number of workspaces.
+    pub workspaces: u32,
+    /// What ends servers.
     pub poisons: Vec<PoisonPlan>,
     /// Crashes that no request causes.
     pub mass_crashes: Vec<MassCrash>,
@@ -82,12 +115,16 @@
             servers: 9,
             requests_per_s: 110.0,
             run_ms: 1_200,
-            time_to_crash_ms: 100,
+            time_to_begin_ms: 60,
+            time_to_crash_ms: 40,
             downtime_ms: 4_000,
             record_ttl_ms: 3_000,
             report_interval_ms: 100,
             report_delay_ms: 5,
             report_loss: 0.02,
+            neighbours: 8,
+            rare_neighbours: 60,
+            workspaces: 4,
             poisons: Vec::new(),
             mass_crashes: Vec::new(),
             partitions: Vec::new(),
@@ -104,6 +141,7 @@
         for _ in 0..random.random_range(1..=3) {
             let from_ms = random.random_range(2_000..20_000);
             scenario.poisons.push(PoisonPlan {
+                cause: PoisonCause::Request,
                 from_ms,
                 until_ms: from_ms + random.random_range(15_000..35_000),
                 mean_interval_ms: random.random_range(100..3_000),
@@ -129,6 +167,29 @@
         scenario
     }
 
+    /// Creates a fleet with one or two segments that end servers. Depending on the seed it also has any of a mass crash, a
+    /// network partition and a rolling restart of all instances.
+    pub fn with_poison_segments(seed: u64) -> Self {
+        let mut scenario = Self::with_poisons(seed);
+        scenario.poisons.clear();
+        let mut random = StdRng::seed_from_u64(!seed);
+        for _ in 0..random.random_range(1..=2) {
+            let from_ms = random.random_range(3_000..20_000);
+            let cause = match random.random_range(0..3) {
+                0 => PoisonCause::FirstSegment,
+                1 => PoisonCause::SecondSegment,
+                _ => PoisonCause::MiddleSegment,
+            };
+            scenario.poisons.push(PoisonPlan {
+                cause,
+                from_ms,
+                until_ms: from_ms + random.random_range(15_000..35_000),
+                mean_interval_ms: random.random_range(100..2_000),
+            });
+        }
+        scenario
+    }
+
     /// Creates a fleet with mass crashes only, so that no request is the cause of a crash.
     pub fn with_mass_crashes(seed: u64) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
@@ -181,12 +242,12 @@
 pub struct PoisonOutcome {
     /// Number of servers that ended while running it.
     pub servers_ended: u64,
-    /// Number of times that it was sent to a server more than `QUARANTINE_DEADLINE_MS` after it ended the third
-    /// server, by instances that neither started nor were partitioned in the last `QUARANTINE_DEADLINE_MS`.
+    /// Number of times that it was sent to a server more than `QUARANTINE_DEADLINE_MS` after it ended the server that
+    /// bounds it (the third under a request, the fifth under a segment), by instances that neither started nor were partitioned in the last `QUARANTINE_DEADLINE_MS`.
     pub late_sends: u64,
-    /// When the third server ended while running it, in milliseconds from the start.
-    pub third_end_ms: Option<u64>,
-    /// Number of times that it was sent more than `PROPAGATION_MAX_MS` after the third end that the fleet could
+    /// When that server ended, in milliseconds from the start.
+    pub bounding_end_ms: Option<u64>,
+    /// Number of times that it was sent more than `PROPAGATION_MAX_MS` after the bounding end that the fleet could
     /// know of, by instances that neither started nor were partitioned in the last `PROPAGATION_MAX_MS`.
     pub sends_after_propagation: u64,
     /// For each end, the time from which instances other than the observer can know of it, in milliseconds from the
@@ -195,11 +256,11 @@
 }
 
 impl PoisonOutcome {
-    /// Returns the time from which the fleet can know of three ends, in milliseconds from the start.
-    pub fn third_knowable_ms(&self) -> Option<u64> {
+    /// Returns the time from which the fleet can know of the end that bounds `cause`, in milliseconds from the start.
+    pub fn bounding_knowable_ms(&self, cause: PoisonCause) -> Option<u64> {
         let mut ends_ms = self.knowable_ends_ms.clone();
         ends_ms.sort_unstable();
-        ends_ms.get(SERVERS_TO_QUARANTINE - 1).copied()
+        ends_ms.get(cause.bounding_end() - 1).copied()
     }
 }
 
@@ -224,4 +285,8 @@
     pub wrongly_quarantined: u64,
     /// Number of such requests that were refused for another reason.
     pub refused: u64,
+    /// Number of such requests.
+    pub arrived: u64,
+    /// Number of such requests whose first attempt began to be answered.
+    pub begun_at_first: u64,
 }
--- a/crates/reedsail_simulation/src/lib.rs
+++ b/crates/reedsail_simulation/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod callers;
 mod crash_fleet;
+mod crash_requests;
 mod crash_scenario;
 mod engine;
 mod event_queue;
@@ -32,6 +33,7 @@
 pub use crash_scenario::MassCrash;
 pub use crash_scenario::NetworkPartition;
 pub use crash_scenario::PROPAGATION_MAX_MS;
+pub use crash_scenario::PoisonCause;
 pub use crash_scenario::PoisonOutcome;
 pub use crash_scenario::PoisonPlan;
 pub use crash_scenario::QUARANTINE_DEADLINE_MS;
