--- a/crates/reedsail_core/src/error_kind.rs
+++ b/crates/reedsail_core/src/error_kind.rs
@@ -138,9 +138,9 @@
     /// A stream is continued, and no backend server runs the software version that began it.
     StreamVersionGone = "stream_version_gone", 503, NotRun, None,
         "no backend server runs the software version that began this stream; begin the stream anew";
-    /// Backend servers ended repeatedly while they ran this request.
+    /// Backend servers ended repeatedly while they ran this request, or requests with a segment of its prompt.
     Quarantined = "quarantined", 503, NotRun, None,
-        "several backend servers ended while they ran this request, so it is not sent again; change the request, or report its fingerprint to the operators";
+        "several backend servers ended while they ran this request, or requests with a segment of its prompt, so it is not sent; change the request, or report its id to the operators";
     /// The deadline passed while the request was queued.
     DeadlineInQueue = "deadline_in_queue", 503, NotRun, Some(1_000),
         "the deadline passed before a backend server was free; retry later or allow more time";
--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -19,14 +19,15 @@
 
 /// Number of events up to which an answer counts as just begun. What crashes a server when it begins to write has crashed
 /// it by then.
-const EVENTS_BEGUN_MAX: u32 = 8;
+pub(crate) const EVENTS_BEGUN_MAX: u32 = 8;
 /// Maximum number of segments that an attempt keeps: the first and the last ones of a longer prompt.
 const SEGMENTS_MAX: usize = 64;
 
 /// How much of an answer has arrived.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AnswerProgress {
-    has_head: bool,
+    /// When its head arrived.
+    pub(crate) began_at: Option<TimeMs>,
     /// Number of events so far.
     pub(crate) events: u32,
 }
@@ -78,13 +79,13 @@
     }
 
     /// Records that the head of the answer has arrived.
-    pub fn record_started(&mut self) {
-        self.progress.has_head = true;
+    pub fn record_started(&mut self, now: TimeMs) {
+        self.progress.began_at = Some(now);
     }
 
     /// Returns whether the server has just begun to write the answer.
     pub(crate) fn has_just_begun(&self) -> bool {
-        self.progress.has_head && self.progress.events <= EVENTS_BEGUN_MAX
+        self.progress.began_at.is_some() && self.progress.events <= EVENTS_BEGUN_MAX
     }
 
     /// Records whether the server may have received the request.
--- a/crates/reedsail_dispatch/src/demand.rs
+++ b/crates/reedsail_dispatch/src/demand.rs
@@ -7,6 +7,7 @@
 
 use crate::AllowedRegions;
 use crate::EngineWork;
+use crate::SuspectKey;
 use crate::VersionDemand;
 
 /// Cost of a generated token in prefilled tokens, as users are charged for it.
@@ -166,8 +167,8 @@
 pub enum Decision {
     /// Send the request now.
     Send(Placement),
-    /// Don't send the request: it is quarantined because servers ended while running it.
-    Quarantined,
+    /// Don't send the request: it is quarantined, or a segment of its prompt is, because servers ended while running it.
+    Quarantined(SuspectKey),
     /// Don't send the request: it continues a stream, and no listed server that doesn't drain may continue it.
     VersionGone,
     /// Refuse the request without running it.
--- a/crates/reedsail_dispatch/src/dispatcher/attempts.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/attempts.rs
@@ -12,6 +12,7 @@
 use crate::Prompt;
 use crate::ServerEnd;
 use crate::ServerNotice;
+use crate::attempt::EVENTS_BEGUN_MAX;
 use crate::latency_estimate::plain_rounds;
 use crate::server_backoff::return_delay_ms;
 
@@ -68,6 +69,9 @@
     pub fn record_event(&mut self, attempt: &mut Attempt, now: TimeMs) {
         self.record_first_event(attempt, now);
         attempt.progress.events = attempt.progress.events.saturating_add(1);
+        if attempt.progress.events == EVENTS_BEGUN_MAX + 1 {
+            self.quarantine.record_survival(attempt, now);
+        }
         let Some(gap_ms) = attempt.gaps.record_event(now) else {
             return;
         };
@@ -103,8 +107,8 @@
             self.end_prefill(&mut attempt);
         }
         self.record_broken(&attempt, outcome, now);
-        if let (AttemptOutcome::Answered, Some(fingerprint)) = (outcome, attempt.fingerprint) {
-            self.quarantine.record_answer(fingerprint, now);
+        if outcome == AttemptOutcome::Answered {
+            self.quarantine.record_answer(&attempt, now);
         }
         if outcome == AttemptOutcome::Down {
             self.servers.record_down(attempt.server, true, now);
--- a/crates/reedsail_dispatch/src/dispatcher/decide.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/decide.rs
@@ -23,10 +23,8 @@
     pub fn decide(&mut self, demand: &Demand<'_>, now: TimeMs) -> Decision {
         // The quarantine must outlive the attempts of a request. A caller's retry is a new request, usually
         // at another instance, and each retry would crash one more server.
-        let quarantine = &mut self.quarantine;
-        let is_quarantined = |fingerprint| quarantine.refuses(fingerprint, now);
-        if demand.fingerprint.is_some_and(is_quarantined) {
-            return Decision::Quarantined;
+        if let Some(suspect) = self.quarantine.refuses(demand, self.servers.own(), now) {
+            return Decision::Quarantined(suspect);
         }
         self.servers.refresh_speeds(now);
         if let Some(target_ms) = demand.gap_target_ms {
--- a/crates/reedsail_dispatch/src/dispatcher/mod.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/mod.rs
@@ -228,8 +228,13 @@
     }
 
     /// Returns the number of quarantined requests.
-    pub fn quarantined(&self) -> usize {
-        self.quarantine.count()
+    pub fn quarantined_requests(&self) -> usize {
+        self.quarantine.requests()
+    }
+
+    /// Returns the number of quarantined segments.
+    pub fn quarantined_segments(&self) -> usize {
+        self.quarantine.segments()
     }
 
     /// Records overdue answers against the health of their servers, detects servers that have ended, and
@@ -243,6 +248,10 @@
         for end in &ends {
             for request in &end.requests {
                 self.quarantine.record_end(request, end.name, now);
+                // A server that drains ends as planned, after its last answers.
+                if request.has_just_begun && !self.is_draining(end.server) {
+                    self.quarantine.record_end_of_segments(request, end.name, now);
+                }
             }
         }
         self.server_ends.extend(ends);
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -25,7 +25,8 @@
 //! | `server_health`, with `failure_rate` and `attempt` | failure rate, overdue answers, unreachable servers |
 //! | `domain_reach` | whether a failure domain can be connected to at all |
 //! | `server_ends` | which servers have ended, and which requests broke off there |
-//! | `quarantine` | which requests are no longer sent because servers end while running them |
+//! | `quarantine`, with `suspect` | which requests and segments are no longer sent because servers end while running them |
+//! | `segment_evidence` | which segment of prompts is the cause of servers' ends |
 //! | `overload` | whether this instance refuses requests or sheds callers |
 //! | `slow_reader` | whether the server broke off an answer or the caller stopped reading |
 //! | `shutdown` | which requests are accepted while stopping |
@@ -71,6 +72,7 @@
 mod priority_pressure;
 mod quarantine;
 mod retry;
+mod segment_evidence;
 mod server_backoff;
 mod server_ends;
 mod server_entries;
@@ -90,6 +92,8 @@
 mod stream_pause;
 mod stream_row;
 mod stream_version_table;
+mod suspect;
+mod suspect_key;
 mod version_history;
 
 pub use admission::time_left_ms;
@@ -118,6 +122,7 @@
 pub use load_report::LoadReport;
 pub use load_report::PrefixRow;
 pub use load_report::ServerLoadRow;
+pub use load_report::SuspectEndRow;
 pub use load_report::SuspectRow;
 pub use load_report::WorkspaceUseRow;
 pub use max_min::max_min_level;
@@ -137,6 +142,7 @@
 pub use retry::RetryPolicy;
 pub use retry::RetryVerdict;
 pub use retry::RetryWindow;
+pub use segment_evidence::ENDS_TO_QUARANTINE;
 pub use server_ends::BrokenRequest;
 pub use server_ends::ServerEnd;
 pub use server_life::LifeEvent;
@@ -170,4 +176,7 @@
 pub use stream_row::StreamRow;
 pub use stream_version_table::StreamVersionTable;
 pub use stream_version_table::UnsentRow;
+pub use suspect_key::SegmentId;
+pub use suspect_key::SegmentKey;
+pub use suspect_key::SuspectKey;
 pub use version_history::STREAM_LIFE_MAX_MS;
--- a/crates/reedsail_dispatch/src/load_report.rs
+++ b/crates/reedsail_dispatch/src/load_report.rs
@@ -2,11 +2,13 @@
 //! suspected request.
 
 use std::cmp::Reverse;
+use std::collections::HashMap;
 
-use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
 
+use crate::SegmentId;
 use crate::SpeedSums;
+use crate::SuspectKey;
 
 /// The load that one instance puts on one backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -55,25 +57,47 @@
     pub server: NameHash,
 }
 
-/// A request during which servers ended, as one instance knows it.
+/// The end of a server under a suspect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SuspectEndRow {
+    /// The incarnation of the server.
+    pub server: NameHash,
+    /// Time since the request was sent there, in milliseconds.
+    pub sent_ms_ago: u32,
+    /// Time since the server ended, in milliseconds.
+    pub ended_ms_ago: u32,
+}
+
+/// A request or a segment of prompts under which servers ended, as one instance knows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SuspectRow {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// The workspace that the request is charged to.
+    /// The request or segment.
+    pub key: SuspectKey,
+    /// The workspace that its requests are charged to.
     pub workspace: NameHash,
-    /// Incarnations of servers that ended during the request; empty if the request was answered completely since.
-    pub servers: Vec<NameHash>,
-    /// Time since the last of these servers ended, or since the request was answered, in milliseconds.
+    /// Servers that ended under it; empty if it was answered completely since.
+    pub ends: Vec<SuspectEndRow>,
+    /// Time since the last of these servers ended, or since it was answered, in milliseconds.
     pub changed_ms_ago: u32,
-    /// Time since the request was last received, in milliseconds.
+    /// Time since it was last received, in milliseconds.
     pub seen_ms_ago: u32,
 }
 
 impl SuspectRow {
-    /// Keeps at most `count_max` rows: those with the most ended servers, and of these the newest.
+    /// Keeps at most `count_max` rows: those with the most ended servers, and of these the newest. The rows of a segment
+    /// count together.
     pub fn keep_strongest(rows: &mut Vec<Self>, count_max: usize) {
-        rows.sort_by_key(|row| (Reverse(row.servers.len()), row.changed_ms_ago, row.fingerprint));
+        let mut ends_by_segment: HashMap<SegmentId, usize> = HashMap::new();
+        for row in rows.iter() {
+            if let SuspectKey::Segment(key) = row.key {
+                *ends_by_segment.entry(key.segment).or_default() += row.ends.len();
+            }
+        }
+        let ends = |row: &Self| match row.key {
+            SuspectKey::Request(_) => row.ends.len(),
+            SuspectKey::Segment(key) => ends_by_segment[&key.segment],
+        };
+        rows.sort_by_key(|row| (Reverse(ends(row)), row.changed_ms_ago, row.key));
         rows.truncate(count_max);
     }
 }
@@ -87,7 +111,7 @@
     pub workspaces: Vec<WorkspaceUseRow>,
     /// Segments that were recently sent to a server for the first time, or again after some time.
     pub prefixes: Vec<PrefixRow>,
-    /// Requests during which servers ended.
+    /// Requests and segments under which servers ended.
     pub suspects: Vec<SuspectRow>,
 }
 
--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantine: which requests are no longer sent because servers end while running them.
+//! Quarantine: which requests, and which segments of prompts, are no longer sent because servers end while running them.
 //!
 //! **Rule.** A request is suspected of the end of a server if its connection broke when that server ended
 //! (`server_ends`). A request is quarantined, and every instance refuses it, once [`SERVERS_TO_QUARANTINE`]
@@ -6,21 +6,26 @@
 //! complete answer at any instance clears the request. A suspected request is forgotten [`SUSPECT_KEPT_MS`]
 //! after it was last seen.
 //!
+//! A segment before the last of a prompt is suspected if the server had just begun to write the answer when it ended.
+//! `segment_evidence` has the rule of when it is quarantined. A complete answer to any request of the workspace with the
+//! segment clears it.
+//!
 //! **Inputs.** Ends of servers with the requests that broke off there, complete answers, peers' rows.
 //!
 //! **Why.** A request that crashes an engine takes down everything that runs there, and its retries arrive at
 //! other instances as new requests. The request that caused a crash shows only by being present again when
 //! the next server ends; the other requests on a crashed server are answered when they are retried. If
 //! several servers end together, hundreds of requests see one end each, but hardly any request sees three
-//! ends in a row without an answer.
+//! ends in a row without an answer. What crashes an engine may also be a part that many requests share, each of which is
+//! sent once.
 //!
-//! **Spread.** In its load reports, each instance announces the suspected requests that it has observed
-//! itself, and all requests for which two or more servers have ended. It announces a request for
-//! [`ANNOUNCE_DURATION_MS`] when the request is new or a peer has joined, and again every
-//! [`ANNOUNCE_INTERVAL_MS`] to make up for lost reports. The ends of a request form a set, so an end that is
+//! **Spread.** In its load reports, each instance announces the suspects that it has observed
+//! itself, and all for which two or more servers have ended: when a suspect is new or a peer has joined, and again at
+//! intervals to make up for lost reports. The ends of a suspect form a set, so an end that is
 //! received twice counts once.
 //!
-//! **Tested by** `tests/quarantine.rs`, and `tests/poison_request.rs` of `reedsail_simulation`.
+//! **Tested by** `tests/quarantine.rs`, `tests/segment_quarantine.rs`, and `tests/poison_request.rs` and
+//! `tests/poison_segment.rs` of `reedsail_simulation`.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -29,164 +34,290 @@
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
 
+use crate::Attempt;
 use crate::BrokenRequest;
+use crate::Demand;
+use crate::Prompt;
+use crate::SegmentId;
+use crate::SegmentKey;
+use crate::SuspectKey;
 use crate::SuspectRow;
+use crate::segment_evidence::SegmentEvidence;
+use crate::suspect::Suspect;
+use crate::suspect::SuspectEnd;
+use crate::suspect::time_ago;
 
 /// Number of servers that end while running a request before it is quarantined. Users tolerate three.
 pub const SERVERS_TO_QUARANTINE: usize = 3;
-/// How long a suspected request is kept after it was last seen, in milliseconds: long enough for a caller
+/// How long a suspect is kept after it was last seen, in milliseconds: long enough for a caller
 /// that retries occasionally, and short enough that a release that fixes the engine takes effect soon.
 const SUSPECT_KEPT_MS: u64 = 600_000;
-/// How long a change of a request is announced, in milliseconds: five report intervals of the smallest
-/// fleets, because some reports may be lost.
-const ANNOUNCE_DURATION_MS: u64 = 500;
-/// Interval at which suspected requests are announced again, in milliseconds: shorter than the 3,000 ms
-/// within which an instance must learn what its peers know.
-const ANNOUNCE_INTERVAL_MS: u64 = 2_000;
-/// How much earlier than an end an answer may be and still clear it, in milliseconds. Reports contain the
-/// ages of both, which do not include the transmission time.
-const CLEAR_SLACK_MS: u64 = 1_000;
-/// Maximum number of suspected requests of a workspace, so that a workspace with many cannot evict those of
+/// Time after the last end until a request with a quarantined segment is sent to see whether it still ends servers, in
+/// milliseconds.
+const PROBE_AFTER_MS: u64 = 600_000;
+/// Time over which the instances of a fleet spread these probes, in milliseconds: the end of the first one holds the
+/// others back.
+const PROBE_SPREAD_MS: u64 = 600_000;
+/// Time in which an instance sends at most one such request, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 60_000;
+/// Maximum number of suspects of a kind of a workspace, so that a workspace with many cannot evict those of
 /// others.
 const WORKSPACE_SUSPECTS_MAX: usize = 256;
-/// Maximum number of suspected requests, about 0.5 MB.
+/// Maximum number of suspects, about 0.5 MB.
 const SUSPECTS_MAX: usize = 4_096;
-/// Maximum number of rows in a report: 2 kB.
+/// Maximum number of rows in a report: 2 kB of requests, or 4 kB of segments.
 const ROWS_MAX: usize = 64;
 
-/// What an instance knows about a suspected request.
-#[derive(Clone, Debug)]
-struct Suspect {
-    workspace: NameHash,
-    /// Starts of servers that ended while running the request. No more are added once it is quarantined.
-    servers: Vec<NameHash>,
-    /// When the last of these servers ended.
-    ended_at: TimeMs,
-    /// When the request was last answered completely.
-    answered_at: Option<TimeMs>,
-    /// When the request last arrived, was present at the end of a server, or was answered.
-    seen_at: TimeMs,
-    announced_until: TimeMs,
-    /// Whether this instance has observed an end or an answer itself, and therefore announces the request.
-    is_observed_here: bool,
-}
-
-impl Suspect {
-    fn new(workspace: NameHash, now: TimeMs) -> Self {
-        Self {
-            workspace,
-            servers: Vec::new(),
-            ended_at: TimeMs(0),
-            answered_at: None,
-            seen_at: now,
-            announced_until: TimeMs(0),
-            is_observed_here: false,
-        }
-    }
-
-    fn is_quarantined(&self) -> bool {
-        self.servers.len() >= SERVERS_TO_QUARANTINE
-    }
-
-    /// Returns whether an answer clears an end.
-    fn clears(answered_at: TimeMs, ended_at: TimeMs) -> bool {
-        ended_at <= answered_at.plus_ms(CLEAR_SLACK_MS)
-    }
-
-    fn is_announced(&self, fingerprint: Fingerprint, now: TimeMs) -> bool {
-        let is_announcer = self.is_observed_here || self.servers.len() > 1;
-        // Requests are announced in different phases, so that reports stay small.
-        let phase = now.0.wrapping_add(fingerprint.0 as u64 % ANNOUNCE_INTERVAL_MS) % ANNOUNCE_INTERVAL_MS;
-        is_announcer && (now < self.announced_until || phase < ANNOUNCE_DURATION_MS)
-    }
-
-    fn row(&self, fingerprint: Fingerprint, now: TimeMs) -> SuspectRow {
-        let changed_at = self.answered_at.filter(|_| self.servers.is_empty());
-        SuspectRow {
-            fingerprint,
-            workspace: self.workspace,
-            servers: self.servers.clone(),
-            changed_ms_ago: age_ms(changed_at.unwrap_or(self.ended_at), now),
-            seen_ms_ago: age_ms(self.seen_at, now),
-        }
-    }
-}
-
-/// Returns the age for a row, saturated at the largest value of the field.
-fn age_ms(at: TimeMs, now: TimeMs) -> u32 {
-    u32::try_from(now.since_ms(at)).unwrap_or(u32::MAX)
-}
-
-fn time_ago(ms_ago: u32, now: TimeMs) -> TimeMs {
-    TimeMs(now.0.saturating_sub(u64::from(ms_ago)))
-}
-
-/// A change of a request's quarantine state.
+/// A change of a suspect's quarantine state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineChange {
-    /// The request is no longer sent.
+    /// It is no longer sent.
     Quarantined,
-    /// The request was answered and may be sent again.
+    /// It was answered and may be sent again.
     Cleared,
-    /// The request was not seen for a long time and may be sent again.
+    /// It was not seen for a long time and may be sent again.
     Forgotten,
 }
 
-/// A request that entered or left quarantine.
+/// A request or segment that entered or left quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineEvent {
-    /// The request's fingerprint.
-    pub fingerprint: Fingerprint,
-    /// The workspace that the request is charged to.
+    /// The request or segment.
+    pub key: SuspectKey,
+    /// The workspace that its requests are charged to.
     pub workspace: NameHash,
     /// The change of its quarantine state.
     pub change: QuarantineChange,
 }
 
-/// All suspected requests.
+/// All suspects.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Quarantine {
-    suspects: BTreeMap<Fingerprint, Suspect>,
+    suspects: BTreeMap<SuspectKey, Suspect>,
+    /// The segments with enough evidence to be quarantined, for the requests to which that applies.
+    convicted: Vec<SegmentId>,
+    /// When the last request with a quarantined segment was let through.
+    probed_at: HashMap<SegmentId, TimeMs>,
     events: Vec<QuarantineEvent>,
 }
 
 impl Quarantine {
     /// Records that a server ended while running a request of this instance.
     pub(crate) fn record_end(&mut self, request: &BrokenRequest, server: NameHash, now: TimeMs) {
-        let suspect = self.suspect(request.fingerprint, request.workspace, now);
-        suspect.is_observed_here = true;
-        suspect.seen_at = now;
-        self.add_ends(request.fingerprint, &[server], request.broke_at, now);
+        let end = SuspectEnd {
+            server,
+            sent_at: request.sent_at,
+            ended_at: request.broke_at,
+        };
+        self.observe_end(
+            SuspectKey::Request(request.fingerprint),
+            request.workspace,
+            end,
+            now,
+        );
+    }
+
+    /// Records that a server ended when it had just begun to answer a request of this instance.
+    pub(crate) fn record_end_of_segments(&mut self, request: &BrokenRequest, server: NameHash, now: TimeMs) {
+        let end = SuspectEnd {
+            server,
+            sent_at: request.sent_at,
+            ended_at: request.broke_at,
+        };
+        for id in &request.segments {
+            let segment = SegmentId {
+                service: request.service,
+                id: *id,
+            };
+            let workspace = request.workspace;
+            let key = SuspectKey::Segment(SegmentKey { segment, workspace });
+            self.observe_end(key, workspace, end, now);
+        }
+    }
+
+    fn observe_end(&mut self, key: SuspectKey, workspace: NameHash, end: SuspectEnd, now: TimeMs) {
+        self.suspect(key, workspace, now).observe(now);
+        self.add_ends(key, &[end], now);
     }
 
     /// Records that this instance received a complete answer to a request.
-    pub(crate) fn record_answer(&mut self, fingerprint: Fingerprint, now: TimeMs) {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+    pub(crate) fn record_answer(&mut self, attempt: &Attempt, now: TimeMs) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        if let Some(fingerprint) = attempt.fingerprint {
+            self.record_request_answer(fingerprint, now);
+        }
+        self.record_segments_survived(attempt, now);
+    }
+
+    /// Records that an answer has gone on beyond its beginning, so that its segments have not ended the server.
+    pub(crate) fn record_survival(&mut self, attempt: &Attempt, now: TimeMs) {
+        if !self.suspects.is_empty() {
+            self.record_segments_survived(attempt, now);
+        }
+    }
+
+    fn record_segments_survived(&mut self, attempt: &Attempt, now: TimeMs) {
+        let began_at = attempt.progress.began_at.unwrap_or(attempt.began_at);
+        for id in &attempt.segments {
+            let segment = SegmentId {
+                service: attempt.service,
+                id: *id,
+            };
+            self.record_segment_answer(segment, attempt.workspace, began_at, now);
+        }
+    }
+
+    fn record_request_answer(&mut self, fingerprint: Fingerprint, now: TimeMs) {
+        let key = SuspectKey::Request(fingerprint);
+        let Some(suspect) = self.suspects.get_mut(&key) else {
             return;
         };
-        if suspect.servers.is_empty() {
+        if suspect.ends.is_empty() {
             return;
         }
-        suspect.is_observed_here = true;
-        suspect.seen_at = now;
-        self.clear(fingerprint, now, now);
+        suspect.observe(now);
+        self.clear(key, now, now);
+    }
+
+    /// Records an answer to a workspace's request with a segment that began at `began_at`, if it clears any end. What ends
+    /// servers from some time on does so to answers that begin then, and not to those that began before.
+    fn record_segment_answer(
+        &mut self,
+        segment: SegmentId,
+        workspace: NameHash,
+        began_at: TimeMs,
+        now: TimeMs,
+    ) {
+        let evidence = self.evidence(segment);
+        if !evidence.is_answer_news(workspace, began_at) {
+            return;
+        }
+        let key = SuspectKey::Segment(SegmentKey { segment, workspace });
+        let suspect = self.suspect(key, workspace, now);
+        suspect.observe(now);
+        suspect.announce(now);
+        self.clear(key, began_at, now);
+    }
+
+    /// Returns what of a request forbids to send it, and records that it was seen. `own` is this instance.
+    pub(crate) fn refuses(&mut self, demand: &Demand<'_>, own: NameHash, now: TimeMs) -> Option<SuspectKey> {
+        let key = demand.fingerprint.map(SuspectKey::Request);
+        if let Some(key) = key
+            && let Some(suspect) = self.suspects.get_mut(&key)
+        {
+            suspect.seen_at = now;
+            if suspect.ends.len() >= SERVERS_TO_QUARANTINE {
+                return Some(key);
+            }
+        }
+        if self.convicted.is_empty() {
+            return None;
+        }
+        self.convicted_segment(demand, own, now)
+    }
+
+    /// Returns the quarantined segment of a request, unless the request may probe it.
+    fn convicted_segment(&mut self, demand: &Demand<'_>, own: NameHash, now: TimeMs) -> Option<SuspectKey> {
+        let segments = demand.prompt.map_or(&[][..], Prompt::segments_before_last);
+        let has_segment = |id: u64| segments.iter().any(|segment| segment.id == id);
+        let in_request = self.convicted.iter().copied();
+        let in_request = in_request
+            .filter(|segment| segment.service == demand.service && has_segment(segment.id))
+            .find(|segment| self.convicts(*segment, demand.workspace, &has_segment));
+        let segment = in_request?;
+        self.record_seen(segment, now);
+        if self.takes_probe(segment, own, now) {
+            return None;
+        }
+        let workspace = demand.workspace;
+        Some(SuspectKey::Segment(SegmentKey { segment, workspace }))
     }
 
-    /// Returns whether a request must not be sent, and records that it was seen.
-    pub(crate) fn refuses(&mut self, fingerprint: Fingerprint, now: TimeMs) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+    /// Returns whether the evidence against a segment applies to the requests of a workspace, and is not explained by other
+    /// quarantined segments, which the request does not have.
+    fn convicts(&self, segment: SegmentId, workspace: NameHash, has_segment: &impl Fn(u64) -> bool) -> bool {
+        let evidence = self.evidence(segment);
+        let Some(ends) = evidence.ends_against(workspace) else {
             return false;
         };
-        suspect.seen_at = now;
-        suspect.is_quarantined()
+        let others = self
+            .convicted
+            .iter()
+            .filter(|other| other.service == segment.service);
+        let others = others.filter(|other| !has_segment(other.id));
+        let others: Vec<SegmentEvidence<'_>> = others.map(|other| self.evidence(*other)).collect();
+        let is_explained = |end: &SuspectEnd| others.iter().any(|other| other.was_present_at(end));
+        !ends.iter().all(is_explained)
+    }
+
+    fn evidence(&self, segment: SegmentId) -> SegmentEvidence<'_> {
+        SegmentEvidence::new(self.of_segment(segment).map(|(_, suspect)| suspect))
+    }
+
+    /// Returns the suspects of a segment, by workspace.
+    fn of_segment(&self, segment: SegmentId) -> impl Iterator<Item = (&SuspectKey, &Suspect)> {
+        let key = |workspace| SuspectKey::Segment(SegmentKey { segment, workspace });
+        self.suspects.range(key(NameHash(0))..=key(NameHash(u32::MAX)))
+    }
+
+    fn record_seen(&mut self, segment: SegmentId, now: TimeMs) {
+        let key = |workspace| SuspectKey::Segment(SegmentKey { segment, workspace });
+        let suspects = self
+            .suspects
+            .range_mut(key(NameHash(0))..=key(NameHash(u32::MAX)));
+        for (_, suspect) in suspects {
+            suspect.seen_at = now;
+        }
+    }
+
+    /// Returns whether a request may be sent to see whether a quarantined segment still ends servers.
+    fn takes_probe(&mut self, segment: SegmentId, own: NameHash, now: TimeMs) -> bool {
+        let spread_ms = (u64::from(own.0) ^ segment.id).wrapping_mul(0x9e37_79b9_7f4a_7c15) % PROBE_SPREAD_MS;
+        let last_ended_at = self.evidence(segment).last_ended_at();
+        if now < last_ended_at.plus_ms(PROBE_AFTER_MS + spread_ms) {
+            return false;
+        }
+        let probed_at = self.probed_at.entry(segment).or_insert(TimeMs(0));
+        let is_due = now >= probed_at.plus_ms(PROBE_INTERVAL_MS);
+        if is_due {
+            *probed_at = now;
+        }
+        is_due
     }
 
-    /// Announces all suspected requests at once, for a peer that has just joined. A newly started instance
+    /// Updates whether a segment is convicted after its evidence has changed.
+    fn judge(&mut self, key: SuspectKey, change_if_released: QuarantineChange) {
+        let SuspectKey::Segment(SegmentKey { segment, workspace }) = key else {
+            return;
+        };
+        let was_convicted = self.convicted.contains(&segment);
+        let is_convicted = self.evidence(segment).convicts_any();
+        if is_convicted == was_convicted {
+            return;
+        }
+        let change = if is_convicted {
+            self.convicted.push(segment);
+            QuarantineChange::Quarantined
+        } else {
+            self.convicted.retain(|other| *other != segment);
+            self.probed_at.remove(&segment);
+            change_if_released
+        };
+        self.events.push(QuarantineEvent {
+            key,
+            workspace,
+            change,
+        });
+    }
+
+    /// Announces all suspects at once, for a peer that has just joined. A newly started instance
     /// knows no suspects. It would send a quarantined request once more itself, since the next announcement
-    /// within [`ANNOUNCE_INTERVAL_MS`] may be up to two seconds away.
+    /// may be up to two seconds away.
     pub(crate) fn announce_all(&mut self, now: TimeMs) {
         for suspect in self.suspects.values_mut() {
-            suspect.announced_until = now.plus_ms(ANNOUNCE_DURATION_MS);
+            suspect.announce(now);
         }
     }
 
@@ -197,86 +328,75 @@
                 continue;
             }
             let seen_at = time_ago(row.seen_ms_ago, now);
-            let suspect = self.suspect(row.fingerprint, row.workspace, now);
+            let suspect = self.suspect(row.key, row.workspace, now);
             suspect.seen_at = suspect.seen_at.max(seen_at);
-            let changed_at = time_ago(row.changed_ms_ago, now);
-            if row.servers.is_empty() {
-                self.clear(row.fingerprint, changed_at, now);
+            if row.ends.is_empty() {
+                self.clear(row.key, time_ago(row.changed_ms_ago, now), now);
             } else {
-                self.add_ends(row.fingerprint, &row.servers, changed_at, now);
+                let ends = row.ends.iter().map(|end| SuspectEnd::from_row(end, now));
+                let ends: Vec<SuspectEnd> = ends.collect();
+                self.add_ends(row.key, &ends, now);
             }
         }
     }
 
     /// Adds unknown ends of servers, unless an answer has cleared them.
-    fn add_ends(&mut self, fingerprint: Fingerprint, servers: &[NameHash], ended_at: TimeMs, now: TimeMs) {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+    fn add_ends(&mut self, key: SuspectKey, ends: &[SuspectEnd], now: TimeMs) {
+        let Some(suspect) = self.suspects.get_mut(&key) else {
             return;
         };
-        let answered_at = suspect.answered_at;
-        if answered_at.is_some_and(|answered_at| Suspect::clears(answered_at, ended_at)) {
-            // A peer that still announces these ends has not received the answer.
-            suspect.announced_until = now.plus_ms(ANNOUNCE_DURATION_MS);
-            return;
-        }
-        let was_quarantined = suspect.is_quarantined();
-        let known = suspect.servers.len();
-        for server in servers {
-            if !suspect.is_quarantined() && !suspect.servers.contains(server) {
-                suspect.servers.push(*server);
+        let limit = match key {
+            SuspectKey::Request(_) => SERVERS_TO_QUARANTINE,
+            SuspectKey::Segment(_) => usize::MAX,
+        };
+        let was_quarantined = suspect.ends.len() >= limit;
+        for end in ends {
+            if suspect.ends.len() < limit {
+                suspect.add_end(*end, now);
             }
         }
-        if suspect.servers.len() > known {
-            suspect.ended_at = suspect.ended_at.max(ended_at);
-            suspect.announced_until = now.plus_ms(ANNOUNCE_DURATION_MS);
-        }
-        if suspect.is_quarantined() && !was_quarantined {
-            self.report(fingerprint, QuarantineChange::Quarantined);
+        if suspect.ends.len() >= limit && !was_quarantined {
+            self.report(key, QuarantineChange::Quarantined);
         }
+        self.judge(key, QuarantineChange::Cleared);
     }
 
     /// Records an answer at `answered_at`, which clears the ends before it.
-    fn clear(&mut self, fingerprint: Fingerprint, answered_at: TimeMs, now: TimeMs) {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+    fn clear(&mut self, key: SuspectKey, answered_at: TimeMs, now: TimeMs) {
+        let Some(suspect) = self.suspects.get_mut(&key) else {
             return;
         };
-        suspect.answered_at = suspect.answered_at.max(Some(answered_at));
-        if suspect.servers.is_empty() || !Suspect::clears(answered_at, suspect.ended_at) {
-            return;
-        }
-        let was_quarantined = suspect.is_quarantined();
-        suspect.servers.clear();
-        suspect.announced_until = now.plus_ms(ANNOUNCE_DURATION_MS);
-        if was_quarantined {
-            self.report(fingerprint, QuarantineChange::Cleared);
+        let was_quarantined = is_quarantined_request(key, suspect);
+        suspect.clear(answered_at, now);
+        if was_quarantined && !is_quarantined_request(key, suspect) {
+            self.report(key, QuarantineChange::Cleared);
         }
+        self.judge(key, QuarantineChange::Cleared);
     }
 
-    /// Forgets requests that were not seen for [`SUSPECT_KEPT_MS`].
+    /// Forgets suspects that were not seen for [`SUSPECT_KEPT_MS`].
     pub(crate) fn tick(&mut self, now: TimeMs) {
         let is_expired = |suspect: &Suspect| now.since_ms(suspect.seen_at) >= SUSPECT_KEPT_MS;
         let expired = self.suspects.iter().filter(|(_, suspect)| is_expired(suspect));
-        let expired: Vec<Fingerprint> = expired.map(|(fingerprint, _)| *fingerprint).collect();
-        for fingerprint in expired {
-            self.forget(fingerprint);
+        let expired: Vec<SuspectKey> = expired.map(|(key, _)| *key).collect();
+        for key in expired {
+            self.forget(key);
         }
     }
 
-    fn forget(&mut self, fingerprint: Fingerprint) {
-        let is_quarantined = self
-            .suspects
-            .get(&fingerprint)
-            .is_some_and(Suspect::is_quarantined);
-        if is_quarantined {
-            self.report(fingerprint, QuarantineChange::Forgotten);
+    fn forget(&mut self, key: SuspectKey) {
+        let suspect = self.suspects.get(&key);
+        if suspect.is_some_and(|suspect| is_quarantined_request(key, suspect)) {
+            self.report(key, QuarantineChange::Forgotten);
         }
-        self.suspects.remove(&fingerprint);
+        self.suspects.remove(&key);
+        self.judge(key, QuarantineChange::Forgotten);
     }
 
-    fn report(&mut self, fingerprint: Fingerprint, change: QuarantineChange) {
-        if let Some(suspect) = self.suspects.get(&fingerprint) {
+    fn report(&mut self, key: SuspectKey, change: QuarantineChange) {
+        if let Some(suspect) = self.suspects.get(&key) {
             self.events.push(QuarantineEvent {
-                fingerprint,
+                key,
                 workspace: suspect.workspace,
                 change,
             });
@@ -289,58 +409,68 @@
     }
 
     /// Returns the number of quarantined requests.
-    pub(crate) fn count(&self) -> usize {
-        let suspects = self.suspects.values();
-        suspects.filter(|suspect| suspect.is_quarantined()).count()
+    pub(crate) fn requests(&self) -> usize {
+        let suspects = self.suspects.iter();
+        suspects
+            .filter(|(key, suspect)| is_quarantined_request(**key, suspect))
+            .count()
+    }
+
+    /// Returns the number of quarantined segments.
+    pub(crate) fn segments(&self) -> usize {
+        self.convicted.len()
     }
 
     /// Returns the rows for the next load report: those with the most ends first, then the newest ones.
     pub(crate) fn rows(&self, now: TimeMs) -> Vec<SuspectRow> {
-        let announced = self
-            .suspects
-            .iter()
-            .filter(|(fingerprint, suspect)| suspect.is_announced(**fingerprint, now));
-        let mut rows: Vec<SuspectRow> = announced
-            .map(|(fingerprint, suspect)| suspect.row(*fingerprint, now))
-            .collect();
+        let announced = self.suspects.iter();
+        let announced =
+            announced.filter(|(key, suspect)| suspect.is_announced(**key, self.is_convicted(**key), now));
+        let mut rows: Vec<SuspectRow> = announced.map(|(key, suspect)| suspect.row(*key, now)).collect();
         SuspectRow::keep_strongest(&mut rows, ROWS_MAX);
         rows
     }
 
-    fn suspect(&mut self, fingerprint: Fingerprint, workspace: NameHash, now: TimeMs) -> &mut Suspect {
-        if !self.suspects.contains_key(&fingerprint) {
-            self.evict_if_full(workspace);
+    fn is_convicted(&self, key: SuspectKey) -> bool {
+        match key {
+            SuspectKey::Request(_) => false,
+            SuspectKey::Segment(key) => self.convicted.contains(&key.segment),
+        }
+    }
+
+    fn suspect(&mut self, key: SuspectKey, workspace: NameHash, now: TimeMs) -> &mut Suspect {
+        if !self.suspects.contains_key(&key) {
+            self.evict_if_full(key, workspace);
         }
         let suspects = &mut self.suspects;
         suspects
-            .entry(fingerprint)
-            .or_insert_with(|| Suspect::new(workspace, now))
+            .entry(key)
+            .or_insert_with(|| Suspect::new(key, workspace, now))
     }
 
-    /// Evicts a request before a request of `workspace` is added, if there are too many: a request of this
-    /// workspace if it has too many itself, or one of the workspace with the most if the total is too high.
-    /// The evicted request is the one with the fewest ends and, among these, the one seen least recently.
-    fn evict_if_full(&mut self, workspace: NameHash) {
-        let of_workspace = |workspace: NameHash| {
-            let suspects = self.suspects.values();
-            suspects
-                .filter(move |suspect| suspect.workspace == workspace)
-                .count()
-        };
-        let evicted_workspace = if of_workspace(workspace) >= WORKSPACE_SUSPECTS_MAX {
+    /// Evicts a suspect before one of `workspace` is added, if there are too many: one of the same kind of
+    /// this workspace if it has too many itself, or one of the workspace with the most if the total is too high.
+    /// The evicted one has the fewest ends and, among these, was seen least recently.
+    fn evict_if_full(&mut self, added: SuspectKey, workspace: NameHash) {
+        let is_same_kind = |key: &SuspectKey| std::mem::discriminant(key) == std::mem::discriminant(&added);
+        let of_workspace = self.suspects.iter();
+        let of_workspace = of_workspace
+            .filter(|(key, suspect)| suspect.workspace == workspace && is_same_kind(key))
+            .count();
+        let is_workspace_full = of_workspace >= WORKSPACE_SUSPECTS_MAX;
+        let evicted_workspace = if is_workspace_full {
             workspace
         } else if self.suspects.len() >= SUSPECTS_MAX {
             self.largest_workspace()
         } else {
             return;
         };
-        let evictable = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| suspect.workspace == evicted_workspace);
-        let evicted = evictable.min_by_key(|(_, suspect)| (suspect.servers.len(), suspect.seen_at));
-        if let Some(fingerprint) = evicted.map(|(fingerprint, _)| *fingerprint) {
-            self.forget(fingerprint);
+        let evictable = self.suspects.iter().filter(|(key, suspect)| {
+            suspect.workspace == evicted_workspace && (!is_workspace_full || is_same_kind(key))
+        });
+        let evicted = evictable.min_by_key(|(_, suspect)| (suspect.ends.len(), suspect.seen_at));
+        if let Some(key) = evicted.map(|(key, _)| *key) {
+            self.forget(key);
         }
     }
 
@@ -355,3 +485,8 @@
         largest.map_or_else(NameHash::default, |(workspace, _)| workspace)
     }
 }
+
+/// Returns whether a suspect is a request that is quarantined. Segments are judged over all workspaces.
+fn is_quarantined_request(key: SuspectKey, suspect: &Suspect) -> bool {
+    matches!(key, SuspectKey::Request(_)) && suspect.ends.len() >= SERVERS_TO_QUARANTINE
+}
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -337,7 +337,7 @@
             placement.expected_ms,
             placement.queue_ms
         ),
-        Decision::Quarantined => "quarantined".to_owned(),
+        Decision::Quarantined(_) => "quarantined".to_owned(),
         Decision::VersionGone => "version gone".to_owned(),
         Decision::Refuse {
             kind,
--- a/crates/reedsail_dispatch/tests/engine_speed.rs
+++ b/crates/reedsail_dispatch/tests/engine_speed.rs
@@ -117,7 +117,7 @@
     let prompt = prompt(0x1234_5678 + segment * 77);
     match dispatcher.decide(&demand(&prompt), now) {
         Decision::Send(placement) => Some(placement.server),
-        Decision::Quarantined | Decision::VersionGone | Decision::Refuse { .. } => None,
+        Decision::Quarantined(_) | Decision::VersionGone | Decision::Refuse { .. } => None,
     }
 }
 
--- a/crates/reedsail_dispatch/tests/placement.rs
+++ b/crates/reedsail_dispatch/tests/placement.rs
@@ -82,7 +82,7 @@
     match decision {
         Decision::Send(placement) => placement,
         Decision::Refuse { kind, .. } => panic!("refused as {}", kind.name()),
-        other @ (Decision::Quarantined | Decision::VersionGone) => panic!("{other:?}"),
+        other @ (Decision::Quarantined(_) | Decision::VersionGone) => panic!("{other:?}"),
     }
 }
 
@@ -192,7 +192,7 @@
         let demand = demand("labska", &prompt);
         match dispatcher.decide(&demand, START) {
             Decision::Send(placement) => attempts.push(dispatcher.begin_attempt(&demand, &placement, START)),
-            other @ (Decision::Quarantined | Decision::VersionGone) => panic!("{other:?}"),
+            other @ (Decision::Quarantined(_) | Decision::VersionGone) => panic!("{other:?}"),
             Decision::Refuse {
                 kind,
                 retry_after_ms,
--- a/crates/reedsail_dispatch/tests/plain_services.rs
+++ b/crates/reedsail_dispatch/tests/plain_services.rs
@@ -59,7 +59,7 @@
                     attempts.push(dispatcher.begin_attempt(&demand(), &placement, now));
                 }
                 Decision::Refuse { .. } => is_refused = true,
-                other @ (Decision::Quarantined | Decision::VersionGone) => panic!("{other:?}"),
+                other @ (Decision::Quarantined(_) | Decision::VersionGone) => panic!("{other:?}"),
             }
         }
         now = now.plus_ms(took_ms);
--- a/crates/reedsail_dispatch/tests/quarantine.rs
+++ b/crates/reedsail_dispatch/tests/quarantine.rs
@@ -14,6 +14,8 @@
 use reedsail_dispatch::QuarantineChange;
 use reedsail_dispatch::ServerSetup;
 use reedsail_dispatch::SoftwareVersion;
+use reedsail_dispatch::SuspectEndRow;
+use reedsail_dispatch::SuspectKey;
 use reedsail_dispatch::SuspectRow;
 use reedsail_dispatch::VersionDemand;
 
@@ -35,6 +37,13 @@
     }
 }
 
+fn end_row(server: u32) -> SuspectEndRow {
+    SuspectEndRow {
+        server: NameHash(server),
+        ..SuspectEndRow::default()
+    }
+}
+
 fn demand(fingerprint: Fingerprint, workspace: &str) -> Demand<'static> {
     Demand {
         service: NameHash::of("service"),
@@ -73,7 +82,7 @@
         let decision = self.dispatcher.decide(&demand(fingerprint, "own"), self.now);
         match decision {
             Decision::Send(_) => true,
-            Decision::Quarantined | Decision::VersionGone => false,
+            Decision::Quarantined(_) | Decision::VersionGone => false,
             Decision::Refuse { kind, .. } => panic!("refused as {}", kind.name()),
         }
     }
@@ -141,7 +150,7 @@
     assert!(!instance.sends(POISON));
     assert!(instance.sends(Fingerprint(8)));
     assert_eq!(instance.changes(), [QuarantineChange::Quarantined]);
-    assert_eq!(instance.dispatcher.quarantined(), 1);
+    assert_eq!(instance.dispatcher.quarantined_requests(), 1);
 }
 
 #[test]
@@ -284,9 +293,9 @@
 fn expired_rows_are_ignored() {
     let mut instance = Instance::new(1);
     instance.receive_rows(vec![SuspectRow {
-        fingerprint: POISON,
+        key: SuspectKey::Request(POISON),
         workspace: NameHash::of("own"),
-        servers: vec![NameHash(1), NameHash(2), NameHash(3)],
+        ends: [1, 2, 3].map(end_row).to_vec(),
         changed_ms_ago: SUSPECT_KEPT_MS as u32,
         seen_ms_ago: SUSPECT_KEPT_MS as u32,
     }]);
@@ -298,9 +307,9 @@
     let mut instance = instance_with_quarantined_request();
     for number in 0..6_000 {
         let row = SuspectRow {
-            fingerprint: Fingerprint(1_000 + number),
+            key: SuspectKey::Request(Fingerprint(1_000 + number)),
             workspace: NameHash::of("other"),
-            servers: vec![NameHash(900), NameHash(901)],
+            ends: [900, 901].map(end_row).to_vec(),
             ..SuspectRow::default()
         };
         instance.receive_rows(vec![row]);
@@ -313,9 +322,9 @@
     let mut instance = instance_with_quarantined_request();
     for number in 0..6_000 {
         let row = SuspectRow {
-            fingerprint: Fingerprint(1_000 + number),
+            key: SuspectKey::Request(Fingerprint(1_000 + number)),
             workspace: NameHash(number as u32 % 40),
-            servers: vec![NameHash(900)],
+            ends: vec![end_row(900)],
             ..SuspectRow::default()
         };
         instance.receive_rows(vec![row]);
@@ -334,5 +343,5 @@
     instance.advance(50);
     let rows = instance.rows();
     assert_eq!(rows.len(), 64);
-    assert_eq!(rows[0].fingerprint, POISON);
+    assert_eq!(rows[0].key, SuspectKey::Request(POISON));
 }
--- /dev/null
+++ b/crates/reedsail_dispatch/tests/segment_quarantine.rs
@@ -0,0 +1,362 @@
+//! When requests with a segment are no longer sent because servers end under it, and when they are sent again.
+
+use reedsail_core::Fingerprint;
+use reedsail_core::NameHash;
+use reedsail_core::TimeMs;
+use reedsail_dispatch::AllowedRegions;
+use reedsail_dispatch::Attempt;
+use reedsail_dispatch::AttemptOutcome;
+use reedsail_dispatch::Decision;
+use reedsail_dispatch::Demand;
+use reedsail_dispatch::DispatchSettings;
+use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::Priority;
+use reedsail_dispatch::Prompt;
+use reedsail_dispatch::PromptSegment;
+use reedsail_dispatch::QuarantineChange;
+use reedsail_dispatch::ServerSetup;
+use reedsail_dispatch::SoftwareVersion;
+use reedsail_dispatch::SuspectKey;
+use reedsail_dispatch::SuspectRow;
+use reedsail_dispatch::VersionDemand;
+
+const START: TimeMs = TimeMs(10_000);
+const ROOT: u64 = 1;
+const POISON: u64 = 2;
+const NEIGHBOUR: u64 = 3;
+/// Time from sending a request to the beginning of its answer, in milliseconds.
+const BEGIN_MS: u64 = 50;
+/// Time from an end to the next request, in milliseconds.
+const PAUSE_MS: u64 = 300;
+/// Number of events that an answer has when it goes on.
+const EVENTS: usize = 12;
+
+fn setup(number: u32, is_draining: bool) -> ServerSetup {
+    ServerSetup {
+        name: NameHash(number),
+        service: NameHash::of("service"),
+        failure_domain: NameHash::of("domain"),
+        region: None,
+        slots: 64,
+        is_draining,
+        cold_until: None,
+        version: SoftwareVersion::of("v1"),
+    }
+}
+
+fn prompt(ids: &[u64]) -> Prompt {
+    let segment = |id: &u64| PromptSegment { id: *id, tokens: 40 };
+    Prompt {
+        segments: ids.iter().map(segment).collect(),
+        output_tokens: 20,
+    }
+}
+
+/// An instance with one server at a time. After each end the next server starts.
+struct Instance {
+    dispatcher: Dispatcher,
+    server: u32,
+    now: TimeMs,
+    requests: u64,
+}
+
+impl Instance {
+    fn new(first_server: u32) -> Self {
+        let mut dispatcher = Dispatcher::new(DispatchSettings::default(), NameHash::of("domain"));
+        dispatcher.set_servers(&[setup(first_server, false)]);
+        Self {
+            dispatcher,
+            server: first_server,
+            now: START,
+            requests: 0,
+        }
+    }
+
+    /// Sends a request, no two of which are alike. Returns `None` if it is quarantined.
+    fn send(&mut self, workspace: &str, segments: &[u64]) -> Option<Attempt> {
+        self.requests += 1;
+        let own = 1_000 * u64::from(self.server) + self.requests;
+        let prompt = prompt(&[segments, &[own]].concat());
+        let demand = Demand {
+            service: NameHash::of("service"),
+            workspace: NameHash::of(workspace),
+            prompt: Some(&prompt),
+            latency_target_ms: 5_000,
+            gap_target_ms: None,
+            priority: Priority::default(),
+            waited_ms: 0,
+            tried: &[],
+            regions: &AllowedRegions::Any,
+            fingerprint: Some(Fingerprint(u128::from(own))),
+            version: VersionDemand::Any,
+        };
+        match self.dispatcher.decide(&demand, self.now) {
+            Decision::Send(placement) => {
+                let mut attempt = self.dispatcher.begin_attempt(&demand, &placement, self.now);
+                attempt.set_written(true);
+                Some(attempt)
+            }
+            Decision::Quarantined(SuspectKey::Segment(_)) => None,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn sends(&mut self, workspace: &str, segments: &[u64]) -> bool {
+        let attempt = self.send(workspace, segments);
+        attempt
+            .map(|attempt| self.finish(attempt, AttemptOutcome::Abandoned))
+            .is_some()
+    }
+
+    fn finish(&mut self, attempt: Attempt, outcome: AttemptOutcome) {
+        self.dispatcher.finish_attempt(attempt, outcome, self.now);
+    }
+
+    /// Sends requests whose answers begin, and ends the server.
+    fn end_server_under(&mut self, requests: &[(&str, &[u64])]) {
+        let attempts: Vec<Attempt> = requests
+            .iter()
+            .map(|(workspace, segments)| self.send(workspace, segments).unwrap())
+            .collect();
+        self.advance(BEGIN_MS);
+        for mut attempt in attempts {
+            attempt.record_started(self.now);
+            self.finish(attempt, AttemptOutcome::Broken);
+        }
+        self.replace_server(false);
+    }
+
+    fn replace_server(&mut self, is_draining: bool) {
+        if is_draining {
+            self.dispatcher.set_servers(&[setup(self.server, true)]);
+        }
+        self.server += 1;
+        self.dispatcher.set_servers(&[setup(self.server, false)]);
+        self.advance(PAUSE_MS);
+    }
+
+    /// Sends a request whose answer goes on, and is still going on.
+    fn answer_partly(&mut self, workspace: &str, segments: &[u64]) -> Attempt {
+        let mut attempt = self.send(workspace, segments).unwrap();
+        attempt.record_started(self.now);
+        for _ in 0..EVENTS {
+            self.advance(20);
+            self.dispatcher.record_event(&mut attempt, self.now);
+        }
+        attempt
+    }
+
+    fn advance(&mut self, duration_ms: u64) {
+        self.now = self.now.plus_ms(duration_ms);
+        self.dispatcher.tick(self.now);
+    }
+
+    fn rows(&mut self) -> Vec<SuspectRow> {
+        self.dispatcher.report(self.now).suspects
+    }
+
+    fn receive_rows(&mut self, suspects: Vec<SuspectRow>) {
+        let report = LoadReport {
+            suspects,
+            ..LoadReport::default()
+        };
+        self.dispatcher
+            .receive_report(NameHash::of("peer"), report, self.now);
+    }
+}
+
+/// Returns an instance under which three servers ended with the segment.
+fn instance_with_quarantined_segment() -> Instance {
+    let mut instance = Instance::new(1);
+    for _ in 0..3 {
+        instance.end_server_under(&[("own", &[ROOT, POISON])]);
+    }
+    instance
+}
+
+#[test]
+fn requests_with_a_segment_are_refused_after_three_servers_ended_under_it() {
+    let mut instance = Instance::new(1);
+    for _ in 0..3 {
+        instance.end_server_under(&[("own", &[ROOT, POISON])]);
+    }
+    assert!(!instance.sends("own", &[ROOT, POISON]));
+    // Without the other segment of all three, the next request tells which of them it is.
+    instance.end_server_under(&[("own", &[POISON])]);
+    assert!(!instance.sends("own", &[POISON]));
+    assert_eq!(instance.dispatcher.quarantined_requests(), 0);
+}
+
+#[test]
+fn sound_requests_that_share_a_segment_with_the_quarantined_one_are_sent() {
+    let mut instance = instance_with_quarantined_segment();
+    let attempt = instance.answer_partly("own", &[ROOT, NEIGHBOUR]);
+    instance.finish(attempt, AttemptOutcome::Answered);
+    assert!(instance.sends("own", &[ROOT, NEIGHBOUR]));
+    assert!(!instance.sends("own", &[ROOT, POISON]));
+}
+
+#[test]
+fn a_segment_that_was_present_beside_the_cause_is_sent_without_it() {
+    let mut instance = Instance::new(1);
+    for _ in 0..3 {
+        instance.end_server_under(&[("own", &[ROOT, POISON]), ("own", &[ROOT, NEIGHBOUR])]);
+    }
+    assert!(instance.sends("own", &[ROOT, NEIGHBOUR]));
+    instance.end_server_under(&[("own", &[ROOT, POISON])]);
+    assert!(!instance.sends("own", &[ROOT, POISON]));
+    assert!(instance.sends("own", &[ROOT, NEIGHBOUR]));
+}
+
+#[test]
+fn the_first_segment_is_quarantined_once_servers_end_under_different_ones_below_it() {
+    let mut instance = Instance::new(1);
+    for below in [10, 11, 12] {
+        instance.end_server_under(&[("own", &[POISON, below])]);
+    }
+    assert!(!instance.sends("own", &[POISON, 13]));
+    assert!(instance.sends("own", &[ROOT, 10]));
+}
+
+#[test]
+fn an_answer_that_goes_on_clears_its_segments() {
+    let mut instance = Instance::new(1);
+    for _ in 0..2 {
+        instance.end_server_under(&[("own", &[ROOT, POISON])]);
+    }
+    let attempt = instance.answer_partly("own", &[ROOT, POISON]);
+    instance.end_server_under(&[("own", &[ROOT, POISON])]);
+    assert!(instance.sends("own", &[ROOT, POISON]));
+    instance.finish(attempt, AttemptOutcome::Answered);
+}
+
+#[test]
+fn servers_that_end_together_count_once() {
+    let mut instance = Instance::new(1);
+    let servers = [1, 2, 3, 4].map(|number| setup(number, false));
+    instance.dispatcher.set_servers(&servers);
+    let mut attempts: Vec<Attempt> = (0..12)
+        .filter_map(|_| instance.send("own", &[ROOT, NEIGHBOUR]))
+        .collect();
+    instance.advance(BEGIN_MS);
+    for attempt in &mut attempts {
+        attempt.record_started(instance.now);
+    }
+    for attempt in attempts {
+        instance.finish(attempt, AttemptOutcome::Broken);
+    }
+    instance.server = 5;
+    instance.replace_server(false);
+    assert!(instance.sends("own", &[ROOT, NEIGHBOUR]));
+}
+
+#[test]
+fn a_server_that_ends_before_it_begins_to_answer_accuses_no_segment() {
+    let mut instance = Instance::new(1);
+    for _ in 0..5 {
+        let attempt = instance.send("own", &[ROOT, NEIGHBOUR]).unwrap();
+        instance.finish(attempt, AttemptOutcome::Broken);
+        instance.replace_server(false);
+    }
+    assert!(instance.sends("own", &[ROOT, NEIGHBOUR]));
+}
+
+#[test]
+fn a_server_that_drains_accuses_no_segment() {
+    let mut instance = Instance::new(1);
+    for _ in 0..5 {
+        let mut attempt = instance.send("own", &[ROOT, NEIGHBOUR]).unwrap();
+        attempt.record_started(instance.now);
+        instance.finish(attempt, AttemptOutcome::Broken);
+        instance.replace_server(true);
+    }
+    assert!(instance.sends("own", &[ROOT, NEIGHBOUR]));
+}
+
+#[test]
+fn one_workspace_can_not_have_the_prompts_of_another_refused() {
+    let mut instance = instance_with_quarantined_segment();
+    assert!(instance.sends("other", &[ROOT, POISON]));
+    instance.end_server_under(&[("other", &[ROOT, POISON])]);
+    assert!(!instance.sends("other", &[ROOT, POISON]));
+    assert!(!instance.sends("third", &[ROOT, POISON]));
+}
+
+#[test]
+fn ends_under_several_workspaces_add_up() {
+    let mut instance = Instance::new(1);
+    for workspace in ["one", "two", "three"] {
+        instance.end_server_under(&[(workspace, &[ROOT, POISON])]);
+    }
+    assert!(!instance.sends("fourth", &[ROOT, POISON]));
+}
+
+#[test]
+fn ends_observed_by_different_instances_add_up() {
+    let mut instances = [Instance::new(1), Instance::new(101), Instance::new(201)];
+    for (index, instance) in instances.iter_mut().enumerate() {
+        instance.advance(1_000 * index as u64);
+        instance.end_server_under(&[("own", &[ROOT, POISON])]);
+        instance.advance(2_000 - 1_000 * index as u64);
+    }
+    let [first, second, third] = &mut instances;
+    for peer in [first, second] {
+        peer.dispatcher.announce_suspects(peer.now);
+        third.receive_rows(peer.rows());
+    }
+    assert!(!third.sends("own", &[ROOT, POISON]));
+}
+
+#[test]
+fn an_instance_that_joins_learns_of_a_quarantined_segment_from_any_peer() {
+    let mut observer = Instance::new(1);
+    for workspace in ["one", "two", "three"] {
+        observer.end_server_under(&[(workspace, &[ROOT, POISON])]);
+    }
+    observer.dispatcher.announce_suspects(observer.now);
+    let mut other = Instance::new(101);
+    other.now = observer.now;
+    other.receive_rows(observer.rows());
+    other.advance(3_000);
+    other.dispatcher.announce_suspects(other.now);
+    let mut newcomer = Instance::new(201);
+    newcomer.now = other.now;
+    newcomer.receive_rows(other.rows());
+    assert!(!newcomer.sends("own", &[ROOT, POISON]));
+}
+
+#[test]
+fn one_request_in_ten_minutes_probes_a_quarantined_segment() {
+    let mut instance = instance_with_quarantined_segment();
+    let mut sent = 0;
+    for _ in 0..60 {
+        instance.advance(10_000);
+        sent += u32::from(instance.sends("own", &[ROOT, POISON]));
+    }
+    assert_eq!(sent, 0);
+    // The probes of the instances are spread over ten more minutes.
+    let attempt = (0..60).find_map(|_| {
+        instance.advance(10_000);
+        instance.send("own", &[ROOT, POISON])
+    });
+    assert!(!instance.sends("own", &[ROOT, POISON]));
+    let mut attempt = attempt.unwrap();
+    attempt.record_started(instance.now);
+    instance.advance(1_000);
+    instance.finish(attempt, AttemptOutcome::Answered);
+    assert!(instance.sends("own", &[ROOT, POISON]));
+    let changes = instance.dispatcher.take_quarantine_events();
+    assert_eq!(changes.last().unwrap().change, QuarantineChange::Cleared);
+}
+
+#[test]
+fn a_request_with_a_thousand_segments_leaves_room_for_other_suspects() {
+    let mut instance = instance_with_quarantined_segment();
+    let many: Vec<u64> = (1_000..2_000).collect();
+    for _ in 0..2 {
+        instance.end_server_under(&[("own", &many)]);
+    }
+    assert!(!instance.sends("own", &[ROOT, POISON]));
+    assert!(instance.rows().len() <= 64);
+}
--- a/crates/reedsail_dispatch/tests/server_groups.rs
+++ b/crates/reedsail_dispatch/tests/server_groups.rs
@@ -73,7 +73,7 @@
     let prompt = prompt(segment);
     match dispatcher.decide(&demand(Some(&prompt), tried), NOW) {
         Decision::Send(placement) => Some(placement.server),
-        Decision::Refuse { .. } | Decision::Quarantined | Decision::VersionGone => None,
+        Decision::Refuse { .. } | Decision::Quarantined(_) | Decision::VersionGone => None,
     }
 }
 
--- a/crates/reedsail_dispatch/tests/server_notices.rs
+++ b/crates/reedsail_dispatch/tests/server_notices.rs
@@ -69,7 +69,7 @@
 fn send(dispatcher: &mut Dispatcher, now: TimeMs) -> Option<Attempt> {
     match dispatcher.decide(&demand(), now) {
         Decision::Send(placement) => Some(dispatcher.begin_attempt(&demand(), &placement, now)),
-        Decision::Refuse { .. } | Decision::Quarantined | Decision::VersionGone => None,
+        Decision::Refuse { .. } | Decision::Quarantined(_) | Decision::VersionGone => None,
     }
 }
 
--- a/crates/reedsail_dispatch/tests/shares.rs
+++ b/crates/reedsail_dispatch/tests/shares.rs
@@ -163,7 +163,7 @@
             }
             Decision::Refuse { kind, .. } if !is_small => kinds.push(kind),
             Decision::Refuse { .. } => {}
-            other @ (Decision::Quarantined | Decision::VersionGone) => panic!("{other:?}"),
+            other @ (Decision::Quarantined(_) | Decision::VersionGone) => panic!("{other:?}"),
         }
     }
     (sent[0] / requested[0], sent[1] / requested[1], kinds)
--- a/crates/reedsail_dispatch/tests/slow_start.rs
+++ b/crates/reedsail_dispatch/tests/slow_start.rs
@@ -163,7 +163,7 @@
     let kinds: Vec<ErrorKind> = refused
         .filter_map(|decision| match decision {
             Decision::Refuse { kind, .. } => Some(kind),
-            Decision::Send(_) | Decision::Quarantined | Decision::VersionGone => None,
+            Decision::Send(_) | Decision::Quarantined(_) | Decision::VersionGone => None,
         })
         .collect();
     assert!(kinds.len() > 150 && kinds.iter().all(|kind| *kind == ErrorKind::NoBackend));
--- a/crates/reedsail_dispatch/tests/version_history.rs
+++ b/crates/reedsail_dispatch/tests/version_history.rs
@@ -110,7 +110,7 @@
     fn chosen_version(&mut self, prompt: &Prompt, demand: VersionDemand) -> Option<SoftwareVersion> {
         match self.decide(prompt, demand) {
             Decision::Send(placement) => self.dispatcher.software_version(placement.server),
-            Decision::Quarantined | Decision::VersionGone | Decision::Refuse { .. } => None,
+            Decision::Quarantined(_) | Decision::VersionGone | Decision::Refuse { .. } => None,
         }
     }
 
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -157,6 +157,10 @@
     ShareCrossed = 514, "workspace_share_crossed", Info, "a workspace that sends requests here went over its fair share, or came back under it";
     /// A request is quarantined because backend servers exit while they run it.
     RequestQuarantined = 515, "request_quarantined", Warn, "several backend servers exited while they ran a request, so no instance sends it again; find its caller by the workspace and by events 511 and 512 with its fingerprint";
+    /// A segment of prompts is quarantined because backend servers exit when they begin to answer requests with it.
+    SegmentQuarantined = 517, "segment_quarantined", Warn, "several backend servers exited when they began to answer requests whose prompts have a segment (`segment`), so no instance sends requests with it; find them by events 512 with the segment, and the ends by events 316";
+    /// The quarantine of a segment ended.
+    SegmentQuarantineEnded = 518, "segment_quarantine_ended", Info, "a request with a quarantined segment was answered completely, or none has arrived for a long time; they are sent again";
     /// The quarantine of a request ended.
     QuarantineEnded = 516, "quarantine_ended", Info, "a quarantined request was answered completely or has not arrived for a long time; it may be sent again";
 }
--- a/crates/reedsail_gossip/src/load_sum.rs
+++ b/crates/reedsail_gossip/src/load_sum.rs
@@ -3,14 +3,15 @@
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
-use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::ServerLoadRow;
+use reedsail_dispatch::SuspectEndRow;
+use reedsail_dispatch::SuspectKey;
 use reedsail_dispatch::SuspectRow;
 use reedsail_dispatch::WorkspaceUseRow;
 
-/// Maximum number of rows of suspected requests in a sum: they take 8 kB, so that the sum fits one datagram.
+/// Maximum number of rows of suspects in a sum: they take 8 kB, so that the sum fits one datagram.
 const SUSPECTS_MAX: usize = 256;
 
 /// A sum of load reports, by backend server and by workspace. It contains no prefix rows, which are not amounts;
@@ -19,7 +20,7 @@
 pub struct LoadSum {
     servers: HashMap<NameHash, ServerLoadRow>,
     workspaces: HashMap<NameHash, WorkspaceUseRow>,
-    suspects: HashMap<Fingerprint, SuspectRow>,
+    suspects: HashMap<SuspectKey, SuspectRow>,
 }
 
 impl LoadSum {
@@ -54,21 +55,18 @@
         }
     }
 
-    /// Adds a row of a suspected request. Rows with server ends merge into a set of servers. If one row has ends and
+    /// Adds a row of a suspect. Rows with server ends merge into a set of servers. If one row has ends and
     /// the other has an answer, the newer row counts.
     fn add_suspect(&mut self, row: &SuspectRow) {
-        let Some(known) = self.suspects.get_mut(&row.fingerprint) else {
-            self.suspects.insert(row.fingerprint, row.clone());
+        let Some(known) = self.suspects.get_mut(&row.key) else {
+            self.suspects.insert(row.key, row.clone());
             return;
         };
         let seen_ms_ago = known.seen_ms_ago.min(row.seen_ms_ago);
-        if known.servers.is_empty() == row.servers.is_empty() {
-            let new_servers = row
-                .servers
-                .iter()
-                .filter(|server| !known.servers.contains(server));
-            let new_servers: Vec<NameHash> = new_servers.copied().collect();
-            known.servers.extend(new_servers);
+        if known.ends.is_empty() == row.ends.is_empty() {
+            let is_new = |end: &&SuspectEndRow| known.ends.iter().all(|known| known.server != end.server);
+            let new_ends: Vec<SuspectEndRow> = row.ends.iter().filter(is_new).copied().collect();
+            known.ends.extend(new_ends);
             known.changed_ms_ago = known.changed_ms_ago.min(row.changed_ms_ago);
         } else if row.changed_ms_ago < known.changed_ms_ago {
             *known = row.clone();
--- a/crates/reedsail_gossip/tests/simulated_network/mod.rs
+++ b/crates/reedsail_gossip/tests/simulated_network/mod.rs
@@ -20,6 +20,8 @@
 use reedsail_dispatch::PrefixRow;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::SpeedSums;
+use reedsail_dispatch::SuspectEndRow;
+use reedsail_dispatch::SuspectKey;
 use reedsail_dispatch::SuspectRow;
 use reedsail_gossip::InstanceIdentity;
 use reedsail_gossip::LoadExchange;
@@ -258,8 +260,8 @@
     /// Makes an instance report, from now on, that servers ended while they ran a request.
     pub(crate) fn report_suspect(&mut self, index: usize, fingerprint: Fingerprint, servers: &[NameHash]) {
         self.instances[index].suspects.push(SuspectRow {
-            fingerprint,
-            servers: servers.to_vec(),
+            key: SuspectKey::Request(fingerprint),
+            ends: servers.iter().map(|server| end_row(*server)).collect(),
             ..SuspectRow::default()
         });
     }
@@ -375,7 +377,10 @@
                 instance.counted.remove(&source);
             }
             if let Some((source, load)) = outcome.counted {
-                let fingerprints = load.suspects.iter().map(|row| row.fingerprint);
+                let fingerprints = load.suspects.iter().filter_map(|row| match row.key {
+                    SuspectKey::Request(fingerprint) => Some(fingerprint),
+                    SuspectKey::Segment(_) => None,
+                });
                 instance.known_suspects.extend(fingerprints);
                 instance.counted.insert(source, load);
             }
@@ -544,3 +549,10 @@
         processor_milli,
     }
 }
+
+fn end_row(server: NameHash) -> SuspectEndRow {
+    SuspectEndRow {
+        server,
+        ..SuspectEndRow::default()
+    }
+}
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -135,7 +135,9 @@
     /// Servers whose requested back-off towards this instance has not ended.
     pub(crate) servers_backed_off: IntGauge,
     /// Quarantined requests, which are no longer sent because servers ended while they ran them.
-    pub(crate) quarantined: IntGauge,
+    pub(crate) quarantined_requests: IntGauge,
+    /// Quarantined segments of prompts, with which requests are no longer sent for the same reason.
+    pub(crate) quarantined_segments: IntGauge,
     /// Suspensions of the machine.
     pub(crate) suspensions: IntCounter,
     /// Open requests.
@@ -220,7 +222,12 @@
                 "reedsail_router_servers_backed_off",
                 "Backend servers whose requested back-off towards this instance has not ended.",
             ),
-            quarantined: gauge(
+            quarantined_segments: gauge(
+                &registry,
+                "reedsail_router_quarantined_segments",
+                "Quarantined segments of prompts: requests with them are no longer sent because servers ended under them.",
+            ),
+            quarantined_requests: gauge(
                 &registry,
                 "reedsail_router_quarantined_requests",
                 "Quarantined requests, which are no longer sent because servers ended while they ran them.",
--- a/crates/reedsail_router/src/traffic/attempt_guard.rs
+++ b/crates/reedsail_router/src/traffic/attempt_guard.rs
@@ -43,7 +43,7 @@
     /// Records that the head of the response has arrived.
     pub(crate) fn record_started(&mut self) {
         if let Some(attempt) = &mut self.attempt {
-            attempt.record_started();
+            attempt.record_started(self.shared.clock.now());
         }
     }
 
--- a/crates/reedsail_router/src/traffic/forward.rs
+++ b/crates/reedsail_router/src/traffic/forward.rs
@@ -20,6 +20,7 @@
 use reedsail_dispatch::Decision;
 use reedsail_dispatch::Placement;
 use reedsail_dispatch::RetryVerdict;
+use reedsail_dispatch::SuspectKey;
 use reedsail_net::BodyFraming;
 use reedsail_net::remove_hop_headers;
 
@@ -125,6 +126,8 @@
     retry_after_ms: Option<u64>,
     /// The placement that admission refused, if there was one.
     placement: Option<Placement>,
+    /// The quarantined segment of the prompt, if that is the reason.
+    segment: Option<u64>,
 }
 
 impl Refusal {
@@ -133,6 +136,7 @@
             kind,
             retry_after_ms: None,
             placement: None,
+            segment: None,
         }
     }
 }
@@ -160,7 +164,10 @@
         let demand = self.call.demand(&self.tried, &regions, now);
         match self.shared.dispatcher().decide(&demand, now) {
             Decision::Send(placement) => Ok(placement),
-            Decision::Quarantined => Err(Refusal::of(ErrorKind::Quarantined)),
+            Decision::Quarantined(suspect) => Err(Refusal {
+                segment: quarantined_segment(suspect),
+                ..Refusal::of(ErrorKind::Quarantined)
+            }),
             Decision::VersionGone => Err(Refusal::of(ErrorKind::StreamVersionGone)),
             Decision::Refuse {
                 kind,
@@ -170,6 +177,7 @@
                 kind,
                 retry_after_ms: Some(retry_after_ms),
                 placement,
+                segment: None,
             }),
         }
     }
@@ -277,11 +285,20 @@
                 }
             }
         };
+        self.log.set_quarantined_segment(refusal.segment);
         self.log.record_refusal(&failure, refusal.placement.as_ref());
         Err(failure)
     }
 }
 
+/// Returns the id of a quarantined segment; `None` if the request itself is quarantined.
+fn quarantined_segment(suspect: SuspectKey) -> Option<u64> {
+    match suspect {
+        SuspectKey::Segment(key) => Some(key.segment.id),
+        SuspectKey::Request(_) => None,
+    }
+}
+
 /// Returns whether a response is a stream of events, unless it states another type.
 fn has_event_type(headers: &HeaderMap) -> bool {
     let stated = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -121,6 +121,8 @@
     gaps: EventGaps,
     /// How the last response body ended that was read without an error.
     response_end: Option<ResponseEnd>,
+    /// The segment of the prompt for which the request is refused.
+    quarantined_segment: Option<u64>,
     has_ended: bool,
 }
 
@@ -151,6 +153,7 @@
             first_event_ms: None,
             gaps: EventGaps::default(),
             response_end: None,
+            quarantined_segment: None,
             has_ended: false,
         };
         log.count_tokens(TokenStage::Requested);
@@ -168,6 +171,11 @@
         self.resumption.clone_from(&call.resumption);
     }
 
+    /// Records the segment of the prompt for which the request is refused.
+    pub(crate) fn set_quarantined_segment(&mut self, segment: Option<u64>) {
+        self.quarantined_segment = segment;
+    }
+
     /// Records how the version that began the stream became known, if the request continues one.
     pub(crate) fn set_version_source(&mut self, source: Option<VersionSource>) {
         self.version_source = source;
@@ -302,6 +310,7 @@
             fields.extend(self.request_fields());
             fields.extend(self.resumption_fields());
             fields.push(self.fingerprint_field());
+            fields.extend(self.quarantined_segment.map(|id| ("segment", format!("{id:x}"))));
             fields.push(("configuration", self.configuration_version.to_string()));
             fields.extend(extra_fields(&self));
             fields
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -359,7 +359,7 @@
                 Ok((placement, guard))
             }
             Decision::VersionGone => Err(RequestOutcome::VersionGone),
-            Decision::Quarantined | Decision::Refuse { .. } => Err(broke_off),
+            Decision::Quarantined(_) | Decision::Refuse { .. } => Err(broke_off),
         }
     }
 }
--- a/crates/reedsail_router/tests/quarantine.rs
+++ b/crates/reedsail_router/tests/quarantine.rs
@@ -3,11 +3,14 @@
 
 mod common;
 
+use std::time::Duration;
+
 use hyper::StatusCode;
 use reedsail_dispatch::ServerRecord;
 use reedsail_router::RunningRouter;
 use reedsail_standin::RoutedAnswer;
 use reedsail_standin::RoutedStandin;
+use tokio::time::sleep;
 
 use common::Reply;
 use common::Store;
@@ -137,3 +140,69 @@
     wait_for_metric(&first, "reedsail_router_quarantined_requests 0").await;
     wait_for_metric(&first, "reedsail_router_server_ends_total 0").await;
 }
+
+/// A stream of two events without a length or chunks, after which its server ends.
+const DEADLY: RoutedAnswer = RoutedAnswer::Text {
+    text: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+    is_framed: false,
+    ends_server: true,
+};
+/// Time between two requests that end servers, in milliseconds: longer than the time after an end in which none counts.
+const DEADLY_PAUSE_MS: u64 = 300;
+
+/// Lists a server that ends when it answers, and sends it a request with a prompt.
+async fn ask_deadly(store: &Store, router: &RunningRouter<TestHeaders>, number: u32) {
+    let server = RoutedStandin::start().await.unwrap();
+    server.answer_with(&[DEADLY]);
+    let id = format!("llm-{number}");
+    replace_other_servers(store, record(&id, "llm", &server));
+    let admin = router.addresses().admin;
+    wait_for("the server", async || {
+        ask(admin, "/servers", &[]).await.text().contains(&id)
+    })
+    .await;
+    let prompt = format!("a:40,bad:40,{number}:10");
+    let path = format!("/stream/{number}");
+    let callers = router.addresses().callers;
+    let reply = ask(callers, &path, &[("reedsail-prompt", &prompt)]).await;
+    assert!(
+        !reply.is_whole,
+        "a stream that ends with its server is broken off"
+    );
+    sleep(Duration::from_millis(DEADLY_PAUSE_MS)).await;
+}
+
+#[tokio::test]
+async fn a_segment_under_which_three_servers_ended_is_refused_by_every_instance() {
+    let idle = RoutedStandin::start().await.unwrap();
+    let draining = ServerRecord {
+        is_draining: true,
+        ..record("llm-0", "llm", &idle)
+    };
+    let store = Store::new(Some(configuration(1)), Some(vec![draining]));
+    let [first, second] = start_two_peers(&store).await;
+    for (number, router) in [(1, &first), (2, &second), (3, &first)] {
+        ask_deadly(&store, router, number).await;
+    }
+    let healthy = RoutedStandin::start().await.unwrap();
+    replace_other_servers(&store, record("llm-9", "llm", &healthy));
+    for router in [&first, &second] {
+        wait_for_metric(router, "reedsail_router_quarantined_segments 2").await;
+        let callers = router.addresses().callers;
+        wait_for("an answer to a request with the same first segment", async || {
+            let sound = [("reedsail-prompt", "a:40,c:40,7:10")];
+            ask(callers, "/stream/sound", &sound).await.status == StatusCode::OK
+        })
+        .await;
+        let poisoned = [("reedsail-prompt", "a:40,bad:40,8:10")];
+        let reply = ask(callers, "/stream/8", &poisoned).await;
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(reply.text().starts_with("quarantined"), "{}", reply.text());
+        assert_eq!(reply.header("retry-after"), "");
+    }
+    let runs = healthy.runs();
+    assert!(
+        runs.iter()
+            .all(|run| !run.header("reedsail-prompt").contains("bad"))
+    );
+}
--- a/crates/reedsail_simulation/src/crash_fleet.rs
+++ b/crates/reedsail_simulation/src/crash_fleet.rs
@@ -43,6 +43,8 @@
 const PEER_SILENT_MS: u64 = 1_000;
 /// Time between two events of an answer, in milliseconds.
 const EVENT_INTERVAL_MS: u64 = 25;
+/// Number of events after which those of an answer are recorded.
+const EVENTS_RECORDED: u64 = 12;
 /// Maximum number of requests that a server runs at the same time.
 const SLOTS: u32 = 64;
 
@@ -58,6 +60,10 @@
     RunBegins {
         run: u64,
     },
+    /// The server goes on writing the answer.
+    RunGoesOn {
+        run: u64,
+    },
     RunEnds {
         run: u64,
     },
@@ -236,6 +242,7 @@
             Event::PoisonArrival { poison } => self.draw_poison(poison, now_ms),
             Event::Retry(request) => self.arrive(request, now_ms),
             Event::RunBegins { run } => self.begin_answer(run, now_ms),
+            Event::RunGoesOn { run } => self.record_events(run, now_ms),
             Event::RunEnds { run } => self.end_run(run, now_ms),
             Event::MassCrash { fraction } => self.crash_fraction(fraction, now_ms),
             Event::ServerRestarts { server } => self.start_server(server),
@@ -335,7 +342,7 @@
             }
             let placement = match dispatcher.decide(&demand, now) {
                 Decision::Send(placement) => placement,
-                Decision::Quarantined => return self.count_quarantined(&request),
+                Decision::Quarantined(_) => return self.count_quarantined(&request),
                 Decision::Refuse { .. } | Decision::VersionGone => return self.count_refusal(&request),
             };
             let mut attempt = dispatcher.begin_attempt(&demand, &placement, now);
@@ -431,12 +438,25 @@
         let Some(run) = self.runs.get_mut(&number) else {
             return;
         };
-        run.attempt.record_started();
+        run.attempt.record_started(to_time(now_ms));
         run.begun_ms = Some(now_ms);
         let dispatcher = &mut self.instances[run.instance].dispatcher;
         dispatcher.record_event(&mut run.attempt, to_time(now_ms));
         let is_sound = run.request.poison.is_none();
         self.outcome.begun_at_first += u64::from(is_sound && run.is_first_attempt);
+        let goes_on_ms = now_ms + EVENT_INTERVAL_MS * EVENTS_RECORDED;
+        self.events.add(goes_on_ms, Event::RunGoesOn { run: number });
+    }
+
+    /// Records the events of a run so far, if its server has not crashed.
+    fn record_events(&mut self, number: u64, now_ms: u64) {
+        let Some(run) = self.runs.get_mut(&number) else {
+            return;
+        };
+        let dispatcher = &mut self.instances[run.instance].dispatcher;
+        for _ in 0..EVENTS_RECORDED {
+            dispatcher.record_event(&mut run.attempt, to_time(now_ms));
+        }
     }
 
     /// Ends a run: a poison request crashes its server, and any other request is answered.
--- a/crates/reedsail_simulation/src/fleet.rs
+++ b/crates/reedsail_simulation/src/fleet.rs
@@ -219,7 +219,7 @@
                     self.refuse(request, kind, retry_after_ms, now_us);
                     return;
                 }
-                Decision::Quarantined => unreachable!("no request of this fleet has a fingerprint"),
+                Decision::Quarantined(_) => unreachable!("no request of this fleet has a fingerprint"),
                 Decision::VersionGone => unreachable!("no request of this fleet continues a stream"),
             }
         }
@@ -436,7 +436,7 @@
     let (refusal, placement) = match decision {
         Decision::Send(placement) => (None, Some(*placement)),
         Decision::Refuse { kind, placement, .. } => (Some(*kind), *placement),
-        Decision::Quarantined => (Some(ErrorKind::Quarantined), None),
+        Decision::Quarantined(_) => (Some(ErrorKind::Quarantined), None),
         Decision::VersionGone => (Some(ErrorKind::StreamVersionGone), None),
     };
     DecisionRow {
--- a/crates/reedsail_simulation/tests/poison_segment.rs
+++ b/crates/reedsail_simulation/tests/poison_segment.rs
@@ -21,7 +21,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn a_segment_that_ends_servers_is_not_sent_once_the_fleet_can_know() {
     let mut late = Vec::new();
     let mut ends = Vec::new();
@@ -58,3 +57,11 @@
         assert_eq!(outcome.wrongly_quarantined, 0, "seed {seed}");
     }
 }
+
+/// A server whose end was seen by a partitioned instance alone can't be attributed by the others.
+#[test]
+#[ignore = "KNOWN-RED.txt"]
+fn a_sound_segment_is_sent_while_a_partitioned_instance_knows_the_cause_of_an_end() {
+    let outcome = simulate_crashes(&CrashScenario::with_poison_segments(133));
+    assert_eq!(outcome.wrongly_quarantined, 0);
+}
--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -92,7 +92,7 @@
 }
 
 struct SuspectRow {
-  # The halves of the request's fingerprint.
+  # The halves of the request's fingerprint; of a segment, the service and the segment's id.
   fingerprintHigh @0 :UInt64;
   fingerprintLow @1 :UInt64;
   # The workspace that it counts against.
@@ -103,6 +103,11 @@
   changedMsAgo @4 :UInt32;
   # How long ago it last came.
   seenMsAgo @5 :UInt32;
+  # 0: a request. 1: a segment of prompts.
+  kind @6 :UInt8;
+  # Of a segment, for each of the servers: how long ago the request was sent to it, and how long ago it ended.
+  sentMsAgo @7 :List(UInt32);
+  endedMsAgo @8 :List(UInt32);
 }
 
 struct EvacuationRow {
--- a/crates/reedsail_wire/src/load_capnp.rs
+++ b/crates/reedsail_wire/src/load_capnp.rs
@@ -2915,6 +2915,32 @@
         pub fn get_seen_ms_ago(self) -> u32 {
             self.reader.get_data_field::<u32>(6)
         }
+        #[inline]
+        pub fn get_kind(self) -> u8 {
+            self.reader.get_data_field::<u8>(28)
+        }
+        #[inline]
+        pub fn get_sent_ms_ago(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_sent_ms_ago(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_ended_ms_ago(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_ended_ms_ago(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -2922,7 +2948,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3064,6 +3090,66 @@
         pub fn set_seen_ms_ago(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(6, value);
         }
+        #[inline]
+        pub fn get_kind(self) -> u8 {
+            self.builder.get_data_field::<u8>(28)
+        }
+        #[inline]
+        pub fn set_kind(&mut self, value: u8) {
+            self.builder.set_data_field::<u8>(28, value);
+        }
+        #[inline]
+        pub fn get_sent_ms_ago(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_sent_ms_ago(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_sent_ms_ago(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_sent_ms_ago(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_ended_ms_ago(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_ended_ms_ago(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_ended_ms_ago(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_ended_ms_ago(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline {
@@ -3076,66 +3162,87 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 171] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(3, 255, 247, 8, 167, 228, 139, 167),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
             ::capnp::word(99, 116, 82, 111, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 28, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
             ::capnp::word(105, 110, 116, 72, 105, 103, 104, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -3193,6 +3300,40 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 77, 115, 65, 103),
+            ::capnp::word(111, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 101, 100, 77, 115, 65),
+            ::capnp::word(103, 111, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3202,6 +3343,9 @@
                 3 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3220,9 +3364,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 0, 1, 5, 3, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 8, 0, 1, 6, 5, 7, 3, 2];
         pub(crate) const TYPE_ID: u64 = 0xa78b_e4a7_08f7_ff03;
     }
 }
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -7,6 +7,7 @@
 use capnp::message::Builder;
 use capnp::message::Reader;
 use capnp::message::ReaderOptions;
+use capnp::primitive_list;
 use capnp::serialize::OwnedSegments;
 use capnp::serialize_packed;
 use reedsail_core::Fingerprint;
@@ -15,8 +16,12 @@
 use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
+use reedsail_dispatch::SegmentId;
+use reedsail_dispatch::SegmentKey;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::SpeedSums;
+use reedsail_dispatch::SuspectEndRow;
+use reedsail_dispatch::SuspectKey;
 use reedsail_dispatch::SuspectRow;
 use reedsail_dispatch::WorkspaceUseRow;
 
@@ -29,6 +34,10 @@
 use crate::load_capnp::suspect_row;
 use crate::load_capnp::workspace_use_row;
 
+/// The kind of a suspect's row that is a request.
+const REQUEST_KIND: u8 = 0;
+/// The kind of a suspect's row that is a segment of prompts.
+const SEGMENT_KIND: u8 = 1;
 /// The maximum number of rows in one list.
 const ROWS_MAX: u32 = 4_096;
 /// The maximum number of words, of eight bytes each, that decoding a message may read. It bounds the work for
@@ -231,14 +240,19 @@
         let mut suspects = root.reborrow().init_suspects(self.load.suspects.len() as u32);
         for (index, row) in (0..).zip(&self.load.suspects) {
             let mut target = suspects.reborrow().get(index);
-            target.set_fingerprint_high((row.fingerprint.0 >> 64) as u64);
-            target.set_fingerprint_low(row.fingerprint.0 as u64);
             target.set_workspace(row.workspace.0);
             target.set_changed_ms_ago(row.changed_ms_ago);
             target.set_seen_ms_ago(row.seen_ms_ago);
-            let mut servers = target.init_servers(row.servers.len() as u32);
-            for (index, server) in (0..).zip(&row.servers) {
-                servers.set(index, server.0);
+            let mut servers = target.reborrow().init_servers(row.ends.len() as u32);
+            for (index, end) in (0..).zip(&row.ends) {
+                servers.set(index, end.server.0);
+            }
+            match row.key {
+                SuspectKey::Request(fingerprint) => {
+                    target.set_fingerprint_high((fingerprint.0 >> 64) as u64);
+                    target.set_fingerprint_low(fingerprint.0 as u64);
+                }
+                SuspectKey::Segment(key) => write_suspected_segment(&mut target, key, &row.ends),
             }
         }
     }
@@ -374,20 +388,61 @@
 fn read_suspects(root: load_report::Reader<'_>) -> Result<Vec<SuspectRow>, capnp::Error> {
     let rows = root.get_suspects()?;
     check_rows(rows.len())?;
-    rows.iter().map(read_suspect).collect()
+    rows.iter()
+        .filter_map(|row| read_suspect(row).transpose())
+        .collect()
+}
+
+fn write_suspected_segment(target: &mut suspect_row::Builder<'_>, key: SegmentKey, ends: &[SuspectEndRow]) {
+    target.set_kind(SEGMENT_KIND);
+    target.set_fingerprint_high(u64::from(key.segment.service.0));
+    target.set_fingerprint_low(key.segment.id);
+    let mut sent_ms_ago = target.reborrow().init_sent_ms_ago(ends.len() as u32);
+    for (index, end) in (0..).zip(ends) {
+        sent_ms_ago.set(index, end.sent_ms_ago);
+    }
+    let mut ended_ms_ago = target.reborrow().init_ended_ms_ago(ends.len() as u32);
+    for (index, end) in (0..).zip(ends) {
+        ended_ms_ago.set(index, end.ended_ms_ago);
+    }
 }
 
-fn read_suspect(row: suspect_row::Reader<'_>) -> Result<SuspectRow, capnp::Error> {
+/// Reads the row of a suspect; `None` if it is of a kind that this release does not know.
+fn read_suspect(row: suspect_row::Reader<'_>) -> Result<Option<SuspectRow>, capnp::Error> {
     let servers = row.get_servers()?;
     check_rows(servers.len())?;
-    let high = u128::from(row.get_fingerprint_high());
-    Ok(SuspectRow {
-        fingerprint: Fingerprint(high << 64 | u128::from(row.get_fingerprint_low())),
-        workspace: NameHash(row.get_workspace()),
-        servers: servers.iter().map(NameHash).collect(),
+    let workspace = NameHash(row.get_workspace());
+    let (high, low) = (row.get_fingerprint_high(), row.get_fingerprint_low());
+    let key = match row.get_kind() {
+        REQUEST_KIND => SuspectKey::Request(Fingerprint(u128::from(high) << 64 | u128::from(low))),
+        SEGMENT_KIND => {
+            let service = NameHash(high as u32);
+            let segment = SegmentId { service, id: low };
+            SuspectKey::Segment(SegmentKey { segment, workspace })
+        }
+        _ => return Ok(None),
+    };
+    let (sent_ms_ago, ended_ms_ago) = (row.get_sent_ms_ago()?, row.get_ended_ms_ago()?);
+    // The rows of requests have only the age of the last end.
+    let age_ms = |ages_ms: primitive_list::Reader<'_, u32>, index: u32| {
+        if index < ages_ms.len() {
+            ages_ms.get(index)
+        } else {
+            row.get_changed_ms_ago()
+        }
+    };
+    let ends = (0..).zip(servers.iter()).map(|(index, server)| SuspectEndRow {
+        server: NameHash(server),
+        sent_ms_ago: age_ms(sent_ms_ago, index),
+        ended_ms_ago: age_ms(ended_ms_ago, index),
+    });
+    Ok(Some(SuspectRow {
+        key,
+        workspace,
+        ends: ends.collect(),
         changed_ms_ago: row.get_changed_ms_ago(),
         seen_ms_ago: row.get_seen_ms_ago(),
-    })
+    }))
 }
 
 fn read_departures(root: load_report::Reader<'_>) -> Result<Vec<NameHash>, capnp::Error> {
--- a/crates/reedsail_wire/tests/golden.rs
+++ b/crates/reedsail_wire/tests/golden.rs
@@ -17,8 +17,12 @@
 use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
+use reedsail_dispatch::SegmentId;
+use reedsail_dispatch::SegmentKey;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::SpeedSums;
+use reedsail_dispatch::SuspectEndRow;
+use reedsail_dispatch::SuspectKey;
 use reedsail_dispatch::SuspectRow;
 use reedsail_dispatch::WorkspaceUseRow;
 use reedsail_net::ByteCounter;
@@ -125,9 +129,9 @@
                 server: NameHash(0x1212),
             }],
             suspects: vec![SuspectRow {
-                fingerprint: Fingerprint(0x2020_2020_2020_2020_2121_2121_2121_2121),
+                key: SuspectKey::Request(Fingerprint(0x2020_2020_2020_2020_2121_2121_2121_2121)),
                 workspace: NameHash(0x2222),
-                servers: vec![NameHash(0x2323), NameHash(0x2424)],
+                ends: [0x2323, 0x2424].map(|server| end_row(server, 0x2525)).to_vec(),
                 changed_ms_ago: 0x2525,
                 seen_ms_ago: 0x2626,
             }],
@@ -205,6 +209,36 @@
     assert_eq!(read, expected);
 }
 
+#[test]
+fn a_load_message_of_a_release_without_suspected_segments_is_read() {
+    let read = LoadMessage::decode(&snapshot_bytes("load_message_before_segments")).unwrap();
+    assert_eq!(read, load_message());
+}
+
+#[test]
+fn the_bytes_of_a_suspected_segment_are_unchanged() {
+    let segment = SegmentId {
+        service: NameHash(0x3030_3030),
+        id: 0x3131_3131_3131_3131,
+    };
+    let workspace = NameHash(0x3232);
+    let mut message = load_message();
+    message.load.suspects = vec![SuspectRow {
+        key: SuspectKey::Segment(SegmentKey { segment, workspace }),
+        workspace,
+        ends: vec![SuspectEndRow {
+            server: NameHash(0x3333),
+            sent_ms_ago: 0x3434,
+            ended_ms_ago: 0x3535,
+        }],
+        changed_ms_ago: 0x3535,
+        seen_ms_ago: 0x3636,
+    }];
+    let bytes = message.encode().unwrap();
+    insta::assert_snapshot!("load_message_with_segment", hex_lines(&bytes));
+    assert_eq!(LoadMessage::decode(&bytes).unwrap(), message);
+}
+
 #[test]
 fn the_bytes_of_a_load_message_are_unchanged() {
     let bytes = load_message().encode().unwrap();
@@ -449,3 +483,11 @@
         insta::assert_snapshot!("bundle_answer", hex_lines(&answer));
     });
 }
+
+fn end_row(server: u32, ended_ms_ago: u32) -> SuspectEndRow {
+    SuspectEndRow {
+        server: NameHash(server),
+        sent_ms_ago: ended_ms_ago,
+        ended_ms_ago,
+    }
+}
--- a/crates/reedsail_wire/tests/load_message.rs
+++ b/crates/reedsail_wire/tests/load_message.rs
@@ -13,8 +13,12 @@
 use reedsail_dispatch::EvacuationRow;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
+use reedsail_dispatch::SegmentId;
+use reedsail_dispatch::SegmentKey;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::SpeedSums;
+use reedsail_dispatch::SuspectEndRow;
+use reedsail_dispatch::SuspectKey;
 use reedsail_dispatch::SuspectRow;
 use reedsail_dispatch::WorkspaceUseRow;
 use reedsail_wire::IncludedRow;
@@ -82,9 +86,9 @@
                 .collect(),
             suspects: (0..rows)
                 .map(|row| SuspectRow {
-                    fingerprint: Fingerprint(u128::from(row) << 63),
+                    key: suspect_key(row),
                     workspace: NameHash(row),
-                    servers: (0..row % 4).map(NameHash).collect(),
+                    ends: (0..row % 4).map(|server| end_row(server, row)).collect(),
                     changed_ms_ago: row,
                     seen_ms_ago: row * 2,
                 })
@@ -166,3 +170,24 @@
     let bytes = message(5_000, 1.0).encode().unwrap();
     assert!(LoadMessage::decode(&bytes).is_err());
 }
+
+/// Returns the key of a request or, for every other row, of a segment.
+fn suspect_key(row: u32) -> SuspectKey {
+    if row.is_multiple_of(2) {
+        return SuspectKey::Request(Fingerprint(u128::from(row) << 63));
+    }
+    let segment = SegmentId {
+        service: NameHash(row + 1),
+        id: u64::from(row) << 40,
+    };
+    let workspace = NameHash(row);
+    SuspectKey::Segment(SegmentKey { segment, workspace })
+}
+
+fn end_row(server: u32, ended_ms_ago: u32) -> SuspectEndRow {
+    SuspectEndRow {
+        server: NameHash(server),
+        sent_ms_ago: ended_ms_ago,
+        ended_ms_ago,
+    }
+}
