Play a segment that ends servers in the soak

Engines end when they begin to answer a request with the segment; requests with it come at all instances, beside sound ones that share their caller and first segments. Checked from the engines: at most three reach one later than 3 s after the fifth end; from the callers: sound ones begin at least half as often.

--- a/crates/reedsail_soak/src/caller.rs
+++ b/crates/reedsail_soak/src/caller.rs
@@ -46,11 +46,11 @@
 /// Time after the deadline at which a caller without an answer gives up.
 const GRACE_MS: u64 = 1_500;
 /// Connect timeout.
-const CONNECT_TIMEOUT_MS: u64 = 500;
+pub(crate) const CONNECT_TIMEOUT_MS: u64 = 500;
 /// Delay before a caller reconnects.
 const RECONNECT_DELAY_MS: u64 = 50;
 /// Number of different shared prompt prefixes.
-const PROMPT_COUNT: u64 = 12;
+pub(crate) const PROMPT_COUNT: u64 = 12;
 /// How often a stream's caller disconnects on purpose, to continue the stream at another instance.
 const HANG_UP_PROBABILITY: f64 = 0.2;
 /// Maximum number of attempts that continue a stream.
@@ -60,7 +60,7 @@
 /// Longest pause before a stream is continued.
 const RETURN_PAUSE_MAX_MS: u64 = 40;
 /// Tokens of a prompt's shared prefix and of its own part.
-const PROMPT_TOKENS: (u32, u32) = (2_000, 300);
+pub(crate) const PROMPT_TOKENS: (u32, u32) = (2_000, 300);
 
 /// The workspace and pace of a caller.
 #[derive(Clone, Copy, Debug)]
@@ -219,6 +219,7 @@
                 .is_open()
                 .then_some((progress.first_attempt.as_str(), progress.last_event)),
             prompt: has_prompt.then_some((self.prompt + 1, shared_tokens, own_tokens)),
+            second_part: None,
         }
     }
 }
@@ -262,7 +263,7 @@
     }
 }
 
-fn build_request(kind: CallKind, head: CallerHead<'_>, key: &str) -> Request<Full<Bytes>> {
+pub(crate) fn build_request(kind: CallKind, head: CallerHead<'_>, key: &str) -> Request<Full<Bytes>> {
     let body = format!("question of {}", head.request_id);
     let mut request = Request::post(layout::path(kind))
         .header(HOST, SOAK_HOST)
--- a/crates/reedsail_soak/src/checker.rs
+++ b/crates/reedsail_soak/src/checker.rs
@@ -8,6 +8,7 @@
 use crate::Probe;
 use crate::Run;
 use crate::Target;
+use crate::deadly_checks::check_deadly_segment;
 use crate::notice_checks::check_notices;
 use crate::version_checks::check_stream_versions;
 
@@ -80,6 +81,7 @@
     check_departures(history, &mut found);
     check_notices(history, &mut found);
     check_stream_versions(history, &mut found);
+    check_deadly_segment(history, &mut found);
     check_exits(history, &mut found);
     check_fairness(history, &mut found);
     check_recovery(history, &mut found);
--- a/crates/reedsail_soak/src/fleet.rs
+++ b/crates/reedsail_soak/src/fleet.rs
@@ -193,7 +193,7 @@
                     layout::PLAIN_SERVICE
                 },
                 standins: programs.standins.clone(),
-                proxy: Proxy::start(None).await?,
+                proxy: Proxy::start(None)?,
                 running: Mutex::new(None),
                 start_count: AtomicU64::new(0),
                 version: AtomicU32::new(schedule.engine_versions.get(number).copied().unwrap_or(1)),
@@ -207,7 +207,13 @@
         for number in 0..schedule.daemons {
             let router = programs.router.clone();
             let folder = folder.to_owned();
-            instances.push(Instance::start(number, router, folder, store.address, schedule.daemons).await?);
+            instances.push(Instance::start(
+                number,
+                router,
+                folder,
+                store.address,
+                schedule.daemons,
+            )?);
         }
         Ok(Arc::new(Self {
             store,
--- a/crates/reedsail_soak/src/history.rs
+++ b/crates/reedsail_soak/src/history.rs
@@ -253,6 +253,12 @@
     pub attempts: Vec<Attempt>,
     /// The requests that servers ran.
     pub runs: Vec<Run>,
+    /// The requests that ended the servers that ran them.
+    #[serde(default)]
+    pub deadly_runs: Vec<Run>,
+    /// The times in which such requests came, from the first to the last.
+    #[serde(default)]
+    pub deadly_spans: Vec<(u64, u64)>,
     /// The statuses that servers reported.
     #[serde(default)]
     pub notices: Vec<Notice>,
--- a/crates/reedsail_soak/src/instance.rs
+++ b/crates/reedsail_soak/src/instance.rs
@@ -44,7 +44,7 @@
 
 impl Instance {
     /// Starts an instance and its proxies.
-    pub(crate) async fn start(
+    pub(crate) fn start(
         number: usize,
         router: PathBuf,
         folder: PathBuf,
@@ -60,8 +60,8 @@
             router,
             folder,
             seeds,
-            callers: Proxy::start(Some(addresses.callers)).await?,
-            store: Proxy::start(Some(store)).await?,
+            callers: Proxy::start(Some(addresses.callers))?,
+            store: Proxy::start(Some(store))?,
             process: Mutex::new(None),
             start_count: AtomicU64::new(0),
             started_unix_ms: AtomicU64::new(0),
--- a/crates/reedsail_soak/src/lib.rs
+++ b/crates/reedsail_soak/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod caller;
 mod checker;
+mod deadly;
+mod deadly_checks;
 mod draw;
 mod fleet;
 mod history;
--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -13,6 +13,7 @@
 use reedsail_platform_standin::StoreCommand;
 use reedsail_platform_standin::StoreFaults;
 use rustix::process::Signal;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::AnswerFault;
@@ -26,6 +27,7 @@
 use crate::Target;
 use crate::VersionWrite;
 use crate::caller::CallerShared;
+use crate::deadly::send_deadly_request;
 use crate::fleet::Fleet;
 use crate::fleet::RunningServer;
 use crate::fleet::Server;
@@ -38,6 +40,8 @@
 const INSTANCE_START_MS: u64 = 1_500;
 /// Time that the record of a killed server remains in the store.
 const RECORD_EXPIRY_MS: u64 = 1_000;
+/// Maximum time until the end of a server is noticed that ends by itself.
+const CRASH_NOTICED_WITHIN_MS: u64 = 200;
 /// Time for a leaving server to finish its requests.
 const SERVER_DRAIN_MS: u64 = 3_000;
 
@@ -45,6 +49,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PlayerRecord {
     pub(crate) faults: Vec<FaultSpan>,
+    pub(crate) deadly_spans: Vec<(u64, u64)>,
     pub(crate) writes: Vec<VersionWrite>,
     pub(crate) departures: Vec<Departure>,
     pub(crate) exits: Vec<Exit>,
@@ -72,6 +77,7 @@
     pub(crate) fleet: Arc<Fleet>,
     callers: Arc<CallerShared>,
     newest_version: Arc<AtomicU64>,
+    deadly_requests: AtomicU64,
     record: Mutex<PlayerRecord>,
     active_faults: Mutex<ActiveFaults>,
     /// Serializes writes of configuration versions.
@@ -89,6 +95,7 @@
             fleet,
             callers,
             newest_version,
+            deadly_requests: AtomicU64::new(0),
             record: Mutex::new(PlayerRecord {
                 writes: vec![first],
                 ..PlayerRecord::default()
@@ -126,6 +133,7 @@
             }
             FaultKind::HideServer(server) => self.hide_server(server, fault.for_ms).await?,
             FaultKind::ServerAnswers(server, kind) => self.disturb_answers(server, kind, fault.for_ms).await,
+            FaultKind::DeadlySegment(interval_ms) => self.send_deadly(interval_ms, fault.for_ms).await,
             FaultKind::StoreRefuses => {
                 let refusal = Some(503);
                 let trouble = StoreFaults {
@@ -243,7 +251,47 @@
         Ok(())
     }
 
-    async fn kill_server(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
+    /// Sends requests with the deadly segment, each to the next instance.
+    async fn send_deadly(&self, interval_ms: u64, for_ms: u64) {
+        let from_ms = self.now_ms();
+        let until_ms = from_ms + for_ms;
+        let mut requests = JoinSet::new();
+        while self.now_ms() < until_ms {
+            let number = self.deadly_requests.fetch_add(1, Ordering::Relaxed);
+            requests.spawn(send_deadly_request(Arc::clone(&self.callers), number));
+            sleep(Duration::from_millis(interval_ms)).await;
+        }
+        self.record().deadly_spans.push((from_ms, self.now_ms()));
+        requests.join_all().await;
+    }
+
+    /// Returns the numbers of the servers that have ended by themselves.
+    pub(crate) async fn crashed_servers(&self) -> Vec<usize> {
+        let mut crashed = Vec::new();
+        for (number, server) in self.fleet.servers.iter().enumerate() {
+            let mut running = server.running.lock().await;
+            if running
+                .as_mut()
+                .is_some_and(|running| running.process.has_ended())
+            {
+                crashed.push(number);
+            }
+        }
+        crashed
+    }
+
+    /// Records that a server ended by itself, shortly before this was noticed.
+    pub(crate) fn record_crash(&self, number: usize) {
+        let now_ms = self.now_ms();
+        self.record().faults.push(FaultSpan {
+            target: Target::Server(number),
+            from_ms: now_ms.saturating_sub(CRASH_NOTICED_WITHIN_MS),
+            until_ms: now_ms,
+        });
+    }
+
+    /// Kills a server if it has not ended by itself, and starts another after a pause.
+    pub(crate) async fn kill_server(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
         let server = &self.fleet.servers[number];
         let Some(running) = server.running.lock().await.take() else {
             return Ok(());
--- a/crates/reedsail_soak/src/prober.rs
+++ b/crates/reedsail_soak/src/prober.rs
@@ -100,6 +100,7 @@
             key: None,
             resumes: None,
             prompt: None,
+            second_part: None,
         };
         head.write(request.headers_mut());
         let response = connection.send(request).await.ok()?;
--- a/crates/reedsail_soak/src/proxy.rs
+++ b/crates/reedsail_soak/src/proxy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -14,6 +14,8 @@
 
 use crate::LinkFault;
 
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Maximum size of a forwarded chunk.
 const CHUNK_BYTES_MAX: usize = 16 << 10;
 
@@ -41,17 +43,18 @@
 
 impl Proxy {
     /// Starts a proxy on a free loopback port.
-    pub(crate) async fn start(upstream: Option<SocketAddr>) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
+    pub(crate) fn start(upstream: Option<SocketAddr>) -> io::Result<Self> {
+        // A bound socket that does not listen keeps the port while connections are refused.
+        let reserved = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let address = reserved.local_addr()?;
         let state = watch::Sender::new(LinkState {
             upstream,
             fault: None,
         });
         let state_receiver = state.subscribe();
         let task = tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(forward_connection(client, state_receiver.clone()));
+            if let Err(error) = accept(reserved, address, state_receiver).await {
+                log::error!("the proxy at {address} ended: {error}");
             }
         });
         Ok(Self { address, state, task })
@@ -73,6 +76,38 @@
     }
 }
 
+/// Binds a socket to an address that another one may have bound without listening.
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Accepts connections while there is an upstream, and refuses them otherwise, as the address of an ended process does.
+async fn accept(
+    reserved: TcpSocket,
+    address: SocketAddr,
+    mut state: watch::Receiver<LinkState>,
+) -> io::Result<()> {
+    let _reserved = reserved;
+    // The sender lives as long as the proxy.
+    while state.wait_for(|state| state.upstream.is_some()).await.is_ok() {
+        let listener = bind(address)?.listen(BACKLOG)?;
+        let connections = state.clone();
+        let accepting = async {
+            while let Ok((client, _)) = listener.accept().await {
+                tokio::spawn(forward_connection(client, connections.clone()));
+            }
+        };
+        tokio::select! {
+            () = accepting => return Ok(()),
+            _ = state.wait_for(|state| state.upstream.is_none()) => {}
+        }
+    }
+    Ok(())
+}
+
 async fn forward_connection(client: TcpStream, state: watch::Receiver<LinkState>) {
     let LinkState { upstream, fault } = *state.borrow();
     if fault == Some(LinkFault::Reset) {
--- a/crates/reedsail_soak/src/server_program.rs
+++ b/crates/reedsail_soak/src/server_program.rs
@@ -44,6 +44,7 @@
 use crate::NoticeKind;
 use crate::Run;
 use crate::ServerLine;
+use crate::deadly::DEADLY_SEGMENT;
 use crate::server::EVENTS;
 use crate::server::MISDIRECTED;
 use crate::server::SERVED_BY;
@@ -145,6 +146,9 @@
             let (sender, body) = Channel::new(1);
             let (head, version) = (head.clone(), self.version.clone());
             tokio::spawn(async move {
+                if head.shared_parts.contains(&DEADLY_SEGMENT) {
+                    end_while_answering(sender, &head, &version).await;
+                }
                 send_events(sender, &head, &version, fault).await;
                 drop(slot);
             });
@@ -258,6 +262,15 @@
     );
 }
 
+/// Sends the first event, and ends the process.
+async fn end_while_answering(mut sender: Sender<Bytes, StandinError>, head: &ServerHead, version: &str) -> ! {
+    let first = Bytes::from(event(&head.request_id, 1, version));
+    // The process ends whether the event was read or not.
+    let _ = sender.send_data(first).await;
+    sleep(Duration::from_millis(EVENT_INTERVAL_MS)).await;
+    std::process::exit(1);
+}
+
 async fn send_events(
     mut sender: Sender<Bytes, StandinError>,
     head: &ServerHead,
--- a/crates/reedsail_soak/src/soak.rs
+++ b/crates/reedsail_soak/src/soak.rs
@@ -25,6 +25,7 @@
 use crate::caller::CallerShared;
 use crate::caller::run_caller;
 use crate::check;
+use crate::deadly::is_deadly;
 use crate::fleet::Fleet;
 use crate::layout;
 use crate::player::Player;
@@ -34,6 +35,10 @@
 use crate::report::count_outcomes;
 use crate::soak_clock::SoakClock;
 
+/// Interval at which servers that ended by themselves are looked for.
+const CRASH_WATCH_INTERVAL_MS: u64 = 5;
+/// Time from the removal of the record of such a server until another starts.
+const CRASHED_FOR_MS: u64 = 500;
 /// Time for the processes to start before callers begin.
 const SETTLE_MS: u64 = 1_500;
 /// Time for callers to finish their last attempt.
@@ -157,6 +162,7 @@
             daemons: schedule.daemons,
             attempts_max: layout::ATTEMPTS_MAX as usize,
             faults: self.player_record.faults,
+            deadly_spans: self.player_record.deadly_spans,
             writes: self.player_record.writes,
             departures: self.player_record.departures,
             exits: self.player_record.exits,
@@ -174,7 +180,11 @@
             match line {
                 ServerLine::Run(mut run) => {
                     run.began_ms = self.clock.since_start_ms(run.began_ms);
-                    history.runs.push(run);
+                    if is_deadly(&run.id) {
+                        history.deadly_runs.push(run);
+                    } else {
+                        history.runs.push(run);
+                    }
                 }
                 ServerLine::Notice(mut notice) => {
                     notice.at_ms = self.clock.since_start_ms(notice.at_ms);
@@ -183,6 +193,7 @@
             }
         }
         history.probes.sort_by_key(|probe| probe.ended_ms);
+        history.deadly_runs.sort_by_key(|run| run.began_ms);
         let counts = self.player_record.counts.into_iter();
         let figures = Figures {
             faults: counts.map(|(name, count)| (name.to_owned(), count)).collect(),
@@ -215,6 +226,7 @@
         let probes = probe_sender.clone();
         watchers.spawn(run_prober(Arc::clone(fleet), instance, versions, clock, probes));
     }
+    watchers.spawn(watch_crashes(Arc::clone(&player)));
     let peak_memory_kb = Arc::new(AtomicU64::new(0));
     watchers.spawn(watch_memory(Arc::clone(fleet), Arc::clone(&peak_memory_kb)));
     let mut callers = start_callers(&shared, schedule.seed);
@@ -262,6 +274,20 @@
     callers
 }
 
+/// Replaces the servers that end by themselves.
+async fn watch_crashes(player: Arc<Player>) {
+    let mut replacements = JoinSet::new();
+    loop {
+        for number in player.crashed_servers().await {
+            player.record_crash(number);
+            let player = Arc::clone(&player);
+            // A server that can't start again shows as one that answers nothing.
+            replacements.spawn(async move { player.kill_server(number, CRASHED_FOR_MS).await });
+        }
+        sleep(Duration::from_millis(CRASH_WATCH_INTERVAL_MS)).await;
+    }
+}
+
 async fn watch_memory(fleet: Arc<Fleet>, peak_kb: Arc<AtomicU64>) {
     loop {
         let now_kb = fleet.resident_kb().await;
--- a/crates/reedsail_soak/tests/checker.rs
+++ b/crates/reedsail_soak/tests/checker.rs
@@ -512,3 +512,46 @@
     disturbed.faults.push(fault(Target::Server(0), 9_000, 9_500));
     assert_eq!(check(&disturbed), []);
 }
+
+/// Returns a history in which a segment ended five servers, and was sent to `late` more 3 s after the fifth.
+fn deadly_segment(late: u64) -> History {
+    let mut history = history();
+    let early = (0..5).map(|number| run(&format!("deadly-0-{number}"), "server-0", 4_000 + number));
+    let late = (0..late).map(|number| run(&format!("deadly-1-9{number}"), "server-0", 7_100 + number));
+    history.deadly_runs = early.chain(late).collect();
+    history.deadly_spans = vec![(4_000, 20_000)];
+    history
+}
+
+#[test]
+fn a_segment_that_still_reaches_servers_is_found() {
+    assert_eq!(check(&deadly_segment(3)), []);
+    let promise = "a segment that ends servers is not sent";
+    assert_eq!(violated_promises(&deadly_segment(4)), [promise]);
+    let mut disturbed = deadly_segment(4);
+    disturbed.faults.push(fault(Target::Daemon(1), 3_000, 4_000));
+    assert_eq!(check(&disturbed), []);
+}
+
+#[test]
+fn sound_requests_that_are_refused_beside_a_segment_are_found() {
+    let with_sound = |begun: usize| {
+        let mut history = deadly_segment(0);
+        for number in 0..20 {
+            let mut before = attempt(&format!("before-{number}"), CallKind::Letter, Outcome::Answered);
+            (before.began_ms, before.ended_ms) = (3_000, 3_100);
+            let outcome = if number < begun {
+                Outcome::Answered
+            } else {
+                Outcome::NotRun { status: 503 }
+            };
+            let mut beside = attempt(&format!("beside-{number}"), CallKind::Letter, outcome);
+            (beside.began_ms, beside.ended_ms) = (11_000, 11_100);
+            history.attempts.extend([before, beside]);
+        }
+        history
+    };
+    assert_eq!(check(&with_sound(10)), []);
+    let promise = "sound requests beside a segment that ends servers go on";
+    assert_eq!(violated_promises(&with_sound(9)), [promise]);
+}
