--- a/crates/reedsail_soak/tests/schedule.rs
+++ b/crates/reedsail_soak/tests/schedule.rs
@@ -46,6 +46,7 @@
         | FaultKind::StoreForgets
         | FaultKind::StoreGoesBack(_)
         | FaultKind::Configure
+        | FaultKind::DeadlySegment(_)
         | FaultKind::ReplaceKey => (0, 0),
     }
 }
@@ -58,7 +59,7 @@
         .collect();
     names.sort_unstable();
     names.dedup();
-    assert_eq!(names.len(), 26, "{names:?}");
+    assert_eq!(names.len(), 27, "{names:?}");
 }
 
 #[test]
