Don't let a workspace that was present at each end speak for all

Found on reading the change: the ends of one workspace had a segment refused to all as soon as another had any end on its account, also one that was cleared since or one that it only suffered beside the cause. Now the ends count against all only if no workspace was present at every one of them.

--- a/crates/reedsail_dispatch/src/segment_evidence.rs
+++ b/crates/reedsail_dispatch/src/segment_evidence.rs
@@ -2,8 +2,8 @@
 //!
 //! **Rule.** The evidence against a segment is enough once [`ENDS_TO_QUARANTINE`] servers have ended one after the other
 //! under requests with it, each of which was sent after the end before, and no request with it was answered completely
-//! since. The ends under the requests of one workspace count against that workspace; those of two or more workspaces
-//! count against all, unless a request of any workspace with the segment was answered since. If other such segments were
+//! since. The ends under the requests of one workspace count against that workspace; ends of which no workspace was
+//! present at all count against all, unless a request of any workspace with the segment was answered since. If other such segments were
 //! present at all these ends, and a request has none of them, the request is sent: its outcome tells them apart.
 //!
 //! **Inputs.** The suspects of a segment, one for each workspace.
@@ -63,8 +63,7 @@
 
     /// Returns whether the segment was present at an end.
     pub(crate) fn was_present_at(&self, end: &SuspectEnd) -> bool {
-        let mut ends = self.suspects.iter().flat_map(|suspect| &suspect.ends);
-        ends.any(|known| known.server == end.server)
+        self.suspects.iter().any(|suspect| suspect.was_present_at(end))
     }
 
     /// Returns when the last server ended.
@@ -82,11 +81,13 @@
     }
 
     fn shared_ends(&self) -> Option<Vec<SuspectEnd>> {
-        let with_ends = self.suspects.iter().filter(|suspect| !suspect.ends.is_empty());
-        if with_ends.count() < 2 {
+        let ends = self.uncleared_ends();
+        // A workspace that was present at all of them may itself be the cause.
+        let was_always_present = |suspect: &&Suspect| ends.iter().all(|end| suspect.was_present_at(end));
+        if self.suspects.iter().any(|suspect| was_always_present(suspect)) {
             return None;
         }
-        enough(self.uncleared_ends())
+        enough(ends)
     }
 
     /// Returns the ends since the last answer to a request of any workspace, each server once.
--- a/crates/reedsail_dispatch/src/suspect.rs
+++ b/crates/reedsail_dispatch/src/suspect.rs
@@ -128,6 +128,11 @@
         end.is_cleared(answered_at, self.slack_ms)
     }
 
+    /// Returns whether the suspect was present at an end.
+    pub(crate) fn was_present_at(&self, end: &SuspectEnd) -> bool {
+        self.ends.iter().any(|known| known.server == end.server)
+    }
+
     /// Adds an end unless it is known or an answer has cleared it. Returns whether it was added.
     pub(crate) fn add_end(&mut self, end: SuspectEnd, now: TimeMs) -> bool {
         if self
@@ -139,7 +144,7 @@
             return false;
         }
         // Ages in reports grow by the transmission time, so the first known times stay.
-        if self.ends.iter().any(|known| known.server == end.server) {
+        if self.was_present_at(&end) {
             return false;
         }
         if self.ends.len() >= ENDS_MAX {
--- a/crates/reedsail_dispatch/tests/segment_quarantine.rs
+++ b/crates/reedsail_dispatch/tests/segment_quarantine.rs
@@ -283,6 +283,18 @@
     assert!(!instance.sends("third", &[ROOT, POISON]));
 }
 
+#[test]
+fn a_workspace_that_was_present_at_each_end_counts_alone() {
+    let mut instance = Instance::new(1);
+    instance.end_server_under(&[("own", &[ROOT, POISON]), ("other", &[ROOT, POISON])]);
+    for _ in 0..2 {
+        instance.end_server_under(&[("own", &[ROOT, POISON])]);
+    }
+    assert!(!instance.sends("own", &[ROOT, POISON]));
+    assert!(instance.sends("other", &[ROOT, POISON]));
+    assert!(instance.sends("third", &[ROOT, POISON]));
+}
+
 #[test]
 fn ends_under_several_workspaces_add_up() {
     let mut instance = Instance::new(1);
