--- a/crates/reedsail_dispatch/src/segment_evidence.rs
+++ b/crates/reedsail_dispatch/src/segment_evidence.rs
@@ -84,7 +84,7 @@
         let ends = self.uncleared_ends();
         // A workspace that was present at all of them may itself be the cause.
         let was_always_present = |suspect: &&Suspect| ends.iter().all(|end| suspect.was_present_at(end));
-        if self.suspects.iter().any(|suspect| was_always_present(suspect)) {
+        if self.suspects.iter().any(was_always_present) {
             return None;
         }
         enough(ends)
