Let a check of a server speak only of breaks before it

Found on reading the change: an answer that ends with its connection has its server checked at once, so that a check may be under way when the server ends. Its success then dropped the requests that had just broken there, and neither they nor their segments were suspected. Now a check drops only the attempts that broke before it began. The new test failed before by construction (the attempt was dropped).

--- a/crates/reedsail_dispatch/src/dispatcher/attempts.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/attempts.rs
@@ -177,10 +177,11 @@
         self.broken.take_unchecked()
     }
 
-    /// Records whether a checked server listens. A listening server is not thereby considered healthy.
-    pub fn record_check(&mut self, server: ServerKey, is_listening: bool, now: TimeMs) {
+    /// Records whether a server listened when it was checked, from `checked_at` on. A listening server is not thereby
+    /// considered healthy.
+    pub fn record_check(&mut self, server: ServerKey, is_listening: bool, checked_at: TimeMs, now: TimeMs) {
         if is_listening {
-            self.broken.forget(server);
+            self.broken.forget(server, checked_at);
             return;
         }
         self.servers.record_down(server, true, now);
--- a/crates/reedsail_dispatch/src/server_ends.rs
+++ b/crates/reedsail_dispatch/src/server_ends.rs
@@ -87,9 +87,10 @@
         std::mem::take(&mut self.unchecked)
     }
 
-    /// Drops the broken attempts of a server that is still running.
-    pub(crate) fn forget(&mut self, server: ServerKey) {
-        self.pending.retain(|(other, _)| *other != server);
+    /// Drops the attempts that broke before a server was found running at `checked_at`.
+    pub(crate) fn forget(&mut self, server: ServerKey, checked_at: TimeMs) {
+        self.pending
+            .retain(|(other, request)| *other != server || request.broke_at > checked_at);
     }
 
     /// Removes and returns the attempts whose server has ended, by server, and drops expired attempts.
--- a/crates/reedsail_dispatch/tests/server_ends.rs
+++ b/crates/reedsail_dispatch/tests/server_ends.rs
@@ -157,3 +157,14 @@
         );
     }
 }
+
+/// A check that another answer asked for may be under way when the server ends.
+#[test]
+fn a_check_that_began_before_the_break_does_not_show_that_the_server_runs() {
+    let mut instance = instance_after(AttemptOutcome::Broken);
+    let server = instance.server_key(NameHash::of("server")).unwrap();
+    let checked_at = TimeMs(BROKE_AT.0 - 1);
+    instance.record_check(server, true, checked_at, BROKE_AT);
+    instance.set_servers(&[]);
+    assert_eq!(ended_requests(&mut instance, BROKE_AT.plus_ms(50)), [REQUEST]);
+}
--- a/crates/reedsail_dispatch/tests/version_history.rs
+++ b/crates/reedsail_dispatch/tests/version_history.rs
@@ -117,7 +117,7 @@
     /// Finds that nothing listens at a server's address.
     fn find_down(&mut self, id: &str) {
         let key = self.dispatcher.server_key(NameHash::of(id)).unwrap();
-        self.dispatcher.record_check(key, false, self.now);
+        self.dispatcher.record_check(key, false, self.now, self.now);
     }
 }
 
--- a/crates/reedsail_router/src/traffic/server_check.rs
+++ b/crates/reedsail_router/src/traffic/server_check.rs
@@ -55,16 +55,17 @@
     let Some(server) = shared.servers.get(key) else {
         return ServerCheck::Inconclusive;
     };
+    let checked_at = shared.clock.now();
     let outcome = connect(shared, &server, CONNECT_TIMEOUT_MS).await;
     let now = shared.clock.now();
     match outcome {
         Ok(connection) => {
             pool.give_back(key, connection, &HeaderMap::new(), now);
-            shared.dispatcher().record_check(key, true, now);
+            shared.dispatcher().record_check(key, true, checked_at, now);
             ServerCheck::Listening
         }
         Err(AttemptOutcome::Down) => {
-            shared.dispatcher().record_check(key, false, now);
+            shared.dispatcher().record_check(key, false, checked_at, now);
             ServerCheck::Ended
         }
         Err(_) => ServerCheck::Inconclusive,
--- a/crates/reedsail_simulation/src/crash_fleet.rs
+++ b/crates/reedsail_simulation/src/crash_fleet.rs
@@ -291,7 +291,7 @@
             for key in self.instances[instance].dispatcher.take_servers_to_check() {
                 let is_listening = self.listening_server(instance, key).is_some();
                 let dispatcher = &mut self.instances[instance].dispatcher;
-                dispatcher.record_check(key, is_listening, to_time(now_ms));
+                dispatcher.record_check(key, is_listening, to_time(now_ms), to_time(now_ms));
             }
         }
     }
