Probe a segment only if all quarantined segments of the request may be probed

Found on reading the change: the first quarantined segment of a request whose probe was due let the request through, whatever else of it was quarantined. Now each must be due. The new test failed before. Suspects of a quarantined segment are evicted last, so that other ends of a workspace can't push them out; two functions that built the same value are one, and results that nobody read are gone.

--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -29,6 +29,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::ops::RangeInclusive;
 
 use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
@@ -104,26 +105,13 @@
 impl Quarantine {
     /// Records that a server ended while running a request of this instance.
     pub(crate) fn record_end(&mut self, request: &BrokenRequest, server: NameHash, now: TimeMs) {
-        let end = SuspectEnd {
-            server,
-            sent_at: request.sent_at,
-            ended_at: request.broke_at,
-        };
-        self.observe_end(
-            SuspectKey::Request(request.fingerprint),
-            request.workspace,
-            end,
-            now,
-        );
+        let key = SuspectKey::Request(request.fingerprint);
+        self.observe_end(key, request.workspace, SuspectEnd::of(request, server), now);
     }
 
     /// Records that a server ended when it had just begun to answer a request of this instance.
     pub(crate) fn record_end_of_segments(&mut self, request: &BrokenRequest, server: NameHash, now: TimeMs) {
-        let end = SuspectEnd {
-            server,
-            sent_at: request.sent_at,
-            ended_at: request.broke_at,
-        };
+        let end = SuspectEnd::of(request, server);
         for id in &request.segments {
             let segment = SegmentId {
                 service: request.service,
@@ -218,21 +206,30 @@
         self.convicted_segment(demand, own, now)
     }
 
-    /// Returns the quarantined segment of a request, unless the request may probe it.
+    /// Returns a quarantined segment of a request which the request may not probe.
     fn convicted_segment(&mut self, demand: &Demand<'_>, own: NameHash, now: TimeMs) -> Option<SuspectKey> {
         let segments = demand.prompt.map_or(&[][..], Prompt::segments_before_last);
         let has_segment = |id: u64| segments.iter().any(|segment| segment.id == id);
         let in_request = self.convicted.iter().copied();
-        let in_request = in_request
+        let in_request: Vec<SegmentId> = in_request
             .filter(|segment| segment.service == demand.service && has_segment(segment.id))
-            .find(|segment| self.convicts(*segment, demand.workspace, &has_segment));
-        let segment = in_request?;
-        self.record_seen(segment, now);
-        if self.takes_probe(segment, own, now) {
-            return None;
+            .filter(|segment| self.convicts(*segment, demand.workspace, &has_segment))
+            .collect();
+        for segment in &in_request {
+            self.record_seen(*segment, now);
+        }
+        let forbidden = in_request
+            .iter()
+            .find(|segment| !self.may_probe(**segment, own, now));
+        if let Some(segment) = forbidden {
+            return Some(SuspectKey::Segment(SegmentKey {
+                segment: *segment,
+                workspace: demand.workspace,
+            }));
         }
-        let workspace = demand.workspace;
-        Some(SuspectKey::Segment(SegmentKey { segment, workspace }))
+        self.probed_at
+            .extend(in_request.into_iter().map(|segment| (segment, now)));
+        None
     }
 
     /// Returns whether the evidence against a segment applies to the requests of a workspace, and is not explained by other
@@ -258,33 +255,24 @@
 
     /// Returns the suspects of a segment, by workspace.
     fn of_segment(&self, segment: SegmentId) -> impl Iterator<Item = (&SuspectKey, &Suspect)> {
-        let key = |workspace| SuspectKey::Segment(SegmentKey { segment, workspace });
-        self.suspects.range(key(NameHash(0))..=key(NameHash(u32::MAX)))
+        self.suspects.range(keys_of(segment))
     }
 
     fn record_seen(&mut self, segment: SegmentId, now: TimeMs) {
-        let key = |workspace| SuspectKey::Segment(SegmentKey { segment, workspace });
-        let suspects = self
-            .suspects
-            .range_mut(key(NameHash(0))..=key(NameHash(u32::MAX)));
-        for (_, suspect) in suspects {
+        for (_, suspect) in self.suspects.range_mut(keys_of(segment)) {
             suspect.seen_at = now;
         }
     }
 
     /// Returns whether a request may be sent to see whether a quarantined segment still ends servers.
-    fn takes_probe(&mut self, segment: SegmentId, own: NameHash, now: TimeMs) -> bool {
+    fn may_probe(&self, segment: SegmentId, own: NameHash, now: TimeMs) -> bool {
         let spread_ms = (u64::from(own.0) ^ segment.id).wrapping_mul(0x9e37_79b9_7f4a_7c15) % PROBE_SPREAD_MS;
         let last_ended_at = self.evidence(segment).last_ended_at();
         if now < last_ended_at.plus_ms(PROBE_AFTER_MS + spread_ms) {
             return false;
         }
-        let probed_at = self.probed_at.entry(segment).or_insert(TimeMs(0));
-        let is_due = now >= probed_at.plus_ms(PROBE_INTERVAL_MS);
-        if is_due {
-            *probed_at = now;
-        }
-        is_due
+        let probed_at = self.probed_at.get(&segment);
+        probed_at.is_none_or(|probed_at| now >= probed_at.plus_ms(PROBE_INTERVAL_MS))
     }
 
     /// Updates whether a segment is convicted after its evidence has changed.
@@ -450,7 +438,7 @@
 
     /// Evicts a suspect before one of `workspace` is added, if there are too many: one of the same kind of
     /// this workspace if it has too many itself, or one of the workspace with the most if the total is too high.
-    /// The evicted one has the fewest ends and, among these, was seen least recently.
+    /// The evicted one is of no quarantined segment if possible, has the fewest ends and, among these, was seen least recently.
     fn evict_if_full(&mut self, added: SuspectKey, workspace: NameHash) {
         let is_same_kind = |key: &SuspectKey| std::mem::discriminant(key) == std::mem::discriminant(&added);
         let of_workspace = self.suspects.iter();
@@ -468,7 +456,8 @@
         let evictable = self.suspects.iter().filter(|(key, suspect)| {
             suspect.workspace == evicted_workspace && (!is_workspace_full || is_same_kind(key))
         });
-        let evicted = evictable.min_by_key(|(_, suspect)| (suspect.ends.len(), suspect.seen_at));
+        let evicted = evictable
+            .min_by_key(|(key, suspect)| (self.is_convicted(**key), suspect.ends.len(), suspect.seen_at));
         if let Some(key) = evicted.map(|(key, _)| *key) {
             self.forget(key);
         }
@@ -486,6 +475,12 @@
     }
 }
 
+/// Returns the range of the keys of a segment, of all workspaces.
+fn keys_of(segment: SegmentId) -> RangeInclusive<SuspectKey> {
+    let key = |workspace| SuspectKey::Segment(SegmentKey { segment, workspace });
+    key(NameHash(0))..=key(NameHash(u32::MAX))
+}
+
 /// Returns whether a suspect is a request that is quarantined. Segments are judged over all workspaces.
 fn is_quarantined_request(key: SuspectKey, suspect: &Suspect) -> bool {
     matches!(key, SuspectKey::Request(_)) && suspect.ends.len() >= SERVERS_TO_QUARANTINE
--- a/crates/reedsail_dispatch/src/suspect.rs
+++ b/crates/reedsail_dispatch/src/suspect.rs
@@ -3,6 +3,7 @@
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
 
+use crate::BrokenRequest;
 use crate::SuspectEndRow;
 use crate::SuspectKey;
 use crate::SuspectRow;
@@ -37,6 +38,15 @@
 }
 
 impl SuspectEnd {
+    /// Returns the end of a server under a request whose connection broke then.
+    pub(crate) fn of(request: &BrokenRequest, server: NameHash) -> Self {
+        Self {
+            server,
+            sent_at: request.sent_at,
+            ended_at: request.broke_at,
+        }
+    }
+
     fn row(self, now: TimeMs) -> SuspectEndRow {
         SuspectEndRow {
             server: self.server,
@@ -133,39 +143,36 @@
         self.ends.iter().any(|known| known.server == end.server)
     }
 
-    /// Adds an end unless it is known or an answer has cleared it. Returns whether it was added.
-    pub(crate) fn add_end(&mut self, end: SuspectEnd, now: TimeMs) -> bool {
+    /// Adds an end unless it is known or an answer has cleared it.
+    pub(crate) fn add_end(&mut self, end: SuspectEnd, now: TimeMs) {
         if self
             .answered_at
             .is_some_and(|answered_at| self.clears(answered_at, &end))
         {
             // A peer that still announces this end has not received the answer.
             self.announce(now);
-            return false;
+            return;
         }
         // Ages in reports grow by the transmission time, so the first known times stay.
         if self.was_present_at(&end) {
-            return false;
+            return;
         }
         if self.ends.len() >= ENDS_MAX {
             self.ends.remove(0);
         }
         self.ends.push(end);
         self.announce(now);
-        true
     }
 
-    /// Records an answer, which clears the ends before it. Returns whether it cleared any.
-    pub(crate) fn clear(&mut self, answered_at: TimeMs, now: TimeMs) -> bool {
+    /// Records an answer, which clears the ends before it.
+    pub(crate) fn clear(&mut self, answered_at: TimeMs, now: TimeMs) {
         self.answered_at = self.answered_at.max(Some(answered_at));
         let known = self.ends.len();
         let slack_ms = self.slack_ms;
         self.ends.retain(|end| !end.is_cleared(answered_at, slack_ms));
-        let has_cleared = self.ends.len() < known;
-        if has_cleared {
+        if self.ends.len() < known {
             self.announce(now);
         }
-        has_cleared
     }
 
     /// Returns whether the next report contains the suspect. Each instance announces it if `is_convicted` or several servers
--- a/crates/reedsail_dispatch/tests/segment_quarantine.rs
+++ b/crates/reedsail_dispatch/tests/segment_quarantine.rs
@@ -362,6 +362,22 @@
     assert_eq!(changes.last().unwrap().change, QuarantineChange::Cleared);
 }
 
+#[test]
+fn a_request_probes_no_segment_while_another_of_its_own_may_not_be_probed() {
+    let mut instance = instance_with_quarantined_segment();
+    let has_probed = (0..200).any(|_| {
+        instance.advance(10_000);
+        instance.sends("own", &[ROOT, POISON])
+    });
+    assert!(has_probed);
+    for _ in 0..3 {
+        instance.end_server_under(&[("own", &[NEIGHBOUR])]);
+    }
+    instance.advance(60_000);
+    assert!(!instance.sends("own", &[ROOT, POISON, NEIGHBOUR]));
+    assert!(instance.sends("own", &[ROOT, POISON]));
+}
+
 #[test]
 fn a_request_with_a_thousand_segments_leaves_room_for_other_suspects() {
     let mut instance = instance_with_quarantined_segment();
