Count a response without a body on a stream's route as answered

Found on reading the change (HEAD and 204): such a response was relayed as a stream whose body nobody polls, so that it ended as a caller that had left, the connection was not reused, and no suspect was cleared. It is buffered now. The new test failed before (30 s without the count). The end of a stream is also recorded once only, if it is polled again.

--- a/crates/reedsail_router/src/traffic/forward.rs
+++ b/crates/reedsail_router/src/traffic/forward.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use reedsail_core::ErrorKind;
@@ -202,7 +203,9 @@
     async fn receive_response(&mut self, response_start: Box<ResponseStart<H>>) -> ForwardStep<H> {
         let has_events = matches!(self.call.route.answer, AnswerShape::Events { .. })
             && has_event_type(&response_start.head.headers);
-        if has_events && response_start.head.status.is_success() {
+        // A response without a body, such as one to HEAD, is complete.
+        let has_body = !response_start.body.is_end_stream();
+        if has_events && has_body && response_start.head.status.is_success() {
             return ForwardStep::Streaming(response_start);
         }
         match relay_buffered(&self.shared, &self.pool, &self.call, *response_start).await {
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -135,8 +135,11 @@
         }
     }
 
-    /// Ends the stream after its body was read without an error.
+    /// Ends the stream after its body was read without an error. Later calls do nothing.
     fn end_body(&mut self, context: &mut Context<'_>) -> PollChunk {
+        let Some(server) = self.attempt.as_ref().and_then(|attempt| attempt.guard.server()) else {
+            return Poll::Ready(None);
+        };
         let end = ResponseEnd {
             framing: self.framing,
             is_inside_event: self.scanner.is_inside_event(),
@@ -146,9 +149,6 @@
             EndVerdict::Whole => self.finish(AttemptOutcome::Answered),
             EndVerdict::BrokenOff => self.break_off(),
             EndVerdict::Unproven => {
-                let Some(server) = self.attempt.as_ref().and_then(|attempt| attempt.guard.server()) else {
-                    return Poll::Ready(None);
-                };
                 self.settling = Some(self.start_settling(server));
                 self.poll_settling(context)
             }
--- a/crates/reedsail_router/tests/broken_answers.rs
+++ b/crates/reedsail_router/tests/broken_answers.rs
@@ -178,6 +178,20 @@
     assert!(reply.is_certified());
 }
 
+#[tokio::test]
+async fn a_response_to_head_on_a_stream_route_counts_as_answered() {
+    for path in ["/stream/a", "/resume/a"] {
+        let fixture = RouterFixture::start().await;
+        fixture.llm.answer_with(&[chunked("")]);
+        let mut caller = Caller::connect(fixture.callers()).await;
+        let mut head = request(path, &[]);
+        *head.method_mut() = Method::HEAD;
+        let reply = common::read(caller.send(head).await).await;
+        assert!(reply.is_certified(), "{path}");
+        wait_for_metric(&fixture, "reedsail_router_answers_total{outcome=\"answered\"} 1").await;
+    }
+}
+
 #[tokio::test]
 async fn an_empty_body_that_ends_with_its_connection_is_not_framed_as_complete() {
     let reply = ask_living("/once/a", unframed("", false)).await;
