Let the test of a resumed stream decide when its server ends

The test set the second server's answer in the 5 ms before the first one ended. It now reads both events, lists the second server, and then ends the first, with the same assertions and one more on the frame.

--- a/crates/reedsail_router/tests/broken_answers.rs
+++ b/crates/reedsail_router/tests/broken_answers.rs
@@ -7,7 +7,6 @@
 use hyper::StatusCode;
 use reedsail_net::BodyFraming;
 use reedsail_standin::RoutedAnswer;
-use reedsail_standin::RoutedStandin;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -16,6 +15,7 @@
 use common::Reply;
 use common::RouterFixture;
 use common::ask;
+use common::read_body;
 use common::request;
 use common::wait_for;
 
@@ -127,20 +127,21 @@
 #[tokio::test]
 async fn a_resumable_stream_that_ends_with_its_server_continues_elsewhere() {
     let fixture = RouterFixture::start().await;
-    let second = fixture.add_server("llm-2", "llm").await;
-    let rest = chunked("id: 3\ndata: c\n\n");
-    // The server that is chosen first ends.
-    for server in [&fixture.llm, &second] {
-        server.answer_with(&[unframed(BETWEEN_EVENTS, true)]);
-    }
+    fixture
+        .llm
+        .answer_with(&[RoutedAnswer::Held { text: BETWEEN_EVENTS }]);
     let mut caller = Caller::connect(fixture.callers()).await;
-    let response = caller.send(request("/resume/a", &[])).await;
-    let is_first = !fixture.llm.runs().is_empty();
-    let other: &RoutedStandin = if is_first { &second } else { &fixture.llm };
-    other.answer_with(&[rest]);
+    let mut response = caller.send(request("/resume/a", &[])).await;
+    let framing = BodyFraming::of(response.headers(), response.body());
+    assert_eq!(framing, BodyFraming::ConnectionEnd);
+    let (begun, _) = read_body(response.body_mut(), Some("data: b\n\n")).await;
+    assert_eq!(begun, BETWEEN_EVENTS);
+    let other = fixture.add_server("llm-2", "llm").await;
+    other.answer_with(&[chunked("id: 3\ndata: c\n\n")]);
+    fixture.llm.end().await;
     let reply = common::read(response).await;
     assert!(reply.is_whole);
-    assert!(reply.text().ends_with("id: 3\ndata: c\n\n"), "{}", reply.text());
+    assert_eq!(reply.text(), "id: 3\ndata: c\n\n");
     assert_eq!(other.runs()[0].header("last-event-id"), "2");
 }
 
--- a/crates/reedsail_standin/src/routed_server.rs
+++ b/crates/reedsail_standin/src/routed_server.rs
@@ -74,6 +74,11 @@
         /// Whether the server ends, as a crashed process does, where the body ends.
         ends_server: bool,
     },
+    /// With a text that has neither a length nor chunks, until the server ends.
+    Held {
+        /// The beginning of the body.
+        text: &'static str,
+    },
     /// That the server did not run the request.
     NotRun,
     /// With the id of another request.
@@ -174,6 +179,11 @@
         self.server.break_connections();
     }
 
+    /// Ends the server as a crashed process ends: its listener closes, then its connections, in order.
+    pub async fn end(&self) {
+        self.server.stopper().crash().await;
+    }
+
     /// Stops the server.
     pub fn close(self) {
         self.server.close();
@@ -277,6 +287,13 @@
                 }
                 Ok(with_id(response, id))
             }
+            RoutedAnswer::Held { text } => {
+                let (sender, body) = Channel::new(1);
+                tokio::spawn(hold(sender, text, guard));
+                let mut response = Response::new(Either::Right(body));
+                remove_frame(&mut response);
+                Ok(with_id(response, id))
+            }
             RoutedAnswer::Silent => {
                 std::future::pending::<()>().await;
                 Err(StandinError)
@@ -335,6 +352,7 @@
         RoutedAnswer::Stream { .. }
         | RoutedAnswer::Flood { .. }
         | RoutedAnswer::Text { .. }
+        | RoutedAnswer::Held { .. }
         | RoutedAnswer::WrongId
         | RoutedAnswer::Broken
         | RoutedAnswer::Silent => {
@@ -343,6 +361,22 @@
     }
 }
 
+/// Sends a text, and keeps the response open until its connection ends.
+async fn hold(mut sender: Sender<Bytes, StandinError>, text: &'static str, mut guard: CancelGuard) {
+    if sender
+        .send_data(Bytes::from_static(text.as_bytes()))
+        .await
+        .is_err()
+    {
+        return;
+    }
+    guard.is_complete = true;
+    // Sending nothing fails once the connection has ended.
+    while sender.send_data(Bytes::new()).await.is_ok() {
+        sleep(Duration::from_millis(EVENT_PAUSE_MS)).await;
+    }
+}
+
 /// Sends a text, and ends the server after it if there is a stopper.
 async fn send_text(
     mut sender: Sender<Bytes, StandinError>,
