Tell the ends of a segment in rows of their own

Found on reading the change: an instance of the release before reads the row of a segment as that of a request, and with two servers in it would tell it on, and log a request as quarantined that nobody sent. The servers of a segment are now in a list that it does not know, so that it sees an answered request and tells nothing. One list of rows takes the place of two parallel ones. Golden: the bytes of load messages with suspects; those of the release before are read as before.

--- a/crates/reedsail_wire/schema/load.capnp
+++ b/crates/reedsail_wire/schema/load.capnp
@@ -97,7 +97,7 @@
   fingerprintLow @1 :UInt64;
   # The workspace that it counts against.
   workspace @2 :UInt32;
-  # Starts of backend servers that ended under it; none if it was answered whole since.
+  # Starts of backend servers that ended under a request; none if it was answered whole since.
   servers @3 :List(UInt32);
   # How long ago the last of them ended, or it was answered.
   changedMsAgo @4 :UInt32;
@@ -105,9 +105,17 @@
   seenMsAgo @5 :UInt32;
   # 0: a request. 1: a segment of prompts.
   kind @6 :UInt8;
-  # Of a segment, for each of the servers: how long ago the request was sent to it, and how long ago it ended.
-  sentMsAgo @7 :List(UInt32);
-  endedMsAgo @8 :List(UInt32);
+  # Servers that ended under a segment; none if it was answered since. A reader that knows no segments takes the row for
+  # that of an answered request.
+  ends @7 :List(SuspectEndRow);
+}
+
+struct SuspectEndRow {
+  # The start of a backend server.
+  server @0 :UInt32;
+  # How long ago the request was sent to it, and how long ago it ended.
+  sentMsAgo @1 :UInt32;
+  endedMsAgo @2 :UInt32;
 }
 
 struct EvacuationRow {
--- a/crates/reedsail_wire/src/load_capnp.rs
+++ b/crates/reedsail_wire/src/load_capnp.rs
@@ -2920,27 +2920,19 @@
             self.reader.get_data_field::<u8>(28)
         }
         #[inline]
-        pub fn get_sent_ms_ago(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u32>> {
+        pub fn get_ends(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::load_capnp::suspect_end_row::Owned>>
+        {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_sent_ms_ago(&self) -> bool {
+        pub fn has_ends(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
-        #[inline]
-        pub fn get_ended_ms_ago(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u32>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(2),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_ended_ms_ago(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
     }
 
     pub struct Builder<'a> {
@@ -2948,7 +2940,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+            ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3099,16 +3091,19 @@
             self.builder.set_data_field::<u8>(28, value);
         }
         #[inline]
-        pub fn get_sent_ms_ago(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u32>> {
+        pub fn get_ends(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::load_capnp::suspect_end_row::Owned>>
+        {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_sent_ms_ago(
+        pub fn set_ends(
             &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>,
+            value: ::capnp::struct_list::Reader<'_, crate::load_capnp::suspect_end_row::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(1),
@@ -3117,39 +3112,16 @@
             )
         }
         #[inline]
-        pub fn init_sent_ms_ago(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u32> {
+        pub fn init_ends(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::load_capnp::suspect_end_row::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
         }
         #[inline]
-        pub fn has_sent_ms_ago(&self) -> bool {
+        pub fn has_ends(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
-        #[inline]
-        pub fn get_ended_ms_ago(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u32>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(2),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_ended_ms_ago(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(2),
-                value,
-                false,
-            )
-        }
-        #[inline]
-        pub fn init_ended_ms_ago(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u32> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
-        }
-        #[inline]
-        pub fn has_ended_ms_ago(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
-        }
     }
 
     pub struct Pipeline {
@@ -3162,87 +3134,80 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 171] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 150] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(3, 255, 247, 8, 167, 228, 139, 167),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
             ::capnp::word(99, 116, 82, 111, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 28, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
             ::capnp::word(105, 110, 116, 72, 105, 103, 104, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -3308,44 +3273,355 @@
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 110, 116, 77, 115, 65, 103),
-            ::capnp::word(111, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 115, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(230, 244, 248, 157, 187, 10, 78, 144),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::load_capnp::suspect_end_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 7, 0, 1, 6, 5, 3, 2];
+        pub(crate) const TYPE_ID: u64 = 0xa78b_e4a7_08f7_ff03;
+    }
+}
+
+pub mod suspect_end_row {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_server(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_sent_ms_ago(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_ended_ms_ago(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_server(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_server(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_sent_ms_ago(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_sent_ms_ago(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_ended_ms_ago(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_ended_ms_ago(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(230, 244, 248, 157, 187, 10, 78, 144),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 65, 127, 224, 165, 200, 209, 179),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
+            ::capnp::word(99, 116, 69, 110, 100, 82, 111, 119),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 110, 100, 101, 100, 77, 115, 65),
-            ::capnp::word(103, 111, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 77, 115, 65, 103),
+            ::capnp::word(111, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 101, 100, 77, 115, 65),
+            ::capnp::word(103, 111, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <u8 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3364,10 +3640,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 8, 0, 1, 6, 5, 7, 3, 2];
-        pub(crate) const TYPE_ID: u64 = 0xa78b_e4a7_08f7_ff03;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0x904e_0abb_9df8_f4e6;
     }
 }
 
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -7,7 +7,6 @@
 use capnp::message::Builder;
 use capnp::message::Reader;
 use capnp::message::ReaderOptions;
-use capnp::primitive_list;
 use capnp::serialize::OwnedSegments;
 use capnp::serialize_packed;
 use reedsail_core::Fingerprint;
@@ -243,14 +242,14 @@
             target.set_workspace(row.workspace.0);
             target.set_changed_ms_ago(row.changed_ms_ago);
             target.set_seen_ms_ago(row.seen_ms_ago);
-            let mut servers = target.reborrow().init_servers(row.ends.len() as u32);
-            for (index, end) in (0..).zip(&row.ends) {
-                servers.set(index, end.server.0);
-            }
             match row.key {
                 SuspectKey::Request(fingerprint) => {
                     target.set_fingerprint_high((fingerprint.0 >> 64) as u64);
                     target.set_fingerprint_low(fingerprint.0 as u64);
+                    let mut servers = target.init_servers(row.ends.len() as u32);
+                    for (index, end) in (0..).zip(&row.ends) {
+                        servers.set(index, end.server.0);
+                    }
                 }
                 SuspectKey::Segment(key) => write_suspected_segment(&mut target, key, &row.ends),
             }
@@ -397,54 +396,65 @@
     target.set_kind(SEGMENT_KIND);
     target.set_fingerprint_high(u64::from(key.segment.service.0));
     target.set_fingerprint_low(key.segment.id);
-    let mut sent_ms_ago = target.reborrow().init_sent_ms_ago(ends.len() as u32);
-    for (index, end) in (0..).zip(ends) {
-        sent_ms_ago.set(index, end.sent_ms_ago);
-    }
-    let mut ended_ms_ago = target.reborrow().init_ended_ms_ago(ends.len() as u32);
+    let mut rows = target.reborrow().init_ends(ends.len() as u32);
     for (index, end) in (0..).zip(ends) {
-        ended_ms_ago.set(index, end.ended_ms_ago);
+        let mut row = rows.reborrow().get(index);
+        row.set_server(end.server.0);
+        row.set_sent_ms_ago(end.sent_ms_ago);
+        row.set_ended_ms_ago(end.ended_ms_ago);
     }
 }
 
 /// Reads the row of a suspect; `None` if it is of a kind that this release does not know.
 fn read_suspect(row: suspect_row::Reader<'_>) -> Result<Option<SuspectRow>, capnp::Error> {
-    let servers = row.get_servers()?;
-    check_rows(servers.len())?;
     let workspace = NameHash(row.get_workspace());
     let (high, low) = (row.get_fingerprint_high(), row.get_fingerprint_low());
-    let key = match row.get_kind() {
-        REQUEST_KIND => SuspectKey::Request(Fingerprint(u128::from(high) << 64 | u128::from(low))),
+    let (key, ends) = match row.get_kind() {
+        REQUEST_KIND => {
+            let fingerprint = Fingerprint(u128::from(high) << 64 | u128::from(low));
+            (SuspectKey::Request(fingerprint), read_request_ends(row)?)
+        }
         SEGMENT_KIND => {
             let service = NameHash(high as u32);
             let segment = SegmentId { service, id: low };
-            SuspectKey::Segment(SegmentKey { segment, workspace })
+            let key = SegmentKey { segment, workspace };
+            (SuspectKey::Segment(key), read_segment_ends(row)?)
         }
         _ => return Ok(None),
     };
-    let (sent_ms_ago, ended_ms_ago) = (row.get_sent_ms_ago()?, row.get_ended_ms_ago()?);
-    // The rows of requests have only the age of the last end.
-    let age_ms = |ages_ms: primitive_list::Reader<'_, u32>, index: u32| {
-        if index < ages_ms.len() {
-            ages_ms.get(index)
-        } else {
-            row.get_changed_ms_ago()
-        }
-    };
-    let ends = (0..).zip(servers.iter()).map(|(index, server)| SuspectEndRow {
-        server: NameHash(server),
-        sent_ms_ago: age_ms(sent_ms_ago, index),
-        ended_ms_ago: age_ms(ended_ms_ago, index),
-    });
     Ok(Some(SuspectRow {
         key,
         workspace,
-        ends: ends.collect(),
+        ends,
         changed_ms_ago: row.get_changed_ms_ago(),
         seen_ms_ago: row.get_seen_ms_ago(),
     }))
 }
 
+/// Reads the servers that ended under a request. Its row has only the age of the last end.
+fn read_request_ends(row: suspect_row::Reader<'_>) -> Result<Vec<SuspectEndRow>, capnp::Error> {
+    let servers = row.get_servers()?;
+    check_rows(servers.len())?;
+    let ended_ms_ago = row.get_changed_ms_ago();
+    let ends = servers.iter().map(|server| SuspectEndRow {
+        server: NameHash(server),
+        sent_ms_ago: ended_ms_ago,
+        ended_ms_ago,
+    });
+    Ok(ends.collect())
+}
+
+fn read_segment_ends(row: suspect_row::Reader<'_>) -> Result<Vec<SuspectEndRow>, capnp::Error> {
+    let rows = row.get_ends()?;
+    check_rows(rows.len())?;
+    let ends = rows.iter().map(|row| SuspectEndRow {
+        server: NameHash(row.get_server()),
+        sent_ms_ago: row.get_sent_ms_ago(),
+        ended_ms_ago: row.get_ended_ms_ago(),
+    });
+    Ok(ends.collect())
+}
+
 fn read_departures(root: load_report::Reader<'_>) -> Result<Vec<NameHash>, capnp::Error> {
     let departures = root.get_leaving()?;
     check_rows(departures.len())?;
