Name the segments that end servers alike everywhere

On reading the change: the simulation said poison, the soak deadly, and the dispatcher convicted; the field's words are poison and quarantine.

--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -59,6 +59,8 @@
 /// Time over which the instances of a fleet spread these probes, in milliseconds: the end of the first one holds the
 /// others back.
 const PROBE_SPREAD_MS: u64 = 600_000;
+/// Odd factor that spreads the names of instances and segments over the time of the probes (Fibonacci hashing).
+const PROBE_HASH_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Time in which an instance sends at most one such request, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 60_000;
 /// Maximum number of suspects of a kind of a workspace, so that a workspace with many cannot evict those of
@@ -95,8 +97,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Quarantine {
     suspects: BTreeMap<SuspectKey, Suspect>,
-    /// The segments with enough evidence to be quarantined, for the requests to which that applies.
-    convicted: Vec<SegmentId>,
+    /// The segments with enough evidence against any workspace.
+    quarantined: Vec<SegmentId>,
     /// When the last request with a quarantined segment was let through.
     probed_at: HashMap<SegmentId, TimeMs>,
     events: Vec<QuarantineEvent>,
@@ -200,20 +202,20 @@
                 return Some(key);
             }
         }
-        if self.convicted.is_empty() {
+        if self.quarantined.is_empty() {
             return None;
         }
-        self.convicted_segment(demand, own, now)
+        self.quarantined_segment(demand, own, now)
     }
 
     /// Returns a quarantined segment of a request which the request may not probe.
-    fn convicted_segment(&mut self, demand: &Demand<'_>, own: NameHash, now: TimeMs) -> Option<SuspectKey> {
+    fn quarantined_segment(&mut self, demand: &Demand<'_>, own: NameHash, now: TimeMs) -> Option<SuspectKey> {
         let segments = demand.prompt.map_or(&[][..], Prompt::segments_before_last);
         let has_segment = |id: u64| segments.iter().any(|segment| segment.id == id);
-        let in_request = self.convicted.iter().copied();
+        let in_request = self.quarantined.iter().copied();
         let in_request: Vec<SegmentId> = in_request
             .filter(|segment| segment.service == demand.service && has_segment(segment.id))
-            .filter(|segment| self.convicts(*segment, demand.workspace, &has_segment))
+            .filter(|segment| self.applies(*segment, demand.workspace, &has_segment))
             .collect();
         for segment in &in_request {
             self.record_seen(*segment, now);
@@ -234,13 +236,13 @@
 
     /// Returns whether the evidence against a segment applies to the requests of a workspace, and is not explained by other
     /// quarantined segments, which the request does not have.
-    fn convicts(&self, segment: SegmentId, workspace: NameHash, has_segment: &impl Fn(u64) -> bool) -> bool {
+    fn applies(&self, segment: SegmentId, workspace: NameHash, has_segment: &impl Fn(u64) -> bool) -> bool {
         let evidence = self.evidence(segment);
         let Some(ends) = evidence.ends_against(workspace) else {
             return false;
         };
         let others = self
-            .convicted
+            .quarantined
             .iter()
             .filter(|other| other.service == segment.service);
         let others = others.filter(|other| !has_segment(other.id));
@@ -266,7 +268,8 @@
 
     /// Returns whether a request may be sent to see whether a quarantined segment still ends servers.
     fn may_probe(&self, segment: SegmentId, own: NameHash, now: TimeMs) -> bool {
-        let spread_ms = (u64::from(own.0) ^ segment.id).wrapping_mul(0x9e37_79b9_7f4a_7c15) % PROBE_SPREAD_MS;
+        let mixed = (u64::from(own.0) ^ segment.id).wrapping_mul(PROBE_HASH_FACTOR);
+        let spread_ms = mixed % PROBE_SPREAD_MS;
         let last_ended_at = self.evidence(segment).last_ended_at();
         if now < last_ended_at.plus_ms(PROBE_AFTER_MS + spread_ms) {
             return false;
@@ -275,21 +278,21 @@
         probed_at.is_none_or(|probed_at| now >= probed_at.plus_ms(PROBE_INTERVAL_MS))
     }
 
-    /// Updates whether a segment is convicted after its evidence has changed.
-    fn judge(&mut self, key: SuspectKey, change_if_released: QuarantineChange) {
+    /// Updates whether a segment is quarantined after its evidence has changed.
+    fn update_segment(&mut self, key: SuspectKey, change_if_released: QuarantineChange) {
         let SuspectKey::Segment(SegmentKey { segment, workspace }) = key else {
             return;
         };
-        let was_convicted = self.convicted.contains(&segment);
-        let is_convicted = self.evidence(segment).convicts_any();
-        if is_convicted == was_convicted {
+        let was_quarantined = self.quarantined.contains(&segment);
+        let is_quarantined = self.evidence(segment).is_enough();
+        if is_quarantined == was_quarantined {
             return;
         }
-        let change = if is_convicted {
-            self.convicted.push(segment);
+        let change = if is_quarantined {
+            self.quarantined.push(segment);
             QuarantineChange::Quarantined
         } else {
-            self.convicted.retain(|other| *other != segment);
+            self.quarantined.retain(|other| *other != segment);
             self.probed_at.remove(&segment);
             change_if_released
         };
@@ -346,7 +349,7 @@
         if suspect.ends.len() >= limit && !was_quarantined {
             self.report(key, QuarantineChange::Quarantined);
         }
-        self.judge(key, QuarantineChange::Cleared);
+        self.update_segment(key, QuarantineChange::Cleared);
     }
 
     /// Records an answer at `answered_at`, which clears the ends before it.
@@ -359,7 +362,7 @@
         if was_quarantined && !is_quarantined_request(key, suspect) {
             self.report(key, QuarantineChange::Cleared);
         }
-        self.judge(key, QuarantineChange::Cleared);
+        self.update_segment(key, QuarantineChange::Cleared);
     }
 
     /// Forgets suspects that were not seen for [`SUSPECT_KEPT_MS`].
@@ -378,7 +381,7 @@
             self.report(key, QuarantineChange::Forgotten);
         }
         self.suspects.remove(&key);
-        self.judge(key, QuarantineChange::Forgotten);
+        self.update_segment(key, QuarantineChange::Forgotten);
     }
 
     fn report(&mut self, key: SuspectKey, change: QuarantineChange) {
@@ -406,23 +409,23 @@
 
     /// Returns the number of quarantined segments.
     pub(crate) fn segments(&self) -> usize {
-        self.convicted.len()
+        self.quarantined.len()
     }
 
     /// Returns the rows for the next load report: those with the most ends first, then the newest ones.
     pub(crate) fn rows(&self, now: TimeMs) -> Vec<SuspectRow> {
         let announced = self.suspects.iter();
-        let announced =
-            announced.filter(|(key, suspect)| suspect.is_announced(**key, self.is_convicted(**key), now));
+        let announced = announced
+            .filter(|(key, suspect)| suspect.is_announced(**key, self.is_quarantined_segment(**key), now));
         let mut rows: Vec<SuspectRow> = announced.map(|(key, suspect)| suspect.row(*key, now)).collect();
         SuspectRow::keep_strongest(&mut rows, ROWS_MAX);
         rows
     }
 
-    fn is_convicted(&self, key: SuspectKey) -> bool {
+    fn is_quarantined_segment(&self, key: SuspectKey) -> bool {
         match key {
             SuspectKey::Request(_) => false,
-            SuspectKey::Segment(key) => self.convicted.contains(&key.segment),
+            SuspectKey::Segment(key) => self.quarantined.contains(&key.segment),
         }
     }
 
@@ -456,8 +459,13 @@
         let evictable = self.suspects.iter().filter(|(key, suspect)| {
             suspect.workspace == evicted_workspace && (!is_workspace_full || is_same_kind(key))
         });
-        let evicted = evictable
-            .min_by_key(|(key, suspect)| (self.is_convicted(**key), suspect.ends.len(), suspect.seen_at));
+        let evicted = evictable.min_by_key(|(key, suspect)| {
+            (
+                self.is_quarantined_segment(**key),
+                suspect.ends.len(),
+                suspect.seen_at,
+            )
+        });
         if let Some(key) = evicted.map(|(key, _)| *key) {
             self.forget(key);
         }
@@ -481,7 +489,7 @@
     key(NameHash(0))..=key(NameHash(u32::MAX))
 }
 
-/// Returns whether a suspect is a request that is quarantined. Segments are judged over all workspaces.
+/// Returns whether a suspect is a request that is quarantined. Segments are quarantined by the evidence of all workspaces.
 fn is_quarantined_request(key: SuspectKey, suspect: &Suspect) -> bool {
     matches!(key, SuspectKey::Request(_)) && suspect.ends.len() >= SERVERS_TO_QUARANTINE
 }
--- a/crates/reedsail_dispatch/src/segment_evidence.rs
+++ b/crates/reedsail_dispatch/src/segment_evidence.rs
@@ -51,7 +51,7 @@
     }
 
     /// Returns whether the evidence is enough against any workspace.
-    pub(crate) fn convicts_any(&self) -> bool {
+    pub(crate) fn is_enough(&self) -> bool {
         let mut workspaces = self.suspects.iter().map(|suspect| suspect.workspace);
         self.shared_ends().is_some() || workspaces.any(|workspace| self.own_ends(workspace).is_some())
     }
--- a/crates/reedsail_dispatch/src/suspect.rs
+++ b/crates/reedsail_dispatch/src/suspect.rs
@@ -175,10 +175,10 @@
         }
     }
 
-    /// Returns whether the next report contains the suspect. Each instance announces it if `is_convicted` or several servers
+    /// Returns whether the next report contains the suspect. Each instance announces it if `is_quarantined` or several servers
     /// have ended under it, and otherwise only those that have observed something.
-    pub(crate) fn is_announced(&self, key: SuspectKey, is_convicted: bool, now: TimeMs) -> bool {
-        if !is_convicted && !self.is_observed_here && self.ends.len() <= 1 {
+    pub(crate) fn is_announced(&self, key: SuspectKey, is_quarantined: bool, now: TimeMs) -> bool {
+        if !is_quarantined && !self.is_observed_here && self.ends.len() <= 1 {
             return false;
         }
         if now < self.announced_until {
--- a/crates/reedsail_router/tests/quarantine.rs
+++ b/crates/reedsail_router/tests/quarantine.rs
@@ -142,18 +142,18 @@
 }
 
 /// A stream of two events without a length or chunks, after which its server ends.
-const DEADLY: RoutedAnswer = RoutedAnswer::Text {
+const POISON: RoutedAnswer = RoutedAnswer::Text {
     text: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
     is_framed: false,
     ends_server: true,
 };
 /// Time between two requests that end servers, in milliseconds: longer than the time after an end in which none counts.
-const DEADLY_PAUSE_MS: u64 = 300;
+const POISON_PAUSE_MS: u64 = 300;
 
 /// Lists a server that ends when it answers, and sends it a request with a prompt.
-async fn ask_deadly(store: &Store, router: &RunningRouter<TestHeaders>, number: u32) {
+async fn ask_poison(store: &Store, router: &RunningRouter<TestHeaders>, number: u32) {
     let server = RoutedStandin::start().await.unwrap();
-    server.answer_with(&[DEADLY]);
+    server.answer_with(&[POISON]);
     let id = format!("llm-{number}");
     replace_other_servers(store, record(&id, "llm", &server));
     let admin = router.addresses().admin;
@@ -169,7 +169,7 @@
         !reply.is_whole,
         "a stream that ends with its server is broken off"
     );
-    sleep(Duration::from_millis(DEADLY_PAUSE_MS)).await;
+    sleep(Duration::from_millis(POISON_PAUSE_MS)).await;
 }
 
 #[tokio::test]
@@ -182,7 +182,7 @@
     let store = Store::new(Some(configuration(1)), Some(vec![draining]));
     let [first, second] = start_two_peers(&store).await;
     for (number, router) in [(1, &first), (2, &second), (3, &first)] {
-        ask_deadly(&store, router, number).await;
+        ask_poison(&store, router, number).await;
     }
     let healthy = RoutedStandin::start().await.unwrap();
     replace_other_servers(&store, record("llm-9", "llm", &healthy));
--- a/crates/reedsail_simulation/tests/poison_request.rs
+++ b/crates/reedsail_simulation/tests/poison_request.rs
@@ -5,36 +5,22 @@
 //! logs it shows as four events 511 (`request_ended`) with `"outcome":"backend_broke_off"` and the same `tokens`
 //! (4255) and workspace (ziye200): the only request that broke at all four servers.
 
+mod common;
+
 use reedsail_simulation::CrashOutcome;
 use reedsail_simulation::CrashScenario;
-use reedsail_simulation::simulate_crashes;
+
+use common::simulate_seeds;
 
 const SEEDS: std::ops::Range<u64> = 1..25;
 
 /// Number of times that the users accept a poison request to be sent later than the bound after the third end.
 const LATE_SENDS_MAX: u64 = 3;
 
-/// Simulates the scenarios of all seeds concurrently.
 fn simulate_default_seeds(scenario: fn(u64) -> CrashScenario) -> Vec<(u64, CrashOutcome)> {
     simulate_seeds(SEEDS, scenario)
 }
 
-fn simulate_seeds(
-    seeds: impl IntoIterator<Item = u64>,
-    scenario: fn(u64) -> CrashScenario,
-) -> Vec<(u64, CrashOutcome)> {
-    std::thread::scope(|scope| {
-        let threads: Vec<_> = seeds
-            .into_iter()
-            .map(|seed| (seed, scope.spawn(move || simulate_crashes(&scenario(seed)))))
-            .collect();
-        threads
-            .into_iter()
-            .map(|(seed, thread)| (seed, thread.join().unwrap()))
-            .collect()
-    })
-}
-
 #[test]
 fn a_request_that_ends_servers_is_not_sent_once_the_fleet_can_know() {
     let mut late = Vec::new();
--- a/crates/reedsail_simulation/tests/poison_segment.rs
+++ b/crates/reedsail_simulation/tests/poison_segment.rs
@@ -1,30 +1,20 @@
 //! Guards against a segment of prompts that ends many servers: each request with it is another one, so that no request
 //! is ever sent three times. Requests that share the caller, the first segment or the neighbours must go on.
 
-use reedsail_simulation::CrashOutcome;
+mod common;
+
 use reedsail_simulation::CrashScenario;
 use reedsail_simulation::simulate_crashes;
 
-const SEEDS: std::ops::Range<u64> = 1..25;
+use common::simulate_seeds;
 
-/// Simulates the scenarios of all seeds concurrently.
-fn simulate_seeds(scenario: fn(u64) -> CrashScenario) -> Vec<(u64, CrashOutcome)> {
-    std::thread::scope(|scope| {
-        let threads: Vec<_> = SEEDS
-            .map(|seed| (seed, scope.spawn(move || simulate_crashes(&scenario(seed)))))
-            .collect();
-        threads
-            .into_iter()
-            .map(|(seed, thread)| (seed, thread.join().unwrap()))
-            .collect()
-    })
-}
+const SEEDS: std::ops::Range<u64> = 1..25;
 
 #[test]
 fn a_segment_that_ends_servers_is_not_sent_once_the_fleet_can_know() {
     let mut late = Vec::new();
     let mut ends = Vec::new();
-    for (seed, outcome) in simulate_seeds(CrashScenario::with_poison_segments) {
+    for (seed, outcome) in simulate_seeds(SEEDS, CrashScenario::with_poison_segments) {
         println!("seed {seed}: {outcome:?}");
         for poison in outcome.poisons {
             ends.push(poison.servers_ended);
@@ -40,7 +30,7 @@
 
 #[test]
 fn sound_requests_beside_a_segment_that_ends_servers_go_on() {
-    for (seed, outcome) in simulate_seeds(CrashScenario::with_poison_segments) {
+    for (seed, outcome) in simulate_seeds(SEEDS, CrashScenario::with_poison_segments) {
         let begun = outcome.begun_at_first as f64 / outcome.arrived as f64;
         println!(
             "seed {seed}: {begun:.3} begun, {} quarantined",
@@ -51,8 +41,8 @@
 }
 
 #[test]
-fn servers_that_crash_together_convict_no_segment() {
-    for (seed, outcome) in simulate_seeds(CrashScenario::with_mass_crashes) {
+fn servers_that_crash_together_put_no_segment_in_quarantine() {
+    for (seed, outcome) in simulate_seeds(SEEDS, CrashScenario::with_mass_crashes) {
         assert!(outcome.broken > 0, "seed {seed}: nothing broke");
         assert_eq!(outcome.wrongly_quarantined, 0, "seed {seed}");
     }
--- a/crates/reedsail_soak/src/checker.rs
+++ b/crates/reedsail_soak/src/checker.rs
@@ -8,8 +8,8 @@
 use crate::Probe;
 use crate::Run;
 use crate::Target;
-use crate::deadly_checks::check_deadly_segment;
 use crate::notice_checks::check_notices;
+use crate::poison_checks::check_poison_segment;
 use crate::version_checks::check_stream_versions;
 
 /// A version must be in force after this time on an instance without faults.
@@ -81,7 +81,7 @@
     check_departures(history, &mut found);
     check_notices(history, &mut found);
     check_stream_versions(history, &mut found);
-    check_deadly_segment(history, &mut found);
+    check_poison_segment(history, &mut found);
     check_exits(history, &mut found);
     check_fairness(history, &mut found);
     check_recovery(history, &mut found);
--- a/crates/reedsail_soak/src/draw.rs
+++ b/crates/reedsail_soak/src/draw.rs
@@ -108,7 +108,7 @@
         20 | 21 => FaultKind::ReleaseServer(engine, version),
         22 => FaultKind::RestartServer(engine, version),
         23 => FaultKind::KillServer(engine),
-        25 => FaultKind::DeadlySegment(random.random_range(50..600)),
+        25 => FaultKind::PoisonSegment(random.random_range(50..600)),
         _ => FaultKind::ReplaceKey,
     }
 }
--- a/crates/reedsail_soak/src/history.rs
+++ b/crates/reedsail_soak/src/history.rs
@@ -255,10 +255,10 @@
     pub runs: Vec<Run>,
     /// The requests that ended the servers that ran them.
     #[serde(default)]
-    pub deadly_runs: Vec<Run>,
+    pub poison_runs: Vec<Run>,
     /// The times in which such requests came, from the first to the last.
     #[serde(default)]
-    pub deadly_spans: Vec<(u64, u64)>,
+    pub poison_spans: Vec<(u64, u64)>,
     /// The statuses that servers reported.
     #[serde(default)]
     pub notices: Vec<Notice>,
--- a/crates/reedsail_soak/src/lib.rs
+++ b/crates/reedsail_soak/src/lib.rs
@@ -3,8 +3,6 @@
 
 mod caller;
 mod checker;
-mod deadly;
-mod deadly_checks;
 mod draw;
 mod fleet;
 mod history;
@@ -12,6 +10,8 @@
 mod layout;
 mod notice_checks;
 mod player;
+mod poison;
+mod poison_checks;
 mod prober;
 mod process;
 mod proxy;
--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -27,12 +27,12 @@
 use crate::Target;
 use crate::VersionWrite;
 use crate::caller::CallerShared;
-use crate::deadly::send_deadly_request;
 use crate::fleet::Fleet;
 use crate::fleet::RunningServer;
 use crate::fleet::Server;
 use crate::instance::Instance;
 use crate::layout;
+use crate::poison::send_poison_request;
 
 /// An instance that was asked to stop is killed after this time.
 const STOP_LIMIT_MS: u64 = 12_000;
@@ -49,7 +49,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PlayerRecord {
     pub(crate) faults: Vec<FaultSpan>,
-    pub(crate) deadly_spans: Vec<(u64, u64)>,
+    pub(crate) poison_spans: Vec<(u64, u64)>,
     pub(crate) writes: Vec<VersionWrite>,
     pub(crate) departures: Vec<Departure>,
     pub(crate) exits: Vec<Exit>,
@@ -77,7 +77,7 @@
     pub(crate) fleet: Arc<Fleet>,
     callers: Arc<CallerShared>,
     newest_version: Arc<AtomicU64>,
-    deadly_requests: AtomicU64,
+    poison_requests: AtomicU64,
     record: Mutex<PlayerRecord>,
     active_faults: Mutex<ActiveFaults>,
     /// Serializes writes of configuration versions.
@@ -95,7 +95,7 @@
             fleet,
             callers,
             newest_version,
-            deadly_requests: AtomicU64::new(0),
+            poison_requests: AtomicU64::new(0),
             record: Mutex::new(PlayerRecord {
                 writes: vec![first],
                 ..PlayerRecord::default()
@@ -133,7 +133,7 @@
             }
             FaultKind::HideServer(server) => self.hide_server(server, fault.for_ms).await?,
             FaultKind::ServerAnswers(server, kind) => self.disturb_answers(server, kind, fault.for_ms).await,
-            FaultKind::DeadlySegment(interval_ms) => self.send_deadly(interval_ms, fault.for_ms).await,
+            FaultKind::PoisonSegment(interval_ms) => self.send_poison(interval_ms, fault.for_ms).await,
             FaultKind::StoreRefuses => {
                 let refusal = Some(503);
                 let trouble = StoreFaults {
@@ -251,17 +251,17 @@
         Ok(())
     }
 
-    /// Sends requests with the deadly segment, each to the next instance.
-    async fn send_deadly(&self, interval_ms: u64, for_ms: u64) {
+    /// Sends requests with the poison segment, each to the next instance.
+    async fn send_poison(&self, interval_ms: u64, for_ms: u64) {
         let from_ms = self.now_ms();
         let until_ms = from_ms + for_ms;
         let mut requests = JoinSet::new();
         while self.now_ms() < until_ms {
-            let number = self.deadly_requests.fetch_add(1, Ordering::Relaxed);
-            requests.spawn(send_deadly_request(Arc::clone(&self.callers), number));
+            let number = self.poison_requests.fetch_add(1, Ordering::Relaxed);
+            requests.spawn(send_poison_request(Arc::clone(&self.callers), number));
             sleep(Duration::from_millis(interval_ms)).await;
         }
-        self.record().deadly_spans.push((from_ms, self.now_ms()));
+        self.record().poison_spans.push((from_ms, self.now_ms()));
         requests.join_all().await;
     }
 
--- a/crates/reedsail_soak/src/deadly.rs
+++ b/crates/reedsail_soak/src/poison.rs
@@ -18,14 +18,14 @@
 use crate::layout;
 
 /// The segment's id.
-pub(crate) const DEADLY_SEGMENT: u64 = 0xdead;
+pub(crate) const POISON_SEGMENT: u64 = 0xdead;
 /// What the ids of these requests begin with.
-const ID_PREFIX: &str = "deadly-";
+const ID_PREFIX: &str = "poison-";
 /// The workspace that sends them. Its other requests share their first segments.
-pub(crate) const DEADLY_WORKSPACE: &str = "large";
+pub(crate) const POISON_WORKSPACE: &str = "large";
 
 /// Returns whether a request has the segment.
-pub(crate) fn is_deadly(request_id: &str) -> bool {
+pub(crate) fn is_poison(request_id: &str) -> bool {
     request_id.starts_with(ID_PREFIX)
 }
 
@@ -36,7 +36,7 @@
 }
 
 /// Sends a request with the segment to an instance, and reads what comes. No two of them are alike.
-pub(crate) async fn send_deadly_request(shared: Arc<CallerShared>, number: u64) {
+pub(crate) async fn send_poison_request(shared: Arc<CallerShared>, number: u64) {
     let instances = &shared.fleet.instances;
     let instance = number as usize % instances.len();
     let id = format!("{ID_PREFIX}{instance}-{number}");
@@ -47,9 +47,9 @@
         key: None,
         resumes: None,
         prompt: Some((number % PROMPT_COUNT + 1, shared_tokens, own_tokens)),
-        second_part: Some(DEADLY_SEGMENT),
+        second_part: Some(POISON_SEGMENT),
     };
-    let key = layout::key(DEADLY_WORKSPACE, 0);
+    let key = layout::key(POISON_WORKSPACE, 0);
     let request = build_request(CallKind::Letter, head, &key);
     let address = instances[instance].callers.address;
     let exchange = async {
--- a/crates/reedsail_soak/src/deadly_checks.rs
+++ b/crates/reedsail_soak/src/poison_checks.rs
@@ -7,8 +7,8 @@
 use crate::Outcome;
 use crate::Target;
 use crate::Violation;
-use crate::deadly::DEADLY_WORKSPACE;
-use crate::deadly::instance_of;
+use crate::poison::POISON_WORKSPACE;
+use crate::poison::instance_of;
 
 /// Number of ended servers after which the segment must be known.
 const BOUNDING_END: usize = 5;
@@ -21,12 +21,12 @@
 /// Minimum number of requests, with and without the segment about, for the check of the sound ones.
 const SOUND_MIN: usize = 20;
 
-pub(crate) fn check_deadly_segment(history: &History, found: &mut Vec<Violation>) {
-    let Some(bounding_run) = history.deadly_runs.get(BOUNDING_END - 1) else {
+pub(crate) fn check_poison_segment(history: &History, found: &mut Vec<Violation>) {
+    let Some(bounding_run) = history.poison_runs.get(BOUNDING_END - 1) else {
         return;
     };
     let known_ms = bounding_run.began_ms + KNOWN_WITHIN_MS;
-    let late = history.deadly_runs.iter().filter(|run| {
+    let late = history.poison_runs.iter().filter(|run| {
         let instance = instance_of(&run.id);
         run.began_ms > known_ms
             && instance.is_some_and(|instance| is_in_touch(history, instance, run.began_ms))
@@ -35,7 +35,7 @@
     if late.len() > LATE_RUNS_MAX {
         let what = format!(
             "{} servers ended, {} of them later than {KNOWN_WITHIN_MS} ms after the fifth at {} ms: {late:?}",
-            history.deadly_runs.len(),
+            history.poison_runs.len(),
             late.len(),
             bounding_run.began_ms
         );
@@ -46,11 +46,11 @@
 
 /// Checks that sound requests begin at least half as often while the segment comes as before its first request.
 fn check_sound(history: &History, from_ms: u64, found: &mut Vec<Violation>) {
-    let Some(first_ms) = history.deadly_spans.iter().map(|span| span.0).min() else {
+    let Some(first_ms) = history.poison_spans.iter().map(|span| span.0).min() else {
         return;
     };
     let is_about = |at_ms: u64| {
-        let mut spans = history.deadly_spans.iter();
+        let mut spans = history.poison_spans.iter();
         at_ms >= from_ms && spans.any(|span| (span.0..=span.1).contains(&at_ms))
     };
     let is_quiet = |attempt: &Attempt| {
@@ -80,7 +80,7 @@
 /// Returns how many of the selected requests of the segment's caller and routes began, and their number.
 fn begun_share(history: &History, is_selected: impl Fn(&Attempt) -> bool) -> (usize, usize) {
     let attempts = history.attempts.iter().filter(|attempt| {
-        attempt.workspace == DEADLY_WORKSPACE
+        attempt.workspace == POISON_WORKSPACE
             && attempt.kind == CallKind::Letter
             && is_in_touch(history, attempt.daemon, attempt.began_ms)
             && is_selected(attempt)
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -113,7 +113,7 @@
     ServerAnswers(usize, AnswerFault),
     /// Requests come whose prompts have a segment that ends each engine which begins to answer them, one in the given
     /// milliseconds.
-    DeadlySegment(u64),
+    PoisonSegment(u64),
     /// The store refuses every call.
     StoreRefuses,
     /// The store delays its answers by the given milliseconds.
@@ -154,7 +154,7 @@
             Self::DrainByAnswers(_) => "server draining by its answers",
             Self::ServerAnswers(_, AnswerFault::Busy(_)) => "server asking for time",
             Self::ServerAnswers(_, _) => "server answering wrongly",
-            Self::DeadlySegment(_) => "segment that ends servers",
+            Self::PoisonSegment(_) => "segment that ends servers",
             Self::StoreRefuses => "store down",
             Self::StoreSlow(_) => "store slow",
             Self::StoreLoses(_) => "store losing answers",
--- a/crates/reedsail_soak/src/server_program.rs
+++ b/crates/reedsail_soak/src/server_program.rs
@@ -44,7 +44,7 @@
 use crate::NoticeKind;
 use crate::Run;
 use crate::ServerLine;
-use crate::deadly::DEADLY_SEGMENT;
+use crate::poison::POISON_SEGMENT;
 use crate::server::EVENTS;
 use crate::server::MISDIRECTED;
 use crate::server::SERVED_BY;
@@ -146,7 +146,7 @@
             let (sender, body) = Channel::new(1);
             let (head, version) = (head.clone(), self.version.clone());
             tokio::spawn(async move {
-                if head.shared_parts.contains(&DEADLY_SEGMENT) {
+                if head.shared_parts.contains(&POISON_SEGMENT) {
                     end_while_answering(sender, &head, &version).await;
                 }
                 send_events(sender, &head, &version, fault).await;
--- a/crates/reedsail_soak/src/soak.rs
+++ b/crates/reedsail_soak/src/soak.rs
@@ -25,11 +25,11 @@
 use crate::caller::CallerShared;
 use crate::caller::run_caller;
 use crate::check;
-use crate::deadly::is_deadly;
 use crate::fleet::Fleet;
 use crate::layout;
 use crate::player::Player;
 use crate::player::PlayerRecord;
+use crate::poison::is_poison;
 use crate::prober::run_prober;
 use crate::report::count_continued;
 use crate::report::count_outcomes;
@@ -162,7 +162,7 @@
             daemons: schedule.daemons,
             attempts_max: layout::ATTEMPTS_MAX as usize,
             faults: self.player_record.faults,
-            deadly_spans: self.player_record.deadly_spans,
+            poison_spans: self.player_record.poison_spans,
             writes: self.player_record.writes,
             departures: self.player_record.departures,
             exits: self.player_record.exits,
@@ -180,8 +180,8 @@
             match line {
                 ServerLine::Run(mut run) => {
                     run.began_ms = self.clock.since_start_ms(run.began_ms);
-                    if is_deadly(&run.id) {
-                        history.deadly_runs.push(run);
+                    if is_poison(&run.id) {
+                        history.poison_runs.push(run);
                     } else {
                         history.runs.push(run);
                     }
@@ -193,7 +193,7 @@
             }
         }
         history.probes.sort_by_key(|probe| probe.ended_ms);
-        history.deadly_runs.sort_by_key(|run| run.began_ms);
+        history.poison_runs.sort_by_key(|run| run.began_ms);
         let counts = self.player_record.counts.into_iter();
         let figures = Figures {
             faults: counts.map(|(name, count)| (name.to_owned(), count)).collect(),
--- a/crates/reedsail_soak/tests/checker.rs
+++ b/crates/reedsail_soak/tests/checker.rs
@@ -514,21 +514,21 @@
 }
 
 /// Returns a history in which a segment ended five servers, and was sent to `late` more 3 s after the fifth.
-fn deadly_segment(late: u64) -> History {
+fn poison_segment(late: u64) -> History {
     let mut history = history();
-    let early = (0..5).map(|number| run(&format!("deadly-0-{number}"), "server-0", 4_000 + number));
-    let late = (0..late).map(|number| run(&format!("deadly-1-9{number}"), "server-0", 7_100 + number));
-    history.deadly_runs = early.chain(late).collect();
-    history.deadly_spans = vec![(4_000, 20_000)];
+    let early = (0..5).map(|number| run(&format!("poison-0-{number}"), "server-0", 4_000 + number));
+    let late = (0..late).map(|number| run(&format!("poison-1-9{number}"), "server-0", 7_100 + number));
+    history.poison_runs = early.chain(late).collect();
+    history.poison_spans = vec![(4_000, 20_000)];
     history
 }
 
 #[test]
 fn a_segment_that_still_reaches_servers_is_found() {
-    assert_eq!(check(&deadly_segment(3)), []);
+    assert_eq!(check(&poison_segment(3)), []);
     let promise = "a segment that ends servers is not sent";
-    assert_eq!(violated_promises(&deadly_segment(4)), [promise]);
-    let mut disturbed = deadly_segment(4);
+    assert_eq!(violated_promises(&poison_segment(4)), [promise]);
+    let mut disturbed = poison_segment(4);
     disturbed.faults.push(fault(Target::Daemon(1), 3_000, 4_000));
     assert_eq!(check(&disturbed), []);
 }
@@ -536,7 +536,7 @@
 #[test]
 fn sound_requests_that_are_refused_beside_a_segment_are_found() {
     let with_sound = |begun: usize| {
-        let mut history = deadly_segment(0);
+        let mut history = poison_segment(0);
         for number in 0..20 {
             let mut before = attempt(&format!("before-{number}"), CallKind::Letter, Outcome::Answered);
             (before.began_ms, before.ended_ms) = (3_000, 3_100);
--- a/crates/reedsail_soak/tests/schedule.rs
+++ b/crates/reedsail_soak/tests/schedule.rs
@@ -46,7 +46,7 @@
         | FaultKind::StoreForgets
         | FaultKind::StoreGoesBack(_)
         | FaultKind::Configure
-        | FaultKind::DeadlySegment(_)
+        | FaultKind::PoisonSegment(_)
         | FaultKind::ReplaceKey => (0, 0),
     }
 }
