Report an answer before suspects with one end

Found on reading the change: when a report has no room for all suspects (64 rows), an answer counted as no end and was left out first, so that peers kept suspecting what it had cleared. It counts as two ends now, before those with one and after those about to be quarantined. The new test failed before.

--- a/crates/reedsail_dispatch/src/load_report.rs
+++ b/crates/reedsail_dispatch/src/load_report.rs
@@ -57,6 +57,10 @@
     pub server: NameHash,
 }
 
+/// The number of ended servers that an answer counts for when a report has no room for all rows: peers must hear of it
+/// before the end that would quarantine what it clears.
+const ANSWER_ENDS: usize = 2;
+
 /// The end of a server under a suspect.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SuspectEndRow {
@@ -85,7 +89,7 @@
 
 impl SuspectRow {
     /// Keeps at most `count_max` rows: those with the most ended servers, and of these the newest. The rows of a segment
-    /// count together.
+    /// count together, and an answer as much as [`ANSWER_ENDS`].
     pub fn keep_strongest(rows: &mut Vec<Self>, count_max: usize) {
         let mut ends_by_segment: HashMap<SegmentId, usize> = HashMap::new();
         for row in rows.iter() {
@@ -97,7 +101,14 @@
             SuspectKey::Request(_) => row.ends.len(),
             SuspectKey::Segment(key) => ends_by_segment[&key.segment],
         };
-        rows.sort_by_key(|row| (Reverse(ends(row)), row.changed_ms_ago, row.key));
+        let strength = |row: &Self| {
+            if row.ends.is_empty() {
+                ends(row).max(ANSWER_ENDS)
+            } else {
+                ends(row)
+            }
+        };
+        rows.sort_by_key(|row| (Reverse(strength(row)), row.changed_ms_ago, row.key));
         rows.truncate(count_max);
     }
 }
--- a/crates/reedsail_dispatch/tests/segment_quarantine.rs
+++ b/crates/reedsail_dispatch/tests/segment_quarantine.rs
@@ -252,7 +252,7 @@
 }
 
 #[test]
-fn a_server_that_ends_before_it_begins_to_answer_accuses_no_segment() {
+fn a_server_that_ends_before_it_begins_to_answer_is_no_evidence() {
     let mut instance = Instance::new(1);
     for _ in 0..5 {
         let attempt = instance.send("own", &[ROOT, NEIGHBOUR]).unwrap();
@@ -263,7 +263,7 @@
 }
 
 #[test]
-fn a_server_that_drains_accuses_no_segment() {
+fn the_end_of_a_draining_server_is_no_evidence() {
     let mut instance = Instance::new(1);
     for _ in 0..5 {
         let mut attempt = instance.send("own", &[ROOT, NEIGHBOUR]).unwrap();
@@ -388,3 +388,20 @@
     assert!(!instance.sends("own", &[ROOT, POISON]));
     assert!(instance.rows().len() <= 64);
 }
+
+#[test]
+fn an_answer_is_reported_before_suspects_with_one_end() {
+    let mut instance = Instance::new(1);
+    instance.end_server_under(&[("own", &[ROOT, NEIGHBOUR])]);
+    let many: Vec<Vec<u64>> = (0..10)
+        .map(|number| (100 * number + 1_000..100 * number + 1_050).collect())
+        .collect();
+    let requests: Vec<(&str, &[u64])> = many.iter().map(|ids| ("other", ids.as_slice())).collect();
+    instance.end_server_under(&requests);
+    let attempt = instance.answer_partly("own", &[ROOT, NEIGHBOUR]);
+    let rows = instance.rows();
+    assert_eq!(rows.len(), 64);
+    let answered = rows.iter().filter(|row| row.ends.is_empty()).count();
+    assert_eq!(answered, 2);
+    instance.finish(attempt, AttemptOutcome::Answered);
+}
