Take a server that accepts no connection in time for busy, not for ended

Found on reading the change: the check of a server whose answer ended with its connection took a connect that timed out for the end of the server, so that a whole answer of a busy server became 502, or was asked for again. Only a refused connect shows an end; after a time-out the answer goes on without a frame, and neither acquits nor accuses. The new test, a server whose queue of connections is full, failed before (502 answer_incomplete).

--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -194,18 +194,28 @@
     server: &ServerView,
 ) -> Result<HttpConnection, AttemptOutcome> {
     let limit_ms = CONNECT_TIMEOUT_MS.min(call.deadline.since_ms(shared.clock.now()));
-    connect(shared, server, limit_ms).await
+    let connection = connect(shared, server, limit_ms).await;
+    connection.map_err(|failure| failure.outcome)
+}
+
+/// Why a connect to a server failed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ConnectFailure {
+    /// The outcome of the attempt that needed the connection.
+    pub(super) outcome: AttemptOutcome,
+    /// Whether nothing listens at the server's address.
+    pub(super) is_refused: bool,
 }
 
 /// Connects to a server within `limit_ms`.
 ///
 /// # Errors
-/// Returns the attempt outcome of a failed connect.
+/// Returns what a failed connect tells.
 pub(super) async fn connect<H>(
     shared: &Shared<H>,
     server: &ServerView,
     limit_ms: u64,
-) -> Result<HttpConnection, AttemptOutcome> {
+) -> Result<HttpConnection, ConnectFailure> {
     let began_at = shared.clock.now();
     let connection = HttpConnection::open_ready(server.address, limit_ms).await;
     let outcome = if connection.is_ok() { "opened" } else { "failed" };
@@ -213,7 +223,10 @@
     let took_ms = shared.clock.now().since_ms(began_at);
     connection.map_err(|error| {
         let is_late = took_ms > limit_ms + CONNECT_OVERRUN_MAX_MS;
-        outcome_of_connect_error(error.kind(), is_late, shared.overload.sheds_callers())
+        ConnectFailure {
+            outcome: outcome_of_connect_error(error.kind(), is_late, shared.overload.sheds_callers()),
+            is_refused: error.kind() == IoErrorKind::ConnectionRefused,
+        }
     })
 }
 
--- a/crates/reedsail_router/src/traffic/server_check.rs
+++ b/crates/reedsail_router/src/traffic/server_check.rs
@@ -41,7 +41,7 @@
     Listening,
     /// Nothing listens at the server's address.
     Ended,
-    /// The server is no longer listed, this instance is late, or the server has too many connections.
+    /// The server is no longer listed, accepts no connection in time, or has too many.
     Inconclusive,
 }
 
@@ -64,10 +64,16 @@
             shared.dispatcher().record_check(key, true, checked_at, now);
             ServerCheck::Listening
         }
-        Err(AttemptOutcome::Down) => {
-            shared.dispatcher().record_check(key, false, checked_at, now);
-            ServerCheck::Ended
+        Err(failure) => {
+            if failure.outcome == AttemptOutcome::Down {
+                shared.dispatcher().record_check(key, false, checked_at, now);
+            }
+            // A server that accepts no connection in time may be busy.
+            if failure.is_refused {
+                ServerCheck::Ended
+            } else {
+                ServerCheck::Inconclusive
+            }
         }
-        Err(_) => ServerCheck::Inconclusive,
     }
 }
--- a/crates/reedsail_router/tests/broken_answers.rs
+++ b/crates/reedsail_router/tests/broken_answers.rs
@@ -3,8 +3,14 @@
 
 mod common;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::time::Duration;
+
 use hyper::Method;
 use hyper::StatusCode;
+use reedsail_dispatch::ServerRecord;
 use reedsail_net::BodyFraming;
 use reedsail_standin::RoutedAnswer;
 use tokio::io::AsyncReadExt;
@@ -16,6 +22,7 @@
 use common::RouterFixture;
 use common::ask;
 use common::read_body;
+use common::record;
 use common::request;
 use common::wait_for;
 
@@ -25,6 +32,8 @@
 const BETWEEN_EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 /// A body that is no stream.
 const BODY: &str = "some of the body";
+/// Maximum number of connections that wait for a server which accepts none.
+const WAITING_MAX: usize = 5_000;
 /// Number of answers of a test that looks at what each costs.
 const ANSWERS: u32 = 20;
 
@@ -242,3 +251,44 @@
         assert!(read.is_err(), "{path}: an orderly end looks complete");
     }
 }
+
+/// Answers one request without a length or chunks, while no other connection to the server is accepted in time.
+fn answer_while_connects_time_out(listener: &TcpListener) {
+    let address = listener.local_addr().unwrap();
+    let (mut connection, _) = listener.accept().unwrap();
+    let read = connection.read(&mut [0; 4_096]).unwrap();
+    assert!(read > 0);
+    let connect = || std::net::TcpStream::connect_timeout(&address, Duration::from_millis(100));
+    let waiting: Vec<_> = std::iter::from_fn(|| connect().ok()).take(WAITING_MAX).collect();
+    assert!(
+        waiting.len() < WAITING_MAX,
+        "the queue of connections never fills"
+    );
+    let answer = format!("HTTP/1.1 200 OK\r\nreedsail-request-id: id-1\r\n\r\n{BODY}");
+    connection.write_all(answer.as_bytes()).unwrap();
+    drop(connection);
+    std::thread::sleep(Duration::from_secs(1));
+}
+
+#[tokio::test]
+async fn an_answer_of_a_server_too_busy_for_connects_arrives() {
+    let fixture = RouterFixture::start().await;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let busy = ServerRecord {
+        address: listener.local_addr().unwrap(),
+        ..record("app-busy", "app", &fixture.app)
+    };
+    fixture.store.servers.send_replace(Some(vec![busy]));
+    let admin = fixture.router.addresses().admin;
+    wait_for("the busy server alone", async || {
+        let page = ask(admin, "/servers", &[]).await;
+        page.text().contains("app-busy") && !page.text().contains("app-1")
+    })
+    .await;
+    let server = std::thread::spawn(move || answer_while_connects_time_out(&listener));
+    let reply = ask(fixture.callers(), "/once/a", &[]).await;
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    assert_eq!(reply.text(), BODY);
+    assert!(!reply.is_certified());
+    server.join().unwrap();
+}
