--- a/crates/reedsail_simulation/src/retry_fleet.rs
+++ b/crates/reedsail_simulation/src/retry_fleet.rs
@@ -2,32 +2,31 @@
 //! are counted where they arrive.
 
 use std::collections::HashMap;
+use std::ops::Range;
 
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
-use reedsail_dispatch::AllowedRegions;
-use reedsail_dispatch::Demand;
-use reedsail_dispatch::DispatchSettings;
-use reedsail_dispatch::Dispatcher;
+use reedsail_dispatch::ATTEMPTS_MAX;
 use reedsail_dispatch::LENDERS_ASKED;
-use reedsail_dispatch::Priority;
 use reedsail_dispatch::RetryPurpose;
-use reedsail_dispatch::VersionDemand;
 use reedsail_retry_audit::RetryAudit;
 use reedsail_retry_audit::RetryBound;
 use reedsail_wire::RetryLoanMessage;
 
+use crate::Failing;
+use crate::FailureMode;
 use crate::RetryDesign;
 use crate::RetryOutcome;
 use crate::RetryScenario;
 use crate::event_queue::EventQueue;
-use crate::window_before::WindowBefore;
+use crate::retry_limit::RetryLimit;
+use crate::retry_limit::WINDOW_MS;
 
-/// Window of the bound, in milliseconds.
-const WINDOW_MS: u64 = 10_000;
+/// Attempts of a request that its route allows, if they may have run.
+const FAILED_ATTEMPTS_MAX: usize = 2;
 /// Interval between two ticks of an instance, in milliseconds.
 const TICK_MS: u64 = 50;
 /// Longest time from the decision to retry until the arrival at a server, in milliseconds.
@@ -52,20 +51,33 @@
     Kill(usize),
     /// Instances start again.
     Start(usize),
+    /// A retry arrives at a server.
+    Retry(Retry),
 }
 
-/// An instance's limit of retries.
+/// An instance.
+struct Instance {
+    /// `None` while the instance is down.
+    limit: Option<RetryLimit>,
+    /// How many times a process of the instance has started.
+    starts: u32,
+}
+
+/// A retry on its way to a server.
 #[derive(Debug)]
-enum Limit {
-    Ledgers(Box<Dispatcher>),
-    WindowBefore(WindowBefore),
+struct Retry {
+    instance: usize,
+    /// The process that sent it.
+    start: u32,
+    purpose: RetryPurpose,
+    /// Attempts of its request so far, this one included.
+    attempts: usize,
 }
 
 struct RetryFleet<'a> {
     scenario: &'a RetryScenario,
     random: StdRng,
-    /// The limit of each instance; `None` while the instance is down.
-    limits: Vec<Option<Limit>>,
+    instances: Vec<Instance>,
     starts: u32,
     events: EventQueue<Event>,
     audit: RetryAudit,
@@ -87,36 +99,16 @@
     fleet.end()
 }
 
-fn service() -> NameHash {
-    NameHash::of("engines")
-}
-
 fn name(instance: usize) -> NameHash {
     NameHash::of(&format!("instance-{instance}"))
 }
 
-fn demand() -> Demand<'static> {
-    Demand {
-        service: service(),
-        workspace: NameHash::of("workspace"),
-        prompt: None,
-        latency_target_ms: 800,
-        gap_target_ms: None,
-        priority: Priority::default(),
-        waited_ms: 0,
-        tried: &[],
-        regions: &AllowedRegions::Any,
-        fingerprint: None,
-        version: VersionDemand::Any,
-    }
-}
-
 impl<'a> RetryFleet<'a> {
     fn new(scenario: &'a RetryScenario) -> Self {
         let mut fleet = Self {
             scenario,
             random: StdRng::seed_from_u64(scenario.seed),
-            limits: Vec::new(),
+            instances: Vec::new(),
             starts: 0,
             events: EventQueue::default(),
             audit: RetryAudit::default(),
@@ -124,26 +116,22 @@
             outcome: RetryOutcome::default(),
         };
         for _ in 0..scenario.instances {
-            let limit = fleet.start_process();
-            fleet.limits.push(Some(limit));
+            fleet.instances.push(Instance {
+                limit: None,
+                starts: 0,
+            });
         }
+        fleet.start(0..scenario.instances, scenario.design);
         fleet
     }
 
-    fn start_process(&mut self) -> Limit {
-        if self.scenario.design == RetryDesign::WindowBefore {
-            return Limit::WindowBefore(WindowBefore::default());
+    /// Starts a process of each of some instances.
+    fn start(&mut self, instances: Range<usize>, design: RetryDesign) {
+        for instance in &mut self.instances[instances] {
+            self.starts += 1;
+            instance.starts = self.starts;
+            instance.limit = Some(RetryLimit::new(design, self.scenario, self.starts));
         }
-        self.starts += 1;
-        let settings = DispatchSettings {
-            retry_ratio: self.scenario.ratio,
-            retry_slack: self.scenario.slack,
-            retry_window_ms: WINDOW_MS,
-            ..DispatchSettings::default()
-        };
-        let mut instance = Dispatcher::new(settings, NameHash::of("domain"));
-        instance.set_incarnation(self.starts << 12);
-        Limit::Ledgers(Box::new(instance))
     }
 
     fn schedule_first_events(&mut self) {
@@ -167,78 +155,100 @@
             }
             Event::Tick => {
                 self.events.add(now_us + TICK_MS * 1_000, Event::Tick);
-                for instance in 0..self.limits.len() {
+                for instance in 0..self.instances.len() {
                     self.tick(instance, now);
                 }
             }
             Event::Message { from, to, message } => self.receive(from, to, &message, now),
             Event::Kill(number) => {
                 for instance in self.scenario.restarts[number].instances.clone() {
-                    self.limits[instance] = None;
+                    self.instances[instance].limit = None;
                 }
             }
             Event::Start(number) => {
-                for instance in self.scenario.restarts[number].instances.clone() {
-                    self.limits[instance] = Some(self.start_process());
-                }
+                let restart = &self.scenario.restarts[number];
+                let design = restart.design.unwrap_or(self.scenario.design);
+                self.start(restart.instances.clone(), design);
             }
+            Event::Retry(retry) => self.receive_retry(&retry, now),
         }
     }
 
     /// A caller sends a request to a random instance. While the instance is down, the request counts for nothing.
     fn request(&mut self, now: TimeMs) {
-        let instance = self.random.random_range(0..self.limits.len());
-        let Some(limit) = &mut self.limits[instance] else {
+        let instance = self.random.random_range(0..self.instances.len());
+        let Some(limit) = &mut self.instances[instance].limit else {
             return;
         };
         self.audit.record_request(now.0);
-        match limit {
-            Limit::Ledgers(dispatcher) => dispatcher.record_arrival(&demand(), now),
-            Limit::WindowBefore(window) => window.count_request(now),
-        }
-        if self.fails(instance, now) {
+        limit.count_request(now);
+        if let Some(failing) = self.fails(instance, now) {
             self.outcome.failed += 1;
-            self.retry(instance, now);
+            self.retry(instance, failing, 1, now);
         }
     }
 
-    fn fails(&mut self, instance: usize, now: TimeMs) -> bool {
-        let failing = self
-            .scenario
-            .failing
-            .iter()
-            .find(|failing| failing.span_ms.contains(&now.0) && failing.instances.contains(&instance));
-        failing.is_some_and(|failing| self.random.random_bool(failing.share))
+    /// Returns the fault by which an attempt of an instance fails, if it does.
+    fn fails(&mut self, instance: usize, now: TimeMs) -> Option<&'a Failing> {
+        let mut active = self.scenario.failing.iter();
+        let failing = active
+            .find(|failing| failing.span_ms.contains(&now.0) && failing.instances.contains(&instance))?;
+        self.random.random_bool(failing.share).then_some(failing)
     }
 
-    fn retry(&mut self, instance: usize, now: TimeMs) {
-        let purpose = RetryPurpose::RepeatFailed;
-        let is_granted = match &mut self.limits[instance] {
-            Some(Limit::Ledgers(dispatcher)) => dispatcher.take_retry(service(), purpose, now).is_granted(),
-            Some(Limit::WindowBefore(window)) => window.take(self.scenario.ratio, WINDOW_MS, now),
-            None => false,
+    /// Retries a request whose last attempt has failed, if its route and the budget allow it.
+    fn retry(&mut self, instance: usize, failing: &Failing, attempts: usize, now: TimeMs) {
+        let (purpose, attempts_max) = match failing.mode {
+            FailureMode::Failed => (RetryPurpose::RepeatFailed, FAILED_ATTEMPTS_MAX),
+            FailureMode::Rejected => (RetryPurpose::RepeatRejected, ATTEMPTS_MAX),
+        };
+        let sender = &mut self.instances[instance];
+        let Some(limit) = sender.limit.as_mut().filter(|_| attempts < attempts_max) else {
+            return;
         };
-        if !is_granted {
+        let Some(granted) = limit.take(purpose, now) else {
+            return;
+        };
+        if self.random.random_bool(failing.unsent_share) {
+            limit.refund(granted);
             return;
         }
+        let retry = Retry {
+            instance,
+            start: sender.starts,
+            purpose,
+            attempts: attempts + 1,
+        };
         let delay_ms = self.random.random_range(0..=ARRIVAL_DELAY_MAX_MS);
-        self.audit.record_retry(now.plus_ms(delay_ms).0);
+        let arrives_at = now.plus_ms(delay_ms);
+        self.events.add(arrives_at.0 * 1_000, Event::Retry(retry));
+    }
+
+    /// A server receives a retry, and the process that sent it learns what has come of it, if it still runs.
+    fn receive_retry(&mut self, retry: &Retry, now: TimeMs) {
+        self.audit.record_retry(now.0);
         self.outcome.retries += 1;
-        let is_success = !self.fails(instance, now);
-        self.outcome.answered += usize::from(is_success);
-        if let Some(Limit::Ledgers(dispatcher)) = &mut self.limits[instance] {
-            dispatcher.record_retry_outcome(service(), purpose, is_success, now);
+        let failing = self.fails(retry.instance, now);
+        let sender = &mut self.instances[retry.instance];
+        let is_same_process = sender.starts == retry.start;
+        let Some(limit) = sender.limit.as_mut().filter(|_| is_same_process) else {
+            return;
+        };
+        limit.record_outcome(retry.purpose, failing.is_none(), now);
+        match failing {
+            None => self.outcome.answered += 1,
+            Some(failing) => self.retry(retry.instance, failing, retry.attempts, now),
         }
     }
 
     fn tick(&mut self, instance: usize, now: TimeMs) {
-        let Some(Limit::Ledgers(dispatcher)) = &mut self.limits[instance] else {
+        let Some(limit) = &mut self.instances[instance].limit else {
             return;
         };
-        dispatcher.tick(now);
-        if self.scenario.design != RetryDesign::Ledgers {
+        limit.tick(now);
+        let Some(dispatcher) = limit.lending() else {
             return;
-        }
+        };
         let requests = dispatcher.loan_requests(now);
         if requests.is_empty() {
             return;
@@ -259,7 +269,8 @@
     }
 
     fn receive(&mut self, from: usize, to: usize, message: &RetryLoanMessage, now: TimeMs) {
-        let Some(Limit::Ledgers(dispatcher)) = &mut self.limits[to] else {
+        let limit = self.instances[to].limit.as_mut();
+        let Some(dispatcher) = limit.and_then(RetryLimit::lending) else {
             return;
         };
         for loan in &message.loans {
@@ -300,9 +311,9 @@
             let is_together = active.iter().all(|partition| {
                 partition.instances.contains(other) == partition.instances.contains(&instance)
             });
-            *other != instance && self.limits[*other].is_some() && is_together
+            *other != instance && self.instances[*other].limit.is_some() && is_together
         };
-        (0..self.limits.len()).filter(is_reachable).collect()
+        (0..self.instances.len()).filter(is_reachable).collect()
     }
 
     fn end(mut self) -> RetryOutcome {
--- a/crates/reedsail_simulation/src/retry_scenario.rs
+++ b/crates/reedsail_simulation/src/retry_scenario.rs
@@ -13,6 +13,18 @@
     LedgersAlone,
     /// By the requests of the window before, so that an instance makes no retry for a window after it has started.
     WindowBefore,
+    /// By the requests and retries of the last 10 to 11 s, and an equal share of the slack. Processes of the release
+    /// before the ledgers do this.
+    SlidingWindow,
+}
+
+/// How attempts fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureMode {
+    /// The server fails the request, which is retried once.
+    Failed,
+    /// The server rejects the request, which is retried until it has reached as many servers as the router allows.
+    Rejected,
 }
 
 /// A span in which attempts fail.
@@ -22,6 +34,10 @@
     pub span_ms: Range<u64>,
     /// Share of the attempts that fail.
     pub share: f64,
+    /// How they fail.
+    pub mode: FailureMode,
+    /// Share of the retries that reach no server because their connection is reset.
+    pub unsent_share: f64,
     /// The instances whose attempts fail.
     pub instances: Range<usize>,
 }
@@ -35,6 +51,8 @@
     pub at_ms: u64,
     /// Time until they start again, in milliseconds.
     pub down_ms: u64,
+    /// How the new processes limit their retries; `None` if like the others of the fleet.
+    pub design: Option<RetryDesign>,
 }
 
 /// A partition of some instances from all others.
@@ -51,7 +69,7 @@
 pub struct RetryScenario {
     /// Random seed.
     pub seed: u64,
-    /// How instances limit their retries.
+    /// How the first processes limit their retries.
     pub design: RetryDesign,
     /// Number of instances.
     pub instances: usize,
@@ -78,7 +96,7 @@
     pub worst: Option<RetryWindow>,
     /// First attempts that failed.
     pub failed: usize,
-    /// Retries that were made.
+    /// Retries that reached a server.
     pub retries: usize,
     /// Retries that were answered.
     pub answered: usize,
--- a/crates/reedsail_simulation/tests/retry_budget.rs
+++ b/crates/reedsail_simulation/tests/retry_budget.rs
@@ -2,6 +2,7 @@
 //! requests get the retries that the bound has room for.
 
 use reedsail_simulation::Failing;
+use reedsail_simulation::FailureMode;
 use reedsail_simulation::Partition;
 use reedsail_simulation::Restart;
 use reedsail_simulation::RetryDesign;
@@ -25,6 +26,8 @@
         failing: vec![Failing {
             span_ms: 12_000..20_000,
             share: 0.9,
+            mode: FailureMode::Failed,
+            unsent_share: 0.0,
             instances: 0..instances,
         }],
         restarts: Vec::new(),
@@ -41,6 +44,7 @@
             instances: first..(first + step).min(instances),
             at_ms: 13_000 + number as u64 * 1_000,
             down_ms: 500,
+            design: None,
         })
         .collect()
 }
@@ -51,6 +55,7 @@
             instances: 0..instances,
             at_ms,
             down_ms: 400,
+            design: None,
         })
         .to_vec()
 }
@@ -118,6 +123,7 @@
             instances: 0..fleet.0,
             at_ms: 11_500,
             down_ms: 400,
+            design: None,
         }];
         let ledgers = assert_bound_holds(&scenario);
         // Each request earns a tenth of a retry at once. At least half of that is usable, although an instance makes
@@ -131,3 +137,30 @@
         assert_eq!(assert_bound_holds(&scenario).retries, 0);
     }
 }
+
+/// Returns a fleet of 85 instances whose servers reject nine in ten requests and whose connections are reset, and of which
+/// all instances are killed.
+fn rejected_and_killed(seed: u64) -> RetryScenario {
+    let mut scenario = failing_fleet(seed, (85, 210.0, 1_500));
+    scenario.failing[0].mode = FailureMode::Rejected;
+    scenario.failing[0].unsent_share = 0.1;
+    scenario.restarts = vec![Restart {
+        instances: 0..85,
+        at_ms: 15_000,
+        down_ms: 500,
+        design: None,
+    }];
+    scenario
+}
+
+#[test]
+fn retries_of_rejected_requests_keep_the_bound_when_all_instances_are_killed() {
+    for seed in 1..=3 {
+        let mut scenario = rejected_and_killed(seed);
+        assert_bound_holds(&scenario);
+        // The scenario is one in which a budget that forgets what it spent exceeds the bound.
+        scenario.design = RetryDesign::SlidingWindow;
+        let forgetful = simulate_retries(&scenario);
+        assert!(forgetful.excess() > 0.0, "{forgetful:?}");
+    }
+}
