Remember silent instances for ten minutes where senders to cold servers are chosen

Cause: an instance forgot silent peers after 30 s, and each part then chose its own senders. Change: a peer that was removed for its silence still counts as a member for ten minutes, unless it had said that it stops.

--- a/crates/reedsail_gossip/src/load_exchange/mod.rs
+++ b/crates/reedsail_gossip/src/load_exchange/mod.rs
@@ -172,7 +172,7 @@
     }
 
     /// Returns all known instances, including this one, each with its failure domain. Silent instances are included
-    /// until the peer table removes them.
+    /// while the peer table remembers them.
     pub fn members(&self) -> Vec<(NameHash, NameHash)> {
         let own = (self.identity.instance, self.identity.failure_domain);
         let mut members: Vec<(NameHash, NameHash)> = self.peers.members().chain([own]).collect();
--- a/crates/reedsail_gossip/src/peer_table.rs
+++ b/crates/reedsail_gossip/src/peer_table.rs
@@ -22,6 +22,11 @@
 
 /// Silence after which a peer is removed, in milliseconds.
 const FORGET_MS: u64 = 30_000;
+/// How long after its last message a removed peer still counts as a member, in milliseconds. Both sides of a network
+/// partition choose the same instances for a duty only while they remember each other.
+const MEMBER_MEMORY_MS: u64 = 600_000;
+/// Maximum number of removed peers that are remembered as members.
+const REMEMBERED_MAX: usize = 1_024;
 /// How long a mention by other instances counts a peer as part of the fleet, in milliseconds. An aggregator names each
 /// of its members about every half second.
 const MENTIONED_VALID_MS: u64 = 6_000;
@@ -36,6 +41,8 @@
     /// This instance, which other instances name as well.
     own: NameHash,
     peers: HashMap<NameHash, Peer>,
+    /// Removed peers that never said that they stop.
+    remembered: HashMap<NameHash, RememberedPeer>,
     seeds: Vec<SocketAddrV4>,
     /// When the seeds were last sent a message; `None` makes them due at once.
     seeds_sent_at: Option<TimeMs>,
@@ -44,6 +51,13 @@
     timing: GossipTiming,
 }
 
+/// A peer that was removed for its silence.
+#[derive(Clone, Copy, Debug)]
+struct RememberedPeer {
+    failure_domain: NameHash,
+    until: TimeMs,
+}
+
 impl PeerTable {
     /// Creates an empty table.
     pub fn new(own: NameHash) -> Self {
@@ -99,6 +113,7 @@
             sent_at,
         };
         self.peers.insert(message.instance, peer);
+        self.remembered.remove(&message.instance);
         if is_alive {
             Arrival::FromAlive
         } else {
@@ -132,8 +147,7 @@
 
     /// Returns the peers that became silent since the last call, and removes those that were silent for `FORGET_MS`.
     pub fn drop_silent(&mut self, now: TimeMs) -> Vec<(NameHash, SocketAddrV4)> {
-        self.peers
-            .retain(|_, peer| now.since_ms(peer.last_seen_at) < FORGET_MS);
+        self.remove_forgotten(now);
         let peer_silent_ms = self.timing.peer_silent_ms;
         let mut silent = Vec::new();
         for (instance, peer) in &mut self.peers {
@@ -145,6 +159,24 @@
         silent
     }
 
+    /// Removes the peers that were silent for `FORGET_MS`, and remembers those that may still run.
+    fn remove_forgotten(&mut self, now: TimeMs) {
+        self.remembered.retain(|_, peer| now < peer.until);
+        let removed = self
+            .peers
+            .extract_if(|_, peer| now.since_ms(peer.last_seen_at) >= FORGET_MS);
+        for (instance, peer) in removed {
+            if peer.is_stopping || self.remembered.len() >= REMEMBERED_MAX {
+                continue;
+            }
+            let remembered = RememberedPeer {
+                failure_domain: peer.failure_domain,
+                until: peer.last_seen_at.plus_ms(MEMBER_MEMORY_MS),
+            };
+            self.remembered.insert(instance, remembered);
+        }
+    }
+
     /// Sets the timing for a number of peers that are sent direct messages.
     pub(crate) fn set_direct_peers(&mut self, peers: usize) {
         self.timing = GossipTiming::of(peers);
@@ -317,10 +349,14 @@
             .map(|peer| (peer.address, peer.servers_revision))
     }
 
-    /// Returns the known peers, including silent ones, each with its failure domain.
+    /// Returns the known peers, including silent and remembered ones, each with its failure domain.
     pub(crate) fn members(&self) -> impl Iterator<Item = (NameHash, NameHash)> {
         let peers = self.peers.iter();
-        peers.map(|(instance, peer)| (*instance, peer.failure_domain))
+        let known = peers.map(|(instance, peer)| (*instance, peer.failure_domain));
+        let remembered = self.remembered.iter();
+        // A peer that another instance names again stands in both tables.
+        let absent = remembered.filter(|(instance, _)| !self.peers.contains_key(instance));
+        known.chain(absent.map(|(instance, peer)| (*instance, peer.failure_domain)))
     }
 
     /// Returns the peers that may keep rows of streams: those that are alive and not stopping and, with
