Split the plan of fetches, the reader election and the fleet's publication from the control actor

Change: fetch_plan, reader_election and fleet_publication are modules with the state that they own; the actor passes messages on. Code is moved, and no decision changes.

--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -8,15 +8,10 @@
 use bytes::Bytes;
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
-use reedsail_dispatch::DutyRank;
 use reedsail_dispatch::ListComparison;
 use reedsail_dispatch::PeerListState;
 use reedsail_dispatch::ServerList;
-use reedsail_dispatch::Staleness;
 use reedsail_dispatch::StoreTopic;
-use reedsail_dispatch::is_reader;
-use reedsail_dispatch::is_turn;
-use reedsail_dispatch::staleness;
 use reedsail_events::EventKind;
 use reedsail_gossip::Arrival;
 use reedsail_gossip::InstanceIdentity;
@@ -32,8 +27,9 @@
 use super::configuration_state::ConfigurationState;
 use super::configuration_state::PeerConfiguration;
 use super::evacuation_state::EvacuationState;
-use super::follow::ELECTION_CHECK_MAX_MS;
-use super::follow::ELECTION_CHECK_MIN_MS;
+use super::fetch_plan::FetchPlan;
+use super::fetch_plan::OwnState;
+use super::fleet_publication::FleetPublication;
 use super::loan_exchange::due_loan_requests;
 use super::messages::ConfigurationRead;
 use super::messages::ConfigurationUnreadable;
@@ -45,7 +41,6 @@
 use super::messages::MessageReceived;
 use super::messages::Origin;
 use super::messages::Outbox;
-use super::messages::PeerFetch;
 use super::messages::PeerServersRead;
 use super::messages::ReadTurn;
 use super::messages::SeedsChanged;
@@ -53,8 +48,8 @@
 use super::messages::StoreReadEnded;
 use super::messages::Tick;
 use super::messages::WholeListFetched;
-use super::peer_fetch::WHOLE_LIST_TIMEOUT_MS;
 use super::quarantine_log::log_quarantine;
+use super::reader_election::ReaderElection;
 use super::retry_watch::RetryWatch;
 use super::seeds::peer_addresses;
 use super::server_end_log::log_server_ends;
@@ -70,18 +65,6 @@
 use crate::HeaderProtocol;
 use crate::shared::Shared;
 
-/// Shortest interval between two rounds of fetches, in milliseconds.
-const FETCH_INTERVAL_MS: u64 = 500;
-/// How long a new instance waits for a message from a peer before it reads the store itself, in milliseconds. Peers
-/// answer within a tick. Without the wait, several hundred instances that start together would each read the store
-/// twice.
-const PEER_WAIT_MS: u64 = 400;
-/// Interval at which the list of instances is published to the dispatcher, in milliseconds.
-const MEMBERS_PUBLISH_INTERVAL_MS: u64 = 1_000;
-/// Time from its start after which an instance assumes that it knows the whole fleet, in milliseconds. A message names
-/// eight instances, and one message arrives every 25 ms in a large fleet.
-const MEMBERS_WARMUP_MS: u64 = 1_000;
-
 /// The state of the control thread.
 pub(crate) struct Control<H> {
     shared: Arc<Shared<H>>,
@@ -98,12 +81,8 @@
     suspensions: SuspensionWatch,
     streams: StreamWatch,
     pages: ServerPages,
-    next_fetch_at: TimeMs,
-    /// Whether the peer of the last fetch could not compute the difference to this instance's list.
-    needs_whole_list: bool,
-    /// The time until which a fetch of the whole list of servers may be in progress.
-    whole_list_fetch_until: TimeMs,
-    next_members_at: TimeMs,
+    fetches: FetchPlan,
+    fleet: FleetPublication,
 }
 
 impl<H: HeaderProtocol> Control<H> {
@@ -116,10 +95,11 @@
         };
         shared.dispatcher().set_incarnation(identity.incarnation);
         let seeds = peer_addresses(&shared.settings.seeds, shared.settings.listen.peers);
+        let started_at = shared.clock.now();
         Self {
             identity,
             exchange: LoadExchange::new(identity, seeds),
-            started_at: shared.clock.now(),
+            started_at,
             servers: ServerList::default(),
             configuration: ConfigurationState::default(),
             evacuations: EvacuationState::default(),
@@ -130,10 +110,8 @@
             suspensions: SuspensionWatch::default(),
             streams: StreamWatch::default(),
             pages: ServerPages::default(),
-            next_fetch_at: TimeMs(0),
-            needs_whole_list: false,
-            whole_list_fetch_until: TimeMs(0),
-            next_members_at: TimeMs(0),
+            fetches: FetchPlan::default(),
+            fleet: FleetPublication::new(started_at),
             shared,
         }
     }
@@ -142,45 +120,6 @@
         self.shared.routes.load().version()
     }
 
-    /// Returns whether this instance may read a topic of the store now, by the reader election. A topic that was never
-    /// known counts as stale since the start.
-    fn read_turn(&self, topic: StoreTopic, now: TimeMs) -> ReadTurn {
-        let peers = self.exchange.peers();
-        let is_new = now.since_ms(self.started_at) < PEER_WAIT_MS;
-        if is_new && peers.has_seeds() && peers.alive().next().is_none() {
-            return ReadTurn::After(ELECTION_CHECK_MIN_MS);
-        }
-        // The next records of the servers themselves have what a peer's list lacks.
-        if topic == StoreTopic::Servers && self.servers.lacks_versions() {
-            return ReadTurn::Now(self.servers.revision());
-        }
-        let age_ms = match topic {
-            StoreTopic::Configuration => self.configuration.age_ms(now),
-            StoreTopic::Servers => self.servers.age_ms(now),
-        };
-        let age_ms = age_ms.min(now.since_ms(self.started_at));
-        let timing = self.exchange.timing(now);
-        let candidates = peers.reader_candidates(now);
-        let own = DutyRank::of(self.identity.instance, self.identity.processor_milli);
-        // With aggregators, the updates of one reader reach all failure domains.
-        let domain_scope = (!self.exchange.is_aggregated(now)).then_some(self.identity.failure_domain);
-        if is_reader(own, domain_scope, candidates, timing) {
-            return ReadTurn::Now(self.servers.revision());
-        }
-        let domain_position = self.exchange.domain_position(now);
-        match staleness(topic, age_ms, timing) {
-            Staleness::For(stale_ms)
-                if is_turn(domain_position.position, domain_position.instances, stale_ms) =>
-            {
-                ReadTurn::Now(self.servers.revision())
-            }
-            Staleness::For(_) => ReadTurn::After(ELECTION_CHECK_MIN_MS),
-            Staleness::After(fresh_ms) => {
-                ReadTurn::After(fresh_ms.clamp(ELECTION_CHECK_MIN_MS, ELECTION_CHECK_MAX_MS))
-            }
-        }
-    }
-
     /// Builds the header of a load message, which describes this instance.
     fn message_header(&self, now: TimeMs) -> MessageHeader {
         MessageHeader {
@@ -204,37 +143,6 @@
         }
     }
 
-    /// Plans fetches from peers that have a newer configuration or server list, at most once an interval.
-    fn plan_fetches(&mut self, now: TimeMs) -> Vec<PeerFetch> {
-        if now < self.next_fetch_at {
-            return Vec::new();
-        }
-        let newer = self.exchange.peers().with_newer_configuration(self.own_version());
-        let newer = newer.map(PeerFetch::Configuration);
-        let fetches: Vec<PeerFetch> = newer.into_iter().chain(self.plan_server_fetch(now)).collect();
-        if !fetches.is_empty() {
-            self.next_fetch_at = now.plus_ms(FETCH_INTERVAL_MS);
-        }
-        fetches
-    }
-
-    /// Plans the fetch of a newer list of servers: the difference if the peer may know it, and else the whole list. At
-    /// most one fetch of the whole list is in progress at a time.
-    fn plan_server_fetch(&mut self, now: TimeMs) -> Option<PeerFetch> {
-        let own = self.servers.revision();
-        let peers = self.exchange.peers();
-        let (peer, newest) = peers.with_newer_servers(own, self.identity.failure_domain)?;
-        let has_list = self.servers.is_known();
-        if has_list && newest.era == own.era && !self.needs_whole_list {
-            return Some(PeerFetch::ServersSince(peer, self.servers.digest()));
-        }
-        if now < self.whole_list_fetch_until {
-            return None;
-        }
-        self.whole_list_fetch_until = now.plus_ms(WHOLE_LIST_TIMEOUT_MS);
-        Some(PeerFetch::Servers(peer))
-    }
-
     /// Wakes the sender of load messages if peers must learn of an urgent change.
     fn notify_if_urgent(&self, now: TimeMs) {
         if self.exchange.is_urgent(&self.header_without_departures(now), now) {
@@ -253,33 +161,6 @@
         }
     }
 
-    /// Publishes the size of the fleet and the age of its known load to the dispatcher and to the metrics.
-    fn publish_fleet(&self, now: TimeMs) {
-        let instances = self.exchange.instances(now);
-        self.shared.dispatcher().set_instances(instances);
-        self.shared.metrics.peers_alive.set(instances as i64 - 1);
-        let load_known_at = self
-            .exchange
-            .load_age_ms(now)
-            .map(|age_ms| now.0.saturating_sub(age_ms));
-        self.shared.set_load_known_at(load_known_at.map(TimeMs));
-    }
-
-    /// Publishes the list of instances to the dispatcher once the list is known. An instance that assumes that it is
-    /// the whole fleet would send to every cold server.
-    fn publish_members(&mut self, now: TimeMs) {
-        let peers = self.exchange.peers();
-        let is_alone = peers.has_seeds() && peers.alive().next().is_none();
-        let is_new = peers.has_seeds() && now.since_ms(self.started_at) < MEMBERS_WARMUP_MS;
-        if now < self.next_members_at || is_alone || is_new {
-            return;
-        }
-        self.next_members_at = now.plus_ms(MEMBERS_PUBLISH_INTERVAL_MS);
-        let members = self.exchange.members();
-        let own = self.identity.instance;
-        self.shared.dispatcher().set_members(own, &members);
-    }
-
     /// Passes the load of a received message to the dispatcher, in place of the load that it replaces.
     fn apply_load(&self, outcome: ReceiveOutcome, now: TimeMs) {
         let mut dispatcher = self.shared.dispatcher();
@@ -387,7 +268,7 @@
 
     async fn handle(&mut self, read: PeerServersRead, _: &mut Context<Self>) {
         let now = self.shared.clock.now();
-        self.needs_whole_list = false;
+        self.fetches.record_listing();
         let delta = self.servers.apply_listing(read.0, now);
         self.era.log_era_change(&self.shared, &self.servers, Origin::Peer);
         log_and_publish_delta(&self.shared, &mut self.servers, &delta, Origin::Peer, now);
@@ -399,7 +280,7 @@
     type Return = ();
 
     async fn handle(&mut self, _: WholeListFetched, _: &mut Context<Self>) {
-        self.whole_list_fetch_until = self.shared.clock.now();
+        self.fetches.record_whole_list_ended(self.shared.clock.now());
     }
 }
 
@@ -407,7 +288,7 @@
     type Return = ();
 
     async fn handle(&mut self, _: DifferenceUnknown, _: &mut Context<Self>) {
-        self.needs_whole_list = true;
+        self.fetches.record_difference_unknown();
     }
 }
 
@@ -489,7 +370,14 @@
     type Return = ReadTurn;
 
     async fn handle(&mut self, request: MayRead, _: &mut Context<Self>) -> ReadTurn {
-        self.read_turn(request.0, self.shared.clock.now())
+        let election = ReaderElection {
+            identity: self.identity,
+            started_at: self.started_at,
+            exchange: &self.exchange,
+            configuration: &self.configuration,
+            servers: &self.servers,
+        };
+        election.turn(request.0, self.shared.clock.now())
     }
 }
 
@@ -511,11 +399,16 @@
         self.pages.tick(now);
         self.suspensions.tick(&self.shared);
         self.drop_silent_peers(now);
-        self.publish_fleet(now);
-        self.publish_members(now);
+        self.fleet
+            .tick(&self.shared, &self.exchange, self.identity.instance, now);
         self.streams
             .tick(&self.shared, &self.exchange, &self.servers, now);
-        let fetches = self.plan_fetches(now);
+        let own = OwnState {
+            configuration_version: self.own_version(),
+            servers: &self.servers,
+            failure_domain: self.identity.failure_domain,
+        };
+        let fetches = self.fetches.due(&self.exchange, &own, now);
         Outbox {
             load_messages: self.due_messages(now),
             loan_requests: due_loan_requests(&self.shared, self.identity.instance, &self.exchange, now),
--- a/crates/reedsail_router/src/control/mod.rs
+++ b/crates/reedsail_router/src/control/mod.rs
@@ -1,19 +1,23 @@
 //! The control thread: this instance's view of the fleet, and the tasks that update and distribute it.
 //!
 //! `thread` runs the actor and its tasks. `actor` owns the state: `configuration_state`, `evacuation_state`,
-//! `store_status`, `share_watch`, `server_end_log`, `server_notice_log`, `quarantine_log`, `retry_watch`, `suspension_watch`, the load
-//! exchange of `reedsail_gossip`, and the server list of `reedsail_dispatch`. `server_publication` publishes that list
-//! to the dispatcher, and `server_pages` serves it to peers. `loan_exchange` asks peers for loans of retries. `follow` reads the store, `peer_fetch` reads from peers;
-//! both send `messages` to the actor.
+//! `store_status`, `share_watch`, `server_end_log`, `server_notice_log`, `quarantine_log`, `retry_watch`,
+//! `suspension_watch`, `fetch_plan`, `fleet_publication`, the load exchange of `reedsail_gossip`, and the server list of
+//! `reedsail_dispatch`. `server_publication` publishes that list to the dispatcher, and `server_pages` serves it to peers.
+//! `reader_election` decides whether this instance reads the store. `loan_exchange` asks peers for loans of retries.
+//! `follow` reads the store, `peer_fetch` reads from peers; both send `messages` to the actor.
 
 mod actor;
 mod configuration_state;
 mod evacuation_state;
+mod fetch_plan;
+mod fleet_publication;
 mod follow;
 mod loan_exchange;
 mod messages;
 mod peer_fetch;
 mod quarantine_log;
+mod reader_election;
 mod retry_watch;
 mod seeds;
 mod server_end_log;
