Split the handling of a server's record into its start and its departure

Change: what is a repetition, a start and a departure are functions of their own. No decision changes. Result: tests of reedsail_dispatch pass, the digest of decisions among them.

--- a/crates/reedsail_dispatch/src/server_list.rs
+++ b/crates/reedsail_dispatch/src/server_list.rs
@@ -370,53 +370,71 @@
         delta: &mut ListDelta,
     ) {
         record.software_version = self.entries.software_version_of(&record);
-        // Most records repeat what is known: a reader gets one from each server every few seconds.
-        let known = self.entries.get(&record.id);
-        if known.is_some_and(|known| {
-            known.is_reannounced_by(&record, is_from_backup) && !self.departures.has_any(known.name)
-        }) {
+        if self.is_repeated(&record, is_from_backup) {
             return;
         }
-        let id = record.id.clone();
         let entry = Entry::of(record, is_from_backup, now);
-        let name = entry.name;
+        let id = entry.record.id.clone();
         let before = self.entries.get(&id);
-        let was_held_back = before.is_some_and(|entry| self.is_held_back(entry, now));
-        let known_incarnation = before.filter(|entry| entry.name == name);
-        let was_draining = known_incarnation.is_some_and(|entry| entry.record.is_draining);
-        let was_cold_until = known_incarnation.and_then(|entry| entry.cold_until);
-        let earlier_name = before.map(|entry| entry.name);
+        let was_held_back = before.is_some_and(|before| self.is_held_back(before, now));
         let is_same = before.is_some_and(|before| before.is_used_like(&entry));
-        match earlier_name {
-            None => delta.listed.push(id.clone()),
-            Some(earlier_name) if earlier_name != name => {
-                self.departures
-                    .record(earlier_name, DepartureEvidence::Recorded, now);
-                self.gone.push(earlier_name);
-                delta.restarted.push(id.clone());
-            }
-            Some(_) if was_cold_until != entry.cold_until => delta.cold.push(id.clone()),
-            Some(_) => {}
-        }
-        if !entry.record.is_draining {
-            if is_from_backup {
-                self.departures.forget_inferred(name);
-            } else {
-                self.departures.forget(name);
-            }
-        } else if !was_draining {
-            self.departures.record(name, DepartureEvidence::Recorded, now);
-            delta.draining.push(id.clone());
-        }
-        if was_held_back && !self.is_held_back(&entry, now) && !delta.listed.contains(&id) {
+        self.record_start(&entry, now, delta);
+        self.record_departure(&entry, now, delta);
+        let is_held_back = self.is_held_back(&entry, now);
+        if was_held_back && !is_held_back && !delta.listed.contains(&id) {
             delta.listed.push(id.clone());
         }
-        if !is_same || was_held_back != self.is_held_back(&entry, now) {
+        if !is_same || was_held_back != is_held_back {
             self.changed.insert(id);
         }
         self.entries.insert(entry);
     }
 
+    /// Returns whether a record only repeats what is known. Most do: a reader gets one from each server every few
+    /// seconds.
+    fn is_repeated(&self, record: &ServerRecord, is_from_backup: bool) -> bool {
+        let known = self.entries.get(&record.id);
+        known.is_some_and(|known| {
+            known.is_reannounced_by(record, is_from_backup) && !self.departures.has_any(known.name)
+        })
+    }
+
+    /// Records that a server is new, has started again, or is cold until another time than before.
+    fn record_start(&mut self, entry: &Entry, now: TimeMs, delta: &mut ListDelta) {
+        let id = &entry.record.id;
+        let Some(before) = self.entries.get(id) else {
+            delta.listed.push(id.clone());
+            return;
+        };
+        let earlier_name = before.name;
+        if earlier_name != entry.name {
+            self.departures
+                .record(earlier_name, DepartureEvidence::Recorded, now);
+            self.gone.push(earlier_name);
+            delta.restarted.push(id.clone());
+        } else if before.cold_until != entry.cold_until {
+            delta.cold.push(id.clone());
+        }
+    }
+
+    /// Records the departure that a server's record announces, or ends an earlier one.
+    fn record_departure(&mut self, entry: &Entry, now: TimeMs, delta: &mut ListDelta) {
+        let id = &entry.record.id;
+        let known = self.entries.get(id).filter(|known| known.name == entry.name);
+        let was_draining = known.is_some_and(|known| known.record.is_draining);
+        if entry.record.is_draining {
+            if !was_draining {
+                self.departures
+                    .record(entry.name, DepartureEvidence::Recorded, now);
+                delta.draining.push(id.clone());
+            }
+        } else if entry.is_from_backup {
+            self.departures.forget_inferred(entry.name);
+        } else {
+            self.departures.forget(entry.name);
+        }
+    }
+
     /// Removes a record. If it may have expired only because the store did not accept announcements, the server
     /// becomes a suspect.
     fn drop_record(&mut self, id: &str, now: TimeMs, delta: &mut ListDelta) {
