Send no request whose deadline has passed, and tell servers the time that is left

Cause: the time left was looked at and written into the request before the instance took a connection from the pool, confirmed which start of a server answers, or connected. Change: the request is built when its connection is ready. Without time it is not sent, and is refused as not run. Sending is a module of its own.

--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -3,10 +3,7 @@
 use std::io::ErrorKind as IoErrorKind;
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::HeaderMap;
-use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
@@ -20,9 +17,7 @@
 use reedsail_dispatch::RetryPermit;
 use reedsail_dispatch::VersionDemand;
 use reedsail_net::BodyFraming;
-use reedsail_net::Exchange;
 use reedsail_net::HttpConnection;
-use reedsail_net::exchange;
 
 use super::Pool;
 use super::attempt_guard::AttemptGuard;
@@ -30,9 +25,10 @@
 use super::call::Call;
 use super::incarnation_check::Confirmation;
 use super::incarnation_check::confirm_incarnation;
+use super::sending::SendOutcome;
+use super::sending::Sending;
 use super::server_notices::ServerResponseHead;
 use super::server_notices::process_notice;
-use crate::ForwardHead;
 use crate::HeaderProtocol;
 use crate::ResponseKind;
 use crate::server_views::ServerView;
@@ -65,8 +61,8 @@
     Failed(Sent, ErrorKind),
 }
 
-/// Sends the request to the server of its placement and waits for the head of the response. A retry is sent only while
-/// its permit is valid.
+/// Sends the request to the server of its placement and waits for the head of the response. It is sent only while time is
+/// left until the caller's deadline, and a retry only while its permit is valid.
 pub(crate) async fn attempt_once<H: HeaderProtocol>(
     shared: &Arc<Shared<H>>,
     pool: &Pool,
@@ -81,12 +77,7 @@
         guard.finish(AttemptOutcome::Abandoned);
         return AttemptResult::NotSent(unsent);
     };
-    let Some(request) = build_request(shared, call, placement, &server, resume_after) else {
-        guard.finish(AttemptOutcome::Abandoned);
-        return AttemptResult::NotSent(unsent);
-    };
     let now = shared.clock.now();
-    let deadline = || shared.clock.timer(call.deadline);
     let is_trusted = shared.dispatcher().may_reuse_connection(placement.server, now);
     let start_ms = required_start_ms(shared, call, &server, now);
     // A pooled connection that is not trusted closes here, and a new one replaces it.
@@ -99,26 +90,29 @@
             Confirmation::Unanswered => None,
         },
     };
-    let may_send = |now| permit.is_none_or(|permit| permit.is_valid(now));
-    let (request, unsent) = match pooled {
-        Some(connection) => {
-            let now = shared.clock.now();
-            if !may_send(now) {
-                pool.give_back(placement.server, connection, &HeaderMap::new(), now);
+    let sending = Sending {
+        shared,
+        pool,
+        call,
+        placement,
+        server: &server,
+        resume_after,
+        permit,
+    };
+    let unsent = match pooled {
+        Some(connection) => match sending.send(connection, unsent, &mut guard).await {
+            // The server may close an idle connection at any time, so this is no evidence about its health.
+            SendOutcome::HandedBack(unsent) => unsent,
+            SendOutcome::Late(unsent) => {
                 guard.finish(AttemptOutcome::Abandoned);
                 return AttemptResult::NotSent(unsent);
             }
-            guard.set_written(true);
-            match exchange(connection, request, unsent, deadline()).await {
-                // The server may close an idle connection at any time, so this is no evidence about its health.
-                Exchange::HandedBack(unsent, request) => (*request, unsent),
-                Exchange::Head(sent, response, connection) => {
-                    return handle_response(shared, call, sent, *response, connection, guard);
-                }
-                Exchange::Failed(sent, kind) => return fail_attempt(guard, sent, kind),
+            SendOutcome::Head(sent, response, connection) => {
+                return handle_response(shared, call, sent, *response, connection, guard);
             }
-        }
-        None => (request, unsent),
+            SendOutcome::Failed(sent, kind) => return fail_attempt(guard, sent, kind),
+        },
+        None => unsent,
     };
     guard.set_written(false);
     let connection = match connect_for_call(shared, call, &server).await {
@@ -136,24 +130,26 @@
             return AttemptResult::NotSent(unsent);
         }
     };
-    // During the connect, another response or a new server list may have excluded this server, or the permit may have
-    // expired.
+    // During the connect, another response or a new server list may have excluded this server.
     let now = shared.clock.now();
-    if !may_send(now) || !shared.dispatcher().may_still_send_to(placement.server, now) {
+    if !shared.dispatcher().may_still_send_to(placement.server, now) {
         pool.give_back(placement.server, connection, &HeaderMap::new(), now);
         guard.finish(AttemptOutcome::Abandoned);
         return AttemptResult::NotSent(unsent);
     }
-    guard.set_written(true);
-    match exchange(connection, request, unsent, deadline()).await {
-        Exchange::HandedBack(unsent, _) => {
+    match sending.send(connection, unsent, &mut guard).await {
+        SendOutcome::HandedBack(unsent) => {
             guard.finish(AttemptOutcome::Unreachable);
             AttemptResult::NotSent(unsent)
         }
-        Exchange::Head(sent, response, connection) => {
+        SendOutcome::Late(unsent) => {
+            guard.finish(AttemptOutcome::Abandoned);
+            AttemptResult::NotSent(unsent)
+        }
+        SendOutcome::Head(sent, response, connection) => {
             handle_response(shared, call, sent, *response, connection, guard)
         }
-        Exchange::Failed(sent, kind) => fail_attempt(guard, sent, kind),
+        SendOutcome::Failed(sent, kind) => fail_attempt(guard, sent, kind),
     }
 }
 
@@ -297,31 +293,3 @@
         }
     }
 }
-
-fn build_request<H: HeaderProtocol>(
-    shared: &Shared<H>,
-    call: &Call,
-    placement: &Placement,
-    server: &ServerView,
-    resume_after: Option<&str>,
-) -> Option<Request<Full<Bytes>>> {
-    let deadline_ms = call.time_left_ms(shared.clock.now())?;
-    let cache_source = placement
-        .cache_source
-        .and_then(|key| shared.servers.get(key))
-        .map(|source| source.address);
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.uri.clone();
-    request.headers_mut().clone_from(&call.headers);
-    let forward = ForwardHead {
-        request_id: &call.id,
-        deadline_ms,
-        server_id: &server.id,
-        workspace: call.workspace.as_ref().map(|workspace| workspace.name.as_str()),
-        cache_source,
-        resume_after,
-    };
-    shared.protocol.write_forward(request.headers_mut(), &forward);
-    Some(request)
-}
--- a/crates/reedsail_router/src/traffic/mod.rs
+++ b/crates/reedsail_router/src/traffic/mod.rs
@@ -1,9 +1,10 @@
 //! The traffic thread: serves callers' requests from the first byte to the last.
 //!
 //! In the order of a request: `thread` accepts connections, `serve` handles one request, `call` reads and checks it
-//! (`fingerprint` identifies retries by the caller), `stream_version` finds the version at which a stream continues, `forward` places and retries it, `exchange` makes one attempt (`incarnation_check` confirms which start of a server answers),
-//! `relay_buffered`, `relay_stream` or `resume` relays the response (`response_end` says what its end proves), and
-//! `response` builds what the caller receives.
+//! (`fingerprint` identifies retries by the caller), `stream_version` finds the version at which a stream continues,
+//! `forward` places and retries it, `exchange` makes one attempt (`incarnation_check` confirms which start of a server
+//! answers, `sending` sends the request), `relay_buffered`, `relay_stream` or `resume` relays the response
+//! (`response_end` says what its end proves), and `response` builds what the caller receives.
 //! These modules share `request_log`, `attempt_guard`, `server_notices` and `response_aborted`. `server_check` connects
 //! to servers whose connections broke. The imports between the modules form no cycle.
 
@@ -20,6 +21,7 @@
 mod response_aborted;
 mod response_end;
 mod resume;
+mod sending;
 mod serve;
 mod server_check;
 mod server_notices;
