Count the wait for the slack from the start of the process

Cause: an instance uses its share of the slack once the retries of an earlier process have left the window, and counted that wait from its first request. A process that has run without requests has waited already. Change: the wait begins with the first tick of the process. Evidence: a_process_without_requests_gets_its_slack_as_early_as_others failed before and passes now; the property tests hold unchanged.

--- a/crates/reedsail_dispatch/src/retry_budget.rs
+++ b/crates/reedsail_dispatch/src/retry_budget.rs
@@ -49,7 +49,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RetryBudgets {
     services: HashMap<NameHash, ServiceBudget>,
-    /// When this process was first used.
+    /// When this process ticked first.
     started_at: Option<TimeMs>,
     ticked_at: Option<TimeMs>,
     /// Requests that arrive before this time may have waited since a suspension began, and earn nothing.
@@ -102,6 +102,7 @@
             self.backlog_until = now.plus_ms(BACKLOG_MS);
         }
         self.ticked_at = Some(now);
+        self.started_at.get_or_insert(now);
     }
 
     fn was_suspended(&self, now: TimeMs) -> bool {
@@ -121,7 +122,6 @@
 
     /// Counts an arriving request.
     pub(crate) fn count_request(&mut self, service: NameHash, settings: &DispatchSettings, now: TimeMs) {
-        self.started_at.get_or_insert(now);
         if now < self.backlog_until || self.was_suspended(now) {
             return;
         }
--- a/crates/reedsail_dispatch/tests/retry_budget.rs
+++ b/crates/reedsail_dispatch/tests/retry_budget.rs
@@ -327,6 +327,18 @@
     fail_after_traffic_has_ended(3_000).assert_bound_holds();
 }
 
+#[test]
+fn a_process_without_requests_gets_its_slack_as_early_as_others() {
+    let mut instance = new_dispatcher();
+    instance.set_instances(SLACK as usize);
+    for now_ms in (0..=20_000).step_by(50) {
+        instance.tick(TimeMs(now_ms));
+    }
+    let now = TimeMs(20_000);
+    instance.record_arrival(&demand(&AllowedRegions::Any), now);
+    assert!(take(&mut instance, now));
+}
+
 /// Returns an instance whose budget is exhausted, with the request for a loan that it makes.
 fn short_instance(now: TimeMs) -> (Dispatcher, LoanRequest) {
     let mut instance = new_dispatcher();
