--- a/crates/reedsail_dispatch/src/retry_loans.rs
+++ b/crates/reedsail_dispatch/src/retry_loans.rs
@@ -1,9 +1,9 @@
 //! Loans of retries between instances: what a service of one instance borrows from its peers.
 //!
-//! **Rule.** An instance whose budget runs short asks a few peers. A peer lends only what it is not likely to need itself,
-//! and spends what it lends from its own ledger, as if it made the retries itself at any time until the loan ends. The loan ends [`LOAN_MS`] after it was asked for, by the
-//! clock of the instance that asked, so a message that was delayed or repeated adds nothing to what the fleet may spend,
-//! and a lost one only wastes the loan.
+//! **Rule.** An instance whose budget runs short asks a few peers. A peer lends only what it is not likely to need
+//! itself, and spends what it lends from its own ledger, as if it made the retries itself at any time until the loan
+//! ends. The loan ends [`LOAN_MS`] after it was asked for, by the clock of the instance that asked, so a message that
+//! was delayed or repeated adds nothing to what the fleet may spend, and a lost one only wastes the loan.
 
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
