--- a/review/standin/src/memory.rs
+++ b/review/standin/src/memory.rs
@@ -34,6 +34,10 @@
 const HOT_UPLOADS: usize = 75;
 /// Clients of the small requests, each with a kept connection.
 const CLIENTS: usize = 16;
+/// What a small request takes, and a client's pause after it, in milliseconds.
+const WORK_MS: u64 = 60;
+const PAUSE_MS: u64 = 40;
+const TURN_MS: u64 = WORK_MS + PAUSE_MS;
 /// How often a request that was passed on may end without an answer (LOST: "more than three times").
 const LOST_MAX: usize = 3;
 
@@ -55,7 +59,7 @@
     let mut engines = Vec::new();
     for number in 0..3 {
         let till = Work {
-            work_ms: 60,
+            work_ms: WORK_MS,
             answer_bytes: 800,
         };
         engines.push(
@@ -70,7 +74,7 @@
             .beat_always(),
         );
         let sheet = Work {
-            work_ms: 60,
+            work_ms: WORK_MS,
             answer_bytes: 800,
         };
         engines.push(
@@ -163,6 +167,8 @@
 }
 
 fn small_requests(number: usize, target: std::net::SocketAddr, is_over: &AtomicBool, ends: &Ends) {
+    // Clients are not in step: each begins a part of a turn later.
+    std::thread::sleep(Duration::from_millis(TURN_MS * number as u64 / CLIENTS as u64));
     let mut client = Client::new(target);
     for turn in 0.. {
         if is_over.load(Ordering::SeqCst) {
@@ -195,23 +201,30 @@
             }
             Outcome::Answered(..) | Outcome::TimedOut | Outcome::Unsent => {}
         }
-        std::thread::sleep(Duration::from_millis(40));
+        std::thread::sleep(Duration::from_millis(PAUSE_MS));
     }
 }
 
 fn upload(number: usize, target: std::net::SocketAddr) -> Outcome {
     // Uploads do not begin at the very same moment.
     std::thread::sleep(Duration::from_millis(5 * number as u64));
-    Client::new(target).call(&Call {
+    let request_id = format!("upload-{number}");
+    let sent_at = now_ms();
+    let outcome = Client::new(target).call(&Call {
         method: "POST",
         host: "shop.example",
         path: "/sheet/1",
-        request_id: &format!("upload-{number}"),
+        request_id: &request_id,
         deadline_ms: 12_000,
         body_bytes: BODY_BYTES,
         upload_bytes_per_s: UPLOAD_BYTES_PER_S,
         download_bytes_per_s: 0,
-    })
+    });
+    note(&format!(
+        "{request_id}: sent from {sent_at} ms, until {} ms got {outcome:?}",
+        now_ms()
+    ));
+    outcome
 }
 
 /// Returns the resident memory of a process, in kilobytes.
