Log which answer changed the server list, and why a server came back

Change: records carry their position in the store's log into the list, and departures the position as of which they are known. Events 307, 308, 309, 312 and 313 name the position of the answer, that of the list before it and the peer; 308 also the position of the departure that it ends and that of the record that ends it. No decision changes: the digest of seeded_server_list_changes_stay_the_same holds.

--- a/crates/reedsail_dispatch/benches/large_fleet.rs
+++ b/crates/reedsail_dispatch/benches/large_fleet.rs
@@ -94,12 +94,13 @@
     })
 }
 
-fn whole_update(servers: u32) -> ServerUpdate {
+fn whole_update(servers: u32, offset: u64) -> ServerUpdate {
+    let revision = StorePosition::new(0, offset);
     let records = (0..servers).map(|number| ServerChange::Announced(record(number, false)));
     ServerUpdate {
-        revision: StorePosition::new(0, 1),
+        revision,
         is_whole: true,
-        changes: records.collect(),
+        changes: records.map(|change| change.at(revision)).collect(),
     }
 }
 
@@ -114,17 +115,19 @@
         let decision = decision_us(&mut dispatcher);
         let report = mean_us(1_000, |_| drop(black_box(dispatcher.report(NOW))));
         let mut list = ServerList::default();
-        list.apply(whole_update(servers), NOW, NOW);
+        list.apply(whole_update(servers, 1), NOW, NOW);
         apply_changes(&mut list, &mut dispatcher);
         let tick = mean_us(200, |_| drop(black_box(list.tick(NOW))));
-        let whole_again = mean_us(2, |_| {
-            drop(black_box(list.apply(whole_update(servers), NOW, NOW)));
+        let whole_again = mean_us(2, |number| {
+            let update = whole_update(servers, u64::from(number) + 2);
+            drop(black_box(list.apply(update, NOW, NOW)));
         });
         let change = mean_us(50, |number| {
+            let revision = StorePosition::new(0, u64::from(number) + 4);
             let update = ServerUpdate {
-                revision: StorePosition::new(0, u64::from(number) + 2),
+                revision,
                 is_whole: false,
-                changes: vec![ServerChange::Announced(record(number, true))],
+                changes: vec![ServerChange::Announced(record(number, true)).at(revision)],
             };
             list.apply(update, NOW, NOW);
             apply_changes(&mut list, &mut dispatcher);
--- a/crates/reedsail_dispatch/src/departures.rs
+++ b/crates/reedsail_dispatch/src/departures.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 
 /// How long a departure advertised by a peer is valid, in milliseconds.
@@ -31,6 +32,16 @@
 struct Departure {
     until: TimeMs,
     evidence: DepartureEvidence,
+    /// The position in the store's log as of which the server was gone or draining.
+    known_at: StorePosition,
+}
+
+/// A departure that a peer advertises.
+#[derive(Clone, Copy, Debug)]
+struct AdvertisedDeparture {
+    until: TimeMs,
+    /// The latest position of a peer's list that has the departure.
+    known_at: StorePosition,
 }
 
 /// The known departures, by the name of the server's incarnation.
@@ -38,25 +49,45 @@
 pub(crate) struct Departures {
     /// Servers that are draining or have departed according to this instance's own list.
     own: HashMap<NameHash, Departure>,
-    /// Departures advertised by peers, with the expiry time of each.
-    advertised: HashMap<NameHash, TimeMs>,
+    /// Departures advertised by peers.
+    advertised: HashMap<NameHash, AdvertisedDeparture>,
 }
 
 impl Departures {
-    /// Records that a server is draining or has departed.
-    pub(crate) fn record(&mut self, server: NameHash, evidence: DepartureEvidence, now: TimeMs) {
-        let until = now.plus_ms(ADVERTISE_MS);
-        self.own.insert(server, Departure { until, evidence });
+    /// Records that a server is draining or has departed as of a position in the store's log.
+    pub(crate) fn record(
+        &mut self,
+        server: NameHash,
+        evidence: DepartureEvidence,
+        known_at: StorePosition,
+        now: TimeMs,
+    ) {
+        let departure = Departure {
+            until: now.plus_ms(ADVERTISE_MS),
+            evidence,
+            known_at,
+        };
+        self.own.insert(server, departure);
     }
 
-    /// Stores the departures that a peer advertises and returns those that no peer had advertised before.
-    pub(crate) fn receive(&mut self, servers: &[NameHash], now: TimeMs) -> Vec<NameHash> {
+    /// Stores the departures that a peer advertises with a list of the given position. Returns those that no peer had
+    /// advertised before.
+    pub(crate) fn receive(
+        &mut self,
+        servers: &[NameHash],
+        position: StorePosition,
+        now: TimeMs,
+    ) -> Vec<NameHash> {
         let until = now.plus_ms(ADVERTISED_DEPARTURE_MS);
         let mut unknown = Vec::new();
         for server in servers {
-            if self.advertised.insert(*server, until).is_none() {
+            let before = self.advertised.get(server);
+            if before.is_none() {
                 unknown.push(*server);
             }
+            let known_at = before.map_or(position, |before| before.known_at.max(position));
+            self.advertised
+                .insert(*server, AdvertisedDeparture { until, known_at });
         }
         unknown
     }
@@ -66,23 +97,25 @@
         !self.advertised.is_empty()
     }
 
-    /// Removes all departures of a server that accepts work.
-    pub(crate) fn forget(&mut self, server: NameHash) {
-        self.own.remove(&server);
-        self.advertised.remove(&server);
+    /// Removes all departures of a server that accepts work. Returns the latest position of those that there were.
+    pub(crate) fn forget(&mut self, server: NameHash) -> Option<StorePosition> {
+        let own = self.own.remove(&server).map(|departure| departure.known_at);
+        own.max(self.forget_advertised(server))
     }
 
     /// Removes this instance's departure of a server whose record has reappeared, unless a record had announced the
-    /// departure.
-    pub(crate) fn forget_inferred(&mut self, server: NameHash) {
-        if !self.is_recorded(server) {
-            self.own.remove(&server);
+    /// departure. Returns the position of the departure.
+    pub(crate) fn forget_inferred(&mut self, server: NameHash) -> Option<StorePosition> {
+        if self.is_recorded(server) {
+            return None;
         }
+        self.own.remove(&server).map(|departure| departure.known_at)
     }
 
-    /// Removes the departure of a server that peers advertised. Returns whether there was one.
-    pub(crate) fn forget_advertised(&mut self, server: NameHash) -> bool {
-        self.advertised.remove(&server).is_some()
+    /// Removes the departure of a server that peers advertised. Returns the position of the departure.
+    pub(crate) fn forget_advertised(&mut self, server: NameHash) -> Option<StorePosition> {
+        let departure = self.advertised.remove(&server);
+        departure.map(|departure| departure.known_at)
     }
 
     /// Returns whether this instance or a peer has recorded a departure of the server.
@@ -103,7 +136,8 @@
 
     /// Returns whether a peer has advertised the server's departure and that departure is still valid.
     pub(crate) fn is_advertised(&self, server: NameHash, now: TimeMs) -> bool {
-        self.advertised.get(&server).is_some_and(|until| *until > now)
+        let departure = self.advertised.get(&server);
+        departure.is_some_and(|departure| departure.until > now)
     }
 
     /// Returns the departures to advertise: the newest ones if there are more than fit a message.
@@ -130,8 +164,8 @@
             }
             is_valid
         });
-        self.advertised.retain(|server, until| {
-            let is_valid = *until > now;
+        self.advertised.retain(|server, departure| {
+            let is_valid = departure.until > now;
             if !is_valid {
                 expired.push(*server);
             }
--- a/crates/reedsail_dispatch/src/peer_list_state.rs
+++ b/crates/reedsail_dispatch/src/peer_list_state.rs
@@ -3,6 +3,8 @@
 use reedsail_core::NameHash;
 use reedsail_core::StorePosition;
 
+use crate::ListDelta;
+
 /// The state of a peer's list, as sent in its load message.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerListState<'a> {
@@ -17,14 +19,14 @@
 }
 
 /// How a peer's list compares with this instance's.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ListComparison {
     /// The peer's list is not newer.
     NothingNew,
     /// The peer's list is newer and must be fetched.
     Newer,
     /// The peer's list is newer and names departures that were unknown here.
-    NewerWithDepartures,
+    NewerWithDepartures(ListDelta),
     /// The peer's list need not be fetched, but shows that advertised departures have ended.
-    DeparturesChanged,
+    DeparturesChanged(ListDelta),
 }
--- a/crates/reedsail_dispatch/src/server_record.rs
+++ b/crates/reedsail_dispatch/src/server_record.rs
@@ -75,6 +75,22 @@
     },
 }
 
+impl ServerChange {
+    /// Returns the change with its position.
+    pub fn at(self, after: StorePosition) -> PositionedChange {
+        PositionedChange { after, change: self }
+    }
+}
+
+/// A change with its position.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PositionedChange {
+    /// The position in the store's log after the record.
+    pub after: StorePosition,
+    /// The change.
+    pub change: ServerChange,
+}
+
 /// An update from the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerUpdate {
@@ -84,7 +100,7 @@
     /// changes since the previous read.
     pub is_whole: bool,
     /// The changes, in the order of the log.
-    pub changes: Vec<ServerChange>,
+    pub changes: Vec<PositionedChange>,
 }
 
 /// An instance's list of backend servers, or its difference from an earlier list, as peers fetch it.
--- a/crates/reedsail_dispatch/tests/decision_trace.rs
+++ b/crates/reedsail_dispatch/tests/decision_trace.rs
@@ -21,6 +21,7 @@
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::GossipTiming;
+use reedsail_dispatch::ListComparison;
 use reedsail_dispatch::ListDelta;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PeerListState;
@@ -459,10 +460,11 @@
             0..8 => {
                 let changes = changes(&mut random);
                 revision += changes.len() as u64;
+                let position = StorePosition::new(0, revision);
                 let update = ServerUpdate {
-                    revision: StorePosition::new(0, revision),
+                    revision: position,
                     is_whole: random.random_range(0..5) == 0,
-                    changes,
+                    changes: changes.into_iter().map(|change| change.at(position)).collect(),
                 };
                 lists[index].apply(update, TimeMs(now.0 - 20), now)
             }
@@ -484,7 +486,13 @@
                     departures: &departures,
                 };
                 let comparison = lists[index].compare_with_peer(&peer_state, now);
-                trace.push_line(&format!("{} {index} peer {}", now.0, comparison as u8));
+                let outcome = match comparison {
+                    ListComparison::NothingNew => 0,
+                    ListComparison::Newer => 1,
+                    ListComparison::NewerWithDepartures(_) => 2,
+                    ListComparison::DeparturesChanged(_) => 3,
+                };
+                trace.push_line(&format!("{} {index} peer {outcome}", now.0));
                 continue;
             }
             _ => lists[index].tick(now),
--- a/crates/reedsail_dispatch/tests/list_difference.rs
+++ b/crates/reedsail_dispatch/tests/list_difference.rs
@@ -28,10 +28,11 @@
 }
 
 fn update(offset: u64, is_whole: bool, changes: Vec<ServerChange>) -> ServerUpdate {
+    let revision = StorePosition::new(0, offset);
     ServerUpdate {
-        revision: StorePosition::new(0, offset),
+        revision,
         is_whole,
-        changes,
+        changes: changes.into_iter().map(|change| change.at(revision)).collect(),
     }
 }
 
--- a/crates/reedsail_dispatch/tests/server_list.rs
+++ b/crates/reedsail_dispatch/tests/server_list.rs
@@ -6,10 +6,12 @@
 use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::ListComparison;
+use reedsail_dispatch::ListDelta;
 use reedsail_dispatch::PeerListState;
 use reedsail_dispatch::ServerChange;
 use reedsail_dispatch::ServerList;
 use reedsail_dispatch::ServerRecord;
+use reedsail_dispatch::ServerReturn;
 use reedsail_dispatch::ServerUpdate;
 
 fn record(id: &str, is_draining: bool) -> ServerRecord {
@@ -39,10 +41,11 @@
 }
 
 fn update(revision: u64, is_whole: bool, changes: Vec<ServerChange>) -> ServerUpdate {
+    let revision = StorePosition::new(0, revision);
     ServerUpdate {
-        revision: StorePosition::new(0, revision),
+        revision,
         is_whole,
-        changes,
+        changes: changes.into_iter().map(|change| change.at(revision)).collect(),
     }
 }
 
@@ -56,6 +59,13 @@
     }
 }
 
+fn draining(ids: &[&str]) -> ListDelta {
+    ListDelta {
+        draining: ids.iter().map(ToString::to_string).collect(),
+        ..ListDelta::default()
+    }
+}
+
 /// Returns a list of two servers, read at 1,000 ms.
 fn list() -> ServerList {
     let mut list = ServerList::default();
@@ -174,7 +184,7 @@
     let departed_names = [NameHash::of("one")];
     assert_eq!(
         list.compare_with_peer(&peer_state(11, 40, &departed_names), now),
-        ListComparison::NewerWithDepartures
+        ListComparison::NewerWithDepartures(draining(&["one"]))
     );
     assert_eq!(usable_ids(&list, now), ["two"]);
     assert_eq!(
@@ -402,7 +412,7 @@
     let now = TimeMs(2_000);
     let departures = [record("one", false).name()];
     let compared = list.compare_with_peer(&peer_state(12, 0, &departures), now);
-    assert_eq!(compared, ListComparison::NewerWithDepartures);
+    assert_eq!(compared, ListComparison::NewerWithDepartures(draining(&["one"])));
     assert_eq!(usable_ids(&list, now), ["two"]);
     // Peers that fetch the list get the state from the store.
     assert!(list.listing(now).records.iter().all(|record| !record.is_draining));
@@ -410,9 +420,19 @@
         digest: list.digest(),
         ..peer_state(14, 0, &[])
     };
+    let returned = ServerReturn {
+        id: "one".to_owned(),
+        departed_at: StorePosition::new(0, 12),
+        announced_at: StorePosition::new(0, 14),
+    };
+    let ended = ListDelta {
+        listed: vec!["one".to_owned()],
+        returned: vec![returned],
+        ..ListDelta::default()
+    };
     assert_eq!(
         list.compare_with_peer(&same, now),
-        ListComparison::DeparturesChanged
+        ListComparison::DeparturesChanged(ended)
     );
     assert_eq!(usable_ids(&list, now), ["one", "two"]);
 }
--- a/crates/reedsail_dispatch/tests/store_era_fleets.rs
+++ b/crates/reedsail_dispatch/tests/store_era_fleets.rs
@@ -79,6 +79,12 @@
             .is_some_and(|(_, is_present)| *is_present)
     }
 
+    /// Returns the position after the newest record of a server.
+    fn written_last(&self, server: u32) -> StorePosition {
+        let index = self.log.records.iter().rposition(|(key, _)| *key == server);
+        StorePosition::new(self.era, index.map_or(0, |index| index as u64 + 1))
+    }
+
     fn evacuated(&self) -> bool {
         self.log.evacuations.last().copied().unwrap_or(false)
     }
@@ -110,11 +116,16 @@
         let revision = StorePosition::new(self.era, self.log.records.len() as u64);
         let known = from.filter(|from| from.era == self.era);
         let changes = if let Some(from) = known {
-            let since = self.log.records.iter().skip(from.offset as usize);
-            since.copied().map(change).collect()
+            let since = (from.offset..).zip(self.log.records.iter().skip(from.offset as usize));
+            let position = |offset| StorePosition::new(self.era, offset + 1);
+            since
+                .map(|(offset, record)| change(*record).at(position(offset)))
+                .collect()
         } else {
             let listed = (0..SERVERS).filter(|server| self.is_listed(*server));
-            listed.map(|server| change((server, true))).collect()
+            listed
+                .map(|server| change((server, true)).at(self.written_last(server)))
+                .collect()
         };
         ServerUpdate {
             revision,
@@ -238,7 +249,7 @@
             let compared = receiver.list.compare_with_peer(&peer, now);
             let is_newer = matches!(
                 compared,
-                ListComparison::Newer | ListComparison::NewerWithDepartures
+                ListComparison::Newer | ListComparison::NewerWithDepartures(_)
             );
             if is_newer {
                 receiver.list.apply_listing(listing, now);
--- a/crates/reedsail_dispatch/tests/store_eras.rs
+++ b/crates/reedsail_dispatch/tests/store_eras.rs
@@ -34,18 +34,21 @@
 }
 
 fn whole(era: u32, offset: u64, ids: &[&str]) -> ServerUpdate {
+    let revision = StorePosition::new(era, offset);
+    let announced = ids.iter().map(|id| ServerChange::Announced(record(id)));
     ServerUpdate {
-        revision: StorePosition::new(era, offset),
+        revision,
         is_whole: true,
-        changes: ids.iter().map(|id| ServerChange::Announced(record(id))).collect(),
+        changes: announced.map(|change| change.at(revision)).collect(),
     }
 }
 
 fn change(era: u32, offset: u64, change: ServerChange) -> ServerUpdate {
+    let revision = StorePosition::new(era, offset);
     ServerUpdate {
-        revision: StorePosition::new(era, offset),
+        revision,
         is_whole: false,
-        changes: vec![change],
+        changes: vec![change.at(revision)],
     }
 }
 
--- a/crates/reedsail_dispatch/tests/version_history.rs
+++ b/crates/reedsail_dispatch/tests/version_history.rs
@@ -386,10 +386,11 @@
 }
 
 fn announce(list: &mut ServerList, revision: u64, record: ServerRecord) {
+    let revision = StorePosition::new(0, revision);
     let update = ServerUpdate {
-        revision: StorePosition::new(0, revision),
+        revision,
         is_whole: false,
-        changes: vec![ServerChange::Announced(record)],
+        changes: vec![ServerChange::Announced(record).at(revision)],
     };
     list.apply(update, START, START);
 }
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -3,10 +3,12 @@
 //! One actor on one thread owns the state, so that no part of it needs a lock. The actor never waits: separate tasks
 //! read the store, fetch from peers, and send and receive datagrams (`follow`, `peer_fetch`, `thread`).
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::ListComparison;
 use reedsail_dispatch::PeerListState;
@@ -55,8 +57,8 @@
 use super::server_end_log::log_server_ends;
 use super::server_notice_log::log_server_notices;
 use super::server_pages::ServerPages;
+use super::server_publication::ListSource;
 use super::server_publication::log_and_publish_delta;
-use super::server_publication::publish_servers;
 use super::share_watch::ShareWatch;
 use super::store_era::StoreEraWatch;
 use super::store_status::StoreStatus;
@@ -143,6 +145,16 @@
         }
     }
 
+    /// Returns the source of a change by a peer's word of its list at a position in the store's log.
+    fn peer_source(&self, peer: SocketAddrV4, position: StorePosition) -> ListSource {
+        ListSource {
+            origin: Origin::Peer,
+            peer: Some(peer),
+            position,
+            list_before: self.servers.revision(),
+        }
+    }
+
     /// Wakes the sender of load messages if peers must learn of an urgent change.
     fn notify_if_urgent(&self, now: TimeMs) {
         if self.exchange.is_urgent(&self.header_without_departures(now), now) {
@@ -255,10 +267,16 @@
 
     async fn handle(&mut self, read: ServersRead, _: &mut Context<Self>) {
         let now = self.shared.clock.now();
+        let source = ListSource {
+            origin: Origin::Store,
+            peer: None,
+            position: read.update.revision,
+            list_before: self.servers.revision(),
+        };
         let delta = self.servers.apply(read.update, read.asked_at, now);
         self.era
             .log_era_change(&self.shared, &self.servers, Origin::Store);
-        log_and_publish_delta(&self.shared, &mut self.servers, &delta, Origin::Store, now);
+        log_and_publish_delta(&self.shared, &mut self.servers, &delta, source, now);
         self.notify_if_urgent(now);
     }
 }
@@ -269,9 +287,10 @@
     async fn handle(&mut self, read: PeerServersRead, _: &mut Context<Self>) {
         let now = self.shared.clock.now();
         self.fetches.record_listing();
-        let delta = self.servers.apply_listing(read.0, now);
+        let source = self.peer_source(read.peer, read.listing.revision);
+        let delta = self.servers.apply_listing(read.listing, now);
         self.era.log_era_change(&self.shared, &self.servers, Origin::Peer);
-        log_and_publish_delta(&self.shared, &mut self.servers, &delta, Origin::Peer, now);
+        log_and_publish_delta(&self.shared, &mut self.servers, &delta, source, now);
         self.notify_if_urgent(now);
     }
 }
@@ -335,11 +354,12 @@
         }
         self.configuration
             .merge_peer_age(peer_configuration, self.own_version(), now);
+        let source = self.peer_source(received.from, peer_list.revision);
         let comparison = self.servers.compare_with_peer(&peer_list, now);
         self.era.log_era_change(&self.shared, &self.servers, Origin::Peer);
         match comparison {
-            ListComparison::NewerWithDepartures | ListComparison::DeparturesChanged => {
-                publish_servers(&self.shared, &mut self.servers, now);
+            ListComparison::NewerWithDepartures(delta) | ListComparison::DeparturesChanged(delta) => {
+                log_and_publish_delta(&self.shared, &mut self.servers, &delta, source, now);
             }
             ListComparison::NothingNew | ListComparison::Newer => {}
         }
@@ -387,7 +407,8 @@
     async fn handle(&mut self, _: Tick, _: &mut Context<Self>) -> Outbox {
         let now = self.shared.clock.now();
         let delta = self.servers.tick(now);
-        log_and_publish_delta(&self.shared, &mut self.servers, &delta, Origin::GraceOver, now);
+        let source = ListSource::grace_over(&self.servers);
+        log_and_publish_delta(&self.shared, &mut self.servers, &delta, source, now);
         self.shared.dispatcher().tick(now);
         log_server_notices(&self.shared, now);
         log_server_ends(&self.shared);
--- a/crates/reedsail_router/src/control/messages.rs
+++ b/crates/reedsail_router/src/control/messages.rs
@@ -66,7 +66,10 @@
 }
 
 /// A server list was fetched from a peer.
-pub(crate) struct PeerServersRead(pub(crate) ServerListing);
+pub(crate) struct PeerServersRead {
+    pub(crate) listing: ServerListing,
+    pub(crate) peer: SocketAddrV4,
+}
 
 /// A read of the store has ended.
 pub(crate) struct StoreReadEnded {
--- a/crates/reedsail_router/src/control/peer_fetch.rs
+++ b/crates/reedsail_router/src/control/peer_fetch.rs
@@ -124,7 +124,7 @@
 ) -> Result<(), FetchError> {
     let listing = fetch_page(peer, path, timeout_ms).await?;
     // The actor ends only with the instance.
-    let _ = control.send(PeerServersRead(listing)).await;
+    let _ = control.send(PeerServersRead { listing, peer }).await;
     Ok(())
 }
 
--- a/crates/reedsail_router/src/control/server_publication.rs
+++ b/crates/reedsail_router/src/control/server_publication.rs
@@ -1,9 +1,11 @@
 //! Publishes the list of backend servers to the dispatcher and to the traffic thread, and logs changes.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use reedsail_core::NameHash;
 use reedsail_core::ServerKey;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::ListDelta;
 use reedsail_dispatch::ServerList;
@@ -17,20 +19,44 @@
 use crate::server_views::ServerView;
 use crate::shared::Shared;
 
+/// The answer of the store or the word of a peer that changed the list.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ListSource {
+    pub(crate) origin: Origin,
+    /// The peer, if it is the origin.
+    pub(crate) peer: Option<SocketAddrV4>,
+    /// The position in the store's log of the answer or of the peer's list.
+    pub(crate) position: StorePosition,
+    /// The position of this instance's list when the answer arrived.
+    pub(crate) list_before: StorePosition,
+}
+
+impl ListSource {
+    /// Returns the source of a change that no answer caused.
+    pub(crate) fn grace_over(list: &ServerList) -> Self {
+        Self {
+            origin: Origin::GraceOver,
+            peer: None,
+            position: list.revision(),
+            list_before: list.revision(),
+        }
+    }
+}
+
 /// Logs a change of the list, and publishes it.
 pub(crate) fn log_and_publish_delta<H>(
     shared: &Shared<H>,
     list: &mut ServerList,
     delta: &ListDelta,
-    origin: Origin,
+    source: ListSource,
     now: TimeMs,
 ) {
-    log_delta(shared, delta, origin, list.age_ms(now));
+    log_delta(shared, delta, source, list.age_ms(now));
     publish_servers(shared, list, now);
 }
 
 /// Passes changes of the list to the dispatcher and to the traffic thread.
-pub(crate) fn publish_servers<H>(shared: &Shared<H>, list: &mut ServerList, now: TimeMs) {
+fn publish_servers<H>(shared: &Shared<H>, list: &mut ServerList, now: TimeMs) {
     let changes = list.take_use_changes(now);
     if changes.is_empty() {
         return;
@@ -73,7 +99,7 @@
     }
 }
 
-fn log_delta<H>(shared: &Shared<H>, delta: &ListDelta, origin: Origin, age_ms: u64) {
+fn log_delta<H>(shared: &Shared<H>, delta: &ListDelta, source: ListSource, age_ms: u64) {
     let changes = [
         (EventKind::ServerListed, &delta.listed),
         (EventKind::ServerRestarted, &delta.restarted),
@@ -83,11 +109,17 @@
     ];
     for (kind, ids) in changes {
         for id in ids {
-            let fields = [
+            let mut fields = vec![
                 ("server", id.clone()),
-                ("origin", origin.name().to_owned()),
+                ("origin", source.origin.name().to_owned()),
+                ("answer", source.position.to_string()),
+                ("list_before", source.list_before.to_string()),
                 ("view_age_ms", age_ms.to_string()),
             ];
+            fields.extend(source.peer.map(|peer| ("peer", peer.to_string())));
+            if kind == EventKind::ServerListed {
+                fields.extend(return_fields(delta, id));
+            }
             shared.emit(kind, &fields);
         }
     }
@@ -96,3 +128,14 @@
         shared.emit(EventKind::ServerRecordInvalid, &fields);
     }
 }
+
+/// Returns why a server is used again although its departure was known; nothing for another server.
+fn return_fields(delta: &ListDelta, id: &str) -> Vec<(&'static str, String)> {
+    let returned = delta.returned.iter().find(|server| server.id == id);
+    returned.map_or_else(Vec::new, |server| {
+        vec![
+            ("departed_at", server.departed_at.to_string()),
+            ("announced_at", server.announced_at.to_string()),
+        ]
+    })
+}
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -81,15 +83,32 @@
     }
 }
 
-pub(crate) struct MemoryServers(SourceValue<Vec<ServerRecord>>);
+/// The servers that the store listed last, and the position in its log of that list.
+#[derive(Default)]
+pub(crate) struct LastListed {
+    records: Vec<ServerRecord>,
+    offset: u64,
+}
+
+pub(crate) struct MemoryServers {
+    records: SourceValue<Vec<ServerRecord>>,
+    last: Arc<Mutex<LastListed>>,
+}
 
 impl ServerSource for MemoryServers {
     async fn poll(&mut self, _: StorePosition) -> Result<ServerUpdate, SourceError> {
-        let records = self.0.borrow().clone().ok_or_else(unavailable)?;
+        let records = self.records.borrow().clone().ok_or_else(unavailable)?;
+        let mut last = self.last.lock().unwrap();
+        if last.offset == 0 || last.records != records {
+            last.offset += 1;
+            last.records.clone_from(&records);
+        }
+        let revision = StorePosition::new(0, last.offset);
+        let announced = records.into_iter().map(ServerChange::Announced);
         Ok(ServerUpdate {
-            revision: StorePosition::new(0, 1),
+            revision,
             is_whole: true,
-            changes: records.into_iter().map(ServerChange::Announced).collect(),
+            changes: announced.map(|change| change.at(revision)).collect(),
         })
     }
 }
@@ -102,6 +121,7 @@
 pub(crate) struct Store {
     pub(crate) configuration: watch::Sender<Option<Configuration>>,
     pub(crate) servers: watch::Sender<Option<Vec<ServerRecord>>>,
+    last_listed: Arc<Mutex<LastListed>>,
 }
 
 impl Store {
@@ -109,6 +129,7 @@
         Self {
             configuration: watch::Sender::new(configuration),
             servers: watch::Sender::new(servers),
+            last_listed: Arc::default(),
         }
     }
 }
@@ -155,7 +176,10 @@
         state: store.configuration.subscribe(),
         last_version: 0,
     };
-    let servers = MemoryServers(store.servers.subscribe());
+    let servers = MemoryServers {
+        records: store.servers.subscribe(),
+        last: Arc::clone(&store.last_listed),
+    };
     RunningRouter::start_at(clock, settings, TestHeaders, move || (configuration, servers)).unwrap()
 }
 
--- a/crates/reedsail_router/tests/golden.rs
+++ b/crates/reedsail_router/tests/golden.rs
@@ -308,10 +308,11 @@
     let mut revision = 0;
     let mut send_changes = |changes: Vec<ServerChange>| {
         revision += 1;
+        let position = StorePosition::new(0, revision);
         let update = ServerUpdate {
-            revision: StorePosition::new(0, revision),
+            revision: position,
             is_whole: false,
-            changes,
+            changes: changes.into_iter().map(|change| change.at(position)).collect(),
         };
         servers.send(Ok(update)).unwrap();
     };
