Skip records of the store that the server list is newer than

Cause: an answer of the store that was held up for 0.6 s was applied to a list that a peer's list had moved on meanwhile. The list compared only its own position with that of the answer, not the records; it kept the newer position, so the deletion was not read again and peers took the list. Change: every record carries the position as of which it is the newest of its server, and the list skips those up to its own position. In a whole list that is the end of the log when the page was read; what a page lacks is ordered likewise.

--- a/crates/reedsail_dispatch/src/list_delta.rs
+++ b/crates/reedsail_dispatch/src/list_delta.rs
@@ -30,6 +30,8 @@
     pub unlisted: Vec<String>,
     /// Ids of unreadable records, each with the error.
     pub unreadable: Vec<(String, String)>,
+    /// Number of records that the list was newer than.
+    pub outdated: usize,
 }
 
 impl ListDelta {
--- a/crates/reedsail_dispatch/src/server_record.rs
+++ b/crates/reedsail_dispatch/src/server_record.rs
@@ -76,17 +76,26 @@
 }
 
 impl ServerChange {
+    /// Returns the id of the server.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Announced(record) => &record.id,
+            Self::Dropped { id } | Self::Unreadable { id, .. } => id,
+        }
+    }
+
     /// Returns the change with its position.
-    pub fn at(self, after: StorePosition) -> PositionedChange {
-        PositionedChange { after, change: self }
+    pub fn at(self, as_of: StorePosition) -> PositionedChange {
+        PositionedChange { as_of, change: self }
     }
 }
 
 /// A change with its position.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PositionedChange {
-    /// The position in the store's log after the record.
-    pub after: StorePosition,
+    /// The position in the store's log as of which this is the newest record of the server: after the record, or the end
+    /// of the log when its page of a whole list was read.
+    pub as_of: StorePosition,
     /// The change.
     pub change: ServerChange,
 }
@@ -99,7 +108,7 @@
     /// Whether `changes` has all existing records, so that a server without a record is gone. Otherwise it has the
     /// changes since the previous read.
     pub is_whole: bool,
-    /// The changes, in the order of the log.
+    /// The changes, in the order of the log; those of a whole list in the order of the ids.
     pub changes: Vec<PositionedChange>,
 }
 
--- /dev/null
+++ b/crates/reedsail_dispatch/tests/list_order.rs
@@ -0,0 +1,147 @@
+//! What the server list makes of words that arrive late, repeated, in another order, or not at all.
+
+use std::net::SocketAddr;
+
+use reedsail_core::StorePosition;
+use reedsail_core::TimeMs;
+use reedsail_dispatch::ServerChange;
+use reedsail_dispatch::ServerList;
+use reedsail_dispatch::ServerRecord;
+use reedsail_dispatch::ServerUpdate;
+
+const NOW: TimeMs = TimeMs(5_000);
+
+fn record(id: &str, is_draining: bool) -> ServerRecord {
+    ServerRecord {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        failure_domain: "hall-a".to_owned(),
+        slots: 64,
+        is_draining,
+        cold_left_ms: 0,
+        born_ms: Some(1),
+        software_version: Some("v1".to_owned()),
+    }
+}
+
+fn at(offset: u64) -> StorePosition {
+    StorePosition::new(0, offset)
+}
+
+fn ready(id: &str) -> ServerChange {
+    ServerChange::Announced(record(id, false))
+}
+
+fn dropped(id: &str) -> ServerChange {
+    ServerChange::Dropped { id: id.to_owned() }
+}
+
+/// Returns the records of the log after `from`.
+fn since(from: u64, changes: Vec<ServerChange>) -> ServerUpdate {
+    ServerUpdate {
+        revision: at(from + changes.len() as u64),
+        is_whole: false,
+        changes: (from + 1..)
+            .zip(changes)
+            .map(|(after, change)| change.at(at(after)))
+            .collect(),
+    }
+}
+
+/// Returns the whole list, read in one page.
+fn whole(revision: u64, changes: Vec<ServerChange>) -> ServerUpdate {
+    ServerUpdate {
+        revision: at(revision),
+        is_whole: true,
+        changes: changes
+            .into_iter()
+            .map(|change| change.at(at(revision)))
+            .collect(),
+    }
+}
+
+/// Returns a list of the servers `one` and `two` at position 10.
+fn list() -> ServerList {
+    let mut list = ServerList::default();
+    list.apply(whole(10, vec![ready("one"), ready("two")]), NOW, NOW);
+    list
+}
+
+fn apply(list: &mut ServerList, update: ServerUpdate) {
+    list.apply(update, NOW, NOW);
+}
+
+fn usable(list: &ServerList) -> Vec<String> {
+    let records = list.records(NOW).into_iter();
+    let mut ids: Vec<String> = records
+        .filter(|record| !record.is_draining)
+        .map(|record| record.id)
+        .collect();
+    ids.sort();
+    ids
+}
+
+/// Guards against an answer of the store that was held up while the list moved on by a peer's list: it brought back a
+/// server that had left, first here and then, by this list, on every instance.
+#[test]
+fn a_late_answer_of_the_store_does_not_bring_back_a_server_that_has_left() {
+    let mut late_reader = list();
+    let mut reader = list();
+    let held_up = since(10, vec![ready("one"), ready("two")]);
+    apply(
+        &mut reader,
+        since(10, vec![ready("one"), ready("two"), dropped("one")]),
+    );
+    late_reader.apply_listing(reader.listing(NOW), NOW);
+    assert_eq!(usable(&late_reader), ["two"]);
+    apply(&mut late_reader, held_up);
+    assert_eq!(usable(&late_reader), ["two"]);
+    apply(&mut late_reader, since(13, vec![ready("two")]));
+    reader.apply_listing(late_reader.listing(NOW), NOW);
+    assert_eq!(usable(&reader), ["two"]);
+    assert_eq!(late_reader.departures(), [record("one", false).name()]);
+}
+
+/// Guards against the same by an answer that arrives twice, and that ends beyond the list.
+#[test]
+fn records_of_an_answer_that_the_list_has_already_apply_once() {
+    let mut list = list();
+    let answer = since(10, vec![ready("one"), dropped("one"), ready("three")]);
+    apply(&mut list, answer.clone());
+    apply(&mut list, answer);
+    assert_eq!(usable(&list), ["three", "two"]);
+    let overlapping = since(
+        10,
+        vec![ready("one"), dropped("one"), ready("three"), dropped("three")],
+    );
+    let delta = list.apply(overlapping, NOW, NOW);
+    assert_eq!(delta.unlisted, ["three"]);
+    assert!(delta.listed.is_empty(), "{delta:?}");
+}
+
+/// Guards against a late deletion of a record that was written again.
+#[test]
+fn a_late_answer_does_not_remove_a_server_that_has_come_back() {
+    let mut late_reader = list();
+    let mut reader = list();
+    let held_up = since(10, vec![dropped("one")]);
+    apply(&mut reader, since(10, vec![dropped("one"), ready("one")]));
+    late_reader.apply_listing(reader.listing(NOW), NOW);
+    apply(&mut late_reader, held_up);
+    assert_eq!(usable(&late_reader), ["one", "two"]);
+}
+
+/// Guards against a whole list that was read before the list moved on: it brings back servers that have left, and
+/// removes servers that were listed since.
+#[test]
+fn a_late_whole_list_changes_nothing_that_is_newer() {
+    let mut late_reader = list();
+    let mut reader = list();
+    let held_up = whole(10, vec![ready("one"), ready("two")]);
+    apply(&mut reader, since(10, vec![dropped("one"), ready("three")]));
+    late_reader.apply_listing(reader.listing(NOW), NOW);
+    apply(&mut late_reader, held_up);
+    assert_eq!(usable(&late_reader), ["three", "two"]);
+    assert_eq!(late_reader.digest(), reader.digest());
+}
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -111,6 +111,8 @@
     ServerEnded = 316, "server_ended", Warn, "a backend server exited while it ran requests of this instance; a fingerprint that appears in several of these events belongs to the request that makes the servers exit, and a segment (`segments`: of prompts whose answers had just begun) that appears in all of them makes them exit";
     /// A backend server asked this instance to back off.
     ServerBackedOff = 317, "server_backed_off", Info, "a backend server rejected a request and asked this instance to back off; see the fields for the duration";
+    /// Records of backend servers arrived too late to change anything.
+    ServerRecordsOutdated = 318, "server_records_outdated", Info, "records of backend servers arrived after the list had moved on, from another answer or a peer; they are skipped";
 
     /// The platform is unreachable.
     PlatformLost = 400, "platform_lost", Error, "the platform is unreachable; calls that need a claim are refused as not run";
--- a/crates/reedsail_router/src/control/server_publication.rs
+++ b/crates/reedsail_router/src/control/server_publication.rs
@@ -109,26 +109,36 @@
     ];
     for (kind, ids) in changes {
         for id in ids {
-            let mut fields = vec![
-                ("server", id.clone()),
-                ("origin", source.origin.name().to_owned()),
-                ("answer", source.position.to_string()),
-                ("list_before", source.list_before.to_string()),
-                ("view_age_ms", age_ms.to_string()),
-            ];
-            fields.extend(source.peer.map(|peer| ("peer", peer.to_string())));
+            let mut fields = source_fields(source);
+            fields.push(("server", id.clone()));
+            fields.push(("view_age_ms", age_ms.to_string()));
             if kind == EventKind::ServerListed {
                 fields.extend(return_fields(delta, id));
             }
             shared.emit(kind, &fields);
         }
     }
+    if delta.outdated > 0 {
+        let mut fields = source_fields(source);
+        fields.push(("records", delta.outdated.to_string()));
+        shared.emit(EventKind::ServerRecordsOutdated, &fields);
+    }
     for (id, fault) in &delta.unreadable {
         let fields = [("server", id.clone()), ("fault", fault.clone())];
         shared.emit(EventKind::ServerRecordInvalid, &fields);
     }
 }
 
+fn source_fields(source: ListSource) -> Vec<(&'static str, String)> {
+    let mut fields = vec![
+        ("origin", source.origin.name().to_owned()),
+        ("answer", source.position.to_string()),
+        ("list_before", source.list_before.to_string()),
+    ];
+    fields.extend(source.peer.map(|peer| ("peer", peer.to_string())));
+    fields
+}
+
 /// Returns why a server is used again although its departure was known; nothing for another server.
 fn return_fields(delta: &ListDelta, id: &str) -> Vec<(&'static str, String)> {
     let returned = delta.returned.iter().find(|server| server.id == id);
--- a/crates/reedsail_router/tests/golden.rs
+++ b/crates/reedsail_router/tests/golden.rs
@@ -305,10 +305,8 @@
     let (servers, server_source) = mpsc::unbounded_channel();
     let make_sources = move || (ChannelSource(source), ChannelSource(server_source));
     let router = RunningRouter::start(settings("hall-b-1"), HEADERS, make_sources).unwrap();
-    let mut revision = 0;
-    let mut send_changes = |changes: Vec<ServerChange>| {
-        revision += 1;
-        let position = StorePosition::new(0, revision);
+    let send_changes_at = |offset: u64, changes: Vec<ServerChange>| {
+        let position = StorePosition::new(0, offset);
         let update = ServerUpdate {
             revision: position,
             is_whole: false,
@@ -316,6 +314,11 @@
         };
         servers.send(Ok(update)).unwrap();
     };
+    let mut offset = 0;
+    let mut send_changes = |changes: Vec<ServerChange>| {
+        offset += 1;
+        send_changes_at(offset, changes);
+    };
     configurations
         .send(Ok(configuration_update(Ok(configuration(1)))))
         .unwrap();
@@ -332,6 +335,8 @@
     wait_for_line(EventKind::SourceBack, "hall-b-1").await;
     send_changes(vec![ServerChange::Announced(server(false))]);
     wait_for_line(EventKind::ServerListed, "hall-b-1").await;
+    send_changes_at(1, vec![ServerChange::Announced(server(true))]);
+    wait_for_line(EventKind::ServerRecordsOutdated, "hall-b-1").await;
     let restarted = ServerRecord {
         born_ms: Some(1_796_246_000_000),
         ..server(false)
