Let no older word end the departure of a server that a newer peer reports

Callers would see: requests sent to a server that has left, until the next message of the peer that knows it. An answer of the store, a fetched list, or a message with an equal list ended it although it was older than the peer's list that had reported it. Change: a departure carries the position as of which it is known, and only a newer word ends it. Result: an_older_list_does_not_end_a_departure_that_a_newer_peer_reports and an_equal_list_that_is_older_than_a_departure_does_not_end_it failed before and pass. an_expired_or_revoked_departure_is_a_change announced the server at the same position as the list that reported the departure, of which that record is a part: it now asserts that this ends nothing and the next record does.

--- a/crates/reedsail_dispatch/src/departures.rs
+++ b/crates/reedsail_dispatch/src/departures.rs
@@ -33,7 +33,7 @@
     until: TimeMs,
     evidence: DepartureEvidence,
     /// The position in the store's log as of which the server was gone or draining.
-    known_at: StorePosition,
+    as_of: StorePosition,
 }
 
 /// A departure that a peer advertises.
@@ -41,7 +41,7 @@
 struct AdvertisedDeparture {
     until: TimeMs,
     /// The latest position of a peer's list that has the departure.
-    known_at: StorePosition,
+    as_of: StorePosition,
 }
 
 /// The known departures, by the name of the server's incarnation.
@@ -59,13 +59,13 @@
         &mut self,
         server: NameHash,
         evidence: DepartureEvidence,
-        known_at: StorePosition,
+        as_of: StorePosition,
         now: TimeMs,
     ) {
         let departure = Departure {
             until: now.plus_ms(ADVERTISE_MS),
             evidence,
-            known_at,
+            as_of,
         };
         self.own.insert(server, departure);
     }
@@ -85,9 +85,9 @@
             if before.is_none() {
                 unknown.push(*server);
             }
-            let known_at = before.map_or(position, |before| before.known_at.max(position));
+            let as_of = before.map_or(position, |before| before.as_of.max(position));
             self.advertised
-                .insert(*server, AdvertisedDeparture { until, known_at });
+                .insert(*server, AdvertisedDeparture { until, as_of });
         }
         unknown
     }
@@ -97,25 +97,54 @@
         !self.advertised.is_empty()
     }
 
-    /// Removes all departures of a server that accepts work. Returns the latest position of those that there were.
-    pub(crate) fn forget(&mut self, server: NameHash) -> Option<StorePosition> {
-        let own = self.own.remove(&server).map(|departure| departure.known_at);
-        own.max(self.forget_advertised(server))
+    /// Removes the departures of a server that accepts work as of a position in the store's log, unless they are newer.
+    /// Returns the latest position of those that were removed.
+    pub(crate) fn forget(&mut self, server: NameHash, as_of: StorePosition) -> Option<StorePosition> {
+        let own = self.forget_own(server, as_of);
+        own.max(self.forget_advertised(server, as_of))
+    }
+
+    fn forget_own(&mut self, server: NameHash, as_of: StorePosition) -> Option<StorePosition> {
+        let departed_as_of = self.own.get(&server)?.as_of;
+        if departed_as_of >= as_of {
+            return None;
+        }
+        self.own.remove(&server);
+        Some(departed_as_of)
     }
 
     /// Removes this instance's departure of a server whose record has reappeared, unless a record had announced the
-    /// departure. Returns the position of the departure.
-    pub(crate) fn forget_inferred(&mut self, server: NameHash) -> Option<StorePosition> {
+    /// departure or it is newer. Returns the position of the departure.
+    pub(crate) fn forget_inferred(
+        &mut self,
+        server: NameHash,
+        as_of: StorePosition,
+    ) -> Option<StorePosition> {
         if self.is_recorded(server) {
             return None;
         }
-        self.own.remove(&server).map(|departure| departure.known_at)
+        self.forget_own(server, as_of)
     }
 
-    /// Removes the departure of a server that peers advertised. Returns the position of the departure.
-    pub(crate) fn forget_advertised(&mut self, server: NameHash) -> Option<StorePosition> {
-        let departure = self.advertised.remove(&server);
-        departure.map(|departure| departure.known_at)
+    /// Removes the departure of a server that peers advertised, unless it is newer than a list that has the server.
+    /// Returns the position of the departure.
+    pub(crate) fn forget_advertised(
+        &mut self,
+        server: NameHash,
+        as_of: StorePosition,
+    ) -> Option<StorePosition> {
+        let departed_as_of = self.advertised.get(&server)?.as_of;
+        if departed_as_of >= as_of {
+            return None;
+        }
+        self.advertised.remove(&server);
+        Some(departed_as_of)
+    }
+
+    /// Returns whether this instance's own list has the server as draining or departed as of a position or later.
+    pub(crate) fn is_known_since(&self, server: NameHash, as_of: StorePosition) -> bool {
+        let departure = self.own.get(&server);
+        departure.is_some_and(|departure| departure.as_of >= as_of)
     }
 
     /// Returns whether this instance or a peer has recorded a departure of the server.
--- a/crates/reedsail_dispatch/src/server_list/announcements.rs
+++ b/crates/reedsail_dispatch/src/server_list/announcements.rs
@@ -16,11 +16,15 @@
     pub(super) fn announce(
         &mut self,
         mut record: ServerRecord,
-        known_at: StorePosition,
+        as_of: StorePosition,
         is_from_backup: bool,
         now: TimeMs,
         delta: &mut ListDelta,
     ) {
+        if self.departures.is_known_since(record.name(), as_of) {
+            delta.outdated += 1;
+            return;
+        }
         record.software_version = self.entries.software_version_of(&record);
         if self.is_repeated(&record, is_from_backup) {
             return;
@@ -30,8 +34,8 @@
         let before = self.entries.get(&id);
         let was_held_back = before.is_some_and(|before| self.is_held_back(before, now));
         let is_same = before.is_some_and(|before| before.is_used_like(&entry));
-        self.record_start(&entry, known_at, now, delta);
-        self.record_departure(&entry, known_at, now, delta);
+        self.record_start(&entry, as_of, now, delta);
+        self.record_departure(&entry, as_of, now, delta);
         let is_held_back = self.is_held_back(&entry, now);
         if was_held_back && !is_held_back && !delta.listed.contains(&id) {
             delta.listed.push(id.clone());
@@ -52,7 +56,7 @@
     }
 
     /// Records that a server is new, has started again, or is cold until another time than before.
-    fn record_start(&mut self, entry: &Entry, known_at: StorePosition, now: TimeMs, delta: &mut ListDelta) {
+    fn record_start(&mut self, entry: &Entry, as_of: StorePosition, now: TimeMs, delta: &mut ListDelta) {
         let id = &entry.record.id;
         let Some(before) = self.entries.get(id) else {
             delta.listed.push(id.clone());
@@ -61,7 +65,7 @@
         let earlier_name = before.name;
         if earlier_name != entry.name {
             self.departures
-                .record(earlier_name, DepartureEvidence::Recorded, known_at, now);
+                .record(earlier_name, DepartureEvidence::Recorded, as_of, now);
             self.gone.push(earlier_name);
             delta.restarted.push(id.clone());
         } else if before.cold_until != entry.cold_until {
@@ -70,33 +74,27 @@
     }
 
     /// Records the departure that a server's record announces, or ends an earlier one.
-    fn record_departure(
-        &mut self,
-        entry: &Entry,
-        known_at: StorePosition,
-        now: TimeMs,
-        delta: &mut ListDelta,
-    ) {
+    fn record_departure(&mut self, entry: &Entry, as_of: StorePosition, now: TimeMs, delta: &mut ListDelta) {
         let id = &entry.record.id;
         let known = self.entries.get(id).filter(|known| known.name == entry.name);
         let was_draining = known.is_some_and(|known| known.record.is_draining);
         if entry.record.is_draining {
             if !was_draining {
                 self.departures
-                    .record(entry.name, DepartureEvidence::Recorded, known_at, now);
+                    .record(entry.name, DepartureEvidence::Recorded, as_of, now);
                 delta.draining.push(id.clone());
             }
             return;
         }
         let departed_at = if entry.is_from_backup {
-            self.departures.forget_inferred(entry.name)
+            self.departures.forget_inferred(entry.name, as_of)
         } else {
-            self.departures.forget(entry.name)
+            self.departures.forget(entry.name, as_of)
         };
         delta.returned.extend(departed_at.map(|departed_at| ServerReturn {
             id: id.clone(),
             departed_at,
-            announced_at: known_at,
+            announced_at: as_of,
         }));
     }
 }
--- a/crates/reedsail_dispatch/src/server_list/mod.rs
+++ b/crates/reedsail_dispatch/src/server_list/mod.rs
@@ -209,13 +209,13 @@
         listed.filter(|id| !known.contains(&***id)).cloned().collect()
     }
 
-    fn remove(&mut self, id: &str, known_at: StorePosition, now: TimeMs, delta: &mut ListDelta) {
+    fn remove(&mut self, id: &str, as_of: StorePosition, now: TimeMs, delta: &mut ListDelta) {
         if let Some(entry) = self.entries.remove(id) {
             let evidence = match entry.suspect_until {
                 Some(_) => DepartureEvidence::Missing,
                 None => DepartureEvidence::Recorded,
             };
-            self.departures.record(entry.name, evidence, known_at, now);
+            self.departures.record(entry.name, evidence, as_of, now);
             self.changed.remove(id);
             self.gone.push(entry.name);
             delta.unlisted.push(id.to_owned());
--- a/crates/reedsail_dispatch/src/server_list/peer_lists.rs
+++ b/crates/reedsail_dispatch/src/server_list/peer_lists.rs
@@ -58,7 +58,7 @@
             return delta;
         }
         for entry in self.entries.values().filter(|entry| !entry.record.is_draining) {
-            if let Some(departed_at) = self.departures.forget_advertised(entry.name) {
+            if let Some(departed_at) = self.departures.forget_advertised(entry.name, equal_list_at) {
                 delta.returned.push(ServerReturn {
                     id: entry.record.id.clone(),
                     departed_at,
@@ -115,7 +115,7 @@
     fn merge_suspect(
         &mut self,
         record: ServerRecord,
-        known_at: StorePosition,
+        as_of: StorePosition,
         now: TimeMs,
         delta: &mut ListDelta,
     ) {
@@ -125,7 +125,7 @@
             if is_departed {
                 return;
             }
-            self.announce(record, known_at, false, now, delta);
+            self.announce(record, as_of, false, now, delta);
         }
         self.suspect(&id, now);
     }
--- a/crates/reedsail_dispatch/tests/list_order.rs
+++ b/crates/reedsail_dispatch/tests/list_order.rs
@@ -4,6 +4,8 @@
 
 use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
+use reedsail_dispatch::ListComparison;
+use reedsail_dispatch::PeerListState;
 use reedsail_dispatch::ServerChange;
 use reedsail_dispatch::ServerList;
 use reedsail_dispatch::ServerRecord;
@@ -145,3 +147,52 @@
     assert_eq!(usable(&late_reader), ["three", "two"]);
     assert_eq!(late_reader.digest(), reader.digest());
 }
+
+/// Guards against a departure that a peer reports and that an older list, or an older answer of the store, ends.
+#[test]
+fn an_older_list_does_not_end_a_departure_that_a_newer_peer_reports() {
+    let mut reader = list();
+    apply(&mut reader, since(10, vec![ready("one"), dropped("one")]));
+    let state = PeerListState {
+        revision: reader.revision(),
+        digest: reader.digest(),
+        age_ms: 0,
+        departures: &reader.departures(),
+    };
+    let mut behind = list();
+    apply(&mut behind, since(10, vec![ready("three")]));
+    let mut told = list();
+    assert!(matches!(
+        told.compare_with_peer(&state, NOW),
+        ListComparison::NewerWithDepartures(_)
+    ));
+    assert_eq!(usable(&told), ["two"]);
+    told.apply_listing(behind.listing(NOW), NOW);
+    assert_eq!(usable(&told), ["three", "two"]);
+    apply(&mut told, since(10, vec![ready("one")]));
+    assert!(!usable(&told).contains(&"one".to_owned()));
+}
+
+/// Guards against a departure that ends because an equal list is newer than this one, although it is older than the
+/// departure.
+#[test]
+fn an_equal_list_that_is_older_than_a_departure_does_not_end_it() {
+    let mut told = list();
+    let departed = [record("one", false).name()];
+    let newest = PeerListState {
+        revision: at(20),
+        digest: 0,
+        age_ms: 0,
+        departures: &departed,
+    };
+    told.compare_with_peer(&newest, NOW);
+    assert_eq!(usable(&told), ["two"]);
+    let equal = PeerListState {
+        revision: at(15),
+        digest: told.digest(),
+        age_ms: 0,
+        departures: &[],
+    };
+    assert_eq!(told.compare_with_peer(&equal, NOW), ListComparison::NothingNew);
+    assert_eq!(usable(&told), ["two"]);
+}
--- a/crates/reedsail_dispatch/tests/server_list.rs
+++ b/crates/reedsail_dispatch/tests/server_list.rs
@@ -449,5 +449,7 @@
     let delta = expiring.tick(now.plus_ms(5_000));
     assert_eq!(delta.listed, ["one"]);
     let delta = revoked.apply(update(12, false, vec![announced("one")]), now, now);
+    assert!(delta.listed.is_empty(), "the departure is as new as the record");
+    let delta = revoked.apply(update(13, false, vec![announced("one")]), now, now);
     assert_eq!(delta.listed, ["one"]);
 }
