Position what later pages of a whole list say beyond the first one

Callers would see: a draining or departed server used again for up to a read's interval, in fleets whose list has more than one page. Cause: the pages of a whole list are read one after the other, while the list keeps the position of the first one. What a later page said of a server was overwritten by older records, here or at peers that fetched the list. Change: an entry carries the position as of which it is known; older records skip it. A list names to peers the servers that it knows beyond its own position, and advertises departures only once its position has reached them. The field is empty, and not sent, at any other time; no call is added. Result: records_before_a_later_page_of_a_whole_list_do_not_apply and a_server_that_is_missing_in_a_later_page_stays_away failed before and pass.

--- a/crates/reedsail_core/src/key.rs
+++ b/crates/reedsail_core/src/key.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use serde::Deserialize;
+use serde::Serialize;
 use twox_hash::XxHash64;
 
 /// A time on the process's monotonic clock, in milliseconds since the process started.
@@ -24,7 +26,7 @@
 /// A name's 32-bit hash. It identifies the name in messages between instances, since the keys of their arenas differ.
 ///
 /// The check of a bundle refuses a bundle in which two names of one kind have the same hash.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NameHash(pub u32);
 
 impl NameHash {
--- a/crates/reedsail_dispatch/src/departures.rs
+++ b/crates/reedsail_dispatch/src/departures.rs
@@ -70,6 +70,20 @@
         self.own.insert(server, departure);
     }
 
+    /// Records that a server is draining or has departed as of a position, unless that is known as of a later one.
+    pub(crate) fn record_newer(&mut self, server: NameHash, as_of: StorePosition, now: TimeMs) {
+        if !self.is_known_since(server, as_of) {
+            self.record(server, DepartureEvidence::Recorded, as_of, now);
+        }
+    }
+
+    /// Returns this instance's departures, each with its position in the store's log.
+    pub(crate) fn positions(&self) -> impl Iterator<Item = (NameHash, StorePosition)> {
+        self.own
+            .iter()
+            .map(|(server, departure)| (*server, departure.as_of))
+    }
+
     /// Stores the departures that a peer advertises with a list of the given position. Returns those that no peer had
     /// advertised before.
     pub(crate) fn receive(
@@ -169,11 +183,12 @@
         departure.is_some_and(|departure| departure.until > now)
     }
 
-    /// Returns the departures to advertise: the newest ones if there are more than fit a message.
-    pub(crate) fn to_advertise(&self) -> Vec<NameHash> {
+    /// Returns the departures up to a position to advertise: the newest ones if there are more than fit a message.
+    pub(crate) fn to_advertise(&self, until: StorePosition) -> Vec<NameHash> {
         let mut own: Vec<(Reverse<TimeMs>, NameHash)> = self
             .own
             .iter()
+            .filter(|(_, departure)| departure.as_of <= until)
             .map(|(server, departure)| (Reverse(departure.until), *server))
             .collect();
         if own.len() > ADVERTISED_MAX {
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -164,6 +164,7 @@
 pub use server_life::ServerLife;
 pub use server_list::ServerList;
 pub use server_notice::ServerNotice;
+pub use server_record::AheadOfList;
 pub use server_record::PositionedChange;
 pub use server_record::ServerChange;
 pub use server_record::ServerListing;
--- a/crates/reedsail_dispatch/src/server_entries.rs
+++ b/crates/reedsail_dispatch/src/server_entries.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use twox_hash::XxHash64;
 
@@ -24,18 +25,23 @@
     pub(crate) suspect_until: Option<TimeMs>,
     /// Until when the server is cold according to its record; `None` for a warm server.
     pub(crate) cold_until: Option<TimeMs>,
+    /// The position in the store's log as of which the entry is known. It may be newer than the list, of which the pages are
+    /// read one after the other.
+    pub(crate) as_of: StorePosition,
     /// Whether the record comes from a backup that the store was restored from, and was not written since.
     pub(crate) is_from_backup: bool,
 }
 
 impl Entry {
-    /// Creates the entry of a record that was read at `now`.
-    pub(crate) fn of(record: ServerRecord, is_from_backup: bool, now: TimeMs) -> Self {
+    /// Creates the entry of a record that was read at `now` and is the server's newest one as of a position in the store's
+    /// log.
+    pub(crate) fn of(record: ServerRecord, as_of: StorePosition, is_from_backup: bool, now: TimeMs) -> Self {
         Self {
             name: record.name(),
             cold_until: record.cold_until(now),
             record,
             suspect_until: None,
+            as_of,
             is_from_backup,
         }
     }
@@ -222,6 +228,13 @@
         Some(entry)
     }
 
+    /// Records that an entry is still the newest as of a position in the store's log.
+    pub(crate) fn confirm(&mut self, id: &str, as_of: StorePosition) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.as_of = entry.as_of.max(as_of);
+        }
+    }
+
     /// Changes an entry in place.
     pub(crate) fn update(&mut self, id: &str, change: impl FnOnce(&mut Entry)) {
         if let Some(mut entry) = self.entries.get(id).cloned() {
--- a/crates/reedsail_dispatch/src/server_list/announcements.rs
+++ b/crates/reedsail_dispatch/src/server_list/announcements.rs
@@ -21,15 +21,16 @@
         now: TimeMs,
         delta: &mut ListDelta,
     ) {
-        if self.departures.is_known_since(record.name(), as_of) {
+        if self.is_outdated(&record, as_of) {
             delta.outdated += 1;
             return;
         }
         record.software_version = self.entries.software_version_of(&record);
         if self.is_repeated(&record, is_from_backup) {
+            self.entries.confirm(&record.id, as_of);
             return;
         }
-        let entry = Entry::of(record, is_from_backup, now);
+        let entry = Entry::of(record, as_of, is_from_backup, now);
         let id = entry.record.id.clone();
         let before = self.entries.get(&id);
         let was_held_back = before.is_some_and(|before| self.is_held_back(before, now));
@@ -46,6 +47,11 @@
         self.entries.insert(entry);
     }
 
+    /// Returns whether the entry of a record's server, or its departure, is newer than the record.
+    fn is_outdated(&self, record: &ServerRecord, as_of: StorePosition) -> bool {
+        self.has_newer_entry(&record.id, as_of) || self.departures.is_known_since(record.name(), as_of)
+    }
+
     /// Returns whether a record only repeats what is known. Most do: a reader gets one from each server every few
     /// seconds.
     fn is_repeated(&self, record: &ServerRecord, is_from_backup: bool) -> bool {
--- a/crates/reedsail_dispatch/src/server_list/mod.rs
+++ b/crates/reedsail_dispatch/src/server_list/mod.rs
@@ -60,6 +60,9 @@
     /// When this list, at its revision, was known to be current.
     known_at: Option<TimeMs>,
     revision: StorePosition,
+    /// The position up to which some servers are known: beyond the list's own position if later pages of a whole list
+    /// were read after the first one.
+    known_until: StorePosition,
     /// Whether the last read of the store failed.
     is_store_unavailable: bool,
     /// Until when a dropped record may be due to a past outage.
@@ -196,13 +199,20 @@
     }
 
     /// Makes a server a suspect, for the grace period at most.
-    fn suspect(&mut self, id: &str, now: TimeMs) {
+    fn suspect(&mut self, id: &str, as_of: StorePosition, now: TimeMs) {
         let until = now.plus_ms(SUSPECT_GRACE_MS);
         self.entries.update(id, |entry| {
+            entry.as_of = entry.as_of.max(as_of);
             entry.suspect_until.get_or_insert(until);
         });
     }
 
+    /// Returns whether the entry of a server is newer than a word about it.
+    fn has_newer_entry(&self, id: &str, as_of: StorePosition) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.as_of > as_of)
+    }
+
     fn missing_from<'a>(&self, known: impl Iterator<Item = &'a str>) -> Vec<Arc<str>> {
         let known: HashSet<&str> = known.collect();
         let listed = self.entries.ids();
--- a/crates/reedsail_dispatch/src/server_list/peer_lists.rs
+++ b/crates/reedsail_dispatch/src/server_list/peer_lists.rs
@@ -1,5 +1,6 @@
 //! Compares this list with those of peers, applies theirs, and renders this one for them.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 
@@ -10,6 +11,7 @@
 use super::FRESH_AGE_MS;
 use super::ServerList;
 use super::time_before;
+use crate::AheadOfList;
 use crate::ListComparison;
 use crate::ListDelta;
 use crate::PeerListState;
@@ -91,25 +93,49 @@
             None => self.missing_from(listing.records.iter().map(|record| record.id.as_str())),
             Some(_) => listing.removed.iter().map(|id| Arc::from(id.as_str())).collect(),
         };
+        let ahead = self.receive_ahead(&listing);
+        let as_of = |server: NameHash| ahead.get(&server).copied().unwrap_or(listing.revision);
         let suspects: HashSet<String> = listing.suspects.into_iter().collect();
         for record in listing.records {
+            let as_of = as_of(record.name());
             if suspects.contains(&record.id) {
-                self.merge_suspect(record, listing.revision, now, &mut delta);
+                self.merge_suspect(record, as_of, now, &mut delta);
             } else {
-                self.announce(record, listing.revision, begins_era, now, &mut delta);
+                self.announce(record, as_of, begins_era, now, &mut delta);
             }
         }
         for id in gone {
-            if begins_era {
+            let Some(as_of) = self.entries.get(&id).map(|entry| as_of(entry.name)) else {
+                continue;
+            };
+            if self.has_newer_entry(&id, as_of) {
+                delta.outdated += 1;
+            } else if begins_era {
                 // The peer may have started since and know only the backup.
-                self.suspect(&id, now);
+                self.suspect(&id, as_of, now);
             } else {
-                self.remove(&id, listing.revision, now, &mut delta);
+                self.remove(&id, as_of, now, &mut delta);
             }
         }
+        for ahead in listing.ahead.iter().filter(|ahead| ahead.is_departed) {
+            self.departures
+                .record_newer(ahead.server, as_of(ahead.server), now);
+        }
         delta
     }
 
+    /// Returns the positions of the servers that a peer's list knows beyond its own position.
+    fn receive_ahead(&mut self, listing: &ServerListing) -> HashMap<NameHash, StorePosition> {
+        let position = |ahead: &AheadOfList| StorePosition::new(listing.revision.era, ahead.offset);
+        let positions = listing.ahead.iter().map(|ahead| (ahead.server, position(ahead)));
+        let positions: HashMap<NameHash, StorePosition> = positions.collect();
+        self.known_until = positions
+            .values()
+            .copied()
+            .fold(self.known_until, StorePosition::max);
+        positions
+    }
+
     /// Adds a server that is a suspect in a peer's list. A server that this instance knows to have departed stays
     /// departed: the peer was partitioned while the server departed, and would bring it back into use everywhere.
     fn merge_suspect(
@@ -121,13 +147,17 @@
     ) {
         let id = record.id.clone();
         let is_departed = self.departures.is_known(record.name());
+        if self.has_newer_entry(&id, as_of) {
+            delta.outdated += 1;
+            return;
+        }
         if self.entries.get(&id).is_none() {
             if is_departed {
                 return;
             }
             self.announce(record, as_of, false, now, delta);
         }
-        self.suspect(&id, now);
+        self.suspect(&id, as_of, now);
     }
 
     /// Returns all servers as the store lists them, for peers. Departures are advertised to peers separately: a peer
@@ -141,6 +171,7 @@
             suspects: self.entries.suspects().map(ToString::to_string).collect(),
             differs_from: None,
             removed: Vec::new(),
+            ahead: self.ahead(),
         }
     }
 
@@ -158,11 +189,36 @@
             records: entries.iter().map(|entry| entry.record_at(now)).collect(),
             differs_from: Some(digest),
             removed: removed.into_iter().map(ToString::to_string).collect(),
+            ahead: self.ahead(),
         })
     }
 
-    /// Returns the departures to advertise.
+    /// Returns the servers that are known beyond the position of this list.
+    fn ahead(&self) -> Vec<AheadOfList> {
+        if self.known_until <= self.revision {
+            return Vec::new();
+        }
+        let entries = self
+            .entries
+            .values()
+            .map(|entry| (entry.name, entry.as_of, false));
+        let departures = self
+            .departures
+            .positions()
+            .map(|(server, as_of)| (server, as_of, true));
+        let is_ahead = |(_, as_of, _): &(NameHash, StorePosition, bool)| *as_of > self.revision;
+        let ahead = departures.chain(entries).filter(is_ahead);
+        ahead
+            .map(|(server, as_of, is_departed)| AheadOfList {
+                server,
+                offset: as_of.offset,
+                is_departed,
+            })
+            .collect()
+    }
+
+    /// Returns the departures to advertise: those that this list has at its position.
     pub fn departures(&self) -> Vec<NameHash> {
-        self.departures.to_advertise()
+        self.departures.to_advertise(self.revision)
     }
 }
--- a/crates/reedsail_dispatch/src/server_list/store_updates.rs
+++ b/crates/reedsail_dispatch/src/server_list/store_updates.rs
@@ -25,6 +25,11 @@
         let known_until = self.revision;
         self.known_at = self.known_at.max(Some(asked_at));
         self.revision = self.revision.max(update.revision);
+        self.known_until = update
+            .changes
+            .iter()
+            .map(|change| change.as_of)
+            .fold(self.known_until, StorePosition::max);
         // A backup of the store lacks the latest writes. Like an outage, it does not prove a departure.
         if std::mem::take(&mut self.is_store_unavailable) || begins_era {
             self.outage_grace_until = now.plus_ms(OUTAGE_GRACE_MS);
@@ -42,6 +47,7 @@
                 ServerChange::Announced(record) => {
                     self.announce(record, as_of, is_from_backup, now, &mut delta);
                 }
+                change if self.has_newer_entry(change.id(), as_of) => delta.outdated += 1,
                 ServerChange::Dropped { id } => self.drop_record(&id, as_of, now, &mut delta),
                 ServerChange::Unreadable { id, fault } => {
                     // The unreadable record has replaced the server's own record, no matter who wrote it. The server
@@ -69,7 +75,7 @@
             .collect();
         for id in self.missing_from(read.keys().copied()) {
             let missing_at = page_end(&read, &id).unwrap_or(whole.revision);
-            if missing_at > known_until {
+            if missing_at > known_until && !self.has_newer_entry(&id, missing_at) {
                 self.drop_record(&id, missing_at, now, delta);
             }
         }
@@ -82,7 +88,7 @@
             self.remove(id, as_of, now, delta);
             return;
         }
-        self.suspect(id, now);
+        self.suspect(id, as_of, now);
     }
 }
 
--- a/crates/reedsail_dispatch/src/server_record.rs
+++ b/crates/reedsail_dispatch/src/server_record.rs
@@ -112,6 +112,18 @@
     pub changes: Vec<PositionedChange>,
 }
 
+/// A server of which a list knows more than its own position in the store's log says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AheadOfList {
+    /// The name of the server's incarnation.
+    pub server: NameHash,
+    /// The offset in the store's log as of which the server is known, in the era of the list.
+    pub offset: u64,
+    /// Whether the server is draining or has departed by then.
+    #[serde(default)]
+    pub is_departed: bool,
+}
+
 /// An instance's list of backend servers, or its difference from an earlier list, as peers fetch it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerListing {
@@ -133,6 +145,9 @@
     /// The ids of the servers that are no longer listed, in a difference.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub removed: Vec<String>,
+    /// The servers that are known beyond `revision`: later pages of a whole list are newer than the first one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ahead: Vec<AheadOfList>,
 }
 
 /// Changes in how an instance uses its servers.
--- a/crates/reedsail_dispatch/tests/list_order.rs
+++ b/crates/reedsail_dispatch/tests/list_order.rs
@@ -35,6 +35,10 @@
     ServerChange::Announced(record(id, false))
 }
 
+fn draining(id: &str) -> ServerChange {
+    ServerChange::Announced(record(id, true))
+}
+
 fn dropped(id: &str) -> ServerChange {
     ServerChange::Dropped { id: id.to_owned() }
 }
@@ -196,3 +200,49 @@
     assert_eq!(told.compare_with_peer(&equal, NOW), ListComparison::NothingNew);
     assert_eq!(usable(&told), ["two"]);
 }
+
+/// Guards against a draining server that takes new work again by a page of a whole list: pages are read one after the
+/// other, so a record of a later page is newer than the position from which the log is read next.
+#[test]
+fn records_before_a_later_page_of_a_whole_list_do_not_apply() {
+    let mut list = ServerList::default();
+    let pages = ServerUpdate {
+        revision: at(10),
+        is_whole: true,
+        changes: vec![
+            ready("one").at(at(10)),
+            ready("three").at(at(14)),
+            draining("two").at(at(14)),
+        ],
+    };
+    apply(&mut list, pages);
+    assert_eq!(usable(&list), ["one", "three"]);
+    // The store appends these before the second page: a late answer ends before `two` drains.
+    apply(&mut list, since(10, vec![ready("two")]));
+    assert_eq!(usable(&list), ["one", "three"]);
+    let mut peer = ServerList::default();
+    peer.apply_listing(list.listing(NOW), NOW);
+    apply(&mut peer, since(11, vec![ready("two")]));
+    assert_eq!(usable(&peer), ["one", "three"]);
+}
+
+/// Guards against a server that was missing in a later page of a whole list and that older records bring back.
+#[test]
+fn a_server_that_is_missing_in_a_later_page_stays_away() {
+    let mut list = list();
+    let pages = ServerUpdate {
+        revision: at(12),
+        is_whole: true,
+        changes: vec![ready("one").at(at(12)), ready("zoe").at(at(16))],
+    };
+    apply(&mut list, pages);
+    assert_eq!(usable(&list), ["one", "zoe"]);
+    apply(&mut list, since(12, vec![ready("two")]));
+    assert_eq!(usable(&list), ["one", "zoe"]);
+    // Peers that are told of it learn the same.
+    let mut peer = ServerList::default();
+    apply(&mut peer, whole(11, vec![ready("one"), ready("two")]));
+    peer.apply_listing(list.listing(NOW), NOW);
+    apply(&mut peer, since(12, vec![ready("two")]));
+    assert_eq!(usable(&peer), ["one", "zoe"]);
+}
