End the departure of a server that a fetched list has again

Callers would see: a server that came back unused for up to five seconds by an instance that had been told of its departure. Cause: a departure that a peer reports ended with the server's record alone. The difference between two lists does not name a server that both have, so that one that left and came back in between stayed held back. Change: a fetched list ends the departures of its servers that are older than the list, as an equal list already did.

--- a/crates/reedsail_dispatch/src/server_list/peer_lists.rs
+++ b/crates/reedsail_dispatch/src/server_list/peer_lists.rs
@@ -29,7 +29,10 @@
             return ListComparison::NothingNew;
         }
         if peer.revision <= self.revision || peer.digest == self.digest() {
-            let delta = self.end_advertised_departures(peer.revision);
+            let mut delta = ListDelta::default();
+            if peer.revision > self.revision {
+                self.end_advertised_departures(peer.revision, &mut delta);
+            }
             self.revision = self.revision.max(peer.revision);
             self.known_at = self.known_at.max(Some(time_before(now, peer.age_ms)));
             if peer.age_ms < FRESH_AGE_MS {
@@ -52,25 +55,26 @@
         })
     }
 
-    /// Removes advertised departures of servers that accept work according to this list, if a newer list is equal to it:
-    /// the servers have come back. Otherwise a peer that fetched this list would treat them as draining forever.
-    fn end_advertised_departures(&mut self, equal_list_at: StorePosition) -> ListDelta {
-        let mut delta = ListDelta::default();
-        if equal_list_at <= self.revision || !self.departures.has_advertised() {
-            return delta;
+    /// Removes advertised departures of servers that accept work according to this list, unless they are newer than the
+    /// position at which the list was confirmed: the servers have come back. A difference does not name a server that has
+    /// left and come back in between.
+    fn end_advertised_departures(&mut self, confirmed_at: StorePosition, delta: &mut ListDelta) {
+        if !self.departures.has_advertised() {
+            return;
         }
         for entry in self.entries.values().filter(|entry| !entry.record.is_draining) {
-            if let Some(departed_at) = self.departures.forget_advertised(entry.name, equal_list_at) {
-                delta.returned.push(ServerReturn {
-                    id: entry.record.id.clone(),
-                    departed_at,
-                    announced_at: equal_list_at,
-                });
-            }
+            let Some(departed_at) = self.departures.forget_advertised(entry.name, confirmed_at) else {
+                continue;
+            };
+            let id = &entry.record.id;
+            delta.returned.push(ServerReturn {
+                id: id.clone(),
+                departed_at,
+                announced_at: confirmed_at,
+            });
+            delta.listed.push(id.clone());
+            self.changed.insert(id.clone());
         }
-        delta.listed = delta.returned.iter().map(|server| server.id.clone()).collect();
-        self.changed.extend(delta.listed.iter().cloned());
-        delta
     }
 
     /// Applies a peer's list, or its difference from this list, unless it is older. A difference from another list
@@ -121,6 +125,7 @@
             self.departures
                 .record_newer(ahead.server, as_of(ahead.server), now);
         }
+        self.end_advertised_departures(listing.revision, &mut delta);
         delta
     }
 
--- a/crates/reedsail_dispatch/tests/list_order.rs
+++ b/crates/reedsail_dispatch/tests/list_order.rs
@@ -246,3 +246,25 @@
     apply(&mut peer, since(12, vec![ready("two")]));
     assert_eq!(usable(&peer), ["one", "zoe"]);
 }
+
+/// Guards against a server that stays unused although it has come back: the difference between two lists that both have it
+/// does not name it.
+#[test]
+fn a_difference_ends_the_departure_of_a_server_that_has_come_back() {
+    let mut told = list();
+    let mut reader = list();
+    apply(&mut reader, since(10, vec![dropped("one")]));
+    let state = PeerListState {
+        revision: reader.revision(),
+        digest: reader.digest(),
+        age_ms: 0,
+        departures: &reader.departures(),
+    };
+    told.compare_with_peer(&state, NOW);
+    assert_eq!(usable(&told), ["two"]);
+    apply(&mut reader, since(11, vec![ready("one"), ready("three")]));
+    let difference = reader.difference(told.digest(), NOW).unwrap();
+    let delta = told.apply_listing(difference, NOW);
+    assert_eq!(delta.listed, ["three", "one"]);
+    assert_eq!(usable(&told), ["one", "three", "two"]);
+}
