Limit the bytes within one part of a message

Callers saw, in the tests: an answer that the router waits for until the deadline (504) while its server sends interim answers, or leading zeros of a chunk size, without end; and callers could hold a connection the same way. The parser skips these bytes, so neither its buffer nor the limit of the body bounds them. A server is judged as for any answer that breaks off; the request goes elsewhere where it may. Status line, head, trailers, bytes after a body, a body without a length and an event without an end were bounded before; their tests hold it.

--- a/crates/reedsail_net/src/counted_stream.rs
+++ b/crates/reedsail_net/src/counted_stream.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::ByteCounter;
+use crate::FrameLimit;
 
 /// Time after which unacknowledged bytes close the connection, in milliseconds. Without this timeout, a request on a
 /// broken link waits until its deadline.
@@ -27,6 +28,7 @@
 pub struct CountedStream {
     stream: TcpStream,
     counter: ByteCounter,
+    limit: FrameLimit,
 }
 
 impl CountedStream {
@@ -37,7 +39,16 @@
     pub fn new(stream: TcpStream, counter: ByteCounter) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(Duration::from_millis(TCP_USER_TIMEOUT_MS)))?;
-        Ok(Self { stream, counter })
+        Ok(Self {
+            stream,
+            counter,
+            limit: FrameLimit::default(),
+        })
+    }
+
+    /// Returns the limit on the bytes that are read within one part of a message.
+    pub fn frame_limit(&self) -> FrameLimit {
+        self.limit.clone()
     }
 }
 
@@ -69,6 +80,7 @@
         let outcome = Pin::new(&mut self.stream).poll_read(context, buffer);
         let read = buffer.filled().len() - before;
         self.counter.add_received(read as u64);
+        self.limit.count(read)?;
         outcome
     }
 }
--- a/crates/reedsail_net/src/http_connection.rs
+++ b/crates/reedsail_net/src/http_connection.rs
@@ -13,6 +13,8 @@
 use thiserror::Error;
 
 use crate::ByteCounter;
+use crate::FrameLimit;
+use crate::FrameLimitedBody;
 use crate::connect;
 
 /// The reason why a request got no response.
@@ -30,6 +32,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    limit: FrameLimit,
     /// What identifies the process at the other end, if it has told that on this connection.
     identity: Option<u64>,
 }
@@ -41,6 +44,7 @@
     /// Returns the system's error, or `TimedOut`.
     pub async fn open(address: SocketAddr, limit_ms: u64, counter: ByteCounter) -> io::Result<Self> {
         let stream = connect(address, limit_ms, counter).await?;
+        let limit = stream.frame_limit();
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -50,6 +54,7 @@
         });
         Ok(Self {
             sender,
+            limit,
             identity: None,
         })
     }
@@ -64,6 +69,11 @@
         self.identity
     }
 
+    /// Limits the parts of the body of a response on this connection.
+    pub fn limit_frames(&self, body: Incoming) -> FrameLimitedBody {
+        FrameLimitedBody::new(body, self.limit.clone())
+    }
+
     /// Returns whether the connection can accept a request now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -79,7 +89,10 @@
     /// # Errors
     /// The variant says whether any byte of the request may have reached the server.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(request).await {
+        self.limit.begin_part();
+        let response = self.sender.try_send_request(request).await;
+        self.limit.lift();
+        match response {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::NotWritten(Box::new(request))),
--- a/crates/reedsail_net/src/request_limits.rs
+++ b/crates/reedsail_net/src/request_limits.rs
@@ -5,7 +5,7 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::HeaderMap;
-use hyper::body::Incoming;
+use hyper::body::Body;
 use reedsail_core::ErrorKind;
 
 /// Bytes of a header line other than its name and value: a colon, a space and the line ending.
@@ -23,7 +23,10 @@
 ///
 /// # Errors
 /// Returns `BodyTooLarge`, or `BodyIncomplete` if the body ends early.
-pub async fn read_body(body: Incoming, bytes_max: usize) -> Result<Bytes, ErrorKind> {
+pub async fn read_body<B>(body: B, bytes_max: usize) -> Result<Bytes, ErrorKind>
+where
+    B: Body<Data = Bytes, Error = hyper::Error>,
+{
     match Limited::new(body, bytes_max).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -27,6 +27,8 @@
 use reedsail_dispatch::StreamId;
 use reedsail_dispatch::VersionDemand;
 use reedsail_dispatch::time_left_ms;
+use reedsail_net::FrameLimit;
+use reedsail_net::FrameLimitedBody;
 use reedsail_net::header_bytes;
 use reedsail_net::read_body;
 use reedsail_net::remove_hop_headers;
@@ -154,6 +156,7 @@
 pub(crate) async fn read_call<H: HeaderProtocol>(
     shared: &Shared<H>,
     request: Request<Incoming>,
+    frames: FrameLimit,
     head: Result<CallHead, HeaderError>,
     arrived_at: TimeMs,
 ) -> Result<Call, ErrorKind> {
@@ -164,6 +167,7 @@
         return Err(ErrorKind::HeaderTooLarge);
     }
     let head = head.map_err(|_error| ErrorKind::BadHeader)?;
+    let body = FrameLimitedBody::new(body, frames);
     let body = read_body(body, limits.body_bytes_max).await?;
     let routes = shared.routes.load_full();
     let call = route_call(&routes, parts, head, body, arrived_at)?;
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -18,6 +18,7 @@
 use reedsail_dispatch::VersionDemand;
 use reedsail_net::BodyFraming;
 use reedsail_net::ByteCounter;
+use reedsail_net::FrameLimitedBody;
 use reedsail_net::HttpConnection;
 
 use super::Pool;
@@ -45,7 +46,7 @@
 pub(crate) struct ResponseStart<H> {
     pub(crate) sent: Sent,
     pub(crate) head: Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: FrameLimitedBody,
     pub(crate) framing: BodyFraming,
     pub(crate) attempt: OpenAttempt<H>,
 }
@@ -284,6 +285,7 @@
             guard.record_started();
             let (head, body) = response.into_parts();
             let framing = BodyFraming::of(&head.headers, &body);
+            let body = connection.limit_frames(body);
             AttemptResult::ResponseStarted(Box::new(ResponseStart {
                 sent,
                 head,
--- a/crates/reedsail_router/src/traffic/relay_buffered.rs
+++ b/crates/reedsail_router/src/traffic/relay_buffered.rs
@@ -8,12 +8,12 @@
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use reedsail_core::ErrorKind;
 use reedsail_core::Failure;
 use reedsail_dispatch::AttemptOutcome;
 use reedsail_net::BodyFraming;
+use reedsail_net::FrameLimitedBody;
 use reedsail_net::remove_hop_headers;
 use tokio::select;
 
@@ -105,7 +105,7 @@
     }
 }
 
-async fn buffer_body<H>(shared: &Shared<H>, call: &Call, body: Incoming) -> Result<Bytes, ErrorKind> {
+async fn buffer_body<H>(shared: &Shared<H>, call: &Call, body: FrameLimitedBody) -> Result<Bytes, ErrorKind> {
     let read = select! {
         biased;
         read = Limited::new(body, BUFFERED_BYTES_MAX).collect() => read,
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -12,7 +12,6 @@
 use hyper::HeaderMap;
 use hyper::body::Body;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use reedsail_core::ServerKey;
 use reedsail_dispatch::AttemptOutcome;
@@ -22,6 +21,7 @@
 use reedsail_net::Clock;
 use reedsail_net::DeadlineTimer;
 use reedsail_net::EventScanner;
+use reedsail_net::FrameLimitedBody;
 use tokio::sync::oneshot;
 
 use super::Pool;
@@ -45,7 +45,7 @@
 pub(crate) struct StreamBody<H> {
     shared: Arc<Shared<H>>,
     pool: Arc<Pool>,
-    body: Incoming,
+    body: FrameLimitedBody,
     framing: BodyFraming,
     scanner: EventScanner,
     response_headers: HeaderMap,
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use reedsail_core::ServerKey;
 use reedsail_dispatch::AttemptFailure;
 use reedsail_dispatch::AttemptOutcome;
@@ -25,6 +24,7 @@
 use reedsail_dispatch::VersionDemand;
 use reedsail_net::BodyFraming;
 use reedsail_net::EventSplitter;
+use reedsail_net::FrameLimitedBody;
 use tokio::select;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
@@ -188,7 +188,7 @@
     /// Relays complete events until the server's response ends.
     async fn relay_events(
         &mut self,
-        body: &mut Incoming,
+        body: &mut FrameLimitedBody,
         framing: BodyFraming,
         guard: &mut AttemptGuard<H>,
     ) -> StreamEnd {
--- a/crates/reedsail_router/src/traffic/serve.rs
+++ b/crates/reedsail_router/src/traffic/serve.rs
@@ -9,6 +9,7 @@
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use reedsail_core::Unsent;
+use reedsail_net::FrameLimit;
 use reedsail_net::ResetOnClose;
 use reedsail_net::ResettingBody;
 
@@ -21,19 +22,21 @@
 use crate::HeaderProtocol;
 use crate::shared::Shared;
 
-/// Serves one request. Every failure becomes an error response. `reset` belongs to the caller's connection.
+/// Serves one request. Every failure becomes an error response. `reset` and `frames` belong to the
+/// caller's connection.
 pub(crate) async fn serve_request<H: HeaderProtocol>(
     shared: Arc<Shared<H>>,
     pool: Arc<Pool>,
     request: Request<Incoming>,
     reset: ResetOnClose,
+    frames: FrameLimit,
 ) -> Result<Response<ResettingBody<ResponseBody<H>>>, Infallible> {
     let arrived_at = shared.clock.now();
     let head = shared.protocol.read_call(request.headers());
     let request_id = head.as_ref().ok().and_then(|head| head.request_id.clone());
     let (method, version) = (request.method().clone(), request.version());
     let mut log = RequestLog::begin(&shared, head.as_ref().ok(), arrived_at);
-    let outcome = match read_call(&*shared, request, head, arrived_at).await {
+    let outcome = match read_call(&*shared, request, frames, head, arrived_at).await {
         Ok(call) => {
             log.set_call(&call);
             forward(&shared, &pool, call, log).await
--- a/crates/reedsail_router/src/traffic/thread.rs
+++ b/crates/reedsail_router/src/traffic/thread.rs
@@ -101,9 +101,17 @@
     // This timeout starts at the last response, so it also limits how long a connection is idle.
     let header_timeout_ms = limits.idle_ms.max(limits.header_ms);
     let reset = ResetOnClose::default();
+    let frames = stream.frame_limit();
     let stream = ResettableStream::new(stream, reset.clone());
-    let service =
-        service_fn(|request| serve_request(Arc::clone(&shared), Arc::clone(&pool), request, reset.clone()));
+    let service = service_fn(|request| {
+        serve_request(
+            Arc::clone(&shared),
+            Arc::clone(&pool),
+            request,
+            reset.clone(),
+            frames.clone(),
+        )
+    });
     // An error of the connection ends its requests, and the end of each request is logged.
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
