End the read of a caller's body at the caller's deadline

Callers saw, in the test: a request whose body stays unfinished is open for as long as its caller keeps the connection. Cause: the body of a request was read without a limit in time; the deadline applied from its placement on. Change: the read ends at the deadline as body_incomplete, and the connection closes. Result: a_body_that_a_caller_does_not_finish_ends_at_the_deadline failed before (no answer within 5 s) and passes.

--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -32,6 +32,7 @@
 use reedsail_net::header_bytes;
 use reedsail_net::read_body;
 use reedsail_net::remove_hop_headers;
+use tokio::select;
 
 use super::fingerprint::fingerprint_of;
 use crate::CallHead;
@@ -168,7 +169,12 @@
     }
     let head = head.map_err(|_error| ErrorKind::BadHeader)?;
     let body = FrameLimitedBody::new(body, frames);
-    let body = read_body(body, limits.body_bytes_max).await?;
+    let deadline = arrived_at.plus_ms(head.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS));
+    let body = select! {
+        biased;
+        body = read_body(body, limits.body_bytes_max) => body?,
+        () = shared.clock.timer(deadline) => return Err(ErrorKind::BodyIncomplete),
+    };
     let routes = shared.routes.load_full();
     let call = route_call(&routes, parts, head, body, arrived_at)?;
     if !shared.shutdown.takes_request(call.deadline, shared.clock.now()) {
--- a/crates/reedsail_router/tests/endless_bytes.rs
+++ b/crates/reedsail_router/tests/endless_bytes.rs
@@ -300,6 +300,21 @@
     );
 }
 
+/// Guards against a caller whose body has no end because it never sends the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_a_caller_does_not_finish_ends_at_the_deadline() {
+    let fixture = RouterFixture::start().await;
+    let mut stream = TcpStream::connect(fixture.callers()).await.unwrap();
+    let head = "POST /once/a HTTP/1.1\r\nhost: huts.example\r\nauthorization: Bearer key-1\r\n\
+                reedsail-deadline-ms: 300\r\ncontent-length: 9\r\n\r\nab";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    let reading = stream.read_to_string(&mut answer);
+    timeout(CLOSED_WITHIN, reading).await.unwrap().unwrap();
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("body_incomplete"), "{answer}");
+}
+
 /// Sends bytes to the router until it closes the connection. Returns their number, or `None` if it did not close in time.
 async fn send_to_router(router: SocketAddr, begin: &str, repeated: &str) -> Option<usize> {
     let mut stream = TcpStream::connect(router).await.unwrap();
