End a planned stop once the answers are written

Cause: a request stops counting as open when its answer is handed to the connection, so a stop ended while the server's buffer held what a slow caller had not read. Change: a connection counts as unwritten from the begin of a response until its last byte is in the socket, from where the system sends it; a stop waits for these too, up to its limit. reedsaild counts the same way. A response that ends with its connection is no longer reset by the exit of the process once its last byte is in the socket.

--- a/crates/reedsail_daemon/src/running.rs
+++ b/crates/reedsail_daemon/src/running.rs
@@ -254,7 +254,7 @@
     sleep(Duration::from_millis(limits.stop_notice_ms)).await;
     shared.stage.advance(Stage::Closing);
     handle.stage_changed.send_replace(Stage::Closing);
-    while shared.open_requests.load(std::sync::atomic::Ordering::Acquire) > 0 {
+    while shared.has_unfinished_requests() {
         if Instant::now() >= deadline {
             shared.events.emit(EventKind::StopCut, &[]);
             return false;
--- a/crates/reedsail_daemon/src/shared.rs
+++ b/crates/reedsail_daemon/src/shared.rs
@@ -15,6 +15,7 @@
 use reedsail_net::ByteCounter;
 use reedsail_net::Clock;
 use reedsail_net::NetGate;
+use reedsail_net::UnwrittenResponses;
 use reedsail_scheduling::RateLimit;
 use reedsail_scheduling::SharePolicy;
 use serde::Deserialize;
@@ -65,6 +66,8 @@
     pub(crate) view: ArcSwap<View<P>>,
     pub(crate) stage: StageCell,
     pub(crate) open_requests: AtomicUsize,
+    /// The connections of callers with an answer that is not yet written to the socket.
+    pub(crate) unwritten_responses: UnwrittenResponses,
     pub(crate) claim_jobs: mpsc::Sender<ClaimJob>,
     pub(crate) incarnation: u32,
     pub(crate) digest_in_force: Mutex<String>,
@@ -90,6 +93,7 @@
             view: ArcSwap::from_pointee(View::default()),
             stage: StageCell::default(),
             open_requests: AtomicUsize::new(0),
+            unwritten_responses: UnwrittenResponses::default(),
             claim_jobs,
             incarnation: rand::random::<u32>().max(1),
             digest_in_force: Mutex::default(),
@@ -131,6 +135,11 @@
         found.map_or((0, 0), |(_, found)| found.cell.lock().slot_counts())
     }
 
+    /// Returns whether a request is open, or an answer is not yet written.
+    pub(crate) fn has_unfinished_requests(&self) -> bool {
+        self.open_requests.load(Ordering::Acquire) > 0 || self.unwritten_responses.count() > 0
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub(crate) fn open_request(self: &Arc<Self>) -> OpenRequest<P> {
         self.open_requests.fetch_add(1, Ordering::AcqRel);
--- a/crates/reedsail_daemon/src/traffic/serve.rs
+++ b/crates/reedsail_daemon/src/traffic/serve.rs
@@ -16,6 +16,8 @@
 use reedsail_events::EventKind;
 use reedsail_net::ResetOnClose;
 use reedsail_net::ResettingBody;
+use reedsail_net::ResponseWrites;
+use reedsail_net::TrackedBody;
 use reedsail_scheduling::SharePolicy;
 
 use super::Pool;
@@ -39,13 +41,20 @@
 /// The number of the next request of the process.
 static NEXT_REQUEST_NUMBER: AtomicU64 = AtomicU64::new(1);
 
-/// Serves one request. Every failure becomes an answer. `reset` belongs to the caller's connection.
+/// What a request shares with the connection of its caller.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerConnection {
+    pub(crate) reset: ResetOnClose,
+    pub(crate) writes: ResponseWrites,
+}
+
+/// Serves one request. Every failure becomes an answer.
 pub(crate) async fn serve_request<P: SharePolicy>(
     shared: Arc<Shared<P>>,
     pool: Arc<Pool>,
     request: Request<Incoming>,
-    reset: ResetOnClose,
-) -> Result<Response<ResettingBody<AnswerBody>>, Infallible> {
+    connection: CallerConnection,
+) -> Result<Response<TrackedBody<ResettingBody<AnswerBody>>>, Infallible> {
     let open = shared.open_request();
     let (method, version) = (request.method().clone(), request.version());
     let number = NEXT_REQUEST_NUMBER.fetch_add(1, Ordering::Relaxed);
@@ -61,7 +70,8 @@
         note_failure(&shared, &id, &failure);
         failure_answer(&failure, &id)
     });
-    Ok(ResettingBody::wrap(answer, &method, version, &reset))
+    let answer = ResettingBody::wrap(answer, &method, version, &connection.reset);
+    Ok(answer.map(|body| connection.writes.begin(body)))
 }
 
 /// Runs a validated call. A call that must not be repeated runs in a separate task, so that its end is
--- a/crates/reedsail_daemon/src/traffic/thread.rs
+++ b/crates/reedsail_daemon/src/traffic/thread.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use super::Pool;
+use super::serve::CallerConnection;
 use super::serve::serve_request;
 use crate::shared::Shared;
 use crate::stage::Stage;
@@ -69,9 +70,17 @@
     }
     let header_bytes_max = shared.settings.limits.header_bytes_max;
     let reset = ResetOnClose::default();
-    let stream = ResettableStream::new(stream, reset.clone());
-    let service =
-        service_fn(|request| serve_request(Arc::clone(&shared), Arc::clone(&pool), request, reset.clone()));
+    let writes = shared.unwritten_responses.track();
+    let stream = ResettableStream::new(stream, reset.clone(), writes.clone());
+    let connection = CallerConnection { reset, writes };
+    let service = service_fn(|request| {
+        serve_request(
+            Arc::clone(&shared),
+            Arc::clone(&pool),
+            request,
+            connection.clone(),
+        )
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .max_buf_size(header_bytes_max.max(8_192) * 2)
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -22,6 +22,7 @@
 mod persistent_client;
 mod request_limits;
 mod resettable_stream;
+mod response_writes;
 mod unframed_response;
 mod workers;
 
@@ -54,6 +55,9 @@
 pub use request_limits::read_body;
 pub use resettable_stream::ResetOnClose;
 pub use resettable_stream::ResettableStream;
+pub use response_writes::ResponseWrites;
+pub use response_writes::TrackedBody;
+pub use response_writes::UnwrittenResponses;
 pub use unframed_response::ResettingBody;
 pub use unframed_response::remove_frame;
 pub use workers::Workers;
--- a/crates/reedsail_net/src/resettable_stream.rs
+++ b/crates/reedsail_net/src/resettable_stream.rs
@@ -15,6 +15,8 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
+use crate::ResponseWrites;
+
 /// Says whether closing a connection resets it. Set while a response without a length or chunks is being sent: its reader
 /// takes an orderly end of the connection for the end of the body, also when this process is killed.
 #[derive(Clone, Debug, Default)]
@@ -36,16 +38,18 @@
 pub struct ResettableStream<S> {
     stream: S,
     reset: ResetOnClose,
+    writes: ResponseWrites,
     /// What the socket was last told.
     is_applied: bool,
 }
 
 impl<S: AsFd> ResettableStream<S> {
-    /// Wraps a stream that closes in order until `reset` is set.
-    pub fn new(stream: S, reset: ResetOnClose) -> Self {
+    /// Wraps a stream that closes in order until `reset` is set. `writes` belongs to the same connection.
+    pub fn new(stream: S, reset: ResetOnClose, writes: ResponseWrites) -> Self {
         Self {
             stream,
             reset,
+            writes,
             is_applied: false,
         }
     }
@@ -96,7 +100,13 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if let Poll::Ready(Ok(())) = &flushed {
+            // The process may exit from here on, and closing must not drop what the socket has accepted.
+            self.apply()?;
+            self.writes.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/reedsail_router/src/running.rs
+++ b/crates/reedsail_router/src/running.rs
@@ -155,7 +155,8 @@
         self.shared.emit(EventKind::SettingsReloaded, &fields);
     }
 
-    /// Performs a planned stop, which finishes every accepted request first. Returns whether all requests finished.
+    /// Performs a planned stop, which first finishes every accepted request and writes its response. Returns whether all
+    /// requests finished.
     pub async fn close(self) -> bool {
         let shared = &self.shared;
         let stop = shared.settings.stop;
@@ -167,12 +168,14 @@
         let has_finished = loop {
             let now = shared.clock.now();
             let open = shared.metrics.open_requests.get();
-            if now >= accept_until && open <= 0 {
+            let unwritten = shared.unwritten_responses.count();
+            if now >= accept_until && open <= 0 && unwritten == 0 {
                 shared.emit(EventKind::StopEnded, &[]);
                 break true;
             }
             if now >= end_at {
-                shared.emit(EventKind::StopCut, &[("open", open.to_string())]);
+                let fields = [("open", open.to_string()), ("unwritten", unwritten.to_string())];
+                shared.emit(EventKind::StopCut, &fields);
                 break false;
             }
             sleep(Duration::from_millis(STOP_POLL_MS)).await;
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -22,6 +22,7 @@
 use reedsail_events::EventKind;
 use reedsail_events::EventLog;
 use reedsail_net::Clock;
+use reedsail_net::UnwrittenResponses;
 use tokio::sync::Notify;
 
 use crate::RouterSettings;
@@ -40,6 +41,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) shutdown: Shutdown,
     pub(crate) overload: OverloadMonitor,
+    /// The connections of callers with a response that is not yet written to the socket.
+    pub(crate) unwritten_responses: UnwrittenResponses,
     /// The number of open connections from callers.
     pub(crate) connections: AtomicUsize,
     pub(crate) routes: ArcSwap<RouteTable>,
@@ -72,6 +75,7 @@
             metrics,
             shutdown: Shutdown::default(),
             overload: OverloadMonitor::default(),
+            unwritten_responses: UnwrittenResponses::default(),
             connections: AtomicUsize::new(0),
             routes: ArcSwap::default(),
             servers: ServerViews::default(),
--- a/crates/reedsail_router/src/traffic/thread.rs
+++ b/crates/reedsail_router/src/traffic/thread.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 
 use super::Pool;
+use super::serve::CallerConnection;
 use super::serve::serve_request;
 use super::server_check::check_servers;
 use crate::HeaderProtocol;
@@ -102,14 +103,19 @@
     let header_timeout_ms = limits.idle_ms.max(limits.header_ms);
     let reset = ResetOnClose::default();
     let frames = stream.frame_limit();
-    let stream = ResettableStream::new(stream, reset.clone());
+    let writes = shared.unwritten_responses.track();
+    let stream = ResettableStream::new(stream, reset.clone(), writes.clone());
+    let connection = CallerConnection {
+        reset,
+        frames,
+        writes,
+    };
     let service = service_fn(|request| {
         serve_request(
             Arc::clone(&shared),
             Arc::clone(&pool),
             request,
-            reset.clone(),
-            frames.clone(),
+            connection.clone(),
         )
     });
     // An error of the connection ends its requests, and the end of each request is logged.
