--- a/crates/reedsail_dispatch/tests/evacuations.rs
+++ b/crates/reedsail_dispatch/tests/evacuations.rs
@@ -1,5 +1,7 @@
 //! The evacuation state does not depend on the order in which records and peers' rows arrive.
 
+use std::collections::BTreeMap;
+
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -117,3 +119,53 @@
     );
     assert_eq!(evacuations.active().len(), 1);
 }
+
+/// Guards against an older read or row that begins or ends an evacuation again: rows of peers, reads of single records and
+/// reads of all records arrive late, repeatedly, in any order, or not at all.
+#[test]
+fn rows_in_any_order_lead_to_the_newest_state() {
+    const DOMAINS: u32 = 3;
+    for seed in 0..500 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut log: Vec<EvacuationRow> = Vec::new();
+        let mut words = Vec::new();
+        for offset in 1..=12 {
+            log.push(EvacuationRow {
+                failure_domain: NameHash(random.random_range(0..DOMAINS)),
+                revision: StorePosition::new(0, offset),
+                is_active: random.random(),
+            });
+            let newest: BTreeMap<NameHash, EvacuationRow> =
+                log.iter().map(|row| (row.failure_domain, *row)).collect();
+            let since = log[random.random_range(0..log.len())..].to_vec();
+            words.push(EvacuationUpdate {
+                rows: since,
+                whole_until: None,
+            });
+            let active = newest.values().filter(|row| row.is_active);
+            words.push(EvacuationUpdate {
+                rows: active.copied().collect(),
+                whole_until: Some(StorePosition::new(0, offset)),
+            });
+            words.push(EvacuationUpdate {
+                rows: newest.into_values().collect(),
+                whole_until: None,
+            });
+        }
+        let last = words.len() - 2..words.len() - 1;
+        let mut order: Vec<usize> = (0..40).map(|_| random.random_range(0..words.len())).collect();
+        order.insert(random.random_range(0..=order.len()), last.start);
+        let mut evacuations = Evacuations::default();
+        for word in order {
+            evacuations.apply(&words[word]);
+        }
+        let newest: BTreeMap<NameHash, EvacuationRow> =
+            log.iter().map(|row| (row.failure_domain, *row)).collect();
+        let active: Vec<NameHash> = newest
+            .values()
+            .filter(|row| row.is_active)
+            .map(|row| row.failure_domain)
+            .collect();
+        assert_eq!(evacuations.active(), active, "seed {seed}");
+    }
+}
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -42,6 +42,7 @@
 use reedsail_router::StopSettings;
 use reedsail_router::WorkspaceDefinition;
 use reedsail_standin::RoutedStandin;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -113,6 +114,21 @@
     }
 }
 
+/// A source that returns the updates sent on a channel.
+pub(crate) struct ChannelSource<T>(pub(crate) mpsc::UnboundedReceiver<Result<T, SourceError>>);
+
+impl OperatorSource for ChannelSource<OperatorUpdate> {
+    async fn next(&mut self, _: u64) -> Result<OperatorUpdate, SourceError> {
+        self.0.recv().await.unwrap()
+    }
+}
+
+impl ServerSource for ChannelSource<ServerUpdate> {
+    async fn poll(&mut self, _: StorePosition) -> Result<ServerUpdate, SourceError> {
+        self.0.recv().await.unwrap()
+    }
+}
+
 fn unavailable() -> SourceError {
     SourceError::Unreachable("the stand-in store is unavailable".to_owned())
 }
--- a/crates/reedsail_router/tests/golden.rs
+++ b/crates/reedsail_router/tests/golden.rs
@@ -28,6 +28,7 @@
 use tokio::sync::mpsc;
 
 use common::Caller;
+use common::ChannelSource;
 use common::HEADERS;
 use common::RouterFixture;
 use common::Store;
@@ -248,21 +249,6 @@
     wait_for(kind.name(), async || has_line(kind, text)).await;
 }
 
-/// A source that returns the updates sent on a channel.
-struct ChannelSource<T>(mpsc::UnboundedReceiver<Result<T, SourceError>>);
-
-impl OperatorSource for ChannelSource<OperatorUpdate> {
-    async fn next(&mut self, _: u64) -> Result<OperatorUpdate, SourceError> {
-        self.0.recv().await.unwrap()
-    }
-}
-
-impl ServerSource for ChannelSource<ServerUpdate> {
-    async fn poll(&mut self, _: StorePosition) -> Result<ServerUpdate, SourceError> {
-        self.0.recv().await.unwrap()
-    }
-}
-
 fn server(is_draining: bool) -> ServerRecord {
     ServerRecord {
         id: "app-1".to_owned(),
--- a/crates/reedsail_soak/src/checker.rs
+++ b/crates/reedsail_soak/src/checker.rs
@@ -1,5 +1,7 @@
 //! Checks the router's guarantees against the observed history.
 
+use std::collections::HashMap;
+
 use serde::Serialize;
 
 use crate::Attempt;
@@ -15,10 +17,10 @@
 
 /// A version must be in force after this time on an instance without faults.
 const IN_FORCE_WITHIN_MS: u64 = 6_000;
-/// A server must get no new request once this time has passed since its departure was written.
-const LEAVING_WITHIN_MS: u64 = 5_000;
 /// Violations are excused for this time after a fault was undone.
 pub(crate) const FAULT_GRACE_MS: u64 = 2_500;
+/// An instance is in touch again this long after its last disturbance, as the platform defines it.
+const CONTACT_MS: u64 = 3_000;
 /// A planned stop must be over after this time.
 const STOP_WITHIN_MS: u64 = 10_000;
 /// A process younger than this may not have installed its signal handler, and serves no requests yet.
@@ -224,7 +226,10 @@
                 continue;
             };
             let concerns = |target| match target {
-                Target::Daemon(index) | Target::Stop(index) | Target::StoreLink(index) => index == instance,
+                Target::Daemon(index)
+                | Target::Stop(index)
+                | Target::StoreLink(index)
+                | Target::LateStoreAnswers(index) => index == instance,
                 Target::Store => true,
                 Target::CallersLink(_) | Target::Server(_) | Target::Notices(_) => false,
             };
@@ -288,24 +293,31 @@
 }
 
 fn check_departures(history: &History, found: &mut Vec<Violation>) {
+    let attempts = history.attempts.iter();
+    let instances: HashMap<&str, usize> = attempts
+        .map(|attempt| (attempt.id.as_str(), attempt.daemon))
+        .collect();
     for departure in &history.departures {
-        let due_ms = departure.at_ms + LEAVING_WITHIN_MS;
-        for run in history
-            .runs
-            .iter()
-            .filter(|run| run.server == departure.server && run.began_ms > due_ms)
-        {
+        let of_server = history.runs.iter().filter(|run| run.server == departure.server);
+        for run in of_server.filter(|run| run.began_ms > departure.due_ms) {
+            let sender = instances.get(run.id.as_str()).copied();
             // An instance that lost the store may learn of the departure late.
-            let concerns = |target| {
-                !matches!(
-                    target,
-                    Target::Server(_) | Target::Notices(_) | Target::CallersLink(_)
-                )
+            let concerns = |target| match target {
+                Target::Server(_)
+                | Target::Notices(_)
+                | Target::CallersLink(_)
+                | Target::LateStoreAnswers(_) => false,
+                Target::Daemon(_) | Target::Stop(_) | Target::StoreLink(_) | Target::Store => true,
             };
+            // So does one that gets answers late, but not once it is in touch again.
+            let is_late =
+                |target| matches!(target, Target::LateStoreAnswers(instance) if Some(instance) == sender);
             let from_ms = departure.at_ms.saturating_sub(FAULT_GRACE_MS);
-            if !history.is_disturbed(from_ms, run.began_ms, concerns) {
+            let is_excused = history.is_disturbed(from_ms, run.began_ms, concerns)
+                || history.is_disturbed(run.began_ms.saturating_sub(CONTACT_MS), run.began_ms, is_late);
+            if !is_excused {
                 let what = format!(
-                    "{} reached {} at {} ms; it left at {} ms",
+                    "{} reached {} from instance {sender:?} at {} ms; it left at {} ms",
                     run.id, run.server, run.began_ms, departure.at_ms
                 );
                 found.push(Violation::new("nothing new for a server that left", what));
--- a/crates/reedsail_soak/src/draw.rs
+++ b/crates/reedsail_soak/src/draw.rs
@@ -23,6 +23,11 @@
 const VERSION_COUNT: u32 = 3;
 /// Maximum duration of a fault.
 const FAULT_DURATION_MAX_MS: u64 = 4_000;
+/// How long the answers of the store are held up while a server leaves, in milliseconds. Shorter than the time after which
+/// an instance gives up an answer.
+const HELD_ANSWERS_MS: std::ops::RangeInclusive<u64> = 300..=760;
+/// Time from then until the server leaves, in milliseconds.
+const HELD_BEFORE_LEAVING_MS: u64 = 60;
 
 /// Draws a schedule. The same seed, duration and number of instances give the same schedule.
 pub fn draw_schedule(seed: u64, for_ms: u64, instances: Option<usize>) -> Schedule {
@@ -59,6 +64,9 @@
     let mut at_ms = random.random_range(FAULT_FREE_START_MS..last_ms);
     let kind = random.random_range(0..KIND_COUNT);
     let first_target = random.random_range(0..64);
+    if kind >= LATE_ANSWER_KIND {
+        return draw_late_answers(random, schedule, at_ms, last_ms);
+    }
     let version = random.random_range(1..=VERSION_COUNT);
     let is_target_advancing = random.random_bool(0.5);
     let mut faults = Vec::new();
@@ -80,8 +88,38 @@
     faults
 }
 
-/// Number of indices that [`draw_kind`] maps to a fault kind.
-const KIND_COUNT: u32 = 30;
+/// Draws servers that leave, one after the other, each while some instances get the answers of the store late.
+fn draw_late_answers(random: &mut StdRng, schedule: &Schedule, begin_ms: u64, last_ms: u64) -> Vec<Fault> {
+    let mut at_ms = begin_ms;
+    let mut faults = Vec::new();
+    for _ in 0..random.random_range(1..=FAULTS_PER_SERIES_MAX) {
+        let held_ms = random.random_range(HELD_ANSWERS_MS);
+        if at_ms + held_ms >= last_ms {
+            break;
+        }
+        let first_instance = random.random_range(0..schedule.daemons);
+        for number in 0..random.random_range(1..schedule.daemons) {
+            let instance = (first_instance + number) % schedule.daemons;
+            faults.push(Fault {
+                at_ms,
+                for_ms: held_ms,
+                kind: FaultKind::Link(Link::Store(instance), LinkFault::HoldAnswers),
+            });
+        }
+        faults.push(Fault {
+            at_ms: at_ms + HELD_BEFORE_LEAVING_MS,
+            for_ms: held_ms - HELD_BEFORE_LEAVING_MS,
+            kind: FaultKind::LeaveUnannounced(random.random_range(0..schedule.servers())),
+        });
+        at_ms += held_ms + random.random_range(0..2_000);
+    }
+    faults
+}
+
+/// Number of indices of a series: those below [`LATE_ANSWER_KIND`] that [`draw_kind`] maps to a fault kind, and those of
+/// late answers while servers leave.
+const KIND_COUNT: u32 = 33;
+const LATE_ANSWER_KIND: u32 = 30;
 
 fn draw_kind(random: &mut StdRng, schedule: &Schedule, kind: u32, target: usize, version: u32) -> FaultKind {
     let engine = target % schedule.engines;
--- a/crates/reedsail_soak/src/history.rs
+++ b/crates/reedsail_soak/src/history.rs
@@ -167,6 +167,8 @@
     CallersLink(usize),
     /// The link between an instance and the store.
     StoreLink(usize),
+    /// The same link, on which the store's answers arrive late and nothing else is wrong.
+    LateStoreAnswers(usize),
     /// The store.
     Store,
     /// A backend server, or the link to it.
@@ -237,6 +239,8 @@
     pub server: String,
     /// When the command had been sent to the store.
     pub at_ms: u64,
+    /// From when on it must get no new request.
+    pub due_ms: u64,
 }
 
 /// The exit of an instance that was asked to stop.
--- a/crates/reedsail_soak/src/player.rs
+++ b/crates/reedsail_soak/src/player.rs
@@ -45,6 +45,14 @@
 const CRASH_NOTICED_WITHIN_MS: u64 = 200;
 /// Time for a leaving server to finish its requests.
 const SERVER_DRAIN_MS: u64 = 3_000;
+/// A server must get no new request once this time has passed since its record said that it leaves.
+const LEAVING_WITHIN_MS: u64 = 5_000;
+/// The same for a server whose record was deleted while the store was sound.
+const DRAIN_MS: u64 = 2_000;
+/// Interval at which such a server repeats its record before.
+const REPEAT_INTERVAL_MS: u64 = 100;
+/// How long such a server serves on.
+const UNANNOUNCED_SERVES_MS: u64 = 8_000;
 
 /// What the player records.
 #[derive(Debug, Default)]
@@ -125,6 +133,7 @@
             FaultKind::KillServer(server) => self.kill_server(server, fault.for_ms).await?,
             FaultKind::FreezeServer(server) => self.freeze_server(server, fault.for_ms).await,
             FaultKind::RetireServer(server) => self.retire_server(server, fault.for_ms).await?,
+            FaultKind::LeaveUnannounced(server) => self.leave_unannounced(server, fault.for_ms).await?,
             FaultKind::DrainByAnswers(server) => self.drain_by_answers(server, fault.for_ms).await?,
             FaultKind::ReleaseServer(server, version) => {
                 self.release_server(server, version, fault.for_ms).await?;
@@ -173,7 +182,13 @@
                 &self.fleet.instances[instance].callers,
                 Target::CallersLink(instance),
             ),
-            Link::Store(instance) => (&self.fleet.instances[instance].store, Target::StoreLink(instance)),
+            Link::Store(instance) => {
+                let target = match link_fault {
+                    LinkFault::HoldAnswers => Target::LateStoreAnswers(instance),
+                    _ => Target::StoreLink(instance),
+                };
+                (&self.fleet.instances[instance].store, target)
+            }
             Link::Server(server) => (&self.fleet.servers[server].proxy, Target::Server(server)),
         };
         let span = self.begin_span(target);
@@ -363,14 +378,47 @@
             .store
             .send_command(&StoreCommand::Announce(leaving))
             .await?;
-        self.record().departures.push(Departure {
-            server: running.id.clone(),
-            at_ms: self.now_ms(),
-        });
+        self.record_departure(&running.id, LEAVING_WITHIN_MS);
         sleep(Duration::from_millis(SERVER_DRAIN_MS)).await;
         self.replace_server(number, running, for_ms / 4).await
     }
 
+    /// Repeats the record of a server, deletes it while the server serves on, and later replaces the server.
+    async fn leave_unannounced(&self, number: usize, for_ms: u64) -> anyhow::Result<()> {
+        let server = &self.fleet.servers[number];
+        let Some(running) = server.running.lock().await.take() else {
+            return Ok(());
+        };
+        let leaves_at_ms = self.now_ms() + for_ms / 2;
+        while self.now_ms() < leaves_at_ms {
+            let repeated = StoreCommand::Announce(server.spec(&running, false));
+            self.fleet.store.send_command(&repeated).await?;
+            sleep(Duration::from_millis(REPEAT_INTERVAL_MS)).await;
+        }
+        self.fleet.lives.end(&running.id);
+        self.fleet
+            .store
+            .send_command(&StoreCommand::Drop(running.id.clone()))
+            .await?;
+        self.record_departure(&running.id, DRAIN_MS);
+        sleep(Duration::from_millis(UNANNOUNCED_SERVES_MS)).await;
+        let span = self.begin_span(Target::Server(number));
+        running.process.close().await;
+        server.start_process(&self.fleet.store).await?;
+        self.end_span(span);
+        Ok(())
+    }
+
+    /// Records that a server has left just now, and must get no new request after `due_after_ms`.
+    fn record_departure(&self, server: &str, due_after_ms: u64) {
+        let at_ms = self.now_ms();
+        self.record().departures.push(Departure {
+            server: server.to_owned(),
+            at_ms,
+            due_ms: at_ms + due_after_ms,
+        });
+    }
+
     /// Drops the record of a drained server, stops it, and starts a new server after a pause.
     async fn replace_server(
         &self,
--- a/crates/reedsail_soak/src/poison_checks.rs
+++ b/crates/reedsail_soak/src/poison_checks.rs
@@ -111,7 +111,8 @@
         Target::Daemon(other)
         | Target::Stop(other)
         | Target::CallersLink(other)
-        | Target::StoreLink(other) => other == instance,
+        | Target::StoreLink(other)
+        | Target::LateStoreAnswers(other) => other == instance,
         Target::Store | Target::Server(_) | Target::Notices(_) => false,
     })
 }
--- a/crates/reedsail_soak/src/proxy.rs
+++ b/crates/reedsail_soak/src/proxy.rs
@@ -224,7 +224,7 @@
                     sleep(Duration::from_millis(delay_ms)).await;
                     return ChunkAction::Forward;
                 }
-                (Some(LinkFault::Silence), _) => {
+                (Some(LinkFault::Silence), _) | (Some(LinkFault::HoldAnswers), Direction::ToClient) => {
                     if self.state.changed().await.is_err() {
                         return ChunkAction::Drop;
                     }
@@ -233,7 +233,10 @@
                 | (Some(LinkFault::LoseAnswers), Direction::ToClient) => return ChunkAction::Drop,
                 (Some(LinkFault::CutTails), Direction::ToClient) => return ChunkAction::Truncate,
                 (Some(LinkFault::LoseRequests), Direction::ToClient)
-                | (Some(LinkFault::LoseAnswers | LinkFault::CutTails), Direction::ToServer)
+                | (
+                    Some(LinkFault::LoseAnswers | LinkFault::HoldAnswers | LinkFault::CutTails),
+                    Direction::ToServer,
+                )
                 | (Some(LinkFault::Reset) | None, _) => return ChunkAction::Forward,
             }
         }
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -25,6 +25,8 @@
     LoseRequests,
     /// What the server sends is lost.
     LoseAnswers,
+    /// What the server sends arrives when the fault ends.
+    HoldAnswers,
     /// No data passes until the fault ends.
     Silence,
     /// The next answers are truncated in the middle, and their connections are closed.
@@ -102,6 +104,9 @@
     FreezeServer(usize),
     /// A server leaves gracefully, and a new server starts at the fault's end.
     RetireServer(usize),
+    /// A server repeats its record, which is deleted without a notice in the middle of the fault. The server serves on for
+    /// a while, and a new one starts.
+    LeaveUnannounced(usize),
     /// A server drains and reports it only in its answers, until its record is removed at the fault's end.
     DrainByAnswers(usize),
     /// A server's record is missing until the fault's end, although the server serves requests.
@@ -146,6 +151,7 @@
             Self::Link(_, LinkFault::Reset) => "link reset",
             Self::Link(_, LinkFault::LoseRequests) => "link cut towards the server",
             Self::Link(_, LinkFault::LoseAnswers) => "link cut towards the client",
+            Self::Link(_, LinkFault::HoldAnswers) => "answers late",
             Self::Link(_, LinkFault::Silence) => "link silent",
             Self::Link(_, LinkFault::CutTails) => "answers cut off",
             Self::KillDaemon(_) => "daemon killed",
@@ -156,6 +162,7 @@
             Self::KillServer(_) => "server killed",
             Self::FreezeServer(_) => "server paused",
             Self::RetireServer(_) => "server leaving",
+            Self::LeaveUnannounced(_) => "server leaving unannounced",
             Self::ReleaseServer(..) => "server released",
             Self::RestartServer(..) => "server started again under its id",
             Self::HideServer(_) => "server's record missing",
--- a/crates/reedsail_soak/src/version_checks.rs
+++ b/crates/reedsail_soak/src/version_checks.rs
@@ -104,7 +104,8 @@
         Target::Daemon(other)
         | Target::Stop(other)
         | Target::CallersLink(other)
-        | Target::StoreLink(other) => other == instance,
+        | Target::StoreLink(other)
+        | Target::LateStoreAnswers(other) => other == instance,
         Target::Store => true,
         Target::Server(_) | Target::Notices(_) => false,
     })
--- a/crates/reedsail_soak/tests/schedule.rs
+++ b/crates/reedsail_soak/tests/schedule.rs
@@ -35,6 +35,7 @@
         | FaultKind::KillServer(server)
         | FaultKind::FreezeServer(server)
         | FaultKind::RetireServer(server)
+        | FaultKind::LeaveUnannounced(server)
         | FaultKind::ReleaseServer(server, _)
         | FaultKind::RestartServer(server, _)
         | FaultKind::DrainByAnswers(server)
@@ -61,7 +62,7 @@
         .collect();
     names.sort_unstable();
     names.dedup();
-    assert_eq!(names.len(), 29, "{names:?}");
+    assert_eq!(names.len(), 31, "{names:?}");
 }
 
 #[test]
