--- a/crates/reedsail_router/tests/late_answers.rs
+++ b/crates/reedsail_router/tests/late_answers.rs
@@ -34,7 +34,7 @@
         let (configurations, configuration_source) = mpsc::unbounded_channel();
         let (answers, server_source) = mpsc::unbounded_channel();
         let mut settings = settings(instance);
-        settings.failure_domain = instance.to_owned();
+        instance.clone_into(&mut settings.failure_domain);
         settings.seeds = seeds;
         let make_sources = move || (ChannelSource(configuration_source), ChannelSource(server_source));
         let router = RunningRouter::start(settings, HEADERS, make_sources).unwrap();
