--- a/crates/reedsail_soak/src/checker.rs
+++ b/crates/reedsail_soak/src/checker.rs
@@ -310,8 +310,8 @@
                 Target::Daemon(_) | Target::Stop(_) | Target::StoreLink(_) | Target::Store => true,
             };
             // So does one that gets answers late, but not once it is in touch again.
-            let is_late =
-                |target| matches!(target, Target::LateStoreAnswers(instance) if Some(instance) == sender);
+            // It is not known which instance sent a probe.
+            let is_late = |target| matches!(target, Target::LateStoreAnswers(instance) if sender.is_none_or(|sender| sender == instance));
             let from_ms = departure.at_ms.saturating_sub(FAULT_GRACE_MS);
             let is_excused = history.is_disturbed(from_ms, run.began_ms, concerns)
                 || history.is_disturbed(run.began_ms.saturating_sub(CONTACT_MS), run.began_ms, is_late);
