Keep the limit of the next message when an earlier body is dropped late

Callers would see: an answer waited for until the deadline while its server sends interim answers without end, on a connection whose last answer was a stream. Cause: a limited body lifted the limit when it was dropped. A relayed stream gives its connection back before its body is dropped, so that the limit of the next message on that connection could be lifted. Change: the limit is lifted when the body is read to its end; each message begins its own. Result: a_body_that_is_dropped_late_does_not_lift_the_limit_of_the_next_message failed before (no answer within 10 s) and passes, as does endless_bytes.rs.

--- a/crates/reedsail_net/src/frame_limit.rs
+++ b/crates/reedsail_net/src/frame_limit.rs
@@ -56,7 +56,8 @@
     }
 }
 
-/// A body whose parts are limited. The limit is lifted when the body ends or is dropped.
+/// A body whose parts are limited. The limit is lifted when the body ends. A drop leaves it as it is: by then the next
+/// message may have begun on the connection.
 #[derive(Debug)]
 pub struct FrameLimitedBody {
     body: Incoming,
@@ -80,8 +81,10 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
-        if let Poll::Ready(Some(Ok(_))) = &polled {
-            self.limit.begin_part();
+        match &polled {
+            Poll::Ready(Some(Ok(_))) => self.limit.begin_part(),
+            Poll::Ready(None) => self.limit.lift(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
         polled
     }
@@ -94,9 +97,3 @@
         self.body.size_hint()
     }
 }
-
-impl Drop for FrameLimitedBody {
-    fn drop(&mut self) {
-        self.limit.lift();
-    }
-}
--- /dev/null
+++ b/crates/reedsail_net/tests/frame_limit.rs
@@ -0,0 +1,57 @@
+//! The limit on the bytes of one part of a message, on a connection that carries several.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use reedsail_net::ByteCounter;
+use reedsail_net::HttpConnection;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+/// How long a test waits for an answer before it fails.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers one request whole, and the next one by interim answers without end.
+async fn answer_then_never_end(listener: TcpListener) -> usize {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut request = [0; 1_024];
+    stream.read(&mut request).await.unwrap();
+    let whole = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody";
+    stream.write_all(whole).await.unwrap();
+    stream.read(&mut request).await.unwrap();
+    let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(1_000);
+    let mut written = 0;
+    while stream.write_all(interim.as_bytes()).await.is_ok() {
+        written += interim.len();
+    }
+    written
+}
+
+/// Guards against a body that is dropped late and lifts the limit of the next message on its connection.
+#[tokio::test]
+async fn a_body_that_is_dropped_late_does_not_lift_the_limit_of_the_next_message() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(answer_then_never_end(listener));
+    let mut connection = HttpConnection::open(address, 5_000, ByteCounter::default())
+        .await
+        .unwrap();
+    let request = || Request::new(Full::<Bytes>::default());
+    let response = connection.send(request()).await.unwrap();
+    let mut body = connection.limit_frames(response.into_body());
+    while body.frame().await.is_some() {}
+    assert!(connection.ready().await);
+    let dropping = async {
+        tokio::task::yield_now().await;
+        drop(body);
+    };
+    let sending = timeout(ANSWER_TIMEOUT, connection.send(request()));
+    let (answer, ()) = tokio::join!(sending, dropping);
+    assert!(answer.expect("the interim answers have no end").is_err());
+    assert!(server.await.unwrap() > 0);
+}
--- a/crates/reedsail_router/tests/endless_bytes.rs
+++ b/crates/reedsail_router/tests/endless_bytes.rs
@@ -30,7 +30,8 @@
 const PART_WRITTEN_MAX: usize = 8 << 20;
 /// The same of a body, which the router may buffer up to 16 MB.
 const BODY_WRITTEN_MAX: usize = 32 << 20;
-/// What an endless sender writes at a time, in bytes, and its pause after that, so that the buffers of the sockets stay nearly empty.
+/// What an endless sender writes at a time, in bytes, and its pause after that, so that the buffers of the sockets stay
+/// nearly empty.
 const BLOCK_BYTES: usize = 32 << 10;
 const BLOCK_PAUSE: Duration = Duration::from_millis(1);
 /// How long an endless sender may go on, well below the time-out of a route.
