--- a/crates/reedsail_router/tests/broken_answers.rs
+++ b/crates/reedsail_router/tests/broken_answers.rs
@@ -292,3 +292,37 @@
     assert!(!reply.is_certified());
     server.join().unwrap();
 }
+
+/// Guards against a connection that ends without an answer because the server breaks off right after its head, before the
+/// head is written to the caller.
+#[tokio::test]
+#[ignore = "KNOWN-RED.txt"]
+async fn a_stream_that_breaks_off_right_after_its_head_gets_an_answer() {
+    let fixture = RouterFixture::start().await;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let breaking = ServerRecord {
+        address: listener.local_addr().unwrap(),
+        ..record("llm-breaking", "llm", &fixture.llm)
+    };
+    fixture.store.servers.send_replace(Some(vec![breaking]));
+    let admin = fixture.router.addresses().admin;
+    wait_for("the breaking server alone", async || {
+        let page = ask(admin, "/servers", &[]).await;
+        page.text().contains("llm-breaking") && !page.text().contains("llm-1")
+    })
+    .await;
+    std::thread::spawn(move || {
+        for connection in listener.incoming() {
+            let mut connection = connection.unwrap();
+            let mut request = [0; 4_096];
+            let _ = connection.read(&mut request).unwrap_or(0);
+            let answer =
+                "HTTP/1.1 200 OK\r\nreedsail-request-id: id-1\r\ntransfer-encoding: chunked\r\n\r\nbad";
+            // The router may have closed the connection.
+            let _ = connection.write_all(answer.as_bytes());
+        }
+    });
+    let mut caller = Caller::connect(fixture.callers()).await;
+    let response = caller.send(request("/stream/a", &[])).await;
+    assert!(response.status() == StatusCode::OK || response.status() == StatusCode::BAD_GATEWAY);
+}
