Count the bytes of bodies, and refuse or relay what has no room

Cause: open requests are bounded, their bodies were not. A body was read whole before any decision and held twice while its pieces were joined; buffered answers were held until slow callers had read them; each connection to a server read 400 kB ahead, and 32 such chunks could wait in a resumable stream.

Change: body_memory of reedsail_dispatch counts bodies of more than 32 KiB by workspace, within body_memory_mb (40 in 100 of the memory by default). A workspace may hold four times what remains free. A request body without room is refused before it is read (no_body_room, not run); an answer without room is relayed as it arrives. 64 KiB of a stream may wait for its caller.

--- a/crates/reedsail_core/src/error_kind.rs
+++ b/crates/reedsail_core/src/error_kind.rs
@@ -156,6 +156,9 @@
     /// The instance has as many open requests as its memory allows, or its processor is overloaded.
     DaemonOverloaded = "daemon_overloaded", 503, NotRun, Some(500),
         "this daemon has more requests than its memory or processor can take; retry on another";
+    /// The instance has no memory for the body.
+    NoBodyRoom = "no_body_room", 503, NotRun, Some(1_000),
+        "this daemon has no memory for the request's body; retry on another";
     /// The instance is stopping.
     Stopping = "stopping", 503, NotRun, Some(500),
         "this daemon is stopping; retry on another";
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 //! | `quarantine`, with `suspect` | which requests and segments are no longer sent because servers end while running them |
 //! | `segment_evidence` | which segment of prompts is the cause of servers' ends |
 //! | `overload` | whether this instance refuses requests or sheds callers |
+//! | `body_memory` | whether the memory of this instance has room for a body |
 //! | `slow_reader` | whether the server broke off an answer or the caller stopped reading |
 //! | `shutdown` | which requests are accepted while stopping |
 //! | `server_list` | which records are trusted after a store outage |
@@ -44,6 +45,7 @@
 mod admission;
 mod allowed_regions;
 mod attempt;
+mod body_memory;
 mod candidate_ranking;
 mod decaying_sum;
 mod demand;
@@ -107,6 +109,13 @@
 pub use allowed_regions::AllowedRegions;
 pub use attempt::Attempt;
 pub use attempt::AttemptOutcome;
+pub use body_memory::BodyKind;
+pub use body_memory::BodyMemory;
+pub use body_memory::BodyReservation;
+pub use body_memory::HeldBytes;
+pub use body_memory::NoBodyRoom;
+pub use body_memory::UNCOUNTED_BYTES_MAX;
+pub use body_memory::body_memory_default_mb;
 pub use demand::Decision;
 pub use demand::Demand;
 pub use demand::Placement;
--- a/crates/reedsail_net/src/http_connection.rs
+++ b/crates/reedsail_net/src/http_connection.rs
@@ -17,6 +17,9 @@
 use crate::FrameLimitedBody;
 use crate::connect;
 
+/// Maximum size of the buffer of what was read and not taken yet, and of a response head, in bytes.
+const READ_BUFFER_BYTES_MAX: usize = 64 << 10;
+
 /// The reason why a request got no response.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -45,7 +48,9 @@
     pub async fn open(address: SocketAddr, limit_ms: u64, counter: ByteCounter) -> io::Result<Self> {
         let stream = connect(address, limit_ms, counter).await?;
         let limit = stream.frame_limit();
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         tokio::spawn(async move {
--- a/crates/reedsail_net/src/response_writes.rs
+++ b/crates/reedsail_net/src/response_writes.rs
@@ -120,6 +120,9 @@
     }
 }
 
+/// The result of polling a body for its next frame.
+type PollFrame<B> = Poll<Option<Result<Frame<<B as Body>::Data>, <B as Body>::Error>>>;
+
 /// The body of a response on a tracked connection. The server drops it once it has buffered the last bytes.
 #[derive(Debug)]
 pub struct TrackedBody<B: Body> {
@@ -131,11 +134,7 @@
 
 impl<B: Body> TrackedBody<B> {
     /// Returns the error of the body once the bytes before it are written.
-    fn poll_error(
-        &mut self,
-        error: B::Error,
-        context: &Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+    fn poll_error(&mut self, error: B::Error, context: &Context<'_>) -> PollFrame<B> {
         if self.writes.0.poll_written(context) {
             return Poll::Ready(Some(Err(error)));
         }
--- a/crates/reedsail_router/src/admin.rs
+++ b/crates/reedsail_router/src/admin.rs
@@ -56,6 +56,7 @@
             StatusCode::SERVICE_UNAVAILABLE
         })
     } else if path == METRICS_PATH {
+        shared.metrics.bodies.set(&shared.body_memory);
         Response::new(Full::new(Bytes::from(shared.metrics.render())))
     } else if path == CONFIGURATION_PATH {
         let routes = shared.routes.load();
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use prometheus::core::Collector;
+use reedsail_dispatch::BodyMemory;
 
 use crate::workspace_tokens::WorkspaceTokens;
 
@@ -139,6 +140,43 @@
     }
 }
 
+/// Metrics about the memory of bodies.
+#[derive(Debug)]
+pub(crate) struct BodyMetrics {
+    /// Bytes that are held, by whose body they belong to.
+    held: IntGaugeVec,
+    /// Bytes that may be held.
+    limit: IntGauge,
+}
+
+impl BodyMetrics {
+    fn new(registry: &Registry) -> Self {
+        Self {
+            held: gauge_vec(
+                registry,
+                "reedsail_router_body_bytes",
+                "Bytes of bodies in memory, of requests and of responses; small bodies do not count.",
+                &["body"],
+            ),
+            limit: gauge(
+                registry,
+                "reedsail_router_body_bytes_limit",
+                "Bytes of bodies that may be in memory.",
+            ),
+        }
+    }
+
+    /// Copies the state of the account.
+    pub(crate) fn set(&self, memory: &BodyMemory) {
+        let held = memory.held();
+        let kinds = [("request", held.request_bytes), ("response", held.response_bytes)];
+        for (kind, bytes) in kinds {
+            self.held.with_label_values(&[kind]).set(bytes as i64);
+        }
+        self.limit.set(memory.limit_bytes() as i64);
+    }
+}
+
 /// The router's counters, gauges and histograms.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -179,6 +217,8 @@
     pub(crate) quarantined_segments: IntGauge,
     /// Suspensions of the machine.
     pub(crate) suspensions: IntCounter,
+    /// Memory of bodies.
+    pub(crate) bodies: BodyMetrics,
     /// Open requests.
     pub(crate) open_requests: IntGauge,
     /// The version of the configuration in force.
@@ -276,6 +316,7 @@
                 "reedsail_router_suspensions_total",
                 "Suspensions of the machine since the process started.",
             ),
+            bodies: BodyMetrics::new(&registry),
             open_requests: gauge(&registry, "reedsail_router_open_requests", "Open requests."),
             configuration_version: gauge(
                 &registry,
--- a/crates/reedsail_router/src/settings.rs
+++ b/crates/reedsail_router/src/settings.rs
@@ -6,6 +6,7 @@
 
 use reedsail_core::NameHash;
 use reedsail_dispatch::DispatchSettings;
+use reedsail_dispatch::body_memory_default_mb;
 use reedsail_dispatch::connections_max;
 use reedsail_dispatch::open_requests_max;
 use reedsail_document::Fault;
@@ -18,6 +19,8 @@
 
 /// Memory limit if the settings have none, in megabytes.
 const MEMORY_DEFAULT_MB: u64 = 1_024;
+/// Largest memory limit, in megabytes.
+const MEMORY_MAX_MB: u64 = 1_000_000;
 /// Share of a core if the settings have none.
 const PROCESSOR_DEFAULT_SHARE: f64 = 1.0;
 /// Maximum number of log lines of one kind per second if the settings have none.
@@ -48,6 +51,8 @@
     pub dispatch: DispatchSettings,
     /// The memory limit of the process, in megabytes of a million bytes.
     pub memory_mb: u64,
+    /// The limit on the memory of bodies of callers and servers, in megabytes of a million bytes.
+    pub body_memory_mb: u64,
     /// The share of a core that the process may use.
     pub processor_share: f64,
     /// The maximum number of log lines of one kind per second.
@@ -137,7 +142,8 @@
                 .map_or(Some(LOG_LINES_DEFAULT_PER_S), |value| value.number(1..=100_000));
             let memory_mb = top
                 .optional("memory_mb")
-                .map_or(Some(MEMORY_DEFAULT_MB), |value| value.number(32..=1_000_000));
+                .map_or(Some(MEMORY_DEFAULT_MB), |value| value.number(32..=MEMORY_MAX_MB));
+            let body_memory_mb = read_body_memory_mb(top, memory_mb);
             let processor_share = top
                 .optional("processor_share")
                 .map_or(Some(PROCESSOR_DEFAULT_SHARE), |value| {
@@ -154,6 +160,7 @@
                 stop: stop?,
                 dispatch: dispatch?,
                 memory_mb: memory_mb?,
+                body_memory_mb: body_memory_mb?,
                 processor_share: processor_share?,
                 log_lines_per_s: log_lines_per_s?,
             })
@@ -161,6 +168,14 @@
     }
 }
 
+/// Reads the limit on the memory of bodies. It is less than the memory of the process.
+fn read_body_memory_mb(top: &mut Mapping<'_>, memory_mb: Option<u64>) -> Option<u64> {
+    match top.optional("body_memory_mb") {
+        Some(value) => value.number(1..=memory_mb.unwrap_or(MEMORY_MAX_MB)),
+        None => memory_mb.map(body_memory_default_mb),
+    }
+}
+
 fn read_regions(value: &Value<'_>) -> Option<BTreeMap<String, String>> {
     let mut map = value.mapping()?;
     let entries = map.entries();
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
+use reedsail_dispatch::BodyMemory;
 use reedsail_dispatch::CLOSE_ONE_IN;
 use reedsail_dispatch::Dispatcher;
 use reedsail_dispatch::OverloadMonitor;
@@ -41,6 +42,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) shutdown: Shutdown,
     pub(crate) overload: OverloadMonitor,
+    /// The account of the bytes of bodies.
+    pub(crate) body_memory: BodyMemory,
     /// The connections of callers with a response that is not yet written to the socket.
     pub(crate) unwritten_responses: UnwrittenResponses,
     /// The number of open connections from callers.
@@ -68,6 +71,7 @@
         Self {
             events: EventLog::bounded(&settings.instance, 0, settings.log_lines_per_s),
             dispatcher: Mutex::new(dispatcher),
+            body_memory: BodyMemory::new(settings.body_memory_mb),
             settings,
             protocol,
             clock,
--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -20,20 +21,24 @@
 use reedsail_core::ServerKey;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::AllowedRegions;
+use reedsail_dispatch::BodyKind;
 use reedsail_dispatch::Demand;
+use reedsail_dispatch::NoBodyRoom;
 use reedsail_dispatch::Priority;
 use reedsail_dispatch::Prompt;
 use reedsail_dispatch::STREAM_LIFE_MAX_MS;
 use reedsail_dispatch::StreamId;
 use reedsail_dispatch::VersionDemand;
 use reedsail_dispatch::time_left_ms;
+use reedsail_net::DeadlineTimer;
 use reedsail_net::FrameLimit;
 use reedsail_net::FrameLimitedBody;
 use reedsail_net::header_bytes;
-use reedsail_net::read_body;
 use reedsail_net::remove_hop_headers;
 use tokio::select;
 
+use super::body_buffer::BodyBuffer;
+use super::body_buffer::BodyError;
 use super::fingerprint::fingerprint_of;
 use crate::CallHead;
 use crate::HeaderError;
@@ -151,6 +156,33 @@
     }
 }
 
+/// Why a request is refused before it is placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CallError {
+    pub(crate) kind: ErrorKind,
+    /// The inputs of the decision, if there is no room for the body.
+    pub(crate) no_room: Option<NoBodyRoom>,
+}
+
+impl From<ErrorKind> for CallError {
+    fn from(kind: ErrorKind) -> Self {
+        Self { kind, no_room: None }
+    }
+}
+
+impl From<BodyError> for CallError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => ErrorKind::BodyTooLarge.into(),
+            BodyError::Broken => ErrorKind::BodyIncomplete.into(),
+            BodyError::NoRoom(no_room) => Self {
+                kind: ErrorKind::NoBodyRoom,
+                no_room: Some(no_room),
+            },
+        }
+    }
+}
+
 /// Checks a request whose head was read, and reads its body.
 ///
 /// The route is looked up after the body was read, so that the newest configuration applies.
@@ -160,29 +192,71 @@
     frames: FrameLimit,
     head: Result<CallHead, HeaderError>,
     arrived_at: TimeMs,
-) -> Result<Call, ErrorKind> {
+) -> Result<Call, CallError> {
     check_overload(shared)?;
     let limits = shared.routes.load().configuration.limits;
     let (parts, body) = request.into_parts();
     if header_bytes(&parts.headers) > limits.header_bytes_max {
-        return Err(ErrorKind::HeaderTooLarge);
+        return Err(ErrorKind::HeaderTooLarge.into());
     }
     let head = head.map_err(|_error| ErrorKind::BadHeader)?;
     let body = FrameLimitedBody::new(body, frames);
     let deadline = arrived_at.plus_ms(head.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS));
-    let body = select! {
-        biased;
-        body = read_body(body, limits.body_bytes_max) => body?,
-        () = shared.clock.timer(deadline) => return Err(ErrorKind::BodyIncomplete),
-    };
+    let body = read_body(shared, &parts, head.key.as_deref(), body, deadline).await?;
     let routes = shared.routes.load_full();
     let call = route_call(&routes, parts, head, body, arrived_at)?;
     if !shared.shutdown.takes_request(call.deadline, shared.clock.now()) {
-        return Err(ErrorKind::Stopping);
+        return Err(ErrorKind::Stopping.into());
     }
     Ok(call)
 }
 
+/// Reads the body of a request until its deadline. A body without room is refused at once, and the rest of it is
+/// discarded as it arrives, so that its caller gets the answer on a connection that stays open.
+async fn read_body<H>(
+    shared: &Shared<H>,
+    parts: &Parts,
+    key: Option<&str>,
+    mut body: FrameLimitedBody,
+    deadline: TimeMs,
+) -> Result<Bytes, CallError> {
+    let routes = shared.routes.load();
+    let workspace = key.and_then(|key| routes.workspace(key));
+    let workspace = workspace.map_or_else(NameHash::default, |workspace| workspace.hash);
+    let bytes_max = routes.configuration.limits.body_bytes_max;
+    drop(routes);
+    let mut buffer = BodyBuffer::new(&shared.body_memory, workspace, BodyKind::Request, bytes_max);
+    let timer = shared.clock.timer(deadline);
+    let read = select! {
+        biased;
+        read = buffer.read(&mut body) => read,
+        () = timer => return Err(ErrorKind::BodyIncomplete.into()),
+    };
+    // A caller that waits for leave to send its body doesn't send it after a refusal.
+    if matches!(read, Err(BodyError::NoRoom(_))) && !parts.headers.contains_key(EXPECT) {
+        tokio::spawn(discard_body(body, bytes_max, shared.clock.timer(deadline)));
+    }
+    read?;
+    Ok(buffer.into_bytes())
+}
+
+/// Reads at most `bytes_max` bytes of a body until a deadline, and drops them.
+async fn discard_body(mut body: FrameLimitedBody, bytes_max: usize, deadline: DeadlineTimer) {
+    let discarding = async {
+        let mut read_bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            read_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if read_bytes > bytes_max {
+                return;
+            }
+        }
+    };
+    select! {
+        () = discarding => {}
+        () = deadline => {}
+    }
+}
+
 /// Rejects the request if this instance is overloaded.
 fn check_overload<H>(shared: &Shared<H>) -> Result<(), ErrorKind> {
     let open_requests = shared.metrics.open_requests.get() as u64;
--- a/crates/reedsail_router/src/traffic/forward.rs
+++ b/crates/reedsail_router/src/traffic/forward.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Response;
@@ -34,6 +35,7 @@
 use super::exchange::AttemptResult;
 use super::exchange::ResponseStart;
 use super::exchange::attempt_once;
+use super::relay_buffered::BufferResult;
 use super::relay_buffered::BufferedResponse;
 use super::relay_buffered::relay_buffered;
 use super::relay_stream::StreamBody;
@@ -94,6 +96,9 @@
         };
         let (failure, cause) = match forwarding.attempt(&placement).await {
             ForwardStep::Streaming(response_start) => return Ok(forwarding.relay_stream(*response_start)),
+            ForwardStep::Unbuffered(response_start, begun) => {
+                return Ok(forwarding.relay_unbuffered(*response_start, begun));
+            }
             ForwardStep::Answered(response) => return Ok(forwarding.respond(response)),
             ForwardStep::Failed(failure, cause) => (failure, cause),
         };
@@ -118,6 +123,8 @@
 enum ForwardStep<H> {
     /// A stream started.
     Streaming(Box<ResponseStart<H>>),
+    /// A response without room in memory started, of which the bytes were read. It cannot be retried.
+    Unbuffered(Box<ResponseStart<H>>, Bytes),
     /// A complete response arrived.
     Answered(BufferedResponse),
     /// The attempt failed. The retry rule decides whether another one follows.
@@ -228,7 +235,7 @@
     fn record_retry_outcome(&self, step: &ForwardStep<H>) {
         let Some(purpose) = self.purpose else { return };
         let is_success = match step {
-            ForwardStep::Streaming(_) | ForwardStep::Answered(_) => true,
+            ForwardStep::Streaming(_) | ForwardStep::Unbuffered(..) | ForwardStep::Answered(_) => true,
             ForwardStep::Failed(..) => false,
         };
         let now = self.shared.clock.now();
@@ -245,12 +252,13 @@
         if has_events && has_body && response_start.head.status.is_success() {
             return ForwardStep::Streaming(response_start);
         }
-        match relay_buffered(&self.shared, &self.pool, &self.call, *response_start).await {
-            Ok(response) if response.is_failure() => {
+        match relay_buffered(&self.shared, &self.pool, &self.call, response_start).await {
+            Ok(BufferResult::Complete(response)) if response.is_failure() => {
                 self.result = AttemptsResult::ServerFailure(response);
                 self.fail_sent_attempt(RetryCause::ServerFailure)
             }
-            Ok(response) => ForwardStep::Answered(response),
+            Ok(BufferResult::Complete(response)) => ForwardStep::Answered(response),
+            Ok(BufferResult::NoRoom(response_start, begun)) => ForwardStep::Unbuffered(response_start, begun),
             Err(failure) => {
                 self.result = AttemptsResult::Sent(Unsent::new().send(), failure.kind());
                 self.fail_sent_attempt(RetryCause::Failed(failure.kind()))
@@ -331,6 +339,18 @@
         build_response(status, headers, framing, body)
     }
 
+    /// Relays a response that is no stream as it arrives, after the bytes that were read.
+    fn relay_unbuffered(mut self, response_start: ResponseStart<H>, begun: Bytes) -> CallerResponse<H> {
+        let status = response_start.head.status;
+        let framing = response_start.framing;
+        let mut headers = response_start.head.headers.clone();
+        remove_hop_headers(&mut headers);
+        self.log.set_unbuffered();
+        let body = StreamBody::start(&self.shared, &self.pool, &self.call, response_start, self.log);
+        let body = ResponseBody::Stream(Box::new(body.unbuffered(status, begun)));
+        build_response(status, headers, framing, body)
+    }
+
     /// Ends the request with the result of its attempts, or with the refusal if no attempt ran it.
     fn give_up(mut self, refusal: Refusal) -> Result<CallerResponse<H>, Failure> {
         self.refund();
--- a/crates/reedsail_router/src/traffic/mod.rs
+++ b/crates/reedsail_router/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 //! to servers whose connections broke. The imports between the modules form no cycle.
 
 mod attempt_guard;
+mod body_buffer;
 mod call;
 mod exchange;
 mod fingerprint;
--- a/crates/reedsail_router/src/traffic/relay_buffered.rs
+++ b/crates/reedsail_router/src/traffic/relay_buffered.rs
@@ -1,24 +1,25 @@
 //! Buffers a complete response before the caller receives any of it, so that the caller gets all of it or an error.
+//!
+//! A response without room in memory is handed back, to be relayed as it arrives.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
 use reedsail_core::ErrorKind;
 use reedsail_core::Failure;
 use reedsail_dispatch::AttemptOutcome;
+use reedsail_dispatch::BodyKind;
 use reedsail_net::BodyFraming;
-use reedsail_net::FrameLimitedBody;
 use reedsail_net::remove_hop_headers;
 use tokio::select;
 
 use super::Pool;
 use super::attempt_guard::OpenAttempt;
+use super::body_buffer::BodyBuffer;
+use super::body_buffer::BodyError;
 use super::call::Call;
 use super::exchange::ResponseStart;
 use super::exchange::outcome_of_error;
@@ -47,28 +48,50 @@
     }
 }
 
+/// The result of buffering a response.
+pub(crate) enum BufferResult<H> {
+    /// The response is complete.
+    Complete(BufferedResponse),
+    /// There is no room for the response. The bytes were read already.
+    NoRoom(Box<ResponseStart<H>>, Bytes),
+}
+
 /// Reads a complete response within the request's deadline.
 pub(crate) async fn relay_buffered<H: HeaderProtocol>(
     shared: &Arc<Shared<H>>,
     pool: &Pool,
     call: &Call,
-    response_start: ResponseStart<H>,
-) -> Result<BufferedResponse, Failure> {
+    mut response_start: Box<ResponseStart<H>>,
+) -> Result<BufferResult<H>, Failure> {
+    response_start.attempt.guard.record_first_event();
+    let workspace = call.workspace_hash();
+    let mut buffer = BodyBuffer::new(
+        &shared.body_memory,
+        workspace,
+        BodyKind::Response,
+        BUFFERED_BYTES_MAX,
+    );
+    let read = select! {
+        biased;
+        read = buffer.read(&mut response_start.body) => read.map_err(error_kind),
+        () = shared.clock.timer(call.deadline) => Err(Some(ErrorKind::DeadlineAfterSend)),
+    };
+    let body = buffer.into_bytes();
+    match read {
+        Ok(()) => {}
+        Err(None) => return Ok(BufferResult::NoRoom(response_start, body)),
+        Err(Some(kind)) => {
+            response_start.attempt.abort(outcome_of_error(kind));
+            return Err(response_start.sent.fail(kind));
+        }
+    }
     let ResponseStart {
         sent,
         head,
-        body,
         framing,
-        mut attempt,
-    } = response_start;
-    attempt.guard.record_first_event();
-    let body = match buffer_body(shared, call, body).await {
-        Ok(body) => body,
-        Err(kind) => {
-            attempt.abort(outcome_of_error(kind));
-            return Err(sent.fail(kind));
-        }
-    };
+        attempt,
+        ..
+    } = *response_start;
     let verdict = match ResponseEnd::of_body(framing).verdict() {
         EndVerdict::Unproven => settle(shared, pool, &attempt).await,
         proven => proven,
@@ -86,12 +109,12 @@
     let mut headers = head.headers;
     remove_hop_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
-    Ok(BufferedResponse {
+    Ok(BufferResult::Complete(BufferedResponse {
         status: head.status,
         headers,
         body,
         framing,
-    })
+    }))
 }
 
 async fn settle<H: HeaderProtocol>(
@@ -105,15 +128,11 @@
     }
 }
 
-async fn buffer_body<H>(shared: &Shared<H>, call: &Call, body: FrameLimitedBody) -> Result<Bytes, ErrorKind> {
-    let read = select! {
-        biased;
-        read = Limited::new(body, BUFFERED_BYTES_MAX).collect() => read,
-        () = shared.clock.timer(call.deadline) => return Err(ErrorKind::DeadlineAfterSend),
-    };
-    match read {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ErrorKind::AnswerTooLarge),
-        Err(_error) => Err(ErrorKind::AnswerIncomplete),
+/// Returns the error kind of a body that was not read as a whole, or `None` if there is no room for it.
+fn error_kind(error: BodyError) -> Option<ErrorKind> {
+    match error {
+        BodyError::TooLarge => Some(ErrorKind::AnswerTooLarge),
+        BodyError::Broken => Some(ErrorKind::AnswerIncomplete),
+        BodyError::NoRoom(_) => None,
     }
 }
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -1,4 +1,5 @@
-//! Relays a stream as it arrives. If the stream breaks, the response to the caller is aborted.
+//! Relays a stream as it arrives. If the stream breaks, the response to the caller is aborted. So is relayed a response of
+//! another type that has no room in memory.
 //!
 //! `response_end` says whether a stream that ended without an error is whole. A check of its server runs in a task of its
 //! own, whose result this body waits for.
@@ -10,6 +11,7 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
+use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -47,7 +49,12 @@
     pool: Arc<Pool>,
     body: FrameLimitedBody,
     framing: BodyFraming,
-    scanner: EventScanner,
+    /// `None` for a response that is no stream of events.
+    scanner: Option<EventScanner>,
+    /// Bytes that were read before the relay began.
+    begun: Bytes,
+    /// The status of a response that is no stream, if it is a server error.
+    failure_status: Option<StatusCode>,
     response_headers: HeaderMap,
     /// `None` once the stream has ended.
     attempt: Option<OpenAttempt<H>>,
@@ -74,7 +81,9 @@
             pool: Arc::clone(pool),
             body: response_start.body,
             framing: response_start.framing,
-            scanner: EventScanner::default(),
+            scanner: Some(EventScanner::default()),
+            begun: Bytes::new(),
+            failure_status: None,
             response_headers: response_start.head.headers,
             attempt: Some(response_start.attempt),
             settling: None,
@@ -85,6 +94,15 @@
         }
     }
 
+    /// Relays a response that is no stream of events, after the bytes that were read.
+    pub(crate) fn unbuffered(mut self, status: StatusCode, begun: Bytes) -> Self {
+        self.log.record_first_event();
+        self.scanner = None;
+        self.failure_status = Some(status).filter(StatusCode::is_server_error);
+        self.begun = begun;
+        self
+    }
+
     pub(crate) fn size_hint(&self) -> SizeHint {
         self.body.size_hint()
     }
@@ -100,6 +118,10 @@
         if self.settling.is_some() {
             return self.poll_settling(context);
         }
+        if !self.begun.is_empty() {
+            let begun = Frame::data(std::mem::take(&mut self.begun));
+            return Poll::Ready(Some(Ok(begun)));
+        }
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.record_frame(&frame);
@@ -126,12 +148,13 @@
     fn record_frame(&mut self, frame: &Frame<Bytes>) {
         let now = self.clock.now();
         self.reader.record_written(now);
+        let Some(scanner) = &mut self.scanner else { return };
         if let Some(attempt) = &mut self.attempt {
             attempt.guard.record_event();
         }
         self.log.record_event(now);
         if let Some(data) = frame.data_ref() {
-            self.scanner.read(data);
+            scanner.read(data);
         }
     }
 
@@ -142,11 +165,11 @@
         };
         let end = ResponseEnd {
             framing: self.framing,
-            is_inside_event: self.scanner.is_inside_event(),
+            is_inside_event: self.scanner.as_ref().is_some_and(EventScanner::is_inside_event),
         };
         self.log.record_response_end(end);
         match end.verdict() {
-            EndVerdict::Whole => self.finish(AttemptOutcome::Answered),
+            EndVerdict::Whole => self.finish(self.whole_outcome()),
             EndVerdict::BrokenOff => self.break_off(),
             EndVerdict::Unproven => {
                 self.settling = Some(self.start_settling(server));
@@ -175,7 +198,7 @@
         };
         self.settling = None;
         match verdict.unwrap_or(EndVerdict::Unproven) {
-            EndVerdict::Whole => self.finish(AttemptOutcome::Answered),
+            EndVerdict::Whole => self.finish(self.whole_outcome()),
             EndVerdict::BrokenOff => self.break_off(),
             EndVerdict::Unproven => self.finish(AttemptOutcome::Abandoned),
         }
@@ -185,11 +208,22 @@
     fn finish(&mut self, attempt_outcome: AttemptOutcome) -> PollChunk {
         if let Some(attempt) = self.attempt.take() {
             attempt.complete(&self.pool, self.framing, &self.response_headers, attempt_outcome);
-            self.log.end(RequestOutcome::Answered);
+            match self.failure_status {
+                Some(status) => self.log.end_with_failure(status),
+                None => self.log.end(RequestOutcome::Answered),
+            }
         }
         Poll::Ready(None)
     }
 
+    /// Returns the outcome of the attempt if its response is whole.
+    fn whole_outcome(&self) -> AttemptOutcome {
+        match self.failure_status {
+            Some(_) => AttemptOutcome::Failed,
+            None => AttemptOutcome::Answered,
+        }
+    }
+
     /// Aborts the response because the server's response broke off.
     fn break_off(&mut self) -> PollChunk {
         match self.reader.break_cause(self.clock.now()) {
--- a/crates/reedsail_router/src/traffic/request_log.rs
+++ b/crates/reedsail_router/src/traffic/request_log.rs
@@ -12,6 +12,7 @@
 use reedsail_core::Fingerprint;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::EventGaps;
+use reedsail_dispatch::NoBodyRoom;
 use reedsail_dispatch::Placement;
 use reedsail_dispatch::RetryDecision;
 use reedsail_dispatch::request_cost;
@@ -125,6 +126,8 @@
     gaps: EventGaps,
     /// How the last response body ended that was read without an error.
     response_end: Option<ResponseEnd>,
+    /// Whether the response is relayed as it arrives because there is no room for it.
+    is_unbuffered: bool,
     /// The segment of the prompt for which the request is refused.
     quarantined_segment: Option<u64>,
     has_ended: bool,
@@ -157,6 +160,7 @@
             first_event_ms: None,
             gaps: EventGaps::default(),
             response_end: None,
+            is_unbuffered: false,
             quarantined_segment: None,
             has_ended: false,
         };
@@ -175,6 +179,11 @@
         self.resumption.clone_from(&call.resumption);
     }
 
+    /// Records that the response is relayed as it arrives because there is no room for it.
+    pub(crate) fn set_unbuffered(&mut self) {
+        self.is_unbuffered = true;
+    }
+
     /// Records the segment of the prompt for which the request is refused.
     pub(crate) fn set_quarantined_segment(&mut self, segment: Option<u64>) {
         self.quarantined_segment = segment;
@@ -290,9 +299,10 @@
         response_ends.with_label_values(&[end.name()]).inc();
     }
 
-    /// Records that the request was refused before a server was chosen.
-    pub(crate) fn record_unplaced_refusal(self, failure: &Failure) {
-        self.end_with_refusal(failure, |_| Vec::new());
+    /// Records that the request was refused before a server was chosen. `no_room` has the inputs of the decision if there
+    /// is no room for its body.
+    pub(crate) fn record_unplaced_refusal(self, failure: &Failure, no_room: Option<&NoBodyRoom>) {
+        self.end_with_refusal(failure, |_| no_room.map_or_else(Vec::new, no_room_fields));
     }
 
     /// Records that the request was refused, or that it failed and this instance itself responds to the caller.
@@ -369,6 +379,7 @@
                 self.response_end
                     .map(|end| ("response_end", end.name().to_owned())),
             );
+            fields.extend(self.is_unbuffered.then(|| ("unbuffered", "true".to_owned())));
             fields.push(self.fingerprint_field());
             fields
         });
@@ -485,6 +496,18 @@
     }
 }
 
+/// Returns the fields of a decision that there is no room for a body, in bytes.
+fn no_room_fields(no_room: &NoBodyRoom) -> Vec<Field> {
+    let fields = [
+        ("body_bytes", no_room.body_bytes),
+        ("workspace_bytes", no_room.workspace_bytes),
+        ("held_bytes", no_room.held_bytes),
+        ("limit_bytes", no_room.limit_bytes),
+    ];
+    let text = |(name, bytes): (&'static str, u64)| (name, bytes.to_string());
+    fields.map(text).to_vec()
+}
+
 /// Returns a header value for a log line; a missing value and one that is not text are empty.
 fn header_text(value: Option<&HeaderValue>) -> String {
     let text = value.and_then(|value| value.to_str().ok());
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -26,6 +26,8 @@
 use reedsail_net::EventSplitter;
 use reedsail_net::FrameLimitedBody;
 use tokio::select;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
@@ -48,13 +50,24 @@
 
 /// Maximum number of chunks that wait for the caller. While it is reached, the server's stream is not read.
 const CHUNKS_MAX: usize = 32;
+/// Maximum number of bytes that wait for the caller, except that one larger chunk may. While it is reached, the server's
+/// stream is not read.
+const QUEUED_BYTES_MAX: u32 = 64 << 10;
 /// Maximum size of an event, in bytes.
 const EVENT_BYTES_MAX: usize = 1 << 20;
 
+/// A part of a stream that waits for the caller.
+#[derive(Debug)]
+struct QueuedChunk {
+    data: Bytes,
+    /// Its part of [`QUEUED_BYTES_MAX`].
+    _room: OwnedSemaphorePermit,
+}
+
 /// The response body of a resumable stream. Dropping it cancels the attempt.
 #[derive(Debug)]
 pub(crate) struct ResumableBody {
-    chunks: mpsc::Receiver<Result<Bytes, ResponseAborted>>,
+    chunks: mpsc::Receiver<Result<QueuedChunk, ResponseAborted>>,
     relay: AbortHandle,
 }
 
@@ -75,6 +88,7 @@
             call,
             tried,
             sender,
+            queue_room: Arc::new(Semaphore::new(QUEUED_BYTES_MAX as usize)),
             splitter: EventSplitter::default(),
             last_event_id: None,
             has_version: false,
@@ -95,7 +109,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
         self.chunks
             .poll_recv(context)
-            .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+            .map(|chunk| chunk.map(|chunk| chunk.map(|chunk| Frame::data(chunk.data))))
     }
 }
 
@@ -128,7 +142,9 @@
     pool: Arc<Pool>,
     call: Call,
     tried: Vec<ServerKey>,
-    sender: mpsc::Sender<Result<Bytes, ResponseAborted>>,
+    sender: mpsc::Sender<Result<QueuedChunk, ResponseAborted>>,
+    /// Room for the bytes that wait for the caller.
+    queue_room: Arc<Semaphore>,
     splitter: EventSplitter,
     last_event_id: Option<String>,
     /// Whether an event was relayed, after which only servers of one software version may continue.
@@ -226,11 +242,11 @@
             reader.record_written(now);
             let sent = select! {
                 biased;
-                sent = self.sender.send(Ok(Bytes::from(events))) => sent,
+                sent = self.queue(events) => sent,
                 () = &mut deadline => return StreamEnd::Deadline,
             };
-            if sent.is_err() {
-                return StreamEnd::CallerGone;
+            if let Err(gone) = sent {
+                return gone;
             }
             let now = self.shared.clock.now();
             reader.record_writable(now);
@@ -259,10 +275,31 @@
     /// Relays what follows the last event, such as a comment.
     async fn relay_rest(&mut self) -> StreamEnd {
         let rest = self.splitter.take_rest();
-        if !rest.is_empty() && self.sender.send(Ok(Bytes::from(rest))).await.is_err() {
-            return StreamEnd::CallerGone;
+        if rest.is_empty() {
+            return StreamEnd::Complete;
         }
-        StreamEnd::Complete
+        match self.queue(rest).await {
+            Ok(()) => StreamEnd::Complete,
+            Err(gone) => gone,
+        }
+    }
+
+    /// Hands a chunk to the caller's connection, once there is room for it.
+    ///
+    /// # Errors
+    /// Returns `CallerGone` if the caller has disconnected.
+    async fn queue(&self, data: Vec<u8>) -> Result<(), StreamEnd> {
+        let bytes = u32::try_from(data.len()).unwrap_or(QUEUED_BYTES_MAX);
+        let room = Arc::clone(&self.queue_room)
+            .acquire_many_owned(bytes.min(QUEUED_BYTES_MAX))
+            .await
+            .map_err(|_closed| StreamEnd::CallerGone)?;
+        let chunk = QueuedChunk {
+            data: Bytes::from(data),
+            _room: room,
+        };
+        let sent = self.sender.send(Ok(chunk)).await;
+        sent.map_err(|_closed| StreamEnd::CallerGone)
     }
 
     /// Finds out how a stream ended whose response ended with its connection, and the outcome of the attempt.
--- a/crates/reedsail_router/src/traffic/serve.rs
+++ b/crates/reedsail_router/src/traffic/serve.rs
@@ -52,9 +52,9 @@
             log.set_call(&call);
             forward(&shared, &pool, call, log).await
         }
-        Err(kind) => {
-            let failure = Unsent::new().refuse(kind);
-            log.record_unplaced_refusal(&failure);
+        Err(error) => {
+            let failure = Unsent::new().refuse(error.kind);
+            log.record_unplaced_refusal(&failure, error.no_room.as_ref());
             Err(failure)
         }
     };
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -177,6 +177,7 @@
             retry_ratio: 40.0,
             ..DispatchSettings::default()
         },
+        body_memory_mb: 400,
         memory_mb: 1_024,
         processor_share: 1.0,
         log_lines_per_s: 1_000,
@@ -344,6 +345,11 @@
     builder.body(Full::new(Bytes::from_static(b"question"))).unwrap()
 }
 
+/// Builds a request with a body of `bytes` bytes.
+pub(crate) fn upload(path: &str, headers: &[(&str, &str)], bytes: usize) -> Request<Full<Bytes>> {
+    request(path, headers).map(|_| Full::new(Bytes::from(vec![b'u'; bytes])))
+}
+
 pub(crate) async fn read(response: hyper::Response<Incoming>) -> Reply {
     let (parts, mut body) = response.into_parts();
     let framing = BodyFraming::of(&parts.headers, &body);
--- a/crates/reedsail_router/tests/golden.rs
+++ b/crates/reedsail_router/tests/golden.rs
@@ -36,6 +36,7 @@
 use common::request;
 use common::settings;
 use common::start;
+use common::upload;
 use common::wait_for;
 use common::wait_until_ready;
 
@@ -51,6 +52,7 @@
 store: 127.0.0.1:5
 seeds: [127.0.0.1:6, 127.0.0.1:7]
 memory_mb: 200
+body_memory_mb: 60
 processor_share: 0.12
 stop:
   accept_ms: 11
@@ -87,6 +89,7 @@
         ("store", settings.store.to_string()),
         ("seeds", format!("{:?}", settings.seeds)),
         ("memory_mb", settings.memory_mb.to_string()),
+        ("body_memory_mb", settings.body_memory_mb.to_string()),
         (
             "memory_mb, open requests",
             settings.open_requests_max().to_string(),
@@ -131,6 +134,7 @@
 store: nowhere
 seeds: [127.0.0.1]
 memory_mb: 1
+body_memory_mb: 0
 processor_share: 0
 stop: {accept_ms: 0, end_ms: 86400001, colour: red}
 dispatch: {repeat_ratio: -1, repeat_window_ms: 0, repeat_slack: x, share_window_ms: -1, report_valid_ms: 1.5}
@@ -410,6 +414,19 @@
     }
 }
 
+/// Sends a request and receives an answer for whose bodies a router has no room.
+async fn exceed_body_memory() {
+    let fixture = RouterFixture::start_with(|settings| settings.body_memory_mb = 1).await;
+    fixture.app.answer_with(&[RoutedAnswer::Whole {
+        status: 200,
+        bytes: 1_500_000,
+    }]);
+    let mut caller = Caller::connect(fixture.callers()).await;
+    let refused = common::read(caller.send(upload("/once/", &[], 1_500_000)).await).await;
+    assert!(refused.text().starts_with("no_body_room"), "{}", refused.text());
+    assert_eq!(caller.ask("/once/", &[]).await.body.len(), 1_500_000);
+}
+
 /// Fills a router with requests that are never answered, and stops it with the requests still open.
 async fn stop_a_full_router() {
     let fixture = RouterFixture::start_with(|settings| {
@@ -467,6 +484,7 @@
     wait_until_ready(&other).await;
     other.kill();
     wait_for_line(EventKind::PeerSuspected, "\"hall-a-1\"").await;
+    exceed_body_memory().await;
     stop_a_full_router().await;
     let router = start(&Store::new(None, None), {
         let mut settings = settings("hall-d-1");
