--- a/crates/reedsail_net/tests/frame_limit.rs
+++ b/crates/reedsail_net/tests/frame_limit.rs
@@ -8,6 +8,7 @@
 use hyper::Request;
 use reedsail_net::ByteCounter;
 use reedsail_net::HttpConnection;
+use reedsail_net::PersistentClient;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -40,6 +41,32 @@
     written
 }
 
+/// Answers a request by a chunk size that begins with zeros without end.
+async fn begin_endless_chunk(listener: TcpListener) -> usize {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    read_head(&mut stream).await;
+    let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    stream.write_all(head).await.unwrap();
+    let zeros = [b'0'; 32 << 10];
+    let mut written = 0;
+    while stream.write_all(&zeros).await.is_ok() {
+        written += zeros.len();
+    }
+    written
+}
+
+/// Guards against a store that occupies its reader by bytes that are no answer, until the reader's time-out.
+#[tokio::test]
+async fn a_page_without_end_is_given_up_by_its_bytes() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(begin_endless_chunk(listener));
+    let mut client = PersistentClient::new(address, 5_000, 1_000);
+    let page = timeout(ANSWER_TIMEOUT, client.get("/page")).await;
+    assert!(page.expect("the page has no end").is_err());
+    assert!(server.await.unwrap() > 0);
+}
+
 /// Guards against a body that is dropped late and lifts the limit of the next message on its connection.
 #[tokio::test]
 async fn a_body_that_is_dropped_late_does_not_lift_the_limit_of_the_next_message() {
