--- a/crates/reedsail_net/tests/frame_limit.rs
+++ b/crates/reedsail_net/tests/frame_limit.rs
@@ -47,7 +47,7 @@
     read_head(&mut stream).await;
     let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
     stream.write_all(head).await.unwrap();
-    let zeros = [b'0'; 32 << 10];
+    let zeros = [b'0'; 8 << 10];
     let mut written = 0;
     while stream.write_all(&zeros).await.is_ok() {
         written += zeros.len();
