Keep an answer of unknown length that arrives in one large frame

What callers would have seen: an empty answer, complete by its length, where a server sent one chunk of more than 32 KiB and nothing else.

Cause: the first frame of a body is kept uncopied, and a first frame that needs room was kept there too, while what is counted is taken from the copy.

Change: room is made before the frame is placed, so that a frame that is counted is copied.

Evidence: an_answer_of_unknown_length_arrives_whole saw 0 of 32,768 bytes before and passes.

--- a/crates/reedsail_router/src/traffic/body_buffer.rs
+++ b/crates/reedsail_router/src/traffic/body_buffer.rs
@@ -29,7 +29,7 @@
     workspace: NameHash,
     kind: BodyKind,
     bytes_max: usize,
-    /// The only frame so far, if its body is uncounted. Most bodies have one frame, which is not copied.
+    /// The only frame so far, if nothing is reserved. Most bodies have one frame, which is not copied.
     first: Bytes,
     bytes: Vec<u8>,
     reservation: Option<BodyReservation>,
@@ -86,13 +86,12 @@
 
     /// Appends a frame, also if there is no room for more.
     fn push(&mut self, data: Bytes) -> Result<(), BodyError> {
+        let read_bytes = self.bytes.len() + self.first.len() + data.len();
+        let room = self.make_room(read_bytes, (read_bytes * 2).min(self.bytes_max));
         if self.bytes.capacity() == 0 && self.first.is_empty() {
-            let bytes = data.len();
             self.first = data;
-            return self.make_room(bytes, bytes);
+            return room;
         }
-        let read_bytes = self.bytes.len() + self.first.len() + data.len();
-        let room = self.make_room(read_bytes, (read_bytes * 2).min(self.bytes_max));
         self.bytes.extend_from_slice(&std::mem::take(&mut self.first));
         self.bytes.extend_from_slice(&data);
         room
--- a/crates/reedsail_router/tests/body_memory.rs
+++ b/crates/reedsail_router/tests/body_memory.rs
@@ -136,6 +136,43 @@
     wait_for_held(&fixture, 0).await;
 }
 
+/// Guards against the loss of an answer of unknown length that arrives in one frame.
+#[tokio::test]
+async fn an_answer_of_unknown_length_arrives_whole() {
+    let fixture = fixture().await;
+    for event_bytes in [100, 30_000, 32_768, 40_000, 60_000, 200_000] {
+        fixture.app.answer_with(&[RoutedAnswer::Flood {
+            event_bytes,
+            events: 1,
+            stalled_ms: 10_000,
+        }]);
+        let reply = ask(fixture.callers(), "/once/a", &[]).await;
+        assert!(reply.is_certified(), "{event_bytes}");
+        assert!(
+            reply.body.len() >= event_bytes,
+            "{} of {event_bytes}",
+            reply.body.len()
+        );
+    }
+    wait_for_held(&fixture, 0).await;
+}
+
+#[tokio::test]
+async fn a_body_of_unknown_length_arrives_whole() {
+    let fixture = fixture().await;
+    for bytes in [1, 30_000, 32_768, 32_769, 40_000, 60_000, 200_000] {
+        let mut chunks = format!("{bytes:x}\r\n").into_bytes();
+        chunks.extend(vec![b'u'; bytes]);
+        chunks.extend(b"\r\n0\r\n\r\n");
+        let mut upload = begin_upload(&fixture, "transfer-encoding: chunked", &chunks).await;
+        let mut answer = [0; 4_096];
+        let read = upload.read(&mut answer).await.unwrap();
+        assert!(answer[..read].starts_with(b"HTTP/1.1 200"), "{bytes}");
+        assert_eq!(fixture.app.runs().last().unwrap().body.len(), bytes);
+    }
+    wait_for_held(&fixture, 0).await;
+}
+
 #[tokio::test]
 async fn room_is_given_back_at_the_deadline_and_after_the_answer() {
     let fixture = fixture().await;
