Keep a departure that a backup of the store lacks when the backup is read again

What callers would have seen: requests sent to a server that had left, after the store was restored from an older copy and its whole list, or that of a peer which started since, was read once more in the new era.

Cause: only the first list of an era counted as the backup. A later whole list or a peer's list was taken for news, though its record of the same incarnation may be older than the era.

Change: a record of a list stays one of the backup until the log of the new era or another incarnation of the server says otherwise. The departure ends with its time as before; no call and no wait is added.

Evidence: both new tests of store_eras.rs failed before; the tests of dispatch and simulation pass. Found by reading the diff again; the code before had it too.

--- a/crates/reedsail_dispatch/src/server_list/announcements.rs
+++ b/crates/reedsail_dispatch/src/server_list/announcements.rs
@@ -10,6 +10,17 @@
 use crate::departures::DepartureEvidence;
 use crate::server_entries::Entry;
 
+/// How a record was read, which says whether it may be older than a departure that the store has lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RecordSource {
+    /// From the log, in the current era: it was written since the era began.
+    Log,
+    /// From a whole list or a peer's list: it may have been written before the era began.
+    List,
+    /// From the first list of a new era: it comes from the backup that the store was restored from.
+    Backup,
+}
+
 impl ServerList {
     /// Applies a record, which was the server's newest one as of a position in the store's log. A record from a backup of
     /// the store does not bring back a server whose record had announced a departure.
@@ -17,7 +28,7 @@
         &mut self,
         mut record: ServerRecord,
         as_of: StorePosition,
-        is_from_backup: bool,
+        source: RecordSource,
         now: TimeMs,
         delta: &mut ListDelta,
     ) {
@@ -25,6 +36,7 @@
             delta.outdated += 1;
             return;
         }
+        let is_from_backup = self.is_from_backup(&record, source);
         record.software_version = self.entries.software_version_of(&record);
         if self.is_repeated(&record, is_from_backup) {
             self.entries.confirm(&record.id, as_of);
@@ -52,6 +64,19 @@
         self.has_newer_entry(&record.id, as_of) || self.departures.is_known_since(record.name(), as_of)
     }
 
+    /// Returns whether a record comes from a backup of the store, as far as is known. A list that has the same incarnation
+    /// as the backup does not show that the server has written its record since.
+    fn is_from_backup(&self, record: &ServerRecord, source: RecordSource) -> bool {
+        match source {
+            RecordSource::Log => false,
+            RecordSource::Backup => true,
+            RecordSource::List => {
+                let known = self.entries.get(&record.id);
+                known.is_some_and(|known| known.is_from_backup && known.name == record.name())
+            }
+        }
+    }
+
     /// Returns whether a record only repeats what is known. Most do: a reader gets one from each server every few
     /// seconds.
     fn is_repeated(&self, record: &ServerRecord, is_from_backup: bool) -> bool {
--- a/crates/reedsail_dispatch/src/server_list/peer_lists.rs
+++ b/crates/reedsail_dispatch/src/server_list/peer_lists.rs
@@ -10,6 +10,7 @@
 
 use super::FRESH_AGE_MS;
 use super::ServerList;
+use super::announcements::RecordSource;
 use super::time_before;
 use crate::AheadOfList;
 use crate::ListComparison;
@@ -97,6 +98,11 @@
             None => self.missing_from(listing.records.iter().map(|record| record.id.as_str())),
             Some(_) => listing.removed.iter().map(|id| Arc::from(id.as_str())).collect(),
         };
+        let source = if begins_era {
+            RecordSource::Backup
+        } else {
+            RecordSource::List
+        };
         let ahead = self.receive_ahead(&listing);
         let as_of = |server: NameHash| ahead.get(&server).copied().unwrap_or(listing.revision);
         let suspects: HashSet<String> = listing.suspects.into_iter().collect();
@@ -105,7 +111,7 @@
             if suspects.contains(&record.id) {
                 self.merge_suspect(record, as_of, now, &mut delta);
             } else {
-                self.announce(record, as_of, begins_era, now, &mut delta);
+                self.announce(record, as_of, source, now, &mut delta);
             }
         }
         for id in gone {
@@ -160,7 +166,7 @@
             if is_departed {
                 return;
             }
-            self.announce(record, as_of, false, now, delta);
+            self.announce(record, as_of, RecordSource::List, now, delta);
         }
         self.suspect(&id, as_of, now);
     }
--- a/crates/reedsail_dispatch/src/server_list/store_updates.rs
+++ b/crates/reedsail_dispatch/src/server_list/store_updates.rs
@@ -8,6 +8,7 @@
 
 use super::OUTAGE_GRACE_MS;
 use super::ServerList;
+use super::announcements::RecordSource;
 use crate::ListDelta;
 use crate::PositionedChange;
 use crate::ServerChange;
@@ -21,7 +22,11 @@
             return ListDelta::default();
         }
         let begins_era = self.begins_era(update.revision);
-        let is_from_backup = update.is_whole && begins_era;
+        let source = match (update.is_whole, begins_era) {
+            (true, true) => RecordSource::Backup,
+            (true, false) => RecordSource::List,
+            (false, _) => RecordSource::Log,
+        };
         let known_until = self.revision;
         self.known_at = self.known_at.max(Some(asked_at));
         self.revision = self.revision.max(update.revision);
@@ -45,7 +50,7 @@
             }
             match change {
                 ServerChange::Announced(record) => {
-                    self.announce(record, as_of, is_from_backup, now, &mut delta);
+                    self.announce(record, as_of, source, now, &mut delta);
                 }
                 change if self.has_newer_entry(change.id(), as_of) => delta.outdated += 1,
                 ServerChange::Dropped { id } => self.drop_record(&id, as_of, now, &mut delta),
--- a/crates/reedsail_dispatch/tests/store_eras.rs
+++ b/crates/reedsail_dispatch/tests/store_eras.rs
@@ -125,6 +125,39 @@
     assert!(list.kept_departures().is_empty());
 }
 
+/// Returns a list that keeps the departure of server `one` against the backup of the second era.
+fn list_with_kept_departure(now: TimeMs) -> ServerList {
+    let mut list = list();
+    let dropped = ServerChange::Dropped { id: "one".to_owned() };
+    list.apply(change(1, 11, dropped), now, now);
+    list.apply(whole(2, 8, &["one", "two", "three"]), now, now);
+    assert_eq!(usable(&list, now), ["three", "two"]);
+    list
+}
+
+/// Guards against a second read of the whole backup that brings back a server whose departure the backup lacks.
+#[test]
+fn a_backup_that_is_read_again_ends_no_departure() {
+    let now = START.plus_ms(500);
+    let mut list = list_with_kept_departure(now);
+    list.apply(whole(2, 12, &["four", "one", "two", "three"]), now, now);
+    assert_eq!(usable(&list, now), ["four", "three", "two"]);
+    assert_eq!(list.kept_departures(), ["one"]);
+}
+
+/// Guards against a peer that knows only the backup, and whose newer list brings back a server that has left.
+#[test]
+fn a_list_of_a_peer_that_knows_only_the_backup_ends_no_departure() {
+    let now = START.plus_ms(500);
+    let mut list = list_with_kept_departure(now);
+    let mut newcomer = ServerList::default();
+    newcomer.apply(whole(2, 8, &["one", "two", "three"]), now, now);
+    newcomer.apply(change(2, 12, ServerChange::Announced(record("four"))), now, now);
+    list.apply_listing(newcomer.listing(now), now);
+    assert_eq!(usable(&list, now), ["four", "three", "two"]);
+    assert_eq!(list.kept_departures(), ["one"]);
+}
+
 #[test]
 fn a_departure_is_not_kept_for_longer_than_it_is_advertised() {
     let mut list = list();
