--- a/crates/reedsail_dispatch/tests/store_eras.rs
+++ b/crates/reedsail_dispatch/tests/store_eras.rs
@@ -158,6 +158,25 @@
     assert_eq!(list.kept_departures(), ["one"]);
 }
 
+/// Guards against a peer's list of a new era, equal to this one, that ends a departure which another peer advertised.
+#[test]
+fn an_equal_list_of_the_backup_ends_no_advertised_departure() {
+    let now = START.plus_ms(500);
+    let mut list = list();
+    let departed = [record("one").name()];
+    let mut ahead = list.clone();
+    let other = ServerChange::Announced(record("four"));
+    ahead.apply(change(1, 12, other), now, now);
+    list.compare_with_peer(&state(&ahead, &departed, now), now);
+    assert_eq!(usable(&list, now), ["three", "two"]);
+    list.apply(whole(2, 8, &["one", "two", "three"]), now, now);
+    assert_eq!(usable(&list, now), ["three", "two"]);
+    let mut newcomer = ServerList::default();
+    newcomer.apply(whole(2, 12, &["one", "two", "three"]), now, now);
+    list.compare_with_peer(&state(&newcomer, &[], now), now);
+    assert_eq!(usable(&list, now), ["three", "two"]);
+}
+
 #[test]
 fn a_departure_is_not_kept_for_longer_than_it_is_advertised() {
     let mut list = list();
