Read a body of unknown length that just fits

What callers would have seen: a chunked body refused as no_body_room although the rest of it had room.

Cause: a body that grows asked for twice what it has, and for nothing less.

Change: it asks for what it needs where twice as much is not free.

Found by reading the diff again.

--- a/crates/reedsail_router/src/traffic/body_buffer.rs
+++ b/crates/reedsail_router/src/traffic/body_buffer.rs
@@ -97,26 +97,32 @@
         room
     }
 
-    /// Makes room for `needed_bytes`, and for `wanted_bytes` if there is less room now.
+    /// Makes room for `needed_bytes`, or for `wanted_bytes` if there is less room now and so much is free.
     fn make_room(&mut self, needed_bytes: usize, wanted_bytes: usize) -> Result<(), BodyError> {
         if needed_bytes > self.bytes_max {
             return Err(BodyError::TooLarge);
         }
-        if needed_bytes as u64 <= UNCOUNTED_BYTES_MAX {
+        let reserved_bytes = self.reservation.as_ref().map_or(0, BodyReservation::bytes);
+        if needed_bytes as u64 <= UNCOUNTED_BYTES_MAX.max(reserved_bytes) {
             return Ok(());
         }
-        let wanted_bytes = wanted_bytes as u64;
+        self.reserve(wanted_bytes as u64)
+            .or_else(|_full| self.reserve(needed_bytes as u64))
+            .map_err(BodyError::NoRoom)?;
+        let capacity = self.reservation.as_ref().map_or(0, BodyReservation::bytes);
+        self.bytes.reserve_exact(capacity as usize - self.bytes.len());
+        Ok(())
+    }
+
+    fn reserve(&mut self, bytes: u64) -> Result<(), NoBodyRoom> {
         match &mut self.reservation {
-            Some(reservation) if reservation.bytes() >= needed_bytes as u64 => return Ok(()),
-            Some(reservation) => reservation.grow_to(wanted_bytes).map_err(BodyError::NoRoom)?,
+            Some(reservation) => reservation.grow_to(bytes),
             None => {
-                let reserved = self.memory.reserve(self.workspace, self.kind, wanted_bytes);
-                self.reservation = Some(reserved.map_err(BodyError::NoRoom)?);
+                let reserved = self.memory.reserve(self.workspace, self.kind, bytes)?;
+                self.reservation = Some(reserved);
+                Ok(())
             }
         }
-        let capacity = wanted_bytes as usize;
-        self.bytes.reserve_exact(capacity - self.bytes.len());
-        Ok(())
     }
 }
 
--- a/crates/reedsail_router/tests/body_memory.rs
+++ b/crates/reedsail_router/tests/body_memory.rs
@@ -47,11 +47,16 @@
     fixture
 }
 
-/// Begins an upload of `bytes` bytes in one piece, or in chunks, and sends a part of it.
+/// Begins an upload of the workspace `labska`, and sends a part of it.
 async fn begin_upload(fixture: &RouterFixture, framing: &str, sent: &[u8]) -> TcpStream {
+    begin_upload_with(fixture, "key-1", framing, sent).await
+}
+
+/// Begins an upload with a key, and sends a part of it.
+async fn begin_upload_with(fixture: &RouterFixture, key: &str, framing: &str, sent: &[u8]) -> TcpStream {
     let mut stream = TcpStream::connect(fixture.callers()).await.unwrap();
     let head = format!(
-        "POST /once/a HTTP/1.1\r\nhost: huts.example\r\nauthorization: Bearer key-1\r\n\
+        "POST /once/a HTTP/1.1\r\nhost: huts.example\r\nauthorization: Bearer {key}\r\n\
          reedsail-request-id: id-1\r\nreedsail-deadline-ms: 3000\r\n{framing}\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await.unwrap();
@@ -136,6 +141,28 @@
     wait_for_held(&fixture, 0).await;
 }
 
+fn chunked(bytes: usize) -> Vec<u8> {
+    let mut chunks = format!("{bytes:x}\r\n").into_bytes();
+    chunks.extend(vec![b'u'; bytes]);
+    chunks.extend(b"\r\n0\r\n\r\n");
+    chunks
+}
+
+/// Guards against a body of unknown length that is refused because twice of what it has is not free.
+#[tokio::test]
+async fn a_body_of_unknown_length_that_just_fits_is_read() {
+    let fixture = fixture().await;
+    let _held = begin_upload(&fixture, "content-length: 4000000", b"").await;
+    let _second = begin_upload(&fixture, "content-length: 4000000", b"").await;
+    wait_for_held(&fixture, 8 * MB as u64).await;
+    let body = chunked(3 * MB / 2);
+    let mut upload = begin_upload_with(&fixture, "key-other", "transfer-encoding: chunked", &body).await;
+    let mut answer = [0; 4_096];
+    let read = upload.read(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer[..read]);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 /// Guards against the loss of an answer of unknown length that arrives in one frame.
 #[tokio::test]
 async fn an_answer_of_unknown_length_arrives_whole() {
@@ -161,10 +188,7 @@
 async fn a_body_of_unknown_length_arrives_whole() {
     let fixture = fixture().await;
     for bytes in [1, 30_000, 32_768, 32_769, 40_000, 60_000, 200_000] {
-        let mut chunks = format!("{bytes:x}\r\n").into_bytes();
-        chunks.extend(vec![b'u'; bytes]);
-        chunks.extend(b"\r\n0\r\n\r\n");
-        let mut upload = begin_upload(&fixture, "transfer-encoding: chunked", &chunks).await;
+        let mut upload = begin_upload(&fixture, "transfer-encoding: chunked", &chunked(bytes)).await;
         let mut answer = [0; 4_096];
         let read = upload.read(&mut answer).await.unwrap();
         assert!(answer[..read].starts_with(b"HTTP/1.1 200"), "{bytes}");
