--- a/crates/reedsail_router/src/traffic/body_buffer.rs
+++ b/crates/reedsail_router/src/traffic/body_buffer.rs
@@ -115,14 +115,12 @@
     }
 
     fn reserve(&mut self, bytes: u64) -> Result<(), NoBodyRoom> {
-        match &mut self.reservation {
-            Some(reservation) => reservation.grow_to(bytes),
-            None => {
-                let reserved = self.memory.reserve(self.workspace, self.kind, bytes)?;
-                self.reservation = Some(reserved);
-                Ok(())
-            }
+        if let Some(reservation) = &mut self.reservation {
+            return reservation.grow_to(bytes);
         }
+        let reserved = self.memory.reserve(self.workspace, self.kind, bytes)?;
+        self.reservation = Some(reserved);
+        Ok(())
     }
 }
 
