Let a caller read that its body is over the limit

What callers saw: an upload over the limit whose length is stated was refused by its head, and the reset of the connection could end the caller's write before it read the 413. The code before read up to the limit first, and reset the connection under what was left.

Cause: the rest of a body that is too long was not read.

Change: it is discarded as it arrives, like that of a body without room: twice the largest body at most, until the deadline.

--- a/crates/reedsail_router/src/traffic/call.rs
+++ b/crates/reedsail_router/src/traffic/call.rs
@@ -53,6 +53,9 @@
 /// Deadline of a request without a deadline header, in milliseconds after its arrival.
 const DEADLINE_DEFAULT_MS: u64 = 60_000;
 
+/// How much of a refused body is discarded before its connection closes, in bodies of the largest size.
+const DISCARDED_BODIES: usize = 2;
+
 /// A caller's request, ready for placement on a server.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -211,8 +214,8 @@
     Ok(call)
 }
 
-/// Reads the body of a request until its deadline. A body without room is refused at once, and the rest of it is
-/// discarded as it arrives, so that its caller gets the answer on a connection that stays open.
+/// Reads the body of a request until its deadline. A body that is too long or has no room is refused at once, and the rest
+/// of it is discarded as it arrives, so that its caller gets the answer before the connection closes.
 async fn read_body<H>(
     shared: &Shared<H>,
     parts: &Parts,
@@ -233,8 +236,14 @@
         () = timer => return Err(ErrorKind::BodyIncomplete.into()),
     };
     // A caller that waits for leave to send its body doesn't send it after a refusal.
-    if matches!(read, Err(BodyError::NoRoom(_))) && !parts.headers.contains_key(EXPECT) {
-        tokio::spawn(discard_body(body, bytes_max, shared.clock.timer(deadline)));
+    let is_refused = matches!(read, Err(BodyError::NoRoom(_) | BodyError::TooLarge));
+    if is_refused && !parts.headers.contains_key(EXPECT) {
+        let discarded_bytes_max = bytes_max.saturating_mul(DISCARDED_BODIES);
+        tokio::spawn(discard_body(
+            body,
+            discarded_bytes_max,
+            shared.clock.timer(deadline),
+        ));
     }
     read?;
     Ok(buffer.into_bytes())
--- a/crates/reedsail_router/tests/body_memory.rs
+++ b/crates/reedsail_router/tests/body_memory.rs
@@ -163,6 +163,16 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Guards against a refusal of a body over the limit that its caller cannot read because its connection is reset.
+#[tokio::test]
+async fn an_upload_over_the_limit_gets_its_answer() {
+    let fixture = fixture().await;
+    let mut caller = Caller::connect(fixture.callers()).await;
+    let reply = common::read(caller.send(upload("/once/a", &[], 5 * MB)).await).await;
+    assert_eq!(reply.status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert!(reply.is_certified());
+}
+
 /// Guards against the loss of an answer of unknown length that arrives in one frame.
 #[tokio::test]
 async fn an_answer_of_unknown_length_arrives_whole() {
