End an advertised departure by an equal list of a new era again

An advertised departure does not say which it is.

The own departures that keeps are recorded ones only; inferred ones end with the record of the backup as before.

--- a/crates/reedsail_dispatch/src/server_list/peer_lists.rs
+++ b/crates/reedsail_dispatch/src/server_list/peer_lists.rs
@@ -58,13 +58,12 @@
 
     /// Removes advertised departures of servers that accept work according to this list, unless they are newer than the
     /// position at which the list was confirmed: the servers have come back. A difference does not name a server that has
-    /// left and come back in between. A record of a backup of the store does not show that its server has come back.
+    /// left and come back in between.
     fn end_advertised_departures(&mut self, confirmed_at: StorePosition, delta: &mut ListDelta) {
         if !self.departures.has_advertised() {
             return;
         }
-        let accept_work = |entry: &&Entry| !entry.record.is_draining && !entry.is_from_backup;
-        for entry in self.entries.values().filter(accept_work) {
+        for entry in self.entries.values().filter(|entry| !entry.record.is_draining) {
             let Some(departed_at) = self.departures.forget_advertised(entry.name, confirmed_at) else {
                 continue;
             };
