Draw the moment, pace and restarts in the soak's segment that ends servers

Engines of the soak ended one event into the answer, at one pace. They now end before the head or after up to 200 events, while one, several or all instances restart, killed or planned. An instance is in touch after 3 s, as in the users' rule (6 s before), and the bound counts from the fifth end of an engine, which engines now report, and not from the fifth request.

--- a/crates/reedsail_soak/src/draw.rs
+++ b/crates/reedsail_soak/src/draw.rs
@@ -5,6 +5,7 @@
 use rand::rngs::StdRng;
 
 use crate::AnswerFault;
+use crate::EngineEnd;
 use crate::Fault;
 use crate::FaultKind;
 use crate::Link;
@@ -29,6 +30,17 @@
 /// Time from then until the server leaves, in milliseconds.
 const HELD_BEFORE_LEAVING_MS: u64 = 60;
 
+/// The rates of requests with a segment that ends servers, in requests in ten seconds.
+const POISON_RATES_PER_10_S: [u64; 4] = [5, 20, 60, 200];
+/// Largest number of events before an engine ends.
+const ENGINE_EVENTS_MAX: f64 = 200.0;
+/// Times between two events of an engine that ends, in milliseconds.
+const EVENT_INTERVALS_MS: [u64; 5] = [0, 1, 5, 20, 50];
+/// Longest time between two restarts while the segment comes.
+const RESTART_GAP_MAX_MS: u64 = 6_000;
+/// Longest time for which instances are away in these restarts.
+const RESTART_MAX_MS: u64 = 1_500;
+
 /// Draws a schedule. The same seed, duration and number of instances give the same schedule.
 pub fn draw_schedule(seed: u64, for_ms: u64, instances: Option<usize>) -> Schedule {
     let mut random = StdRng::seed_from_u64(seed);
@@ -64,6 +76,9 @@
     let mut at_ms = random.random_range(FAULT_FREE_START_MS..last_ms);
     let kind = random.random_range(0..KIND_COUNT);
     let first_target = random.random_range(0..64);
+    if kind >= POISON_KIND {
+        return draw_poison_segment(random, schedule, at_ms, last_ms);
+    }
     if kind >= LATE_ANSWER_KIND {
         return draw_late_answers(random, schedule, at_ms, last_ms);
     }
@@ -116,10 +131,56 @@
     faults
 }
 
+/// Draws a segment that ends servers until the end, and restarts of instances while its requests come: of one, of several in
+/// series or of all, killed or planned.
+fn draw_poison_segment(random: &mut StdRng, schedule: &Schedule, begin_ms: u64, last_ms: u64) -> Vec<Fault> {
+    let interval_ms = 10_000 / POISON_RATES_PER_10_S[random.random_range(0..POISON_RATES_PER_10_S.len())];
+    let mut faults = vec![Fault {
+        at_ms: begin_ms,
+        for_ms: last_ms - begin_ms,
+        kind: FaultKind::PoisonSegmentAt {
+            interval_ms,
+            engine_end: draw_engine_end(random),
+        },
+    }];
+    let first_instance = random.random_range(0..schedule.daemons);
+    let way = random.random_range(0..4);
+    let mut at_ms = begin_ms;
+    for number in 0..random.random_range(0..=FAULTS_PER_SERIES_MAX as usize) {
+        at_ms += random.random_range(500..=RESTART_GAP_MAX_MS);
+        let for_ms = random.random_range(100..=RESTART_MAX_MS);
+        if at_ms + for_ms >= last_ms {
+            break;
+        }
+        let instance = (first_instance + number) % schedule.daemons;
+        let kind = match way {
+            0 => FaultKind::KillAllDaemons,
+            1 => FaultKind::StopAllDaemons,
+            2 => FaultKind::KillDaemon(instance),
+            _ => FaultKind::StopDaemon(instance),
+        };
+        faults.push(Fault { at_ms, for_ms, kind });
+    }
+    faults
+}
+
+/// Draws when an engine ends: before the head for one in eight, else after a number of events of which small ones are as
+/// likely as large ones.
+fn draw_engine_end(random: &mut StdRng) -> EngineEnd {
+    if random.random_bool(0.125) {
+        return EngineEnd::BeforeHead;
+    }
+    EngineEnd::AfterEvents {
+        events: ENGINE_EVENTS_MAX.powf(random.random_range(0.0..=1.0)) as u32,
+        interval_ms: EVENT_INTERVALS_MS[random.random_range(0..EVENT_INTERVALS_MS.len())],
+    }
+}
+
 /// Number of indices of a series: those below [`LATE_ANSWER_KIND`] that [`draw_kind`] maps to a fault kind, and those of
-/// late answers while servers leave.
-const KIND_COUNT: u32 = 33;
+/// late answers while servers leave, and of a segment that ends servers while instances restart.
+const KIND_COUNT: u32 = 35;
 const LATE_ANSWER_KIND: u32 = 30;
+const POISON_KIND: u32 = 33;
 
 fn draw_kind(random: &mut StdRng, schedule: &Schedule, kind: u32, target: usize, version: u32) -> FaultKind {
     let engine = target % schedule.engines;
--- a/crates/reedsail_soak/src/history.rs
+++ b/crates/reedsail_soak/src/history.rs
@@ -154,6 +154,8 @@
     Run(Run),
     /// The server reports its status.
     Notice(Notice),
+    /// The server ends because of the segment in a request, at this time.
+    PoisonEnd(u64),
 }
 
 /// The target of a fault.
@@ -279,6 +281,9 @@
     /// The requests that ended the servers that ran them.
     #[serde(default)]
     pub poison_runs: Vec<Run>,
+    /// When servers ended because of them.
+    #[serde(default)]
+    pub poison_ends_ms: Vec<u64>,
     /// The times in which such requests came, from the first to the last.
     #[serde(default)]
     pub poison_spans: Vec<(u64, u64)>,
--- a/crates/reedsail_soak/src/lib.rs
+++ b/crates/reedsail_soak/src/lib.rs
@@ -50,6 +50,7 @@
 pub use history::VersionWrite;
 pub use report::SoakReport;
 pub use schedule::AnswerFault;
+pub use schedule::EngineEnd;
 pub use schedule::Fault;
 pub use schedule::FaultKind;
 pub use schedule::Link;
--- a/crates/reedsail_soak/src/player/instances.rs
+++ b/crates/reedsail_soak/src/player/instances.rs
@@ -38,6 +38,12 @@
         join_all(kills).await.into_iter().collect()
     }
 
+    /// Asks all instances to stop at once, and starts them again.
+    pub(super) async fn stop_all_instances(&self, for_ms: u64) -> anyhow::Result<()> {
+        let stops = (0..self.fleet.instances.len()).map(|number| self.stop_instance(number, for_ms));
+        join_all(stops).await.into_iter().collect()
+    }
+
     pub(super) async fn freeze_instance(&self, number: usize, for_ms: u64) {
         let instance = &self.fleet.instances[number];
         let start_count = instance.start_count();
--- a/crates/reedsail_soak/src/player/mod.rs
+++ b/crates/reedsail_soak/src/player/mod.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 
 use crate::Departure;
+use crate::EngineEnd;
 use crate::Exit;
 use crate::Fault;
 use crate::FaultKind;
@@ -106,6 +107,7 @@
             FaultKind::KillAllDaemons => self.kill_all_instances(fault.for_ms).await?,
             FaultKind::FreezeDaemon(instance) => self.freeze_instance(instance, fault.for_ms).await,
             FaultKind::StopDaemon(instance) => self.stop_instance(instance, fault.for_ms).await?,
+            FaultKind::StopAllDaemons => self.stop_all_instances(fault.for_ms).await?,
             FaultKind::ReloadDaemon(instance) => self.reload_instance(instance).await?,
             FaultKind::KillServer(server) => self.kill_server(server, fault.for_ms).await?,
             FaultKind::FreezeServer(server) => self.freeze_server(server, fault.for_ms).await,
@@ -122,7 +124,14 @@
             FaultKind::HideServer(server) => self.hide_server(server, fault.for_ms).await?,
             FaultKind::ServerAnswers(server, kind) => self.disturb_answers(server, kind, fault.for_ms).await,
             FaultKind::ServiceFails { is_engine } => self.fail_service(is_engine, fault.for_ms).await,
-            FaultKind::PoisonSegment(interval_ms) => self.send_poison(interval_ms, fault.for_ms).await,
+            FaultKind::PoisonSegment(interval_ms) => self.send_poison(interval_ms, None, fault.for_ms).await,
+            FaultKind::PoisonSegmentAt {
+                interval_ms,
+                engine_end,
+            } => {
+                self.send_poison(interval_ms, Some(engine_end), fault.for_ms)
+                    .await;
+            }
             FaultKind::StoreRefuses => {
                 let refusal = Some(503);
                 let trouble = StoreFaults {
@@ -179,13 +188,13 @@
     }
 
     /// Sends requests with the poison segment, each to the next instance.
-    async fn send_poison(&self, interval_ms: u64, for_ms: u64) {
+    async fn send_poison(&self, interval_ms: u64, engine_end: Option<EngineEnd>, for_ms: u64) {
         let from_ms = self.now_ms();
         let until_ms = from_ms + for_ms;
         let mut requests = JoinSet::new();
         while self.now_ms() < until_ms {
             let number = self.poison_requests.fetch_add(1, Ordering::Relaxed);
-            requests.spawn(send_poison_request(Arc::clone(&self.callers), number));
+            requests.spawn(send_poison_request(Arc::clone(&self.callers), number, engine_end));
             sleep(Duration::from_millis(interval_ms)).await;
         }
         self.record().poison_spans.push((from_ms, self.now_ms()));
--- a/crates/reedsail_soak/src/poison.rs
+++ b/crates/reedsail_soak/src/poison.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use crate::CallKind;
+use crate::EngineEnd;
 use crate::caller::CONNECT_TIMEOUT_MS;
 use crate::caller::CallerShared;
 use crate::caller::PROMPT_COUNT;
@@ -21,6 +22,8 @@
 pub(crate) const POISON_SEGMENT: u64 = 0xdead;
 /// What the ids of these requests begin with.
 const ID_PREFIX: &str = "poison-";
+/// What the id of a request ends with whose engine ends before the head.
+const BEFORE_HEAD: &str = "head";
 /// The workspace that sends them. Its other requests share their first segments.
 pub(crate) const POISON_WORKSPACE: &str = "large";
 
@@ -35,11 +38,37 @@
     rest.split('-').next()?.parse().ok()
 }
 
+/// Returns when the engine ends that answers a request with the segment; `None` if its id does not say so.
+pub(crate) fn engine_end_of(request_id: &str) -> Option<EngineEnd> {
+    let text = request_id.strip_prefix(ID_PREFIX)?.split('-').nth(2)?;
+    if text == BEFORE_HEAD {
+        return Some(EngineEnd::BeforeHead);
+    }
+    let (events, interval_ms) = text.split_once('x')?;
+    Some(EngineEnd::AfterEvents {
+        events: events.parse().ok()?,
+        interval_ms: interval_ms.parse().ok()?,
+    })
+}
+
+/// Returns the end of a request's id, which tells the engine when to end.
+fn id_suffix(engine_end: Option<EngineEnd>) -> String {
+    match engine_end {
+        None => String::new(),
+        Some(EngineEnd::BeforeHead) => format!("-{BEFORE_HEAD}"),
+        Some(EngineEnd::AfterEvents { events, interval_ms }) => format!("-{events}x{interval_ms}"),
+    }
+}
+
 /// Sends a request with the segment to an instance, and reads what comes. No two of them are alike.
-pub(crate) async fn send_poison_request(shared: Arc<CallerShared>, number: u64) {
+pub(crate) async fn send_poison_request(
+    shared: Arc<CallerShared>,
+    number: u64,
+    engine_end: Option<EngineEnd>,
+) {
     let instances = &shared.fleet.instances;
     let instance = number as usize % instances.len();
-    let id = format!("{ID_PREFIX}{instance}-{number}");
+    let id = format!("{ID_PREFIX}{instance}-{number}{}", id_suffix(engine_end));
     let (shared_tokens, own_tokens) = PROMPT_TOKENS;
     let head = CallerHead {
         request_id: &id,
--- a/crates/reedsail_soak/src/poison_checks.rs
+++ b/crates/reedsail_soak/src/poison_checks.rs
@@ -17,15 +17,15 @@
 /// Number of later requests that are accepted.
 const LATE_RUNS_MAX: usize = 3;
 /// An instance is in touch if nothing disturbed it for this time.
-const IN_TOUCH_MS: u64 = 6_000;
+const IN_TOUCH_MS: u64 = 3_000;
 /// Minimum number of requests, with and without the segment about, for the check of the sound ones.
 const SOUND_MIN: usize = 20;
 
 pub(crate) fn check_poison_segment(history: &History, found: &mut Vec<Violation>) {
-    let Some(bounding_run) = history.poison_runs.get(BOUNDING_END - 1) else {
+    let Some(bounding_ms) = history.poison_ends_ms.get(BOUNDING_END - 1) else {
         return;
     };
-    let known_ms = bounding_run.began_ms + KNOWN_WITHIN_MS;
+    let known_ms = bounding_ms + KNOWN_WITHIN_MS;
     let late = history.poison_runs.iter().filter(|run| {
         let instance = instance_of(&run.id);
         run.began_ms > known_ms
@@ -34,10 +34,9 @@
     let late: Vec<&str> = late.map(|run| run.id.as_str()).collect();
     if late.len() > LATE_RUNS_MAX {
         let what = format!(
-            "{} servers ended, {} of them later than {KNOWN_WITHIN_MS} ms after the fifth at {} ms: {late:?}",
-            history.poison_runs.len(),
+            "{} servers ended, {} requests later than {KNOWN_WITHIN_MS} ms after the fifth at {bounding_ms} ms: {late:?}",
+            history.poison_ends_ms.len(),
             late.len(),
-            bounding_run.began_ms
         );
         found.push(Violation::new("a segment that ends servers is not sent", what));
     }
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -83,6 +83,20 @@
     }
 }
 
+/// When an engine ends that answers a request with the segment that ends engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EngineEnd {
+    /// Before it sends the head of the answer.
+    BeforeHead,
+    /// After a number of events.
+    AfterEvents {
+        /// The number of events.
+        events: u32,
+        /// Time between two of them, in milliseconds.
+        interval_ms: u64,
+    },
+}
+
 /// A kind of fault or operator action.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FaultKind {
@@ -96,6 +110,8 @@
     FreezeDaemon(usize),
     /// An instance is asked to stop, and restarted at the fault's end.
     StopDaemon(usize),
+    /// All instances are asked to stop at once, and restarted at the fault's end.
+    StopAllDaemons,
     /// An instance reloads changed settings.
     ReloadDaemon(usize),
     /// A server is killed; its record expires, and a new server starts at the fault's end.
@@ -126,6 +142,13 @@
     /// Requests come whose prompts have a segment that ends each engine which begins to answer them, one in the given
     /// milliseconds.
     PoisonSegment(u64),
+    /// The same, with engines that end at a given moment of the answer.
+    PoisonSegmentAt {
+        /// Time between two requests, in milliseconds.
+        interval_ms: u64,
+        /// When the engines end.
+        engine_end: EngineEnd,
+    },
     /// The store refuses every call.
     StoreRefuses,
     /// The store delays its answers by the given milliseconds.
@@ -158,6 +181,7 @@
             Self::KillAllDaemons => "all daemons killed",
             Self::FreezeDaemon(_) => "daemon paused",
             Self::StopDaemon(_) => "daemon stopped as planned",
+            Self::StopAllDaemons => "all daemons stopped as planned",
             Self::ReloadDaemon(_) => "daemon's settings changed",
             Self::KillServer(_) => "server killed",
             Self::FreezeServer(_) => "server paused",
@@ -170,7 +194,7 @@
             Self::ServerAnswers(_, AnswerFault::Busy(_)) => "server asking for time",
             Self::ServerAnswers(_, _) => "server answering wrongly",
             Self::ServiceFails { .. } => "service failing",
-            Self::PoisonSegment(_) => "segment that ends servers",
+            Self::PoisonSegment(_) | Self::PoisonSegmentAt { .. } => "segment that ends servers",
             Self::StoreRefuses => "store down",
             Self::StoreSlow(_) => "store slow",
             Self::StoreLoses(_) => "store losing answers",
--- a/crates/reedsail_soak/src/server_program.rs
+++ b/crates/reedsail_soak/src/server_program.rs
@@ -41,11 +41,13 @@
 
 use crate::AnswerFault;
 use crate::Arrival;
+use crate::EngineEnd;
 use crate::Notice;
 use crate::NoticeKind;
 use crate::Run;
 use crate::ServerLine;
 use crate::poison::POISON_SEGMENT;
+use crate::poison::engine_end_of;
 use crate::server::EVENTS;
 use crate::server::MISDIRECTED;
 use crate::server::SERVED_BY;
@@ -143,13 +145,17 @@
             Some(AnswerFault::Slow(late_ms)) => sleep(Duration::from_millis(late_ms)).await,
             _ => {}
         }
+        let engine_end = engine_end_of(&head.request_id);
         let mut response = if self.streams {
             sleep(Duration::from_millis(PREFILL_MS)).await;
+            if engine_end == Some(EngineEnd::BeforeHead) {
+                end_process();
+            }
             let (sender, body) = Channel::new(1);
             let (head, version) = (head.clone(), self.version.clone());
             tokio::spawn(async move {
                 if head.shared_parts.contains(&POISON_SEGMENT) {
-                    end_while_answering(sender, &head, &version).await;
+                    end_while_answering(sender, &head, &version, engine_end).await;
                 }
                 send_events(sender, &head, &version, fault).await;
                 drop(slot);
@@ -273,12 +279,29 @@
     );
 }
 
-/// Sends the first event, and ends the process.
-async fn end_while_answering(mut sender: Sender<Bytes, StandinError>, head: &ServerHead, version: &str) -> ! {
-    let first = Bytes::from(event(&head.request_id, 1, version));
-    // The process ends whether the event was read or not.
-    let _ = sender.send_data(first).await;
-    sleep(Duration::from_millis(EVENT_INTERVAL_MS)).await;
+/// Sends the events before the end, by default one, and ends the process.
+async fn end_while_answering(
+    mut sender: Sender<Bytes, StandinError>,
+    head: &ServerHead,
+    version: &str,
+    engine_end: Option<EngineEnd>,
+) -> ! {
+    let (events, interval_ms) = match engine_end {
+        Some(EngineEnd::AfterEvents { events, interval_ms }) => (events, interval_ms),
+        Some(EngineEnd::BeforeHead) | None => (1, EVENT_INTERVAL_MS),
+    };
+    for number in 1..=events {
+        let event = Bytes::from(event(&head.request_id, number, version));
+        // The process ends whether the event was read or not.
+        let _ = sender.send_data(event).await;
+        sleep(Duration::from_millis(interval_ms)).await;
+    }
+    end_process();
+}
+
+/// Ends the process, as an engine does that crashes.
+fn end_process() -> ! {
+    print_line(&ServerLine::PoisonEnd(Clock::unix_ms()));
     std::process::exit(1);
 }
 
--- a/crates/reedsail_soak/src/soak.rs
+++ b/crates/reedsail_soak/src/soak.rs
@@ -190,6 +190,9 @@
                         history.runs.push(run);
                     }
                 }
+                ServerLine::PoisonEnd(ended_ms) => {
+                    history.poison_ends_ms.push(self.clock.since_start_ms(ended_ms));
+                }
                 ServerLine::Notice(mut notice) => {
                     notice.at_ms = self.clock.since_start_ms(notice.at_ms);
                     history.notices.push(notice);
@@ -198,6 +201,7 @@
         }
         history.probes.sort_by_key(|probe| probe.ended_ms);
         history.poison_runs.sort_by_key(|run| run.began_ms);
+        history.poison_ends_ms.sort_unstable();
         let counts = self.player_record.counts.into_iter();
         let figures = Figures {
             faults: counts.map(|(name, count)| (name.to_owned(), count)).collect(),
