Log the evidence against a segment and what clears it

Line 316 tells how far each broken answer was; 520 and 521 tell which ends count against a segment and which answers clear them; 515 to 518 have the number of ends.

--- a/crates/reedsail_dispatch/src/attempt.rs
+++ b/crates/reedsail_dispatch/src/attempt.rs
@@ -32,6 +32,13 @@
     pub(crate) events: u32,
 }
 
+impl AnswerProgress {
+    /// Returns the time since the head, in milliseconds; `None` if it has not arrived.
+    pub(crate) fn answered_ms(self, now: TimeMs) -> Option<u64> {
+        self.began_at.map(|began_at| now.since_ms(began_at))
+    }
+}
+
 /// A request that was sent to a server. The caller returns it to the dispatcher when it ends.
 #[derive(Debug)]
 pub struct Attempt {
--- a/crates/reedsail_dispatch/src/dispatcher/attempts.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/attempts.rs
@@ -149,6 +149,8 @@
                 service: attempt.service,
                 segments: attempt.segments.clone(),
                 has_just_begun: attempt.has_just_begun(),
+                events: attempt.progress.events,
+                answered_ms: attempt.progress.answered_ms(now),
                 sent_at: attempt.began_at,
                 broke_at: now,
             };
--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -71,9 +71,13 @@
 /// Maximum number of rows in a report: 2 kB of requests, or 4 kB of segments.
 const ROWS_MAX: usize = 64;
 
-/// A change of a suspect's quarantine state.
+/// A change of a suspect's quarantine state, or of the evidence against a segment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineChange {
+    /// A server has ended under a segment, as this instance observed.
+    EndCounted,
+    /// An answer of this instance has cleared ends of servers under a segment.
+    EndsCleared,
     /// It is no longer sent.
     Quarantined,
     /// It was answered and may be sent again.
@@ -91,6 +95,11 @@
     pub workspace: NameHash,
     /// The change of its quarantine state.
     pub change: QuarantineChange,
+    /// Number of servers that have ended under it, in requests of the workspace, and that no answer has cleared.
+    pub ends: usize,
+    /// How long the answer had been written that a server ended or that cleared ends, in milliseconds; `None` without a
+    /// head, and for other changes.
+    pub answered_ms: Option<u64>,
 }
 
 /// All suspects.
@@ -122,6 +131,7 @@
             let workspace = request.workspace;
             let key = SuspectKey::Segment(SegmentKey { segment, workspace });
             self.observe_end(key, workspace, end, now);
+            self.report_evidence(key, QuarantineChange::EndCounted, request.answered_ms);
         }
     }
 
@@ -150,12 +160,17 @@
 
     fn record_segments_survived(&mut self, attempt: &Attempt, now: TimeMs) {
         let began_at = attempt.progress.began_at.unwrap_or(attempt.began_at);
+        let answered_ms = attempt.progress.answered_ms(now);
         for id in &attempt.segments {
             let segment = SegmentId {
                 service: attempt.service,
                 id: *id,
             };
-            self.record_segment_answer(segment, attempt.workspace, began_at, now);
+            if self.record_segment_answer(segment, attempt.workspace, began_at, now) {
+                let workspace = attempt.workspace;
+                let key = SuspectKey::Segment(SegmentKey { segment, workspace });
+                self.report_evidence(key, QuarantineChange::EndsCleared, answered_ms);
+            }
         }
     }
 
@@ -172,23 +187,25 @@
     }
 
     /// Records an answer to a workspace's request with a segment that began at `began_at`, if it clears any end. What ends
-    /// servers from some time on does so to answers that begin then, and not to those that began before.
+    /// servers from some time on does so to answers that begin then, and not to those that began before. Returns whether it
+    /// clears any.
     fn record_segment_answer(
         &mut self,
         segment: SegmentId,
         workspace: NameHash,
         began_at: TimeMs,
         now: TimeMs,
-    ) {
+    ) -> bool {
         let evidence = self.evidence(segment);
         if !evidence.is_answer_news(workspace, began_at) {
-            return;
+            return false;
         }
         let key = SuspectKey::Segment(SegmentKey { segment, workspace });
         let suspect = self.suspect(key, workspace, now);
         suspect.observe(now);
         suspect.announce(now);
         self.clear(key, began_at, now);
+        true
     }
 
     /// Returns what of a request forbids to send it, and records that it was seen. `own` is this instance.
@@ -300,9 +317,16 @@
             key,
             workspace,
             change,
+            ends: self.ends(key),
+            answered_ms: None,
         });
     }
 
+    /// Returns the number of ends of a suspect that no answer has cleared.
+    fn ends(&self, key: SuspectKey) -> usize {
+        self.suspects.get(&key).map_or(0, |suspect| suspect.ends.len())
+    }
+
     /// Announces all suspects at once, for a peer that has just joined. A newly started instance
     /// knows no suspects. It would send a quarantined request once more itself, since the next announcement
     /// may be up to two seconds away.
@@ -385,11 +409,17 @@
     }
 
     fn report(&mut self, key: SuspectKey, change: QuarantineChange) {
+        self.report_evidence(key, change, None);
+    }
+
+    fn report_evidence(&mut self, key: SuspectKey, change: QuarantineChange, answered_ms: Option<u64>) {
         if let Some(suspect) = self.suspects.get(&key) {
             self.events.push(QuarantineEvent {
                 key,
                 workspace: suspect.workspace,
                 change,
+                ends: suspect.ends.len(),
+                answered_ms,
             });
         }
     }
--- a/crates/reedsail_dispatch/src/server_ends.rs
+++ b/crates/reedsail_dispatch/src/server_ends.rs
@@ -45,6 +45,10 @@
     pub segments: Box<[u64]>,
     /// Whether the server had just begun to write the answer.
     pub has_just_begun: bool,
+    /// Number of events of the answer that had arrived.
+    pub events: u32,
+    /// Time since the head of the answer, in milliseconds; `None` if none had arrived.
+    pub answered_ms: Option<u64>,
     /// When it was sent to the server.
     pub sent_at: TimeMs,
     /// When its connection broke.
--- a/crates/reedsail_events/src/event_kind.rs
+++ b/crates/reedsail_events/src/event_kind.rs
@@ -108,7 +108,7 @@
     DomainReturned = 315, "domain_returned", Info, "the operator ended the evacuation of a failure domain; its backend servers count as cold at first";
 
     /// A backend server exited while it ran requests.
-    ServerEnded = 316, "server_ended", Warn, "a backend server exited while it ran requests of this instance; a fingerprint that appears in several of these events belongs to the request that makes the servers exit, and a segment (`segments`: of prompts whose answers had just begun) that appears in all of them makes them exit";
+    ServerEnded = 316, "server_ended", Warn, "a backend server exited while it ran requests of this instance; a fingerprint that appears in several of these events belongs to the request that makes the servers exit, and a segment (`segments`: of prompts whose answers had just begun) that appears in all of them makes them exit; `answers` has the events of each answer and the milliseconds since its head";
     /// A backend server asked this instance to back off.
     ServerBackedOff = 317, "server_backed_off", Info, "a backend server rejected a request and asked this instance to back off; see the fields for the duration";
     /// Records of backend servers arrived too late to change anything.
@@ -165,6 +165,10 @@
     SegmentQuarantineEnded = 518, "segment_quarantine_ended", Info, "a request with a quarantined segment was answered completely, or none has arrived for a long time; they are sent again";
     /// The retry budget refused to send a request again.
     RetryRefused = 519, "retry_refused", Info, "a request is not sent again because the retry budget of its service does not allow it; see the fields for the outcome of the previous attempt (`cause`), the reason (`budget`), and how many retries the service may still make here (`room`)";
+    /// A server ended under a segment of prompts, which counts as evidence.
+    SegmentEndCounted = 520, "segment_end_counted", Info, "a backend server exited while it ran a request of this instance whose prompt has a segment, which counts against the segment; see the fields for the ends so far in requests of the workspace (`ends`) and for how long the answer had been written (`answered_ms`, `none` without a head)";
+    /// An answer cleared the ends of servers under a segment of prompts.
+    SegmentEndsCleared = 521, "segment_ends_cleared", Info, "an answer of this instance to a request with a segment has cleared exits of backend servers that counted against the segment; see the fields for those that remain (`ends`) and for how long the answer had been written (`answered_ms`)";
     /// The quarantine of a request ended.
     QuarantineEnded = 516, "quarantine_ended", Info, "a quarantined request was answered completely or has not arrived for a long time; it may be sent again";
 }
--- a/crates/reedsail_router/src/control/quarantine_log.rs
+++ b/crates/reedsail_router/src/control/quarantine_log.rs
@@ -24,29 +24,35 @@
 }
 
 fn log_event<H>(shared: &Shared<H>, event: &QuarantineEvent) {
-    let (begun, ended, subject) = match event.key {
-        SuspectKey::Request(fingerprint) => (
-            EventKind::RequestQuarantined,
-            EventKind::QuarantineEnded,
-            ("fingerprint", fingerprint.to_string()),
-        ),
-        SuspectKey::Segment(key) => (
-            EventKind::SegmentQuarantined,
-            EventKind::SegmentQuarantineEnded,
-            ("segment", format!("{:x}", key.segment.id)),
-        ),
+    let mut fields = vec![
+        subject(event.key),
+        ("workspace", workspace_name(shared, event.workspace)),
+        ("ends", event.ends.to_string()),
+    ];
+    let is_segment = matches!(event.key, SuspectKey::Segment(_));
+    let (quarantined, ended) = if is_segment {
+        (EventKind::SegmentQuarantined, EventKind::SegmentQuarantineEnded)
+    } else {
+        (EventKind::RequestQuarantined, EventKind::QuarantineEnded)
     };
-    let mut fields = vec![subject, ("workspace", workspace_name(shared, event.workspace))];
-    let end_reason = match event.change {
-        QuarantineChange::Quarantined => {
-            shared.emit(begun, &fields);
-            return;
-        }
-        QuarantineChange::Cleared => "answered",
-        QuarantineChange::Forgotten => "has_not_come",
+    let answered_ms = event.answered_ms.map_or("none".to_owned(), |ms| ms.to_string());
+    let (kind, field) = match event.change {
+        QuarantineChange::EndCounted => (EventKind::SegmentEndCounted, Some(("answered_ms", answered_ms))),
+        QuarantineChange::EndsCleared => (EventKind::SegmentEndsCleared, Some(("answered_ms", answered_ms))),
+        QuarantineChange::Quarantined => (quarantined, None),
+        QuarantineChange::Cleared => (ended, Some(("reason", "answered".to_owned()))),
+        QuarantineChange::Forgotten => (ended, Some(("reason", "has_not_come".to_owned()))),
     };
-    fields.push(("reason", end_reason.to_owned()));
-    shared.emit(ended, &fields);
+    fields.extend(field);
+    shared.emit(kind, &fields);
+}
+
+/// Returns the field that names the request or the segment.
+fn subject(key: SuspectKey) -> (&'static str, String) {
+    match key {
+        SuspectKey::Request(fingerprint) => ("fingerprint", fingerprint.to_string()),
+        SuspectKey::Segment(key) => ("segment", format!("{:x}", key.segment.id)),
+    }
 }
 
 fn workspace_name<H>(shared: &Shared<H>, workspace: NameHash) -> String {
--- a/crates/reedsail_router/src/control/server_end_log.rs
+++ b/crates/reedsail_router/src/control/server_end_log.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use reedsail_dispatch::BrokenRequest;
 use reedsail_dispatch::ServerEnd;
 use reedsail_events::EventKind;
 
@@ -22,6 +23,7 @@
             ("requests", end.requests.len().to_string()),
             ("fingerprints", fingerprints(&end)),
             ("segments", segments(&end)),
+            ("answers", answers(&end)),
         ];
         shared.emit(EventKind::ServerEnded, &fields);
     }
@@ -47,6 +49,19 @@
     shown.join(" ")
 }
 
+/// Returns how far the answers were, in the order of the fingerprints: the number of events and the milliseconds since the
+/// head.
+fn answers(end: &ServerEnd) -> String {
+    let shown = end.requests.iter().take(FINGERPRINTS_MAX);
+    let answer = |request: &BrokenRequest| {
+        request
+            .answered_ms
+            .map_or("none".to_owned(), |ms| format!("{}@{ms}", request.events))
+    };
+    let shown: Vec<String> = shown.map(answer).collect();
+    shown.join(" ")
+}
+
 fn fingerprints(end: &ServerEnd) -> String {
     let shown = end.requests.iter().take(FINGERPRINTS_MAX);
     let shown: Vec<String> = shown.map(|request| request.fingerprint.to_string()).collect();
