Start the clock of a process an hour after zero

An instance that has just started learns of ends from its peers by their ages. Its clock began at 1 s, and ages beyond that were cut off at zero: all ends seemed to have come at one moment, counted as one, and the segment was sent again, also by an instance long in touch, since the first known times of an end stay. After a restart of all instances one after the other none of them knew the segment.

The clock starts at an hour now, longer than any knowledge is kept. A test of an instance that starts fails with a clock that starts at 1 s.

--- a/crates/reedsail_core/src/key.rs
+++ b/crates/reedsail_core/src/key.rs
@@ -6,11 +6,15 @@
 use serde::Serialize;
 use twox_hash::XxHash64;
 
-/// A time on the process's monotonic clock, in milliseconds since the process started.
+/// A time on the process's monotonic clock, in milliseconds. The clock reads [`TimeMs::PROCESS_START`] when the process starts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TimeMs(pub u64);
 
 impl TimeMs {
+    /// The reading of the clock when the process starts. What peers and the store tell of the last hour, by its age, has a
+    /// time of its own from the start on.
+    pub const PROCESS_START: Self = Self(3_600_000);
+
     /// Returns the time `span_ms` later, for example a deadline.
     #[must_use]
     pub fn plus_ms(self, span_ms: u64) -> Self {
--- a/crates/reedsail_dispatch/tests/segment_quarantine.rs
+++ b/crates/reedsail_dispatch/tests/segment_quarantine.rs
@@ -477,6 +477,18 @@
     assert!(!newcomer.sends("own", &[ROOT, POISON]));
 }
 
+/// Ages of ends that are cut off at the start of the process fall together, so that the ends count as one.
+#[test]
+fn an_instance_that_has_just_started_learns_of_ends_before_its_start() {
+    let mut observer = instance_with_quarantined_segment();
+    observer.advance(60_000);
+    observer.dispatcher.announce_suspects(observer.now);
+    let mut newcomer = Instance::new(201);
+    newcomer.now = TimeMs::PROCESS_START;
+    newcomer.receive_rows(observer.rows());
+    assert!(!newcomer.sends("own", &[ROOT, POISON]));
+}
+
 #[test]
 fn one_request_in_ten_minutes_probes_a_quarantined_segment() {
     let mut instance = instance_with_quarantined_segment();
--- a/crates/reedsail_net/src/clock.rs
+++ b/crates/reedsail_net/src/clock.rs
@@ -15,8 +15,6 @@
 
 use crate::DeadlineTimer;
 
-/// The reading of the clock when the process starts, in milliseconds.
-const START_MS: u64 = 1_000;
 /// Nanoseconds per millisecond.
 const NS_PER_MS: u64 = 1_000_000;
 
@@ -53,10 +51,10 @@
         }
     }
 
-    /// Returns the current time of a monotonic clock that includes suspensions of the machine. The clock starts at one
-    /// second, so that time zero is always in the past.
+    /// Returns the current time of a monotonic clock that includes suspensions of the machine. The clock starts at
+    /// [`TimeMs::PROCESS_START`], so that time zero is always in the past.
     pub fn now(&self) -> TimeMs {
-        TimeMs(START_MS + self.elapsed_ms())
+        TimeMs::PROCESS_START.plus_ms(self.elapsed_ms())
     }
 
     fn elapsed_ms(&self) -> u64 {
