--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -273,40 +273,14 @@
         if !evidence.is_against(workspace, now) {
             return false;
         }
-        let others = self
-            .quarantined
-            .iter()
-            .filter(|other| other.service == segment.service);
-        let others = others.filter(|other| !has_segment(other.id));
+        let others = self.quarantined.iter();
+        let others = others.filter(|other| other.service == segment.service && !has_segment(other.id));
         let others = others.map(|other| self.evidence(*other));
         // A segment that was answered before is no better explanation than one that never was.
         let others = others.filter(|other| evidence.was_answered() || !other.was_answered());
         let others: Vec<SegmentEvidence<'_>> = others.collect();
         let is_explained = |end: &SuspectEnd| others.iter().any(|other| other.was_present_at(end));
         let ends = evidence.ends_to_explain(workspace);
-        if std::env::var("DBG").is_ok() && segment.id < 20000 && !ends.iter().all(is_explained) {
-            let own: Vec<_> = evidence
-                .ends_to_explain(workspace)
-                .iter()
-                .map(|e| {
-                    (
-                        e.server.0 % 1000,
-                        e.sent_at.0,
-                        e.ended_at.0,
-                        e.answered_ms,
-                        e.beside.map(|b| b.0 % 1000),
-                        e.is_outlived,
-                        is_explained(e),
-                    )
-                })
-                .collect();
-            eprintln!(
-                "WHY now {now:?} segment {} ws {workspace:?} answered {} others {:?} ends {own:?}",
-                segment.id,
-                self.suspects.of_segment(segment).any(|s| s.was_answered),
-                self.quarantined.iter().map(|q| q.id).collect::<Vec<_>>()
-            );
-        }
         !ends.iter().all(is_explained)
     }
 
--- a/crates/reedsail_simulation/src/crash_fleet.rs
+++ b/crates/reedsail_simulation/src/crash_fleet.rs
@@ -527,12 +527,6 @@
     }
 
     fn count_quarantined(&mut self, request: &Request) {
-        if std::env::var("DBG").is_ok() && request.poison.is_none() {
-            eprintln!("DBG {request:?}");
-        }
-        if std::env::var("DBG").is_ok() && request.poison.is_none() {
-            eprintln!("DBG {request:?}");
-        }
         self.outcome.wrongly_quarantined += u64::from(request.poison.is_none());
     }
 
