--- a/crates/reedsail_simulation/src/crash_fleet.rs
+++ b/crates/reedsail_simulation/src/crash_fleet.rs
@@ -32,9 +32,14 @@
 use crate::CrashScenario;
 use crate::EndMoment;
 use crate::PoisonOutcome;
+use crate::crash_event::Event;
 use crate::crash_requests::Request;
 use crate::crash_requests::draw_poison_request;
 use crate::crash_requests::draw_sound_request;
+use crate::crash_run::Instance;
+use crate::crash_run::LastReport;
+use crate::crash_run::Run;
+use crate::crash_run::record_written;
 use crate::crash_scenario::PROPAGATION_MAX_MS;
 use crate::crash_scenario::QUARANTINE_DEADLINE_MS;
 use crate::event_queue::EventQueue;
@@ -59,93 +64,12 @@
 /// Maximum number of requests that a server runs at the same time.
 const SLOTS: u32 = 64;
 
-/// A scheduled event.
-#[derive(Debug)]
-enum Event {
-    Arrival,
-    PoisonArrival {
-        poison: usize,
-    },
-    Retry(Request),
-    /// The server begins to write the answer.
-    RunBegins {
-        run: u64,
-    },
-    /// The server goes on writing the answer.
-    RunGoesOn {
-        run: u64,
-    },
-    RunEnds {
-        run: u64,
-    },
-    MassCrash {
-        fraction: f64,
-    },
-    ServerRestarts {
-        server: usize,
-    },
-    RecordExpires {
-        name: NameHash,
-    },
-    InstanceRestarts {
-        instance: usize,
-    },
-    /// An instance reads the quarantined suspects from the store.
-    StoreRead {
-        instance: usize,
-    },
-    /// The instances write to the store what it should hold.
-    StoreWrites,
-    Report,
-    ReportArrives {
-        from: usize,
-        to: usize,
-        report: Box<LoadReport>,
-    },
-    Tick,
-}
-
-/// When a peer's last report arrived, and when the peer had started.
-#[derive(Clone, Copy, Debug)]
-struct LastReport {
-    started_ms: u64,
-    at_ms: u64,
-}
-
-struct Instance {
-    dispatcher: Dispatcher,
-    started_ms: u64,
-    /// The reading of its clock then.
-    started_at: TimeMs,
-    last_reports: HashMap<usize, LastReport>,
-}
-
-impl Instance {
-    /// Returns the time of the instance's own clock.
-    fn time(&self, now_ms: u64) -> TimeMs {
-        self.started_at.plus_ms(now_ms - self.started_ms)
-    }
-}
-
 /// A server position of the fleet. Each start at a position has its own server name.
 struct Server {
     starts: u64,
     is_up: bool,
 }
 
-struct Run {
-    request: Request,
-    instance: usize,
-    server: usize,
-    attempt: Attempt,
-    /// When the server began to write the answer, in milliseconds from the start.
-    begun_ms: Option<u64>,
-    /// Number of events that the instance has read.
-    events_read: u64,
-    /// Whether the caller sent the request for the first time, and no server was tried before.
-    is_first_attempt: bool,
-}
-
 struct CrashFleet<'a> {
     scenario: &'a CrashScenario,
     random: StdRng,
@@ -204,19 +128,6 @@
     row
 }
 
-/// Records the events of a run that its server has written and the instance has not read.
-fn record_written(run: &mut Run, instance: &mut Instance, event_interval_ms: u64, now_ms: u64) {
-    let Some(begun_ms) = run.begun_ms else {
-        return;
-    };
-    let written = 1 + (now_ms - begun_ms) / event_interval_ms;
-    for _ in run.events_read..written {
-        let now = instance.time(now_ms);
-        instance.dispatcher.record_event(&mut run.attempt, now);
-    }
-    run.events_read = written;
-}
-
 impl<'a> CrashFleet<'a> {
     fn new(scenario: &'a CrashScenario) -> Self {
         let new_server = |_| Server {
--- a/crates/reedsail_simulation/src/lib.rs
+++ b/crates/reedsail_simulation/src/lib.rs
@@ -17,8 +17,10 @@
 //! it and returns which retries were made, and how near they came to the bound of the fleet.
 
 mod callers;
+mod crash_event;
 mod crash_fleet;
 mod crash_requests;
+mod crash_run;
 mod crash_scenario;
 mod engine;
 mod event_queue;
