Announce a suspect no further when a row says nothing new of the store

Cause: a row of a suspect of which nothing was written to the store travels with an age of zero, and was taken for newer each time. Two instances announced the same suspect to each other in every report, for as long as it was kept: 40 of 40 reports in a test that fails so. Change: what is unknown is never news, and the same statement is news only if it is a minute younger, so that it does not grow by being repeated. Measured: at most 18 of 40 reports. The row of a record says that it is written now.

--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -510,7 +510,10 @@
         let wanted = suspect.filter(|suspect| self.is_quarantined(key, suspect) && !suspect.ends.is_empty());
         SuspectRecord {
             key,
-            row: wanted.map(|suspect| suspect.row(key, now)),
+            row: wanted.map(|suspect| SuspectRow {
+                stored_ms_ago: 0,
+                ..suspect.row(key, now)
+            }),
         }
     }
 
--- a/crates/reedsail_dispatch/src/suspect.rs
+++ b/crates/reedsail_dispatch/src/suspect.rs
@@ -35,6 +35,9 @@
 /// How much later than a known answer the answer of a peer's row must be to replace it, in milliseconds. The age in a row does
 /// not include the transmission time, so a time that peers return to each other would grow later and later.
 const ROW_DELAY_MAX_MS: u64 = 250;
+/// Minimum time between two writes of the same record, in milliseconds: what is told as written less than that later is the
+/// same write, heard by another way.
+const REWRITE_MIN_MS: u64 = 60_000;
 
 /// The end of a server under a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -264,11 +267,9 @@
         is_news
     }
 
-    /// Records what the store holds since `stored_at`, unless something newer is known.
+    /// Records what the store holds since `stored_at`, unless that is known or something newer is.
     pub(crate) fn record_stored(&mut self, stored: StoredState, stored_at: TimeMs, now: TimeMs) {
-        let is_newer = stored.era() > self.stored.era()
-            || (stored.era() == self.stored.era() && stored_at > self.stored_at.plus_ms(ROW_DELAY_MAX_MS));
-        if !is_newer {
+        if !self.is_stored_news(stored, stored_at) {
             return;
         }
         self.stored = stored;
@@ -276,6 +277,18 @@
         self.announce(now);
     }
 
+    fn is_stored_news(&self, stored: StoredState, stored_at: TimeMs) -> bool {
+        if stored.era() != self.stored.era() {
+            return stored.era() > self.stored.era();
+        }
+        let later_than = |delay_ms| stored_at > self.stored_at.plus_ms(delay_ms);
+        match stored {
+            StoredState::Unknown => false,
+            _ if stored == self.stored => later_than(REWRITE_MIN_MS),
+            StoredState::Stored(_) | StoredState::Withdrawn(_) => later_than(ROW_DELAY_MAX_MS),
+        }
+    }
+
     /// Adds what a peer's row says of answers.
     pub(crate) fn merge_answers(&mut self, row: &SuspectRow, now: TimeMs) {
         self.was_answered |= row.was_answered;
--- a/crates/reedsail_dispatch/tests/saved_suspects.rs
+++ b/crates/reedsail_dispatch/tests/saved_suspects.rs
@@ -116,6 +116,20 @@
     assert!(second.due().is_empty());
 }
 
+/// Guards against rows that two instances announce to each other for ever.
+#[test]
+fn a_row_that_says_nothing_new_is_not_announced_again() {
+    let mut instance = Instance::with_quarantine(1);
+    let mut announced = 0;
+    for _ in 0..40 {
+        instance.advance(100);
+        instance.receive(vec![quarantined_row()]);
+        announced += instance.rows().len();
+    }
+    // Twice at intervals of 2 s, and when it was new.
+    assert!(announced <= 18, "{announced} of 40 reports");
+}
+
 #[test]
 fn the_next_instance_writes_if_the_first_one_does_not() {
     let mut second = Instance::with_quarantine(1);
