Tell of an answer under a suspect by its observer only

Cause: a row told the time of an answer that had itself been learned from a row. The age leaves the transmission out, so with more than 250 ms between peers each exchange made the answer later, until it cleared ends after it. Change: a row carries the time of answers that the sender has observed. Measured: a test in which a peer that has learned an answer told it on in both rows tells it in none.

--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -216,8 +216,7 @@
         }
         let suspect_key = SuspectKey::Segment(key);
         let suspect = self.suspect(suspect_key, key.workspace, now);
-        suspect.observe(now);
-        suspect.announce(now);
+        suspect.observe_answer(began_at, now);
         self.clear(suspect_key, began_at, now);
         true
     }
--- a/crates/reedsail_dispatch/src/suspect.rs
+++ b/crates/reedsail_dispatch/src/suspect.rs
@@ -174,6 +174,8 @@
     slack_ms: u64,
     /// When it was last answered completely; of a segment, when that answer began.
     pub(crate) answered_at: Option<TimeMs>,
+    /// The same of the last answer that this instance has observed itself.
+    own_answered_at: Option<TimeMs>,
     /// Whether a request of any workspace was ever answered completely under it, as far as is known.
     pub(crate) was_answered: bool,
     /// When it last arrived, was present at the end of a server, or was answered.
@@ -197,6 +199,7 @@
             },
             ends: Vec::new(),
             answered_at: None,
+            own_answered_at: None,
             was_answered,
             seen_at: now,
             stored: StoredState::Unknown,
@@ -336,12 +339,11 @@
         phase < ANNOUNCE_DURATION_MS
     }
 
-    /// Returns the last answer for a row beside the ends. The ends of a request are all later than its last answer.
-    fn announced_answer(&self, key: SuspectKey) -> Option<TimeMs> {
-        match key {
-            SuspectKey::Request(_) => None,
-            SuspectKey::Segment(_) => self.answered_at,
-        }
+    /// Records that this instance has observed an answer, which began at `began_at` and clears the ends before it.
+    pub(crate) fn observe_answer(&mut self, began_at: TimeMs, now: TimeMs) {
+        self.own_answered_at = self.own_answered_at.max(Some(began_at));
+        self.observe(now);
+        self.announce(now);
     }
 
     pub(crate) fn row(&self, key: SuspectKey, now: TimeMs) -> SuspectRow {
@@ -353,9 +355,8 @@
             ends: self.ends.iter().map(|end| end.row(now)).collect(),
             changed_ms_ago: age_ms(changed_at, now),
             seen_ms_ago: age_ms(self.seen_at, now),
-            answered_ms_ago: self
-                .announced_answer(key)
-                .map(|answered_at| age_ms(answered_at, now)),
+            // A learned time would grow by each transmission if it was told on.
+            answered_ms_ago: self.own_answered_at.map(|answered_at| age_ms(answered_at, now)),
             was_answered: self.was_answered,
             stored: self.stored,
             stored_ms_ago: age_ms(self.stored_at, now),
--- a/crates/reedsail_dispatch/tests/segment_quarantine.rs
+++ b/crates/reedsail_dispatch/tests/segment_quarantine.rs
@@ -470,6 +470,27 @@
     assert!(!third.sends("own", &[ROOT, POISON]));
 }
 
+/// Guards against times of answers that grow by each transmission until they clear later ends.
+#[test]
+fn the_time_of_an_answer_is_told_by_its_observer_only() {
+    let mut observer = Instance::new(1);
+    observer.end_server_under(&[("own", &[ROOT, NEIGHBOUR])]);
+    let attempt = observer.answer_partly("own", &[ROOT, NEIGHBOUR]);
+    observer.finish(attempt, AttemptOutcome::Answered);
+    observer.end_server_under(&[("own", &[ROOT, NEIGHBOUR])]);
+    let is_segment = |row: &SuspectRow| matches!(row.key, SuspectKey::Segment(_));
+    let rows = observer.rows();
+    let told = |row: &&SuspectRow| is_segment(row) && row.answered_ms_ago.is_some();
+    assert_eq!(rows.iter().filter(told).count(), 2);
+    let mut peer = Instance::new(101);
+    peer.now = observer.now;
+    peer.receive_rows(rows);
+    peer.end_server_under(&[("own", &[ROOT, NEIGHBOUR])]);
+    let rows = peer.rows();
+    assert_eq!(rows.iter().filter(|row| is_segment(row)).count(), 2);
+    assert_eq!(rows.iter().filter(told).count(), 0);
+}
+
 #[test]
 fn an_instance_that_joins_learns_of_a_quarantined_segment_from_any_peer() {
     let mut observer = Instance::new(1);
