Withdraw the record of a forgotten suspect by one instance, and bound the writes

Cause: each instance that forgot a suspect withdrew its record, since no row told of one that is gone: a write for each instance. An expired record was withdrawn at once, also by an instance that had not heard its peers yet; a write had no bound, and an answer whose observer had ended was not told to a peer that restored an older record. Change: a suspect is kept without ends until its record is withdrawn, which is told; expired records wait 10 s; 32 records a write, 1,024 expired ones; whoever knows an answer tells it to a peer that lacks it.

--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -27,6 +27,8 @@
 //! **Tested by** `tests/quarantine.rs`, `tests/segment_quarantine.rs`, and `tests/poison_request.rs` and
 //! `tests/poison_segment.rs` of `reedsail_simulation`.
 
+mod records;
+
 use std::collections::BTreeMap;
 
 use reedsail_core::Fingerprint;
@@ -41,9 +43,7 @@
 use crate::SegmentKey;
 use crate::StoredState;
 use crate::SuspectKey;
-use crate::SuspectRecord;
 use crate::SuspectRow;
-use crate::WriterPosition;
 use crate::answered_segments::AnsweredSegments;
 use crate::recent_ends::SegmentEnd;
 use crate::saved_suspects::SavedSuspects;
@@ -352,14 +352,18 @@
     /// Merges a peer's rows.
     pub(crate) fn merge(&mut self, rows: &[SuspectRow], now: TimeMs) {
         for row in rows {
+            let stored_at = time_ago(row.stored_ms_ago, now);
             if u64::from(row.seen_ms_ago) >= SUSPECT_KEPT_MS {
+                if let Some(suspect) = self.suspects.get_mut(row.key) {
+                    suspect.record_stored(row.stored, stored_at, now);
+                }
                 continue;
             }
             let seen_at = time_ago(row.seen_ms_ago, now);
             let suspect = self.suspect(row.key, row.workspace, now);
             suspect.seen_at = suspect.seen_at.max(seen_at);
             suspect.merge_answers(row, now);
-            suspect.record_stored(row.stored, time_ago(row.stored_ms_ago, now), now);
+            suspect.record_stored(row.stored, stored_at, now);
             if row.ends.is_empty() {
                 self.clear(row.key, time_ago(row.changed_ms_ago, now), now);
             } else {
@@ -416,10 +420,36 @@
         let expired = self.suspects.iter().filter(|(_, suspect)| is_expired(suspect));
         let expired: Vec<SuspectKey> = expired.map(|(key, _)| key).collect();
         for key in expired {
-            self.forget(key, now);
+            if self.has_record(key) {
+                self.end_quarantine(key, now);
+            } else {
+                self.forget(key, now);
+            }
         }
     }
 
+    fn has_record(&self, key: SuspectKey) -> bool {
+        let suspect = self.suspects.get(key);
+        suspect.is_some_and(|suspect| matches!(suspect.stored, StoredState::Stored(_)))
+    }
+
+    /// Ends the quarantine of a suspect that does not come any more. The suspect is kept until its record is withdrawn, so that
+    /// one instance does so and tells the others.
+    fn end_quarantine(&mut self, key: SuspectKey, now: TimeMs) {
+        let Some(suspect) = self.suspects.get_mut(key) else {
+            return;
+        };
+        if suspect.ends.is_empty() {
+            return;
+        }
+        let was_quarantined = is_quarantined_request(key, suspect);
+        suspect.ends.clear();
+        if was_quarantined {
+            self.report(key, QuarantineChange::Forgotten);
+        }
+        self.update_segment(key, QuarantineChange::Forgotten, now);
+    }
+
     fn update_matured(&mut self, segment: SegmentId, now: TimeMs) {
         let with_ends = self.suspects.of_segment(segment);
         let Some(suspect) = with_ends.max_by_key(|suspect| suspect.ends.len()) else {
@@ -436,10 +466,7 @@
         if suspect.is_some_and(|suspect| is_quarantined_request(key, suspect)) {
             self.report(key, QuarantineChange::Forgotten);
         }
-        let removed = self.suspects.remove(key);
-        if removed.is_some_and(|suspect| matches!(suspect.stored, StoredState::Stored(_))) {
-            self.saved.add_orphan(key, now);
-        }
+        self.suspects.remove(key);
         self.update_segment(key, QuarantineChange::Forgotten, now);
     }
 
@@ -487,68 +514,6 @@
         rows
     }
 
-    /// Records an era of the platform's store.
-    pub(crate) fn observe_store_era(&mut self, era: u32) {
-        self.saved.observe_era(era);
-    }
-
-    /// Returns the records that this instance writes to the store now.
-    pub(crate) fn due_records(&mut self, writer: WriterPosition, now: TimeMs) -> Vec<SuspectRecord> {
-        let unwritten = self.suspects.iter();
-        let unwritten = unwritten.filter(|(key, suspect)| {
-            self.saved
-                .is_due(suspect, self.is_quarantined(*key, suspect), now)
-        });
-        let unwritten: Vec<SuspectKey> = unwritten.map(|(key, _)| key).collect();
-        let turns = self.saved.take_turn(&unwritten, writer, now);
-        turns.into_iter().map(|key| self.record(key, now)).collect()
-    }
-
-    fn record(&self, key: SuspectKey, now: TimeMs) -> SuspectRecord {
-        let suspect = self.suspects.get(key);
-        let wanted = suspect.filter(|suspect| self.is_quarantined(key, suspect) && !suspect.ends.is_empty());
-        SuspectRecord {
-            key,
-            row: wanted.map(|suspect| SuspectRow {
-                stored_ms_ago: 0,
-                ..suspect.row(key, now)
-            }),
-        }
-    }
-
-    /// Records that the store has taken records, in an era of it.
-    pub(crate) fn record_written(&mut self, records: &[SuspectRecord], era: u32, now: TimeMs) {
-        self.saved.observe_era(era);
-        for record in records {
-            self.saved.record_written(record.key);
-            let stored = if record.row.is_some() {
-                StoredState::Stored(era)
-            } else {
-                StoredState::Withdrawn(era)
-            };
-            if let Some(suspect) = self.suspects.get_mut(record.key) {
-                suspect.record_stored(stored, now, now);
-            }
-        }
-    }
-
-    /// Merges the rows that the store holds in an era of it. Those of suspects that have not come for a long time are
-    /// withdrawn.
-    pub(crate) fn restore(&mut self, rows: &[SuspectRow], era: u32, now: TimeMs) {
-        self.saved.observe_era(era);
-        self.merge(rows, now);
-        for row in rows {
-            let written_at = time_ago(row.stored_ms_ago, now);
-            match self.suspects.get_mut(row.key) {
-                Some(suspect) => {
-                    suspect.record_stored(StoredState::Stored(era), written_at, now);
-                    suspect.announce(now);
-                }
-                None => self.saved.add_orphan(row.key, now),
-            }
-        }
-    }
-
     fn is_quarantined(&self, key: SuspectKey, suspect: &Suspect) -> bool {
         self.is_quarantined_segment(key) || is_quarantined_request(key, suspect)
     }
--- a/crates/reedsail_dispatch/src/saved_suspects.rs
+++ b/crates/reedsail_dispatch/src/saved_suspects.rs
@@ -14,6 +14,7 @@
 //! **Tested by** `tests/saved_suspects.rs`, and `tests/poison_segment.rs` of `reedsail_simulation`.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use reedsail_core::TimeMs;
 
@@ -30,6 +31,14 @@
 /// a suspect that does not come is kept.
 const REFRESH_MS: u64 = 300_000;
 
+/// Maximum number of records of one write, about 40 kB. The others follow.
+const WRITE_RECORDS_MAX: usize = 32;
+/// Time from reading an expired record until it is withdrawn, in milliseconds: peers that know its suspect tell of it
+/// meanwhile.
+const EXPIRED_WITHDRAWN_AFTER_MS: u64 = 10_000;
+/// Maximum number of expired records that are withdrawn after a read. The next read finds the others.
+const EXPIRED_MAX: usize = 1_024;
+
 /// What the store is known to hold of a suspect.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoredState {
@@ -77,8 +86,8 @@
     era: u32,
     /// When this instance writes each record, if no peer does.
     due_at: BTreeMap<SuspectKey, TimeMs>,
-    /// The records of suspects that are no longer known, which must be withdrawn.
-    orphans: BTreeMap<SuspectKey, TimeMs>,
+    /// The records that were expired when they were read, and from when on they are withdrawn.
+    expired: BTreeMap<SuspectKey, TimeMs>,
 }
 
 impl SavedSuspects {
@@ -101,37 +110,45 @@
         }
     }
 
-    /// Returns which of the records to write this instance writes now. They are returned again only after the other instances
-    /// had their turn.
+    /// Returns which of the records to write this instance writes now, [`WRITE_RECORDS_MAX`] at most. They are returned again
+    /// only after the other instances had their turn.
     pub(crate) fn take_turn(
         &mut self,
-        unwritten: &[SuspectKey],
+        mut unwritten: BTreeSet<SuspectKey>,
         writer: WriterPosition,
         now: TimeMs,
     ) -> Vec<SuspectKey> {
-        self.due_at
-            .retain(|key, _| unwritten.contains(key) || self.orphans.contains_key(key));
+        let expired = self.expired.iter().filter(|(_, from)| **from <= now);
+        unwritten.extend(expired.map(|(key, _)| *key));
+        self.due_at.retain(|key, _| unwritten.contains(key));
         let first_turn_at = now.plus_ms(writer.position as u64 * WRITE_SPREAD_MS);
         let retry_ms = (writer.instances as u64 * WRITE_SPREAD_MS).max(WRITE_RETRY_MIN_MS);
         let mut turns = Vec::new();
-        for key in unwritten.iter().chain(self.orphans.keys()) {
-            let due_at = self.due_at.entry(*key).or_insert(first_turn_at);
-            if *due_at <= now {
+        for key in unwritten {
+            let due_at = self.due_at.entry(key).or_insert(first_turn_at);
+            if *due_at <= now && turns.len() < WRITE_RECORDS_MAX {
                 *due_at = now.plus_ms(retry_ms);
-                turns.push(*key);
+                turns.push(key);
             }
         }
         turns
     }
 
-    /// Records that the record of a suspect that is no longer known may be in the store.
-    pub(crate) fn add_orphan(&mut self, key: SuspectKey, now: TimeMs) {
-        self.orphans.insert(key, now);
+    /// Records that an expired record was read, whose suspect is not known.
+    pub(crate) fn add_expired(&mut self, key: SuspectKey, now: TimeMs) {
+        if self.expired.len() < EXPIRED_MAX {
+            self.expired.insert(key, now.plus_ms(EXPIRED_WITHDRAWN_AFTER_MS));
+        }
+    }
+
+    /// Forgets the expired records whose suspects have become known.
+    pub(crate) fn drop_known(&mut self, is_known: impl Fn(SuspectKey) -> bool) {
+        self.expired.retain(|key, _| !is_known(*key));
     }
 
     /// Records that the store has taken the record of a suspect, or its withdrawal.
     pub(crate) fn record_written(&mut self, key: SuspectKey) {
         self.due_at.remove(&key);
-        self.orphans.remove(&key);
+        self.expired.remove(&key);
     }
 }
--- a/crates/reedsail_dispatch/src/suspect.rs
+++ b/crates/reedsail_dispatch/src/suspect.rs
@@ -185,8 +185,9 @@
     /// When that was written.
     pub(crate) stored_at: TimeMs,
     announced_until: TimeMs,
-    /// Whether this instance has observed an end or an answer itself, and therefore announces the suspect.
-    is_observed_here: bool,
+    /// Whether this instance has observed an end, an answer or a write itself, or a peer lacks an answer that it knows of,
+    /// and therefore announces the suspect.
+    is_announced_here: bool,
 }
 
 impl Suspect {
@@ -205,13 +206,13 @@
             stored: StoredState::Unknown,
             stored_at: TimeMs(0),
             announced_until: TimeMs(0),
-            is_observed_here: false,
+            is_announced_here: false,
         }
     }
 
     /// Records that this instance has observed an end or an answer.
     pub(crate) fn observe(&mut self, now: TimeMs) {
-        self.is_observed_here = true;
+        self.is_announced_here = true;
         self.seen_at = now;
     }
 
@@ -236,7 +237,8 @@
             .answered_at
             .is_some_and(|answered_at| self.clears(answered_at, &end))
         {
-            // A peer that still announces this end has not received the answer.
+            // A peer that still announces this end has not received the answer, whose observer may have ended.
+            self.is_announced_here = true;
             self.announce(now);
             return;
         }
@@ -280,6 +282,12 @@
         self.announce(now);
     }
 
+    /// Records that this instance has written to the store.
+    pub(crate) fn record_own_write(&mut self, stored: StoredState, now: TimeMs) {
+        self.is_announced_here = true;
+        self.record_stored(stored, now, now);
+    }
+
     fn is_stored_news(&self, stored: StoredState, stored_at: TimeMs) -> bool {
         if stored.era() != self.stored.era() {
             return stored.era() > self.stored.era();
@@ -322,7 +330,7 @@
     /// Returns whether the next report contains the suspect. Each instance announces it if `is_quarantined` or several servers
     /// have ended under it, and otherwise only those that have observed something.
     pub(crate) fn is_announced(&self, key: SuspectKey, is_quarantined: bool, now: TimeMs) -> bool {
-        if !is_quarantined && !self.is_observed_here && self.ends.len() <= 1 {
+        if !is_quarantined && !self.is_announced_here && self.ends.len() <= 1 {
             return false;
         }
         if now < self.announced_until {
--- a/crates/reedsail_dispatch/tests/saved_suspects.rs
+++ b/crates/reedsail_dispatch/tests/saved_suspects.rs
@@ -145,17 +145,22 @@
     assert_eq!(second.due().len(), 1);
 }
 
+/// Asserts that the record is due to be withdrawn, and is not any more once that was written.
+fn assert_withdrawn_once(instance: &mut Instance) {
+    assert_eq!(instance.withdrawals(), [true]);
+    instance.advance(5_000);
+    assert_eq!(instance.write_due(0).len(), 1);
+    instance.advance(5_000);
+    assert!(instance.due().is_empty());
+}
+
 #[test]
 fn a_record_is_withdrawn_when_its_quarantine_ends() {
     let mut first = Instance::with_quarantine(0);
     first.write_due(0);
     first.advance(2_000);
     first.receive(vec![answered_row()]);
-    assert_eq!(first.withdrawals(), [true]);
-    first.advance(5_000);
-    assert_eq!(first.write_due(0).len(), 1);
-    first.advance(5_000);
-    assert!(first.due().is_empty());
+    assert_withdrawn_once(&mut first);
 }
 
 #[test]
@@ -163,11 +168,54 @@
     let mut first = Instance::with_quarantine(0);
     first.write_due(0);
     first.advance(KEPT_MS);
-    assert_eq!(first.withdrawals(), [true]);
-    first.advance(5_000);
+    assert_withdrawn_once(&mut first);
+}
+
+#[test]
+fn one_instance_withdraws_the_record_of_a_request_that_no_longer_comes() {
+    let mut first = Instance::with_quarantine(0);
+    let mut second = Instance::with_quarantine(1);
+    first.write_due(0);
+    second.receive(first.rows());
+    for instance in [&mut first, &mut second] {
+        instance.advance(KEPT_MS);
+    }
     assert_eq!(first.write_due(0).len(), 1);
-    first.advance(5_000);
-    assert!(first.due().is_empty());
+    assert!(second.due().is_empty());
+    second.receive(first.rows());
+    second.advance(10 * TURN_MS);
+    assert!(second.due().is_empty());
+    assert_eq!(second.dispatcher.quarantined_requests(), 0);
+}
+
+#[test]
+fn a_write_has_a_bounded_number_of_records() {
+    let mut first = Instance::new(0);
+    let row = |number: u128| SuspectRow {
+        key: SuspectKey::Request(Fingerprint(number)),
+        ..quarantined_row()
+    };
+    first.receive((0..100).map(row).collect());
+    let written: Vec<usize> = (0..5).map(|_| first.write_due(0).len()).collect();
+    assert_eq!(written, [32, 32, 32, 4, 0]);
+}
+
+/// Its observer may have ended since, and an older record of the store restores the ends.
+#[test]
+fn an_answer_is_told_again_to_a_peer_that_lacks_it() {
+    let mut knowing = Instance::with_quarantine(1);
+    knowing.advance(2_000);
+    knowing.receive(vec![answered_row()]);
+    knowing.advance(10_000);
+    let mut restored = Instance::new(0);
+    restored.now = knowing.now;
+    let mut stale = quarantined_row();
+    stale.add_age(12_000);
+    restored.dispatcher.restore_suspects(&[stale], 0, restored.now);
+    assert_eq!(restored.dispatcher.quarantined_requests(), 1);
+    knowing.receive(restored.rows());
+    restored.receive(knowing.rows());
+    assert_eq!(restored.dispatcher.quarantined_requests(), 0);
 }
 
 #[test]
@@ -217,6 +265,8 @@
     let mut first = Instance::new(0);
     first.dispatcher.restore_suspects(&[row], 0, first.now);
     assert_eq!(first.dispatcher.quarantined_requests(), 0);
+    assert!(first.due().is_empty(), "a peer may know of it");
+    first.advance(10_000);
     assert_eq!(first.withdrawals(), [true]);
 }
 
