Bound the ends of the suspects in a sum of loads

Cause: each end of a server has grown by the time of its answer and the server beside it, and all ends count now, so that 256 rows of a sum could take 52,180 bytes (test), next to 1,024 servers and workspaces in one datagram, which is lost if it is too large. Change: at most 512 ends in a sum, the strongest suspects first. Measured: under 16 kB.

--- a/crates/reedsail_gossip/src/load_sum.rs
+++ b/crates/reedsail_gossip/src/load_sum.rs
@@ -11,8 +11,10 @@
 use reedsail_dispatch::SuspectRow;
 use reedsail_dispatch::WorkspaceUseRow;
 
-/// Maximum number of rows of suspects in a sum: they take 8 kB, so that the sum fits one datagram.
+/// Maximum number of rows of suspects in a sum, so that the sum fits one datagram.
 const SUSPECTS_MAX: usize = 256;
+/// Maximum number of ends of servers in these rows, for the same reason.
+const SUSPECT_ENDS_MAX: usize = 512;
 
 /// A sum of load reports, by backend server and by workspace. It contains no prefix rows, which are not amounts;
 /// `PrefixRelay` relays those.
@@ -100,6 +102,7 @@
         workspaces.sort_by_key(|row| row.workspace);
         let mut suspects: Vec<SuspectRow> = self.suspects.values().cloned().collect();
         SuspectRow::keep_strongest(&mut suspects, SUSPECTS_MAX);
+        keep_ends(&mut suspects, SUSPECT_ENDS_MAX);
         LoadReport {
             servers,
             workspaces,
@@ -109,6 +112,17 @@
     }
 }
 
+/// Keeps the first rows with at most `ends_max` ends in all.
+fn keep_ends(rows: &mut Vec<SuspectRow>, ends_max: usize) {
+    let mut ends = 0;
+    let within = rows.iter().take_while(|row| {
+        ends += row.ends.len();
+        ends <= ends_max
+    });
+    let kept = within.count();
+    rows.truncate(kept);
+}
+
 /// Adds the end of a server under a suspect, or what it says more than the known one.
 fn add_end(ends: &mut Vec<SuspectEndRow>, end: &SuspectEndRow) {
     match ends.iter_mut().find(|known| known.server == end.server) {
--- a/crates/reedsail_gossip/tests/load_sum.rs
+++ b/crates/reedsail_gossip/tests/load_sum.rs
@@ -1,10 +1,21 @@
 //! Sums of load reports.
 
 use reedsail_core::NameHash;
+use reedsail_core::StorePosition;
 use reedsail_dispatch::LoadReport;
+use reedsail_dispatch::SegmentId;
+use reedsail_dispatch::SegmentKey;
 use reedsail_dispatch::ServerLoadRow;
 use reedsail_dispatch::SpeedSums;
+use reedsail_dispatch::SuspectEndRow;
+use reedsail_dispatch::SuspectKey;
+use reedsail_dispatch::SuspectRow;
 use reedsail_gossip::LoadSum;
+use reedsail_wire::LoadMessage;
+use reedsail_wire::LoadScope;
+
+/// Maximum size of the rows of suspects, in bytes: a fourth of a datagram, beside those of servers and workspaces.
+const SUSPECTS_BYTES_MAX: usize = 16 << 10;
 
 fn report(answers: f64, pause_ms: u16) -> LoadReport {
     let row = ServerLoadRow {
@@ -31,3 +42,70 @@
     }
     assert_eq!(sum.report(10).servers, report(12.0, 300).servers);
 }
+
+fn suspect(number: u64) -> SuspectRow {
+    let workspace = NameHash::of("own");
+    let segment = SegmentId {
+        service: NameHash::of("llm"),
+        id: number.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+    };
+    let end = |end: u32| SuspectEndRow {
+        server: NameHash::of(&format!("server-{number}-{end}")),
+        sent_ms_ago: 123_456 + end,
+        ended_ms_ago: 113_456 + end,
+        answered_ms: 9_876,
+        beside: Some(NameHash::of("another")),
+        is_outlived: true,
+        is_early: false,
+    };
+    SuspectRow {
+        key: SuspectKey::Segment(SegmentKey { segment, workspace }),
+        workspace,
+        ends: (0..8).map(end).collect(),
+        changed_ms_ago: 113_456,
+        seen_ms_ago: 1_234,
+        answered_ms_ago: Some(223_456),
+        ..SuspectRow::default()
+    }
+}
+
+/// Returns a message that has nothing but a load.
+fn message(load: LoadReport) -> LoadMessage {
+    LoadMessage {
+        instance: NameHash::of("instance"),
+        incarnation: 1,
+        sequence: 1,
+        failure_domain: NameHash::of("domain"),
+        configuration_version: 0,
+        configuration_age_ms: 0,
+        servers_revision: StorePosition::default(),
+        servers_digest: 0,
+        servers_age_ms: 0,
+        is_stopping: false,
+        scope: LoadScope::Fleet,
+        protocol: 0,
+        processor_milli: 0,
+        load,
+        included: Vec::new(),
+        instances: 0,
+        domain_instances: 0,
+        load_age_ms: 0,
+        load_interval_ms: 0,
+        departures: Vec::new(),
+        evacuations: Vec::new(),
+        members: Vec::new(),
+    }
+}
+
+#[test]
+fn the_suspects_of_a_sum_leave_room_for_its_other_rows() {
+    let mut sum = LoadSum::default();
+    sum.add(&LoadReport {
+        suspects: (0..1_000).map(suspect).collect(),
+        ..LoadReport::default()
+    });
+    let message = message(sum.report(1_024));
+    let bytes = message.encode().unwrap().len();
+    assert!(bytes < SUSPECTS_BYTES_MAX, "{bytes} bytes");
+    assert!(!message.load.suspects.is_empty());
+}
