Bound the answered segments that one workspace adds

Cause: segments that were answered are remembered so that they are hardly blamed; the table had a bound in all, and a workspace with thousands of segments pushed out those of others, whose shared segments then looked as if they never were answered. Measured: a test in which 18,000 segments of another workspace are answered fails without the bound.

--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -147,7 +147,7 @@
     pub(crate) fn record_answer(&mut self, attempt: &Attempt, now: TimeMs) {
         let began_at = attempt.progress.began_at.unwrap_or(attempt.began_at);
         for key in segment_keys(attempt) {
-            self.answered.record(key.segment, now);
+            self.answered.record(key, now);
         }
         if self.suspects.is_empty() {
             return;
--- a/crates/reedsail_dispatch/tests/segment_quarantine.rs
+++ b/crates/reedsail_dispatch/tests/segment_quarantine.rs
@@ -384,6 +384,21 @@
     assert!(instance.sends("own", &[ROOT, POISON]));
 }
 
+#[test]
+fn a_workspace_with_many_segments_leaves_room_for_the_answered_ones_of_others() {
+    let mut instance = Instance::new(1);
+    let attempt = instance.answer_partly("own", &[ROOT, POISON]);
+    instance.finish(attempt, AttemptOutcome::Answered);
+    for number in 0..300 {
+        let many: Vec<u64> = (0..60).map(|segment| 10_000 + 60 * number + segment).collect();
+        let attempt = instance.send("other", &many).unwrap();
+        instance.finish(attempt, AttemptOutcome::Answered);
+    }
+    end_servers_that_run_together(&mut instance, 5, 200);
+    instance.advance(1_500);
+    assert!(instance.sends("own", &[ROOT, POISON]));
+}
+
 #[test]
 fn five_servers_that_end_at_one_moment_put_no_segment_in_quarantine() {
     let mut instance = Instance::new(1);
