--- a/crates/reedsail_simulation/src/crash_scenario.rs
+++ b/crates/reedsail_simulation/src/crash_scenario.rs
@@ -283,6 +283,23 @@
         scenario
     }
 
+    /// Creates a fleet whose servers crash one after the other without any cause in the requests, which write at a drawn pace.
+    pub fn with_flapping_servers(seed: u64) -> Self {
+        let mut scenario = Self::without_crashes(seed);
+        let mut random = StdRng::seed_from_u64(seed);
+        scenario.draw_pace(&mut random);
+        let gap_ms = random.random_range(200..3_000);
+        let mut at_ms = 5_000;
+        while at_ms < 40_000 {
+            scenario.mass_crashes.push(MassCrash {
+                at_ms,
+                fraction: 1.0 / scenario.servers as f64,
+            });
+            at_ms += random.random_range(gap_ms / 2..=gap_ms * 3 / 2);
+        }
+        scenario
+    }
+
     /// Draws how fast servers write. Answers have up to [`EVENTS_MAX`] events and more, and requests come as often as the
     /// servers have room for them.
     fn draw_pace(&mut self, random: &mut StdRng) {
