--- a/crates/reedsail_gossip/tests/load_sum.rs
+++ b/crates/reedsail_gossip/tests/load_sum.rs
@@ -1,7 +1,6 @@
 //! Sums of load reports.
 
 use reedsail_core::NameHash;
-use reedsail_core::StorePosition;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::SegmentId;
 use reedsail_dispatch::SegmentKey;
@@ -12,7 +11,6 @@
 use reedsail_dispatch::SuspectRow;
 use reedsail_gossip::LoadSum;
 use reedsail_wire::LoadMessage;
-use reedsail_wire::LoadScope;
 
 /// Maximum size of the rows of suspects, in bytes: a fourth of a datagram, beside those of servers and workspaces.
 const SUSPECTS_BYTES_MAX: usize = 16 << 10;
@@ -69,34 +67,6 @@
     }
 }
 
-/// Returns a message that has nothing but a load.
-fn message(load: LoadReport) -> LoadMessage {
-    LoadMessage {
-        instance: NameHash::of("instance"),
-        incarnation: 1,
-        sequence: 1,
-        failure_domain: NameHash::of("domain"),
-        configuration_version: 0,
-        configuration_age_ms: 0,
-        servers_revision: StorePosition::default(),
-        servers_digest: 0,
-        servers_age_ms: 0,
-        is_stopping: false,
-        scope: LoadScope::Fleet,
-        protocol: 0,
-        processor_milli: 0,
-        load,
-        included: Vec::new(),
-        instances: 0,
-        domain_instances: 0,
-        load_age_ms: 0,
-        load_interval_ms: 0,
-        departures: Vec::new(),
-        evacuations: Vec::new(),
-        members: Vec::new(),
-    }
-}
-
 #[test]
 fn the_suspects_of_a_sum_leave_room_for_its_other_rows() {
     let mut sum = LoadSum::default();
@@ -104,7 +74,10 @@
         suspects: (0..1_000).map(suspect).collect(),
         ..LoadReport::default()
     });
-    let message = message(sum.report(1_024));
+    let message = LoadMessage {
+        load: sum.report(1_024),
+        ..LoadMessage::default()
+    };
     let bytes = message.encode().unwrap().len();
     assert!(bytes < SUSPECTS_BYTES_MAX, "{bytes} bytes");
     assert!(!message.load.suspects.is_empty());
--- a/crates/reedsail_gossip/tests/simulated_network/mod.rs
+++ b/crates/reedsail_gossip/tests/simulated_network/mod.rs
@@ -454,24 +454,8 @@
             incarnation: 1,
             sequence: self.instances[index].sent_messages as u32,
             failure_domain: NameHash::of(&format!("domain-{}", self.instances[index].domain)),
-            configuration_version: 0,
-            configuration_age_ms: 0,
-            servers_revision: StorePosition::default(),
-            servers_digest: 0,
-            servers_age_ms: 0,
-            is_stopping: false,
-            scope: LoadScope::Instance,
-            protocol: 0,
-            processor_milli: 0,
             load,
-            included: Vec::new(),
-            instances: 0,
-            domain_instances: 0,
-            load_age_ms: 0,
-            load_interval_ms: 0,
-            departures: Vec::new(),
-            evacuations: Vec::new(),
-            members: Vec::new(),
+            ..LoadMessage::default()
         };
         for to in (0..self.instances.len()).filter(|to| *to != index) {
             self.send(index, to, message.clone());
--- a/crates/reedsail_router/tests/quarantine.rs
+++ b/crates/reedsail_router/tests/quarantine.rs
@@ -43,6 +43,15 @@
     [first, second]
 }
 
+/// Returns a store that lists a draining server of a service: a router without any listed server is not ready.
+fn store_with_draining(server: &RoutedStandin, service: &str) -> Store {
+    let draining = ServerRecord {
+        is_draining: true,
+        ..record(&format!("{service}-0"), service, server)
+    };
+    Store::new(Some(configuration(1)), Some(vec![draining]))
+}
+
 /// Lists a server after the first one, in place of all others.
 fn replace_other_servers(store: &Store, record: ServerRecord) {
     store.servers.send_modify(|records| {
@@ -85,13 +94,8 @@
 
 #[tokio::test]
 async fn a_request_that_ended_three_servers_is_refused_by_every_instance() {
-    // A router without any listed server is not ready.
     let idle = RoutedStandin::start().await.unwrap();
-    let draining = ServerRecord {
-        is_draining: true,
-        ..record("app-0", "app", &idle)
-    };
-    let store = Store::new(Some(configuration(1)), Some(vec![draining]));
+    let store = store_with_draining(&idle, "app");
     let [first, second] = start_two_peers(&store).await;
     for (number, router) in [(1, &first), (2, &second), (3, &first)] {
         let reply = ask_and_close_server(&store, router, &format!("app-{number}"), "/once/poison").await;
@@ -175,11 +179,7 @@
 #[tokio::test]
 async fn a_segment_under_which_three_servers_ended_is_refused_by_every_instance() {
     let idle = RoutedStandin::start().await.unwrap();
-    let draining = ServerRecord {
-        is_draining: true,
-        ..record("llm-0", "llm", &idle)
-    };
-    let store = Store::new(Some(configuration(1)), Some(vec![draining]));
+    let store = store_with_draining(&idle, "llm");
     let [first, second] = start_two_peers(&store).await;
     for (number, router) in [(1, &first), (2, &second), (3, &first)] {
         ask_poison(&store, router, number).await;
@@ -210,11 +210,7 @@
 #[tokio::test]
 async fn a_router_that_starts_after_all_have_ended_sends_no_segment_that_was_quarantined() {
     let idle = RoutedStandin::start().await.unwrap();
-    let draining = ServerRecord {
-        is_draining: true,
-        ..record("llm-0", "llm", &idle)
-    };
-    let store = Store::new(Some(configuration(1)), Some(vec![draining]));
+    let store = store_with_draining(&idle, "llm");
     let first = start(&store, settings("hall-a-1"));
     wait_until_ready(&first).await;
     for number in 1..=3 {
--- a/crates/reedsail_wire/src/load_message.rs
+++ b/crates/reedsail_wire/src/load_message.rs
@@ -116,7 +116,7 @@
 
 /// A load message from one instance to another. It is not retransmitted: the next message replaces a lost
 /// one.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct LoadMessage {
     /// The sending instance.
     pub instance: NameHash,
