--- a/crates/reedsail_dispatch/src/recent_ends.rs
+++ b/crates/reedsail_dispatch/src/recent_ends.rs
@@ -8,7 +8,7 @@
 //! that cause. A peer may know of requests with the segment at the other server, so the evidence of all peers decides
 //! (`segment_evidence`).
 //!
-//! **Tested by** `tests/segment_quarantine.rs`, and `tests/poison_segment.rs` of `reedsail_simulation`.
+//! **Tested by** `tests/segment_ends.rs` and `tests/segment_quarantine.rs`, and `tests/poison_segment.rs` of `reedsail_simulation`.
 
 use std::collections::BTreeMap;
 
--- a/crates/reedsail_dispatch/src/segment_evidence.rs
+++ b/crates/reedsail_dispatch/src/segment_evidence.rs
@@ -32,7 +32,7 @@
 //! of them ends, no request is sent after an end; the second case is for that. Ids of segments are the callers' own, so a
 //! workspace alone can't have another one's prompts refused.
 //!
-//! **Tested by** `tests/segment_quarantine.rs`, and `tests/poison_segment.rs` of `reedsail_simulation`.
+//! **Tested by** `tests/segment_ends.rs` and `tests/segment_quarantine.rs`, and `tests/poison_segment.rs` of `reedsail_simulation`.
 
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
--- a/crates/reedsail_gossip/tests/simulated_network/mod.rs
+++ b/crates/reedsail_gossip/tests/simulated_network/mod.rs
@@ -14,7 +14,6 @@
 use rand::rngs::StdRng;
 use reedsail_core::Fingerprint;
 use reedsail_core::NameHash;
-use reedsail_core::StorePosition;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::LoadReport;
 use reedsail_dispatch::PrefixRow;
@@ -27,7 +26,6 @@
 use reedsail_gossip::LoadExchange;
 use reedsail_gossip::MessageHeader;
 use reedsail_wire::LoadMessage;
-use reedsail_wire::LoadScope;
 
 /// Interval at which a test checks the state, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 50;
