--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -77,7 +77,8 @@
 }
 
 impl Router {
-    /// Writes the settings of a router, which are those of the deploy file's template.
+    /// Writes the settings of a router, which are those of the deploy file's template. On loopback addresses, seeds have
+    /// the port for peers.
     pub fn new(number: usize, addresses: &[Ipv4Addr], zones: &[&str], store: SocketAddr) -> Self {
         let folder = PathBuf::from(std::env::var("WORK").expect("WORK names a temporary folder"));
         let program = PathBuf::from(std::env::var("ROUTER").expect("ROUTER names the program"));
@@ -87,7 +88,7 @@
         let seeds: Vec<String> = addresses
             .iter()
             .take(3)
-            .map(|seed| format!("\"{seed}:8785\""))
+            .map(|seed| format!("\"{seed}:7400\""))
             .collect();
         let regions: Vec<String> = zones
             .iter()
