--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,12 +3,12 @@
 //! `review_standin_2 CASE` reads `ROUTER` (the program), `WORK` (a temporary folder), `RECORD` (the file to write) and
 //! `TROUBLE` (`0` leaves the disruption out). It exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
-mod crashes_in_turn;
 mod ending_stop;
 mod fleet;
 mod http;
 mod last_tenant;
 mod plain_engine;
+mod raised_limit;
 mod slow_reader;
 mod unknown_configuration;
 
@@ -30,9 +30,9 @@
     let case = std::env::args().nth(1).unwrap_or_default();
     let verdict = runtime.block_on(async {
         match case.as_str() {
-            "crashes-in-turn" => crashes_in_turn::run().await,
             "ending-stop" => ending_stop::run().await,
             "last-tenant" => last_tenant::run().await,
+            "raised-limit" => raised_limit::run().await,
             "slow-reader" => slow_reader::run().await,
             "unknown-configuration" => unknown_configuration::run().await,
             _ => Verdict::NotRun,
