Weigh servers that end without a segment before it is quarantined

Callers whose prompts share a sound segment got 503 (quarantined) for ten minutes and more after servers had crashed one after the other: a segment that is answered slowly or seldom is present at three or more ends by chance.

Cause: only the ends under a segment counted. Servers that ended meanwhile without it were not looked at.

Now an instance keeps the ends that it has observed or heard of for a minute. Where servers ended without the segment more than half as often as with it, up to two further ends are needed, which are the five that users tolerate, and the rule for segments that were never answered does not hold. A segment in quarantine stays there.

--- a/crates/reedsail_dispatch/src/dispatcher/mod.rs
+++ b/crates/reedsail_dispatch/src/dispatcher/mod.rs
@@ -326,6 +326,7 @@
             }
             // A server that drains ends as planned, after its last answers.
             if !self.is_draining(end.server) {
+                self.quarantine.record_server_end(end.name, end.ended_at(), now);
                 self.recent_ends.add(end.clone());
             }
         }
--- a/crates/reedsail_dispatch/src/lib.rs
+++ b/crates/reedsail_dispatch/src/lib.rs
@@ -55,6 +55,7 @@
 mod dispatcher;
 mod domain_reach;
 mod duty_rank;
+mod end_history;
 mod engine_speed;
 mod evacuations;
 mod event_gaps;
--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -45,6 +45,7 @@
 use crate::SuspectKey;
 use crate::SuspectRow;
 use crate::answered_segments::AnsweredSegments;
+use crate::end_history::EndHistory;
 use crate::recent_ends::SegmentEnd;
 use crate::saved_suspects::SavedSuspects;
 use crate::segment_evidence::SegmentEvidence;
@@ -110,6 +111,7 @@
 pub(crate) struct Quarantine {
     suspects: SuspectTable,
     answered: AnsweredSegments,
+    end_history: EndHistory,
     /// The segments with enough evidence against any workspace.
     quarantined: Vec<SegmentId>,
     /// The segments whose evidence is enough from a later time on, unless an answer comes before.
@@ -138,6 +140,11 @@
         self.report_evidence(key, QuarantineChange::EndCounted, observed.answered_ms);
     }
 
+    /// Records that a server has ended, as this instance observed.
+    pub(crate) fn record_server_end(&mut self, server: NameHash, ended_at: TimeMs, now: TimeMs) {
+        self.end_history.record(server, ended_at, now);
+    }
+
     fn observe_end(&mut self, key: SuspectKey, workspace: NameHash, end: SuspectEnd, now: TimeMs) {
         self.suspect(key, workspace, now).observe(now);
         self.add_ends(key, &[end], now);
@@ -309,7 +316,13 @@
             return;
         };
         let was_quarantined = self.quarantined.contains(&segment);
-        let enough_from = self.evidence(segment).enough_from();
+        let evidence = self.evidence(segment);
+        let evidence = if was_quarantined {
+            evidence
+        } else {
+            evidence.with_unrelated_ends(&self.end_history)
+        };
+        let enough_from = evidence.enough_from();
         match enough_from.filter(|from| *from > now) {
             Some(from) => self.maturing.insert(segment, from),
             None => self.maturing.remove(&segment),
@@ -369,11 +382,21 @@
             } else {
                 let ends = row.ends.iter().map(|end| SuspectEnd::from_row(end, now));
                 let ends: Vec<SuspectEnd> = ends.collect();
+                self.record_known_ends(row.key, &ends, now);
                 self.add_ends(row.key, &ends, now);
             }
         }
     }
 
+    /// Records the ends of servers under a peer's segment. Those under a request may be ends of servers that drained.
+    fn record_known_ends(&mut self, key: SuspectKey, ends: &[SuspectEnd], now: TimeMs) {
+        if matches!(key, SuspectKey::Segment(_)) {
+            for end in ends {
+                self.end_history.record(end.server, end.ended_at, now);
+            }
+        }
+    }
+
     /// Adds unknown ends of servers, unless an answer has cleared them.
     fn add_ends(&mut self, key: SuspectKey, ends: &[SuspectEnd], now: TimeMs) {
         let Some(suspect) = self.suspects.get_mut(key) else {
--- a/crates/reedsail_dispatch/src/recent_ends.rs
+++ b/crates/reedsail_dispatch/src/recent_ends.rs
@@ -21,7 +21,7 @@
 use crate::suspect::SuspectEnd;
 
 /// Time within which servers end together, in milliseconds: a crash of several servers is seen by one instance within it.
-const TOGETHER_MS: u64 = 100;
+pub(crate) const TOGETHER_MS: u64 = 100;
 /// How long an end is kept, in milliseconds: until no other end can have happened together with it.
 const KEPT_MS: u64 = 1_000;
 
@@ -62,9 +62,8 @@
 impl RecentEnds {
     /// Adds the end of a server.
     pub(crate) fn add(&mut self, end: ServerEnd) {
-        let ended_at = end.requests.iter().map(|request| request.broke_at).min();
         self.ends.push(RecentEnd {
-            ended_at: ended_at.unwrap_or_default(),
+            ended_at: end.ended_at(),
             end,
             is_settled: false,
         });
--- a/crates/reedsail_dispatch/src/segment_evidence.rs
+++ b/crates/reedsail_dispatch/src/segment_evidence.rs
@@ -10,7 +10,9 @@
 //!   ended under it at different moments, and [`UNANSWERED_SETTLE_MS`] have passed since.
 //!
 //! In both, the answers had been written for about as long at these ends, and no other server ended at the same time without
-//! the segment.
+//! the segment. Servers that ended at other times without the segment speak against it: in the first case up to
+//! [`FURTHER_ENDS_MAX`] more ends are needed where they are more than half as many as the ends under it, and the second case
+//! does not hold then. A segment in quarantine stays there if such ends become known later.
 //!
 //! A complete answer clears the ends at which the answers that broke off began no later than it did. An answer outlives
 //! these ends if it goes on for clearly longer than any that broke off.
@@ -19,7 +21,7 @@
 //! present at all count against all, unless a request of any workspace with the segment was answered since. If other such
 //! segments were present at all these ends, and a request has none of them, the request is sent: its outcome tells them apart.
 //!
-//! **Inputs.** The suspects of a segment, one for each workspace.
+//! **Inputs.** The suspects of a segment, one for each workspace, and the times at which servers ended without it.
 //!
 //! **Why.** How soon a segment ends its servers depends on the engine: before the head of the answer, or seconds later. So
 //! times are compared with those of the ends themselves, and never with a number of events. What ends servers does so in each
@@ -29,7 +31,8 @@
 //! that sound segments are present at the ends that another one causes. An answer clears those that are used otherwise.
 //! Those that are used nowhere else are not missed if they are refused. Servers that crash together end under requests
 //! that were all sent before, so that they count as one end. Where requests with a segment reach all servers before the first
-//! of them ends, no request is sent after an end; the second case is for that. Ids of segments are the callers' own, so a
+//! of them ends, no request is sent after an end; the second case is for that. Servers that crash one after the other by
+//! themselves end under any segment that is answered slowly or seldom, and without it as well. Ids of segments are the callers' own, so a
 //! workspace alone can't have another one's prompts refused.
 //!
 //! **Tested by** `tests/segment_ends.rs` and `tests/segment_quarantine.rs`, and `tests/poison_segment.rs` of `reedsail_simulation`.
@@ -37,6 +40,7 @@
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
 
+use crate::end_history::EndHistory;
 use crate::suspect::Suspect;
 use crate::suspect::SuspectEnd;
 use crate::suspect::consecutive_ends;
@@ -58,16 +62,24 @@
 /// of the time in which all instances must know the segment is left to tell them.
 const UNANSWERED_SETTLE_MS: u64 = 1_500;
 
+/// Maximum number of further ends that are needed because servers also end without the segment: up to the number that users
+/// tolerate.
+const FURTHER_ENDS_MAX: usize = 2;
+
 /// What is known of a segment, by workspace.
 pub(crate) struct SegmentEvidence<'a> {
     suspects: Vec<&'a Suspect>,
+    /// When servers ended without the segment.
+    unrelated: Vec<TimeMs>,
 }
 
 /// The ends that count against the requests of one workspace, or of all, and what speaks against them.
-struct Case {
+struct Case<'a> {
     ends: Vec<SuspectEnd>,
     /// The servers that ended under any workspace.
     servers: Vec<NameHash>,
+    /// When servers ended without the segment.
+    unrelated: &'a [TimeMs],
     was_answered: bool,
 }
 
@@ -75,9 +87,21 @@
     pub(crate) fn new(suspects: impl Iterator<Item = &'a Suspect>) -> Self {
         Self {
             suspects: suspects.collect(),
+            unrelated: Vec::new(),
         }
     }
 
+    /// Adds the times at which servers ended without the segment.
+    pub(crate) fn with_unrelated_ends(mut self, history: &EndHistory) -> Self {
+        self.unrelated = history.times_without(|server| self.has_server(server));
+        self
+    }
+
+    fn has_server(&self, server: NameHash) -> bool {
+        let mut ends = self.suspects.iter().flat_map(|suspect| &suspect.ends);
+        ends.any(|end| end.server == server)
+    }
+
     /// Returns whether an answer to a request of a workspace that began at `began_at` clears anything: ends of its own, or
     /// of any workspace since the last answer.
     pub(crate) fn is_answer_news(&self, workspace: NameHash, began_at: TimeMs) -> bool {
@@ -130,16 +154,17 @@
         own.into_iter().flat_map(|suspect| &suspect.ends)
     }
 
-    fn own_case(&self, workspace: NameHash) -> Option<Case> {
+    fn own_case(&self, workspace: NameHash) -> Option<Case<'_>> {
         let own = self.own(workspace)?;
         Some(Case {
             ends: own.ends.clone(),
             servers: self.servers(),
+            unrelated: &self.unrelated,
             was_answered: self.was_answered(),
         })
     }
 
-    fn shared_case(&self) -> Option<Case> {
+    fn shared_case(&self) -> Option<Case<'_>> {
         let ends = self.uncleared_ends();
         // A workspace that was present at all of them may itself be the cause.
         let was_always_present = |suspect: &&Suspect| {
@@ -152,6 +177,7 @@
         Some(Case {
             ends,
             servers: self.servers(),
+            unrelated: &self.unrelated,
             was_answered: self.was_answered(),
         })
     }
@@ -190,7 +216,7 @@
     }
 }
 
-impl Case {
+impl Case<'_> {
     /// Returns from when on the ends are enough; `None` if they are not.
     fn enough_from(&self) -> Option<TimeMs> {
         let ends = self.ends.iter().copied();
@@ -214,7 +240,7 @@
         } else {
             ENDS_TO_QUARANTINE
         };
-        if consecutive_ends(&mut standing) >= needed {
+        if consecutive_ends(&mut standing) >= needed + self.further_ends(&standing) {
             return Some(TimeMs(0));
         }
         if self.was_answered {
@@ -222,10 +248,30 @@
         }
         let known = alike.iter().filter(|end| !end.is_early);
         let known: Vec<SuspectEnd> = known.copied().collect();
+        if self.unrelated_between(&known) * 2 > moments(&known).count() {
+            return None;
+        }
         let last_moment = moments(&known).nth(UNANSWERED_ENDS_TO_QUARANTINE - 1)?;
         Some(last_moment.plus_ms(UNANSWERED_SETTLE_MS))
     }
 
+    /// Returns how many further ends are needed because servers also end without the segment.
+    fn further_ends(&self, ends: &[SuspectEnd]) -> usize {
+        let unrelated = self.unrelated_between(ends);
+        unrelated.saturating_sub(ends.len() / 2).min(FURTHER_ENDS_MAX)
+    }
+
+    /// Returns how often servers ended without the segment between the first and the last of these ends.
+    fn unrelated_between(&self, ends: &[SuspectEnd]) -> usize {
+        let first = ends.iter().map(|end| end.ended_at).min();
+        let last = ends.iter().map(|end| end.ended_at).max();
+        let (Some(first), Some(last)) = (first, last) else {
+            return 0;
+        };
+        let between = self.unrelated.iter().filter(|at| (first..=last).contains(at));
+        between.count()
+    }
+
     /// Returns whether no other server ended together with an end and without the segment.
     fn has_own_cause(&self, end: &SuspectEnd) -> bool {
         end.beside.is_none_or(|other| self.servers.contains(&other))
--- a/crates/reedsail_dispatch/src/server_ends.rs
+++ b/crates/reedsail_dispatch/src/server_ends.rs
@@ -64,6 +64,14 @@
     pub requests: Vec<BrokenRequest>,
 }
 
+impl ServerEnd {
+    /// Returns when the first of the connections broke.
+    pub(crate) fn ended_at(&self) -> TimeMs {
+        let broke_at = self.requests.iter().map(|request| request.broke_at);
+        broke_at.min().unwrap_or_default()
+    }
+}
+
 /// Recently broken attempts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BrokenAttempts {
--- a/crates/reedsail_dispatch/tests/segment_ends.rs
+++ b/crates/reedsail_dispatch/tests/segment_ends.rs
@@ -10,6 +10,7 @@
 use segment_instance::NEIGHBOUR;
 use segment_instance::POISON;
 use segment_instance::ROOT;
+use segment_instance::instance_with_quarantined_segment;
 use segment_instance::setup;
 
 #[test]
@@ -183,3 +184,29 @@
     }
     assert!(instance.sends("own", &[NEIGHBOUR]));
 }
+
+/// Guards against a quarantine of segments that are present by chance where servers crash one after the other.
+#[test]
+fn a_segment_is_sent_while_more_servers_end_without_it() {
+    let mut instance = Instance::new(1);
+    instance.end_server_under(&[("own", &[NEIGHBOUR])]);
+    for other in 10..12 {
+        instance.end_server_under(&[("own", &[other])]);
+        instance.end_server_under(&[("own", &[other + 10])]);
+        instance.end_server_under(&[("own", &[NEIGHBOUR])]);
+    }
+    assert!(instance.sends("own", &[NEIGHBOUR]));
+    for _ in 0..2 {
+        instance.end_server_under(&[("own", &[NEIGHBOUR])]);
+    }
+    assert!(!instance.sends("own", &[NEIGHBOUR]));
+}
+
+#[test]
+fn a_segment_stays_in_quarantine_when_servers_end_without_it() {
+    let mut instance = instance_with_quarantined_segment();
+    for other in 10..20 {
+        instance.end_server_under(&[("own", &[other])]);
+    }
+    assert!(!instance.sends("own", &[ROOT, POISON]));
+}
