Probe a quarantined segment soon while users tolerate another end

Callers whose prompts share a sound segment got 503 (quarantined) from all routers for ten to twenty minutes after four engines had crashed in turn under their requests, though the engines were sound again.

Cause: no request with a quarantined segment was sent for ten minutes, so that no answer could clear it, however few servers had ended.

While fewer than five servers have ended, which is what users tolerate, an instance now sends one such request from ten seconds after the last end on. The instances take turns by their position among the writers of the store; one that has started since the first end takes no part, as it may not know all ends. If the server ends, the next request follows after ten minutes as before. So the probe is sent before the fifth end, and costs one server.

a_sound_segment_is_sent_again_soon_after_servers_crashed_under_it can't pass before: nothing sends a request within ten minutes (one_request_in_ten_minutes_probes_a_quarantined_segment holds that).

--- a/crates/reedsail_dispatch/src/quarantine.rs
+++ b/crates/reedsail_dispatch/src/quarantine.rs
@@ -306,8 +306,8 @@
 
     /// Returns whether a request may be sent to see whether a quarantined segment still ends servers.
     fn may_probe(&self, segment: SegmentId, own: NameHash, now: TimeMs) -> bool {
-        let last_ended_at = self.evidence(segment).last_ended_at();
-        self.probes.is_due(segment, last_ended_at, own, now)
+        let ends = self.evidence(segment).ends_summary();
+        self.probes.is_due(segment, &ends, own, now)
     }
 
     /// Updates whether a segment is quarantined after its evidence has changed.
--- a/crates/reedsail_dispatch/src/quarantine/records.rs
+++ b/crates/reedsail_dispatch/src/quarantine/records.rs
@@ -20,6 +20,7 @@
 
     /// Returns the records that this instance writes to the store now.
     pub(crate) fn due_records(&mut self, writer: WriterPosition, now: TimeMs) -> Vec<SuspectRecord> {
+        self.probes.set_position(writer.position);
         let unwritten = self.suspects.iter();
         let unwritten = unwritten.filter(|(key, suspect)| {
             self.saved
--- a/crates/reedsail_dispatch/src/segment_evidence.rs
+++ b/crates/reedsail_dispatch/src/segment_evidence.rs
@@ -41,6 +41,7 @@
 use reedsail_core::TimeMs;
 
 use crate::end_history::EndHistory;
+use crate::segment_probes::EARLY_PROBE_AFTER_MS;
 use crate::suspect::Suspect;
 use crate::suspect::SuspectEnd;
 use crate::suspect::consecutive_ends;
@@ -66,6 +67,21 @@
 /// tolerate.
 const FURTHER_ENDS_MAX: usize = 2;
 
+/// What the probes of a segment depend on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct EndsSummary {
+    /// Number of servers that have ended.
+    pub(crate) servers: usize,
+    /// When the first of them ended.
+    pub(crate) first_ended_at: TimeMs,
+    /// When the last one ended.
+    pub(crate) last_ended_at: TimeMs,
+    /// The longest time for which an answer had been written at one of them, in milliseconds.
+    pub(crate) longest_answered_ms: u64,
+    /// Whether one of them ended under an early probe.
+    pub(crate) was_probed: bool,
+}
+
 /// What is known of a segment, by workspace.
 pub(crate) struct SegmentEvidence<'a> {
     suspects: Vec<&'a Suspect>,
@@ -138,10 +154,22 @@
         self.suspects.iter().any(|suspect| suspect.was_present_at(end))
     }
 
-    /// Returns when the last server ended.
-    pub(crate) fn last_ended_at(&self) -> TimeMs {
-        let ends = self.suspects.iter().flat_map(|suspect| &suspect.ends);
-        ends.map(|end| end.ended_at).max().unwrap_or(TimeMs(0))
+    /// Returns what the probes of the segment depend on.
+    pub(crate) fn ends_summary(&self) -> EndsSummary {
+        let mut ends = distinct_ends(self.suspects.iter().flat_map(|suspect| &suspect.ends));
+        ends.sort_unstable_by_key(|end| end.ended_at);
+        let mut summary = EndsSummary {
+            servers: ends.len(),
+            first_ended_at: ends.first().map_or(TimeMs(0), |end| end.ended_at),
+            ..EndsSummary::default()
+        };
+        for (earlier, end) in ends.iter().enumerate() {
+            let is_probe = end.sent_at >= summary.last_ended_at.plus_ms(EARLY_PROBE_AFTER_MS);
+            summary.was_probed |= is_probe && earlier >= ENDS_TO_QUARANTINE;
+            summary.last_ended_at = end.ended_at;
+            summary.longest_answered_ms = summary.longest_answered_ms.max(end.answered_ms);
+        }
+        summary
     }
 
     fn own(&self, workspace: NameHash) -> Option<&'a Suspect> {
@@ -202,18 +230,21 @@
         let answered_at = self.answered_at();
         let is_cleared =
             |end: &SuspectEnd| answered_at.is_some_and(|began_at| end.is_cleared_by_segment(began_at));
-        let mut uncleared: Vec<SuspectEnd> = Vec::new();
-        for end in self.suspects.iter().flat_map(|suspect| &suspect.ends) {
-            if is_cleared(end) {
-                continue;
-            }
-            match uncleared.iter_mut().find(|known| known.server == end.server) {
-                Some(known) => known.combine(end),
-                None => uncleared.push(*end),
-            }
+        let ends = self.suspects.iter().flat_map(|suspect| &suspect.ends);
+        distinct_ends(ends.filter(|end| !is_cleared(end)))
+    }
+}
+
+/// Returns the ends of all workspaces, each server once.
+fn distinct_ends<'a>(ends: impl Iterator<Item = &'a SuspectEnd>) -> Vec<SuspectEnd> {
+    let mut distinct: Vec<SuspectEnd> = Vec::new();
+    for end in ends {
+        match distinct.iter_mut().find(|known| known.server == end.server) {
+            Some(known) => known.combine(end),
+            None => distinct.push(*end),
         }
-        uncleared
     }
+    distinct
 }
 
 impl Case<'_> {
