Count sound requests of a soak while most engines take work

Of the four engines one drained by its answers until 52.8 s, one until 55.6 s and one until 58.7 s, one ended at 50.9, 51.3 and 54.3 s. So nothing took the requests, which says nothing of the segment.

The check now leaves out requests at which, within 3 s, half of the engines or more said by their answers that they drain or are busy.

--- a/crates/reedsail_soak/src/poison_checks.rs
+++ b/crates/reedsail_soak/src/poison_checks.rs
@@ -1,6 +1,8 @@
 //! Checks that a segment which ends servers stops reaching them, and that requests which share its caller and its first
 //! segments go on.
 
+use std::collections::BTreeSet;
+
 use crate::Attempt;
 use crate::CallKind;
 use crate::History;
@@ -61,7 +63,9 @@
     let before = begun_share(history, |attempt| {
         attempt.ended_ms < first_ms && is_quiet(attempt)
     });
-    let beside = begun_share(history, |attempt| is_about(attempt.began_ms));
+    let beside = begun_share(history, |attempt| {
+        is_about(attempt.began_ms) && most_engines_take_work(history, attempt.began_ms)
+    });
     // Compares the shares without a division.
     let is_lost = beside.0 * before.1 * 2 < before.0 * beside.1;
     if before.1 >= SOUND_MIN && beside.1 >= SOUND_MIN && is_lost {
@@ -97,6 +101,17 @@
     share
 }
 
+/// Returns whether more than half of the engines have not said by their answers that they take no work.
+fn most_engines_take_work(history: &History, at_ms: u64) -> bool {
+    let from_ms = at_ms.saturating_sub(IN_TOUCH_MS);
+    let engines = history.lives.iter().filter(|life| life.is_engine);
+    let engines: BTreeSet<usize> = engines.map(|life| life.server).collect();
+    let takes_none =
+        |server: usize| history.is_disturbed(from_ms, at_ms, |target| target == Target::Notices(server));
+    let without_work = engines.iter().filter(|server| takes_none(**server)).count();
+    engines.is_empty() || 2 * without_work < engines.len()
+}
+
 /// Returns whether instances may have learned of the engines that replaced ended ones. While the store is disturbed they
 /// know none of them.
 fn may_know_engines(history: &History, at_ms: u64) -> bool {
