Take a response with a status outside the final classes for none

Callers got 600, 700, 999 as the answer's status, and a 101 that no request asked for, with bytes up to the end of the connection.

Cause: the HTTP library accepts every status from 100 to 999 and returns a 101 as a response, and no reader looked at the class.

The head is checked where every reader gets it, in HttpConnection::send, before its notices, promises or body are read. An error there is an attempt that has run: it ends at once, counts as broken for the server, and is retried only as its route and the budget allow. The connection is dropped with the error.

--- a/crates/reedsail_log_client/src/client.rs
+++ b/crates/reedsail_log_client/src/client.rs
@@ -134,7 +134,7 @@
             let response = match connection.send(request).await {
                 Ok(response) => response,
                 Err(SendError::NotWritten(_)) => return Err(PlatformError::NotReached(self.address)),
-                Err(SendError::AfterWrite(error)) => {
+                Err(error @ (SendError::AfterWrite(_) | SendError::UntrustedHead(_))) => {
                     return Err(PlatformError::AnswerLost(error.to_string()));
                 }
             };
--- a/crates/reedsail_net/src/exchange.rs
+++ b/crates/reedsail_net/src/exchange.rs
@@ -42,6 +42,9 @@
     match outcome {
         Ok(response) => Exchange::Head(sent, Box::new(response), connection),
         Err(SendError::NotWritten(request)) => Exchange::HandedBack(sent.into_unsent(), request),
-        Err(SendError::AfterWrite(_)) => Exchange::Failed(sent, ErrorKind::BackendFailed),
+        Err(error @ (SendError::AfterWrite(_) | SendError::UntrustedHead(_))) => {
+            log::debug!("no response: {error}");
+            Exchange::Failed(sent, ErrorKind::BackendFailed)
+        }
     }
 }
--- a/crates/reedsail_net/src/http_connection.rs
+++ b/crates/reedsail_net/src/http_connection.rs
@@ -15,7 +15,9 @@
 use crate::ByteCounter;
 use crate::FrameLimit;
 use crate::FrameLimitedBody;
+use crate::HeadError;
 use crate::connect;
+use crate::response_head::check_head;
 
 /// Maximum size of the buffer of what was read and not taken yet, and of a response head, in bytes.
 const READ_BUFFER_BYTES_MAX: usize = 64 << 10;
@@ -29,6 +31,9 @@
     /// The request may have been read by the server.
     #[error("the connection failed after the request was written: {0}")]
     AfterWrite(hyper::Error),
+    /// The server has read the request, and the head of its response cannot be trusted.
+    #[error("the head of the response cannot be trusted: {0}")]
+    UntrustedHead(#[from] HeadError),
 }
 
 /// A connection to a server. It must be dropped unless its last response was read completely.
@@ -89,7 +94,7 @@
         self.sender.ready().await.is_ok()
     }
 
-    /// Sends a request and returns the head of the response.
+    /// Sends a request and returns the response if its head can be trusted.
     ///
     /// # Errors
     /// The variant says whether any byte of the request may have reached the server.
@@ -98,7 +103,10 @@
         let response = self.sender.try_send_request(request).await;
         self.limit.lift();
         match response {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                check_head(&response)?;
+                Ok(response)
+            }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::NotWritten(Box::new(request))),
                 None => Err(SendError::AfterWrite(error.into_error())),
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -491,6 +491,43 @@
         self.router.addresses().callers
     }
 
+    /// Lists one server for all services in place of the others, and waits until the router knows it.
+    pub(crate) async fn list_only(&self, address: SocketAddr) {
+        self.list(&["app", "llm"].map(|service| self.record_at(service, address)))
+            .await;
+    }
+
+    /// Lists a server for all services beside the others, and waits until the router knows it.
+    pub(crate) async fn list_beside(&self, address: SocketAddr) {
+        let added = ["app", "llm"].map(|service| self.record_at(service, address));
+        let listed = [
+            record("app-1", "app", &self.app),
+            record("llm-1", "llm", &self.llm),
+        ];
+        self.list(&[added, listed].concat()).await;
+    }
+
+    fn record_at(&self, service: &str, address: SocketAddr) -> ServerRecord {
+        ServerRecord {
+            address,
+            ..record(&format!("{service}-listed"), service, &self.app)
+        }
+    }
+
+    async fn list(&self, records: &[ServerRecord]) {
+        self.store.servers.send_replace(Some(records.to_vec()));
+        let admin = self.router.addresses().admin;
+        let is_listed =
+            |text: &str, id: &str| text.contains(id) == records.iter().any(|record| record.id == id);
+        wait_for("the listed servers", async || {
+            let page = ask(admin, "/servers", &[]).await;
+            ["llm-listed", "llm-1"]
+                .iter()
+                .all(|id| is_listed(page.text(), id))
+        })
+        .await;
+    }
+
     /// Adds a second server of a service, and waits until the router lists it.
     pub(crate) async fn add_server(&self, id: &str, service: &str) -> RoutedStandin {
         let server = RoutedStandin::start().await.unwrap();
--- a/crates/reedsail_standin/src/lib.rs
+++ b/crates/reedsail_standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod platform;
 mod platform_log;
 mod prefix_cache;
+mod raw_server;
 mod routed_server;
 
 pub use engine::EngineConfig;
@@ -29,6 +30,8 @@
 pub use platform::PlatformConfig;
 pub use platform::PlatformFaults;
 pub use platform::PlatformStandin;
+pub use raw_server::RawAnswer;
+pub use raw_server::RawServer;
 pub use routed_server::RoutedAnswer;
 pub use routed_server::RoutedRun;
 pub use routed_server::RoutedStandin;
