Take a response with a transfer coding that is not understood for none

Callers got 200, ended by the connection, with the chunk sizes in the body where Transfer-Encoding was spoilt (chunXed, empty, another coding last, a parameter) and the server closed; a 504 at the deadline where it kept the connection. A head so spoilt that promises 'not run' was believed.

Cause: BodyFraming took a coding that is not chunked for an absent one, so the body seemed to end with its connection. RFC 9112, 6.3 allows that reading, but this router understands no other coding, and hop headers are removed, so that a caller gets a coded body without its coding. Evidence: three new tests on four routes, with the connection closed and kept, failed on the code before (200 with "e\r\nid: 1...", 200 "body", 503).

A Transfer-Encoding other than one 'chunked' is now an untrusted head, refused as it is read, so nothing waits for the body. Answers without the field are read as before. The tests pass.

--- a/crates/reedsail_net/src/body_framing.rs
+++ b/crates/reedsail_net/src/body_framing.rs
@@ -15,26 +15,16 @@
 }
 
 impl BodyFraming {
-    /// Returns the framing of a response whose body was not read yet.
+    /// Returns the framing of a response whose head can be trusted and whose body was not read yet.
     pub fn of(headers: &HeaderMap, body: &impl Body) -> Self {
         // Responses to HEAD, and those with status 204 or 304, have no body whatever their headers say.
         if body.is_end_stream() {
             return Self::Framed;
         }
-        let last_coding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-        let is_framed = match last_coding {
-            Some(codings) => codings.to_str().is_ok_and(ends_with_chunked),
-            None => headers.contains_key(CONTENT_LENGTH),
-        };
-        if is_framed {
+        if headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH) {
             Self::Framed
         } else {
             Self::ConnectionEnd
         }
     }
 }
-
-fn ends_with_chunked(codings: &str) -> bool {
-    let last = codings.rsplit(',').next().unwrap_or_default();
-    last.trim().eq_ignore_ascii_case("chunked")
-}
--- a/crates/reedsail_net/src/response_head.rs
+++ b/crates/reedsail_net/src/response_head.rs
@@ -3,8 +3,11 @@
 //! **Rule.** A head that is spoilt in one place may be spoilt in any other, so the response counts as none: its status, its
 //! promises and its body are not used.
 
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use hyper::header::TRANSFER_ENCODING;
 use thiserror::Error;
 
 /// Why the head of a response cannot be trusted.
@@ -13,6 +16,10 @@
     /// The status is no final status (RFC 9110, 15), or switches to a protocol that no request asks for.
     #[error("{0} is no final status")]
     Status(StatusCode),
+    /// The transfer coding is not `chunked` alone. No request asks for another, and a caller would get a coded body without
+    /// its coding.
+    #[error("the transfer coding {0:?} is not `chunked` alone")]
+    TransferCoding(HeaderValue),
 }
 
 /// Checks the head of a response to a request.
@@ -20,7 +27,8 @@
 /// # Errors
 /// Returns the reason why the head cannot be trusted.
 pub(crate) fn check_head<B>(response: &Response<B>) -> Result<(), HeadError> {
-    check_status(response.status())
+    check_status(response.status())?;
+    check_coding(response.headers())
 }
 
 fn check_status(status: StatusCode) -> Result<(), HeadError> {
@@ -34,3 +42,17 @@
         Err(HeadError::Status(status))
     }
 }
+
+fn check_coding(headers: &HeaderMap) -> Result<(), HeadError> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let first = codings.next();
+    let refused = first.filter(|coding| !is_chunked(coding)).or(codings.next());
+    match refused {
+        Some(coding) => Err(HeadError::TransferCoding(coding.clone())),
+        None => Ok(()),
+    }
+}
+
+fn is_chunked(coding: &HeaderValue) -> bool {
+    coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked")
+}
--- a/crates/reedsail_router/tests/spoilt_heads.rs
+++ b/crates/reedsail_router/tests/spoilt_heads.rs
@@ -18,6 +18,8 @@
 const PATHS: [&str; 4] = ["/once/a", "/again/a", "/stream/a", "/resume/a"];
 /// How long an answer may take that nothing is waited for, well below the deadline of 8 s.
 const ANSWERED_WITHIN: Duration = Duration::from_secs(4);
+/// Two events in chunks.
+const CHUNKS: &str = "e\r\nid: 1\ndata: a\n\n\r\ne\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 
 /// Returns an answer with the id of the request, the given status and header lines, and a body.
 fn answer(status: &str, lines: &str, body: &str) -> String {
@@ -74,3 +76,35 @@
         check_untrusted(&answer(status, "content-length: 4\r\n", "body")).await;
     }
 }
+
+#[tokio::test]
+async fn a_transfer_coding_that_is_not_understood_is_no_answer() {
+    let values = [
+        "chunXed",
+        "",
+        "gzip",
+        "gzip, chunked",
+        "chunked, gzip",
+        "chunked;q=1",
+        "chunked, chunked",
+    ];
+    for value in values {
+        let line = format!("transfer-encoding: {value}\r\n");
+        check_untrusted(&answer("200 OK", &line, CHUNKS)).await;
+    }
+    let two_lines = "transfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n";
+    check_untrusted(&answer("200 OK", two_lines, CHUNKS)).await;
+}
+
+#[tokio::test]
+async fn a_spoilt_transfer_coding_beside_a_length_is_no_answer() {
+    let lines = "transfer-encoding: chunXed\r\ncontent-length: 4\r\n";
+    check_untrusted(&answer("200 OK", lines, "body")).await;
+}
+
+/// The promise that a request did not run is as little worth as the rest of its head.
+#[tokio::test]
+async fn a_promise_in_a_spoilt_head_is_not_believed() {
+    let lines = "transfer-encoding: chunXed\r\nreedsail-ran: not_run\r\n";
+    check_untrusted(&answer("503 Service Unavailable", lines, CHUNKS)).await;
+}
