Take a response with both a length and chunks for none

Callers got 200 from a head with Content-Length and Transfer-Encoding: chunked, whose two statements about the body contradict each other or repeat.

Cause: the HTTP library prefers the chunks, and no reader looked further. RFC 9112, 6.3, rule 3 says that such a message ought to be handled as an error, and no sound server of the users' pages sends both.

Both fields together are now an untrusted head.

--- a/crates/reedsail_net/src/response_head.rs
+++ b/crates/reedsail_net/src/response_head.rs
@@ -6,6 +6,7 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 use thiserror::Error;
@@ -20,6 +21,9 @@
     /// its coding.
     #[error("the transfer coding {0:?} is not `chunked` alone")]
     TransferCoding(HeaderValue),
+    /// The body is delimited in two ways (RFC 9112, 6.3, rule 3).
+    #[error("the body has both a length and chunks")]
+    LengthAndChunks,
 }
 
 /// Checks the head of a response to a request.
@@ -28,7 +32,7 @@
 /// Returns the reason why the head cannot be trusted.
 pub(crate) fn check_head<B>(response: &Response<B>) -> Result<(), HeadError> {
     check_status(response.status())?;
-    check_coding(response.headers())
+    check_framing(response.headers())
 }
 
 fn check_status(status: StatusCode) -> Result<(), HeadError> {
@@ -43,14 +47,17 @@
     }
 }
 
-fn check_coding(headers: &HeaderMap) -> Result<(), HeadError> {
+fn check_framing(headers: &HeaderMap) -> Result<(), HeadError> {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     let first = codings.next();
     let refused = first.filter(|coding| !is_chunked(coding)).or(codings.next());
-    match refused {
-        Some(coding) => Err(HeadError::TransferCoding(coding.clone())),
-        None => Ok(()),
+    if let Some(coding) = refused {
+        return Err(HeadError::TransferCoding(coding.clone()));
     }
+    if first.is_some() && headers.contains_key(CONTENT_LENGTH) {
+        return Err(HeadError::LengthAndChunks);
+    }
+    Ok(())
 }
 
 fn is_chunked(coding: &HeaderValue) -> bool {
--- a/crates/reedsail_router/tests/spoilt_heads.rs
+++ b/crates/reedsail_router/tests/spoilt_heads.rs
@@ -108,3 +108,13 @@
     let lines = "transfer-encoding: chunXed\r\nreedsail-ran: not_run\r\n";
     check_untrusted(&answer("503 Service Unavailable", lines, CHUNKS)).await;
 }
+
+#[tokio::test]
+async fn an_answer_with_both_a_length_and_chunks_is_no_answer() {
+    for lines in [
+        "transfer-encoding: chunked\r\ncontent-length: 4\r\n",
+        "content-length: 43\r\ntransfer-encoding: chunked\r\n",
+    ] {
+        check_untrusted(&answer("200 OK", lines, CHUNKS)).await;
+    }
+}
