Give every reader of responses the body through one type

No change of what is read or relayed, but that the limit on the parts of a body now holds for all readers: those of the log, of the start of a server, of reedsaild and of the tool took the library's body, without it.

HttpConnection::send returns the body as ReceivedBody, so that a check of a body has one place.

--- a/crates/reedsail_bench/src/caller.rs
+++ b/crates/reedsail_bench/src/caller.rs
@@ -9,9 +9,9 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use reedsail_net::ByteCounter;
 use reedsail_net::HttpConnection;
+use reedsail_net::ReceivedBody;
 use reedsail_standin::token_text;
 use serde_json::Value;
 use serde_json::json;
@@ -145,7 +145,7 @@
 
     async fn read_stream(
         &mut self,
-        response: Response<Incoming>,
+        response: Response<ReceivedBody>,
         prompt: &str,
         tokens: u64,
         started: Instant,
@@ -184,14 +184,14 @@
     }
 }
 
-async fn read_failure(response: Response<Incoming>, ran: String) -> Result<Outcome, String> {
+async fn read_failure(response: Response<ReceivedBody>, ran: String) -> Result<Outcome, String> {
     let body = read_body(response).await?;
     let answer: Value = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
     let kind = answer["error"]["kind"].as_str().unwrap_or("unknown").to_owned();
     Ok(Outcome::Failed { kind, ran })
 }
 
-async fn read_chat(response: Response<Incoming>, prompt: &str, tokens: u64) -> Result<Outcome, String> {
+async fn read_chat(response: Response<ReceivedBody>, prompt: &str, tokens: u64) -> Result<Outcome, String> {
     let body = read_body(response).await?;
     let answer: Value = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
     let content = answer["choices"][0]["message"]["content"]
@@ -200,7 +200,11 @@
     Ok(check_content(content, prompt, tokens))
 }
 
-async fn read_plain(response: Response<Incoming>, call: &str, request_id: &str) -> Result<Outcome, String> {
+async fn read_plain(
+    response: Response<ReceivedBody>,
+    call: &str,
+    request_id: &str,
+) -> Result<Outcome, String> {
     let body = read_body(response).await?;
     let answer: Value = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
     let is_own = answer["call"] == call && answer["request_id"] == request_id;
@@ -211,7 +215,7 @@
     })
 }
 
-async fn read_body(response: Response<Incoming>) -> Result<Bytes, String> {
+async fn read_body(response: Response<ReceivedBody>) -> Result<Bytes, String> {
     let collected = response.into_body().collect().await;
     Ok(collected.map_err(|error| error.to_string())?.to_bytes())
 }
--- a/crates/reedsail_daemon/src/traffic/backend.rs
+++ b/crates/reedsail_daemon/src/traffic/backend.rs
@@ -6,7 +6,6 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use reedsail_bundle::Repeat;
@@ -20,6 +19,7 @@
 use reedsail_net::ByteCounter;
 use reedsail_net::Exchange;
 use reedsail_net::HttpConnection;
+use reedsail_net::ReceivedBody;
 use reedsail_net::exchange;
 use reedsail_scheduling::Class;
 use reedsail_scheduling::SharePolicy;
@@ -42,7 +42,7 @@
 /// The head of an answer, with what is needed to read its body.
 pub(crate) struct StartedAnswer {
     pub(crate) sent: Sent,
-    pub(crate) response: Response<Incoming>,
+    pub(crate) response: Response<ReceivedBody>,
     pub(crate) connection: HttpConnection,
     pub(crate) address: SocketAddr,
     pub(crate) server: ServerKey,
@@ -225,7 +225,7 @@
 fn check_head<P: SharePolicy>(
     call: &Call<P>,
     sent: Sent,
-    response: Response<Incoming>,
+    response: Response<ReceivedBody>,
     connection: HttpConnection,
     address: SocketAddr,
     server: ServerKey,
--- a/crates/reedsail_daemon/src/traffic/relay.rs
+++ b/crates/reedsail_daemon/src/traffic/relay.rs
@@ -11,7 +11,6 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use reedsail_bundle::CostUnit;
@@ -19,6 +18,7 @@
 use reedsail_core::Sent;
 use reedsail_core::ServerKey;
 use reedsail_net::BodyFraming;
+use reedsail_net::ReceivedBody;
 use reedsail_net::remove_frame;
 use reedsail_scheduling::SharePolicy;
 use tokio::time::timeout;
@@ -106,7 +106,7 @@
 }
 
 /// Reads a body to its end. The total time is not limited, but a pause longer than `stall_ms` is an error.
-async fn read_answer(mut body: Incoming, bytes_max: usize, stall_ms: u64) -> Result<Bytes, ErrorKind> {
+async fn read_answer(mut body: ReceivedBody, bytes_max: usize, stall_ms: u64) -> Result<Bytes, ErrorKind> {
     let stall = Duration::from_millis(stall_ms);
     let mut whole = BytesMut::new();
     loop {
--- a/crates/reedsail_daemon/src/traffic/stream.rs
+++ b/crates/reedsail_daemon/src/traffic/stream.rs
@@ -9,12 +9,12 @@
 use http_body_util::channel::Channel;
 use http_body_util::channel::Sender;
 use hyper::Response;
-use hyper::body::Incoming;
 use reedsail_bundle::CostUnit;
 use reedsail_core::ServerKey;
 use reedsail_core::Unsent;
 use reedsail_events::EventKind;
 use reedsail_net::EventSplitter;
+use reedsail_net::ReceivedBody;
 use reedsail_scheduling::SharePolicy;
 use tokio::time::timeout;
 
@@ -149,7 +149,7 @@
     }
 
     /// Relays events until the stream ends, breaks, is preempted or the caller disconnects.
-    async fn relay_events(&mut self, body: &mut Incoming) -> StreamEnd {
+    async fn relay_events(&mut self, body: &mut ReceivedBody) -> StreamEnd {
         let stall = Duration::from_millis(self.shared.settings.limits.stall_max_ms);
         loop {
             let frame = match timeout(stall, body.frame()).await {
--- a/crates/reedsail_net/src/exchange.rs
+++ b/crates/reedsail_net/src/exchange.rs
@@ -4,7 +4,6 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use reedsail_core::ErrorKind;
 use reedsail_core::Sent;
 use reedsail_core::Unsent;
@@ -13,6 +12,7 @@
 use crate::DeadlineTimer;
 
 use crate::HttpConnection;
+use crate::ReceivedBody;
 use crate::SendError;
 
 /// The outcome of sending a request on a connection.
@@ -21,7 +21,7 @@
     /// No byte was written. The request is returned to the caller.
     HandedBack(Unsent, Box<Request<Full<Bytes>>>),
     /// The head of the response arrived.
-    Head(Sent, Box<Response<Incoming>>, HttpConnection),
+    Head(Sent, Box<Response<ReceivedBody>>, HttpConnection),
     /// Bytes may have been written, and no response arrived.
     Failed(Sent, ErrorKind),
 }
--- a/crates/reedsail_net/src/http_connection.rs
+++ b/crates/reedsail_net/src/http_connection.rs
@@ -7,7 +7,6 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -16,6 +15,7 @@
 use crate::FrameLimit;
 use crate::FrameLimitedBody;
 use crate::HeadError;
+use crate::ReceivedBody;
 use crate::connect;
 use crate::response_head::check_head;
 
@@ -79,11 +79,6 @@
         self.identity
     }
 
-    /// Limits the parts of the body of a response on this connection.
-    pub fn limit_frames(&self, body: Incoming) -> FrameLimitedBody {
-        FrameLimitedBody::new(body, self.limit.clone())
-    }
-
     /// Returns whether the connection can accept a request now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -98,14 +93,15 @@
     ///
     /// # Errors
     /// The variant says whether any byte of the request may have reached the server.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<ReceivedBody>, SendError> {
         self.limit.begin_part();
         let response = self.sender.try_send_request(request).await;
         self.limit.lift();
         match response {
             Ok(response) => {
                 check_head(&response)?;
-                Ok(response)
+                let limit = self.limit.clone();
+                Ok(response.map(|body| ReceivedBody::new(FrameLimitedBody::new(body, limit))))
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::NotWritten(Box::new(request))),
--- a/crates/reedsail_net/src/persistent_client.rs
+++ b/crates/reedsail_net/src/persistent_client.rs
@@ -90,7 +90,7 @@
             .map_err(CallError::from_display)?;
         let response = connection.send(request).await.map_err(CallError::from_display)?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(connection.limit_frames(body), self.body_bytes_max);
+        let body = Limited::new(body, self.body_bytes_max);
         let body = body.collect().await.map_err(CallError::from_display)?.to_bytes();
         self.connection = Some(connection);
         Ok(CompleteResponse {
--- a/crates/reedsail_net/tests/frame_limit.rs
+++ b/crates/reedsail_net/tests/frame_limit.rs
@@ -78,7 +78,7 @@
         .unwrap();
     let request = || Request::new(Full::<Bytes>::default());
     let response = connection.send(request()).await.unwrap();
-    let mut body = connection.limit_frames(response.into_body());
+    let mut body = response.into_body();
     while body.frame().await.is_some() {}
     assert!(connection.ready().await);
     let dropping = async {
--- a/crates/reedsail_router/src/control/peer_fetch.rs
+++ b/crates/reedsail_router/src/control/peer_fetch.rs
@@ -156,7 +156,6 @@
     if response.status() != StatusCode::OK {
         return Err(FetchError::Status(response.status()));
     }
-    let body = connection.limit_frames(response.into_body());
-    let body = Limited::new(body, ANSWER_BYTES_MAX);
+    let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX);
     Ok(body.collect().await.map_err(FetchError::Body)?.to_bytes())
 }
--- a/crates/reedsail_router/src/traffic/body_buffer.rs
+++ b/crates/reedsail_router/src/traffic/body_buffer.rs
@@ -9,7 +9,6 @@
 use reedsail_dispatch::BodyReservation;
 use reedsail_dispatch::NoBodyRoom;
 use reedsail_dispatch::UNCOUNTED_BYTES_MAX;
-use reedsail_net::FrameLimitedBody;
 
 /// Why a body is not in memory as a whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,7 +52,10 @@
     ///
     /// # Errors
     /// Says why the rest of the body is not read. What was read stays in the buffer.
-    pub(crate) async fn read(&mut self, body: &mut FrameLimitedBody) -> Result<(), BodyError> {
+    pub(crate) async fn read<B>(&mut self, body: &mut B) -> Result<(), BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
         if let Some(bytes) = body.size_hint().exact() {
             let bytes = usize::try_from(bytes).map_err(|_overflow| BodyError::TooLarge)?;
             self.make_room(bytes, bytes)?;
--- a/crates/reedsail_router/src/traffic/exchange.rs
+++ b/crates/reedsail_router/src/traffic/exchange.rs
@@ -5,7 +5,6 @@
 
 use hyper::HeaderMap;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use reedsail_core::ErrorKind;
 use reedsail_core::Sent;
@@ -18,8 +17,8 @@
 use reedsail_dispatch::VersionDemand;
 use reedsail_net::BodyFraming;
 use reedsail_net::ByteCounter;
-use reedsail_net::FrameLimitedBody;
 use reedsail_net::HttpConnection;
+use reedsail_net::ReceivedBody;
 
 use super::Pool;
 use super::attempt_guard::AttemptGuard;
@@ -46,7 +45,7 @@
 pub(crate) struct ResponseStart<H> {
     pub(crate) sent: Sent,
     pub(crate) head: Parts,
-    pub(crate) body: FrameLimitedBody,
+    pub(crate) body: ReceivedBody,
     pub(crate) framing: BodyFraming,
     pub(crate) attempt: OpenAttempt<H>,
 }
@@ -258,7 +257,7 @@
     shared: &Shared<H>,
     call: &Call,
     sent: Sent,
-    response: Response<Incoming>,
+    response: Response<ReceivedBody>,
     connection: HttpConnection,
     mut guard: AttemptGuard<H>,
 ) -> AttemptResult<H> {
@@ -285,7 +284,6 @@
             guard.record_started();
             let (head, body) = response.into_parts();
             let framing = BodyFraming::of(&head.headers, &body);
-            let body = connection.limit_frames(body);
             AttemptResult::ResponseStarted(Box::new(ResponseStart {
                 sent,
                 head,
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -23,7 +23,7 @@
 use reedsail_net::Clock;
 use reedsail_net::DeadlineTimer;
 use reedsail_net::EventScanner;
-use reedsail_net::FrameLimitedBody;
+use reedsail_net::ReceivedBody;
 use tokio::sync::oneshot;
 
 use super::Pool;
@@ -47,7 +47,7 @@
 pub(crate) struct StreamBody<H> {
     shared: Arc<Shared<H>>,
     pool: Arc<Pool>,
-    body: FrameLimitedBody,
+    body: ReceivedBody,
     framing: BodyFraming,
     /// `None` for a response that is no stream of events.
     scanner: Option<EventScanner>,
--- a/crates/reedsail_router/src/traffic/resume.rs
+++ b/crates/reedsail_router/src/traffic/resume.rs
@@ -24,7 +24,7 @@
 use reedsail_dispatch::VersionDemand;
 use reedsail_net::BodyFraming;
 use reedsail_net::EventSplitter;
-use reedsail_net::FrameLimitedBody;
+use reedsail_net::ReceivedBody;
 use tokio::select;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
@@ -204,7 +204,7 @@
     /// Relays complete events until the server's response ends.
     async fn relay_events(
         &mut self,
-        body: &mut FrameLimitedBody,
+        body: &mut ReceivedBody,
         framing: BodyFraming,
         guard: &mut AttemptGuard<H>,
     ) -> StreamEnd {
--- a/crates/reedsail_router/src/traffic/sending.rs
+++ b/crates/reedsail_router/src/traffic/sending.rs
@@ -5,7 +5,6 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use reedsail_core::ErrorKind;
 use reedsail_core::Sent;
 use reedsail_core::TimeMs;
@@ -14,6 +13,7 @@
 use reedsail_dispatch::RetryPermit;
 use reedsail_net::Exchange;
 use reedsail_net::HttpConnection;
+use reedsail_net::ReceivedBody;
 use reedsail_net::exchange;
 
 use super::Pool;
@@ -43,7 +43,7 @@
     /// in the pool.
     Late(Unsent),
     /// The head of the response arrived.
-    Head(Sent, Box<Response<Incoming>>, HttpConnection),
+    Head(Sent, Box<Response<ReceivedBody>>, HttpConnection),
     /// Bytes may have been written, and no response arrived.
     Failed(Sent, ErrorKind),
 }
--- a/crates/reedsail_router/tests/body_memory.rs
+++ b/crates/reedsail_router/tests/body_memory.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use hyper::body::Incoming;
+use reedsail_net::ReceivedBody;
 use reedsail_router::WorkspaceDefinition;
 use reedsail_standin::RoutedAnswer;
 use tokio::io::AsyncReadExt;
@@ -261,7 +261,7 @@
 }
 
 /// Begins to read an answer of 4 MB, and stops.
-async fn begin_reading(fixture: &RouterFixture) -> (Caller, hyper::Response<Incoming>) {
+async fn begin_reading(fixture: &RouterFixture) -> (Caller, hyper::Response<ReceivedBody>) {
     let mut caller = Caller::connect(fixture.callers()).await;
     let response = caller.send(request("/once/a", &[])).await;
     assert_eq!(response.status(), StatusCode::OK);
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -16,7 +16,6 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use reedsail_core::StorePosition;
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::ServerChange;
@@ -29,6 +28,7 @@
 use reedsail_net::ByteCounter;
 use reedsail_net::Clock;
 use reedsail_net::HttpConnection;
+use reedsail_net::ReceivedBody;
 use reedsail_router::AnswerShape;
 use reedsail_router::Configuration;
 use reedsail_router::ListenAddresses;
@@ -362,7 +362,7 @@
         Self { connection }
     }
 
-    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Response<Incoming> {
+    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Response<ReceivedBody> {
         assert!(self.connection.ready().await, "the connection is closed");
         self.connection.send(request).await.unwrap()
     }
@@ -394,7 +394,7 @@
     request(path, headers).map(|_| Full::new(Bytes::from(vec![b'u'; bytes])))
 }
 
-pub(crate) async fn read(response: hyper::Response<Incoming>) -> Reply {
+pub(crate) async fn read(response: hyper::Response<ReceivedBody>) -> Reply {
     let (parts, mut body) = response.into_parts();
     let framing = BodyFraming::of(&parts.headers, &body);
     let (body, is_whole) = read_body(&mut body, None).await;
@@ -408,7 +408,7 @@
 }
 
 /// Reads the body until it contains `until`, or to its end. Returns the bytes, and whether no frame failed.
-pub(crate) async fn read_body(body: &mut Incoming, until: Option<&str>) -> (Bytes, bool) {
+pub(crate) async fn read_body(body: &mut ReceivedBody, until: Option<&str>) -> (Bytes, bool) {
     let mut bytes = Vec::new();
     let mut is_whole = true;
     while let Some(frame) = body.frame().await {
--- a/crates/reedsail_router/tests/planned_stop.rs
+++ b/crates/reedsail_router/tests/planned_stop.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use hyper::body::Incoming;
+use reedsail_net::ReceivedBody;
 use reedsail_standin::RoutedAnswer;
 use tokio::time::sleep;
 
@@ -40,7 +40,7 @@
 }
 
 /// Reads a body with pauses. Returns its bytes, and whether it is whole.
-async fn read_slowly(mut body: Incoming) -> (usize, bool) {
+async fn read_slowly(mut body: ReceivedBody) -> (usize, bool) {
     let (mut read, mut paused_at) = (0, 0);
     loop {
         match body.frame().await {
--- a/crates/reedsail_router/tests/software_versions.rs
+++ b/crates/reedsail_router/tests/software_versions.rs
@@ -9,9 +9,9 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use reedsail_dispatch::ServerRecord;
+use reedsail_net::ReceivedBody;
 use reedsail_router::RunningRouter;
 use reedsail_router::WorkspaceDefinition;
 use reedsail_standin::RoutedAnswer;
@@ -197,7 +197,7 @@
     }
 
     /// Begins the streams of a test at the first instance. They stay open while the answers are kept.
-    async fn begin_streams(&self) -> Vec<Response<Incoming>> {
+    async fn begin_streams(&self) -> Vec<Response<ReceivedBody>> {
         let mut open = Vec::new();
         for number in 0..STREAMS {
             open.push(begin_stream(self.callers(0), &format!("first-{number}"), number).await);
@@ -230,7 +230,7 @@
 }
 
 /// Begins a stream at an instance and reads its first two events. The stream stays open while the answer is kept.
-async fn begin_stream(callers: SocketAddr, request_id: &str, number: usize) -> Response<Incoming> {
+async fn begin_stream(callers: SocketAddr, request_id: &str, number: usize) -> Response<ReceivedBody> {
     let mut caller = Caller::connect(callers).await;
     let prompt = prompt_of(number);
     let headers = [("reedsail-request-id", request_id), ("reedsail-prompt", &prompt)];
--- a/crates/reedsail_soak/src/caller.rs
+++ b/crates/reedsail_soak/src/caller.rs
@@ -12,7 +12,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HOST;
 use hyper::header::RETRY_AFTER;
@@ -22,6 +21,7 @@
 use reedsail_net::BodyFraming;
 use reedsail_net::ByteCounter;
 use reedsail_net::HttpConnection;
+use reedsail_net::ReceivedBody;
 use reedsail_platform_standin::CallerHead;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
@@ -315,7 +315,7 @@
     }
 }
 
-async fn read_outcome(response: Response<Incoming>, id: &str, kind: CallKind) -> Outcome {
+async fn read_outcome(response: Response<ReceivedBody>, id: &str, kind: CallKind) -> Outcome {
     let status = response.status().as_u16();
     let by_server = response.headers().contains_key(SERVED_BY);
     let has_retry_after = response.headers().contains_key(RETRY_AFTER);
--- a/crates/reedsail_soak/src/stream_progress.rs
+++ b/crates/reedsail_soak/src/stream_progress.rs
@@ -2,8 +2,8 @@
 
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Incoming;
 use reedsail_net::BodyFraming;
+use reedsail_net::ReceivedBody;
 
 use crate::Outcome;
 use crate::StreamPart;
@@ -24,7 +24,7 @@
     pub(crate) async fn read(
         &mut self,
         attempt_id: &str,
-        response: Response<Incoming>,
+        response: Response<ReceivedBody>,
         hang_up_after: Option<u32>,
     ) -> (Outcome, StreamPart) {
         let mut part = self.empty_part();
