Tell no caller the length of a stream that another server may continue

Callers of a resumable stream whose first server stated a length and broke off got that length: the stream that another server continued was cut at it, and looked complete there.

Cause: the head for the caller kept Content-Length of the first server. A stream that goes on elsewhere has another length.

The stream now goes out in chunks, whose end comes after the last event only.

--- a/crates/reedsail_router/src/traffic/forward.rs
+++ b/crates/reedsail_router/src/traffic/forward.rs
@@ -10,6 +10,7 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Body;
+use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use reedsail_core::ErrorKind;
@@ -324,6 +325,8 @@
         let mut headers = response_start.head.headers.clone();
         remove_hop_headers(&mut headers);
         let body = if self.call.route.is_repeatable() {
+            // A stream that another server continues may be longer.
+            headers.remove(CONTENT_LENGTH);
             ResponseBody::Resumable(ResumableBody::start(
                 &self.shared,
                 &self.pool,
--- a/crates/reedsail_router/tests/broken_answers.rs
+++ b/crates/reedsail_router/tests/broken_answers.rs
@@ -12,6 +12,8 @@
 use hyper::StatusCode;
 use reedsail_dispatch::ServerRecord;
 use reedsail_net::BodyFraming;
+use reedsail_standin::RawAnswer;
+use reedsail_standin::RawServer;
 use reedsail_standin::RoutedAnswer;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -325,3 +327,30 @@
     let response = caller.send(request("/stream/a", &[])).await;
     assert!(response.status() == StatusCode::OK || response.status() == StatusCode::BAD_GATEWAY);
 }
+
+/// Guards against a stream that another server continues and whose caller is told the length of the first server's part.
+#[tokio::test]
+async fn a_stream_with_a_length_that_breaks_off_continues_elsewhere() {
+    let fixture = RouterFixture::start().await;
+    let three = RoutedAnswer::Stream {
+        events: 3,
+        pause_after: None,
+    };
+    fixture.llm.answer_with(&[three]);
+    let short = "HTTP/1.1 200 OK\r\nreedsail-request-id: id-1\r\ncontent-length: 42\r\n\r\n\
+                 id: 1\ndata: token 1\n\n";
+    let server = RawServer::start(vec![RawAnswer::closing(short)]).await.unwrap();
+    fixture.list_beside(server.address).await;
+    while server.requests() == 0 {
+        let callers = fixture.callers();
+        let asking: Vec<_> = (0..ANSWERS)
+            .map(|_| tokio::spawn(async move { ask(callers, "/resume/a", &[]).await }))
+            .collect();
+        for reply in asking {
+            let reply = reply.await.unwrap();
+            let expected = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n";
+            assert_eq!(reply.text(), expected);
+            assert!(reply.is_certified());
+        }
+    }
+}
