Take a response that is longer than its length for none

Callers got the first bytes of an answer as a complete one, 12 of 500 bytes, where Content-Length was spoilt to a smaller number.

Cause: the library ends the body at its stated length, and closes the connection for the bytes after it only once the reader has its body; nobody asked why it closed. Evidence: two new tests (four routes, five heads, connection closed and kept; a sick server beside a sound one) failed on the code before: 200, 15 bytes.

When a connection ends, the bytes that it has read and not used are looked at before the reader is told the end of its body. Unless they begin another response, a body that ends at its stated length is an error: the attempt has run, counts as broken, and is retried where the route and the budget allow. In ten rounds of 16 requests the sick server gets under a quarter of them.

A response that another response follows stays whole (the users' servers send such ones), and so does one in chunks, whose last chunk ends it; tests hold both. Noise after a right length cannot be told from a wrong length: it is none now. bytes_without_end_after_a_body_are_not_read asked for 200 there, which was wrong for that reason; it asks for 502 now, with the noise in the same write as the body, and with the same bounds. Bytes that come later find the body delivered; a test holds that they answer no other request.

--- a/crates/reedsail_net/src/http_connection.rs
+++ b/crates/reedsail_net/src/http_connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection to a server, used for one request at a time.
 
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 
@@ -7,6 +8,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -18,6 +20,7 @@
 use crate::ReceivedBody;
 use crate::connect;
 use crate::response_head::check_head;
+use crate::trailing_bytes::TrailingBytes;
 
 /// Maximum size of the buffer of what was read and not taken yet, and of a response head, in bytes.
 const READ_BUFFER_BYTES_MAX: usize = 64 << 10;
@@ -41,6 +44,7 @@
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     limit: FrameLimit,
+    trailing: TrailingBytes,
     /// What identifies the process at the other end, if it has told that on this connection.
     identity: Option<u64>,
 }
@@ -53,18 +57,22 @@
     pub async fn open(address: SocketAddr, limit_ms: u64, counter: ByteCounter) -> io::Result<Self> {
         let stream = connect(address, limit_ms, counter).await?;
         let limit = stream.frame_limit();
-        let (sender, connection) = http1::Builder::new()
+        let trailing = TrailingBytes::default();
+        let (sender, mut connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES_MAX)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
+        let recorded = trailing.clone();
         tokio::spawn(async move {
             // The affected request returns the error.
-            let _ = connection.await;
+            let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+            recorded.record(&connection.into_parts().read_buf);
         });
         Ok(Self {
             sender,
             limit,
+            trailing,
             identity: None,
         })
     }
@@ -100,8 +108,7 @@
         match response {
             Ok(response) => {
                 check_head(&response)?;
-                let limit = self.limit.clone();
-                Ok(response.map(|body| ReceivedBody::new(FrameLimitedBody::new(body, limit))))
+                Ok(self.receive(response))
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::NotWritten(Box::new(request))),
@@ -109,4 +116,11 @@
             },
         }
     }
+
+    fn receive(&self, response: Response<Incoming>) -> Response<ReceivedBody> {
+        let (head, body) = response.into_parts();
+        let body = FrameLimitedBody::new(body, self.limit.clone());
+        let body = ReceivedBody::new(body, &head.headers, &self.trailing);
+        Response::from_parts(head, body)
+    }
 }
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -25,6 +25,7 @@
 mod resettable_stream;
 mod response_head;
 mod response_writes;
+mod trailing_bytes;
 mod unframed_response;
 mod workers;
 
@@ -53,6 +54,7 @@
 pub use persistent_client::CallError;
 pub use persistent_client::CompleteResponse;
 pub use persistent_client::PersistentClient;
+pub use received_body::BodyError;
 pub use received_body::ReceivedBody;
 pub use request_limits::header_bytes;
 pub use request_limits::read_body;
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -168,6 +168,10 @@
             is_inside_event: self.scanner.as_ref().is_some_and(EventScanner::is_inside_event),
         };
         self.log.record_response_end(end);
+        if let Err(error) = self.body.check_end() {
+            log::debug!("a response is not whole: {error}");
+            return self.break_off();
+        }
         match end.verdict() {
             EndVerdict::Whole => self.finish(self.whole_outcome()),
             EndVerdict::BrokenOff => self.break_off(),
--- a/crates/reedsail_router/tests/endless_bytes.rs
+++ b/crates/reedsail_router/tests/endless_bytes.rs
@@ -231,16 +231,17 @@
     check_chunked("trailer lines", begin("1\r\nx\r\n0\r\n"), "x-many: a\r\n").await;
 }
 
-/// The answer is whole at its length. The bytes after it belong to no request, so the connection is not used again.
+/// Bytes that begin with the answer show that its length cannot be trusted, so it is none. The rest is not read.
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_without_end_after_a_body_are_not_read() {
-    let begin: &'static str = Box::leak(format!("{HEAD}content-length: 4\r\n\r\nbody").into_boxed_str());
+    let begin: &'static str = Box::leak(format!("{HEAD}content-length: 4\r\n\r\nbodymore").into_boxed_str());
     let answer = Endless {
         begin,
         repeated: "more",
     };
     let (reply, server, took) = ask_endless("/once/a", answer, &[]).await;
-    assert_eq!((reply.status, reply.text()), (StatusCode::OK, "body"));
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{}", reply.text());
+    assert!(reply.text().starts_with("answer_incomplete"), "{}", reply.text());
     let written = server.written.load(Ordering::SeqCst);
     assert!(written <= PART_WRITTEN_MAX, "{written} bytes");
     assert!(took <= CLOSED_WITHIN, "{took:?}");
--- a/crates/reedsail_router/tests/spoilt_heads.rs
+++ b/crates/reedsail_router/tests/spoilt_heads.rs
@@ -18,8 +18,16 @@
 const PATHS: [&str; 4] = ["/once/a", "/again/a", "/stream/a", "/resume/a"];
 /// How long an answer may take that nothing is waited for, well below the deadline of 8 s.
 const ANSWERED_WITHIN: Duration = Duration::from_secs(4);
-/// Two events in chunks.
-const CHUNKS: &str = "e\r\nid: 1\ndata: a\n\n\r\ne\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+/// Two events.
+const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+/// The same in chunks.
+const CHUNKS: &str = "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+/// Requests at the same time, so that each of two servers gets some.
+const ASKED_AT_ONCE: usize = 16;
+/// How often so many requests are sent.
+const ROUNDS: usize = 10;
+/// The body of the answer of a sound server.
+const SOUND_BODY: &str = "xxxxxxxxxx";
 
 /// Returns an answer with the id of the request, the given status and header lines, and a body.
 fn answer(status: &str, lines: &str, body: &str) -> String {
@@ -118,3 +126,124 @@
         check_untrusted(&answer("200 OK", lines, CHUNKS)).await;
     }
 }
+
+/// Checks that no caller takes an answer for whole, on any route.
+async fn check_incomplete(answer: &str) {
+    for (what, reply, took) in ask_everywhere(answer).await {
+        let shown = format!("{what}: {} {:?}", reply.status, reply.body);
+        let is_success = reply.status.is_success() && reply.is_whole;
+        assert!(!is_success, "{shown}");
+        assert!(took <= ANSWERED_WITHIN, "{shown}: {took:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_length_that_more_bytes_follow_is_not_the_length_of_the_answer() {
+    for lines in [
+        "content-length: 15\r\n",
+        "content-length: 15\r\nconnection: close\r\n",
+        "content-length: 0\r\n",
+        "content-length: 29\r\n",
+        "content-length: 15\r\ncontent-type: application/json\r\n",
+    ] {
+        check_incomplete(&answer("200 OK", lines, EVENTS)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_request_whose_answer_is_longer_than_its_length_is_answered_elsewhere() {
+    let spoilt = answer("200 OK", "content-length: 4\r\n", "some of the body");
+    check_elsewhere(RawAnswer::keeping(spoilt)).await;
+}
+
+/// Sends requests of a route at once. Returns the replies.
+async fn ask_many(fixture: &RouterFixture, path: &'static str) -> Vec<Reply> {
+    let callers = fixture.callers();
+    let asking: Vec<_> = (0..ASKED_AT_ONCE)
+        .map(|_| tokio::spawn(async move { ask(callers, path, &[]).await }))
+        .collect();
+    let mut replies = Vec::new();
+    for reply in asking {
+        replies.push(reply.await.unwrap());
+    }
+    replies
+}
+
+/// Asks a router with a sick server beside a sound one. Where the route allows it, the sound one answers instead, and the
+/// sick one gets less and less.
+async fn check_elsewhere(sick: RawAnswer) {
+    let fixture = RouterFixture::start().await;
+    let server = RawServer::start(vec![sick]).await.unwrap();
+    fixture.list_beside(server.address).await;
+    for _ in 0..ROUNDS {
+        for reply in ask_many(&fixture, "/again/a").await {
+            assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+            assert_eq!(reply.text(), SOUND_BODY);
+            assert!(reply.is_certified());
+        }
+    }
+    let sick_requests = server.requests();
+    assert!(sick_requests > 0, "it was never tried");
+    let asked = ROUNDS * ASKED_AT_ONCE;
+    assert!(
+        sick_requests * 4 < asked,
+        "its health does not feel {sick_requests} bad answers"
+    );
+    let runs = fixture.app.runs().len();
+    let replies = ask_many(&fixture, "/once/a").await;
+    let failed = replies.iter().filter(|reply| !reply.status.is_success()).count();
+    assert_eq!(server.requests() - sick_requests, failed);
+    let answered = fixture.app.runs().len() - runs;
+    assert_eq!(answered + failed, ASKED_AT_ONCE, "a request is sent twice");
+}
+
+/// Guards against a sound answer that is lost for what a sick server sends after it: another answer belongs to no request.
+#[tokio::test]
+async fn an_answer_that_another_answer_follows_is_whole() {
+    let first = answer("200 OK", "content-length: 15\r\n", "id: 1\ndata: a\n\n");
+    let surplus = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother";
+    for (what, reply, _) in ask_everywhere(&format!("{first}{surplus}")).await {
+        assert_eq!(reply.status, StatusCode::OK, "{what}");
+        assert_eq!(reply.text(), "id: 1\ndata: a\n\n", "{what}");
+        assert!(reply.is_certified(), "{what}");
+    }
+}
+
+/// Guards against a sound answer in chunks that is lost for the bytes after it: its last chunk ends it.
+#[tokio::test]
+async fn an_answer_in_chunks_that_bytes_follow_is_whole() {
+    let chunked = answer("200 OK", "transfer-encoding: chunked\r\n", CHUNKS);
+    for (what, reply, _) in ask_everywhere(&format!("{chunked}noise")).await {
+        assert_eq!(reply.status, StatusCode::OK, "{what}");
+        assert_eq!(reply.text(), EVENTS, "{what}");
+        assert!(reply.is_certified(), "{what}");
+    }
+}
+
+/// The rest of an answer that is longer than its length, and comes later, reaches no request.
+#[tokio::test]
+async fn the_late_rest_of_an_answer_is_no_answer_to_the_next_request() {
+    let fixture = RouterFixture::start().await;
+    let late = RawAnswer {
+        writes: vec![
+            answer("200 OK", "content-length: 4\r\n", "some").into(),
+            b" of the body".to_vec(),
+        ],
+        closes: false,
+    };
+    let sound = RawAnswer::keeping(answer("200 OK", "content-length: 5\r\n", "whole"));
+    let server = RawServer::start(vec![late, sound]).await.unwrap();
+    fixture.list_only(server.address).await;
+    let reply = ask(fixture.callers(), "/once/a", &[]).await;
+    assert_eq!(reply.text(), "some", "nothing tells that more will come");
+    let reply = ask(fixture.callers(), "/once/a", &[]).await;
+    let is_none = reply.status == StatusCode::BAD_GATEWAY;
+    assert!(
+        is_none || reply.text() == "whole",
+        "{} {}",
+        reply.status,
+        reply.text()
+    );
+    let reply = ask(fixture.callers(), "/once/a", &[]).await;
+    assert_eq!(reply.text(), "whole");
+}
