Take a body in chunks without their field for none

Callers got 200, ended by the connection, with the chunk sizes in the body where the name of Transfer-Encoding was spoilt into another legal one.

Cause: such a head has no field that frames the body, so by its fields it is one of an answer that ends with its connection, which the users' pages allow.

The body tells: a body that ends with its connection is held back while it may begin with a chunk, and is an error once it does: a size, so many bytes, a line end. Nothing of it reaches a reader, and a connection that is kept is not waited for. Not told: a chunk over 1 MiB, a body that is cut within its first chunk, and a Content-Length with a spoilt name, whose body is right where the server closes and which looks like a slow answer where it does not.

--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body_framing;
 mod byte_counter;
+mod chunk_scan;
 mod clock;
 mod connection_pool;
 mod counted_stream;
--- a/crates/reedsail_router/tests/spoilt_heads.rs
+++ b/crates/reedsail_router/tests/spoilt_heads.rs
@@ -247,3 +247,61 @@
     let reply = ask(fixture.callers(), "/once/a", &[]).await;
     assert_eq!(reply.text(), "whole");
 }
+
+/// Returns an answer in chunks whose framing field has another legal name.
+fn misnamed(lines: &str, body: &str) -> String {
+    answer("200 OK", &format!("tranXfer-encoding: chunked\r\n{lines}"), body)
+}
+
+#[tokio::test]
+async fn chunks_without_their_field_are_no_body() {
+    for lines in ["", "content-type: text/event-stream\r\n", "connection: close\r\n"] {
+        check_incomplete(&misnamed(lines, CHUNKS)).await;
+    }
+    check_incomplete(&misnamed("", "4;a=b\r\nbody\r\n0\r\n\r\n")).await;
+    check_incomplete(&misnamed("", "0\r\n\r\n")).await;
+    check_incomplete(&misnamed("", "4\r\nbody\r\n8\r\ncut o")).await;
+}
+
+#[tokio::test]
+async fn chunks_without_their_field_in_small_writes_are_no_body() {
+    let whole = misnamed("", CHUNKS);
+    let sent = RawAnswer {
+        writes: whole.as_bytes().chunks(10).map(<[u8]>::to_vec).collect(),
+        closes: true,
+    };
+    for path in PATHS {
+        let (reply, _) = ask_only(path, sent.clone()).await;
+        let shown = format!("{path}: {} {:?}", reply.status, reply.body);
+        assert!(!reply.status.is_success() || !reply.is_whole, "{shown}");
+        assert!(!reply.text().contains("f\r\n"), "{shown}");
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_got_chunks_without_their_field_is_answered_elsewhere() {
+    check_elsewhere(RawAnswer::closing(misnamed("", CHUNKS))).await;
+}
+
+/// Guards against a sound body without a length that begins as chunks do.
+#[tokio::test]
+async fn a_body_that_only_begins_like_a_chunk_arrives() {
+    for body in [
+        "beef",
+        "4",
+        "4\r\n",
+        "4\r\nbo",
+        "4\r\nbody",
+        "4\r\nbodies",
+        "12\r\n",
+        ";a\r\nb",
+        "deadbeef1\r\n",
+    ] {
+        for path in ["/once/a", "/again/a"] {
+            let sent = RawAnswer::closing(answer("200 OK", "connection: close\r\n", body));
+            let (reply, _) = ask_only(path, sent).await;
+            assert_eq!((reply.status, reply.text()), (StatusCode::OK, body), "{path}");
+            assert!(reply.is_whole, "{path}");
+        }
+    }
+}
