Take a response with a bare line feed in its head for none

Callers got 200 with the rest of the head in the body, where one spoilt byte had ended the head before its time: in '200 O<LF><CR><LF>' all fields, the length and the id among them, became the body.

Cause: the parser takes a line feed alone for the end of a line, which RFC 9112, 2.2 allows a reader, so that a line feed before CRLF ends the head; a head without fields is one of an answer that ends with its connection.

The stream of a connection watches how the lines of the head end while it is read, without a copy and up to the blank line. A head with a bare line feed cannot be trusted. Servers that end their lines as HTTP asks send none.

--- a/crates/reedsail_net/src/counted_stream.rs
+++ b/crates/reedsail_net/src/counted_stream.rs
@@ -18,6 +18,7 @@
 
 use crate::ByteCounter;
 use crate::FrameLimit;
+use crate::head_lines::HeadLines;
 
 /// Time after which unacknowledged bytes close the connection, in milliseconds. Without this timeout, a request on a
 /// broken link waits until its deadline.
@@ -29,6 +30,7 @@
     stream: TcpStream,
     counter: ByteCounter,
     limit: FrameLimit,
+    head_lines: HeadLines,
 }
 
 impl CountedStream {
@@ -43,6 +45,7 @@
             stream,
             counter,
             limit: FrameLimit::default(),
+            head_lines: HeadLines::default(),
         })
     }
 
@@ -50,6 +53,11 @@
     pub fn frame_limit(&self) -> FrameLimit {
         self.limit.clone()
     }
+
+    /// Returns the lines of the head that is read from the stream.
+    pub(crate) fn head_lines(&self) -> HeadLines {
+        self.head_lines.clone()
+    }
 }
 
 impl AsFd for CountedStream {
@@ -81,6 +89,7 @@
         let read = buffer.filled().len() - before;
         self.counter.add_received(read as u64);
         self.limit.count(read)?;
+        self.head_lines.read(&buffer.filled()[before..]);
         outcome
     }
 }
--- a/crates/reedsail_net/src/http_connection.rs
+++ b/crates/reedsail_net/src/http_connection.rs
@@ -19,6 +19,7 @@
 use crate::HeadError;
 use crate::ReceivedBody;
 use crate::connect;
+use crate::head_lines::HeadLines;
 use crate::response_head::check_head;
 use crate::trailing_bytes::TrailingBytes;
 
@@ -44,6 +45,7 @@
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     limit: FrameLimit,
+    head_lines: HeadLines,
     trailing: TrailingBytes,
     /// What identifies the process at the other end, if it has told that on this connection.
     identity: Option<u64>,
@@ -57,6 +59,7 @@
     pub async fn open(address: SocketAddr, limit_ms: u64, counter: ByteCounter) -> io::Result<Self> {
         let stream = connect(address, limit_ms, counter).await?;
         let limit = stream.frame_limit();
+        let head_lines = stream.head_lines();
         let trailing = TrailingBytes::default();
         let (sender, mut connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES_MAX)
@@ -72,6 +75,7 @@
         Ok(Self {
             sender,
             limit,
+            head_lines,
             trailing,
             identity: None,
         })
@@ -103,10 +107,15 @@
     /// The variant says whether any byte of the request may have reached the server.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<ReceivedBody>, SendError> {
         self.limit.begin_part();
+        self.head_lines.begin();
         let response = self.sender.try_send_request(request).await;
         self.limit.lift();
+        let has_bare_line_feed = self.head_lines.end();
         match response {
             Ok(response) => {
+                if has_bare_line_feed {
+                    return Err(HeadError::BareLineFeed.into());
+                }
                 check_head(&response)?;
                 Ok(self.receive(response))
             }
--- a/crates/reedsail_net/src/lib.rs
+++ b/crates/reedsail_net/src/lib.rs
@@ -15,6 +15,7 @@
 mod event_splitter;
 mod exchange;
 mod frame_limit;
+mod head_lines;
 mod hop_headers;
 mod http_connection;
 mod listen;
--- a/crates/reedsail_net/src/response_head.rs
+++ b/crates/reedsail_net/src/response_head.rs
@@ -24,6 +24,10 @@
     /// The body is delimited in two ways (RFC 9112, 6.3, rule 3).
     #[error("the body has both a length and chunks")]
     LengthAndChunks,
+    /// A line of the head ends by a line feed alone, as no server ends one. The head may go on after what was read as its
+    /// end.
+    #[error("a line of the head ends by a line feed alone")]
+    BareLineFeed,
 }
 
 /// Checks the head of a response to a request.
--- a/crates/reedsail_router/tests/spoilt_heads.rs
+++ b/crates/reedsail_router/tests/spoilt_heads.rs
@@ -305,3 +305,15 @@
         }
     }
 }
+
+#[tokio::test]
+async fn a_head_that_a_line_feed_alone_ends_early_is_no_answer() {
+    let length = "content-length: 4\r\n";
+    for whole in [
+        format!("HTTP/1.1 200 O\n\r\nreedsail-request-id: id-1\r\n{length}\r\nbody"),
+        answer("200 OK", &format!("x-other: \n\r\n{length}"), "body"),
+        answer("200 OK", &format!("\n{length}"), "body"),
+    ] {
+        check_untrusted(&whole).await;
+    }
+}
