--- a/crates/reedsail_bench/tests/failures.rs
+++ b/crates/reedsail_bench/tests/failures.rs
@@ -432,6 +432,34 @@
     });
 }
 
+#[test]
+fn an_answer_with_a_spoilt_head_is_no_answer() {
+    run(async {
+        let fleet = common::small_fleet(1, 1).await;
+        let address = fleet.callers["hall-a-1"];
+        // A process that has just started earns its retries by requests.
+        for _ in 0..20 {
+            let earning = Caller::run(address, "labska", &beds_plan()).await;
+            assert_eq!(earning.outcome, Outcome::Answered);
+        }
+        // An idempotent request is retried.
+        first_plain(&fleet).set_faults(|faults| faults.answers_miscoded = 1);
+        let spoilt = Caller::run(address, "labska", &beds_plan()).await;
+        assert_eq!(spoilt.outcome, Outcome::Answered);
+        // A non-idempotent call ends as unknown.
+        first_plain(&fleet).set_faults(|faults| faults.answers_miscoded = 1);
+        let key = new_key();
+        let keyed = Caller::run(address, "labska", &deposit_plan(&key)).await;
+        let failed = Outcome::Failed {
+            kind: "backend_failed".to_owned(),
+            ran: "unknown".to_owned(),
+        };
+        assert_eq!(keyed.outcome, failed);
+        assert_eq!(keyed_runs(&fleet, &key), 1);
+        fleet.close().await;
+    });
+}
+
 #[test]
 fn a_leaving_server_gets_no_new_request() {
     run(async {
--- a/crates/reedsail_standin/src/plain_service.rs
+++ b/crates/reedsail_standin/src/plain_service.rs
@@ -34,6 +34,8 @@
     pub answers_short: u32,
     /// Number of next answers without a length or chunks, which end with their connection.
     pub answers_unframed: u32,
+    /// Number of next answers whose head states a transfer coding that the body does not have.
+    pub answers_miscoded: u32,
     /// Duration of a call, in milliseconds.
     pub delay_ms: u64,
 }
@@ -72,6 +74,7 @@
     Crossed,
     Short,
     Unframed,
+    Miscoded,
 }
 
 impl PlainStandin {
@@ -126,6 +129,7 @@
             (&mut faults.answers_crossed, AnswerFault::Crossed),
             (&mut faults.answers_short, AnswerFault::Short),
             (&mut faults.answers_unframed, AnswerFault::Unframed),
+            (&mut faults.answers_miscoded, AnswerFault::Miscoded),
         ];
         for (remaining, fault) in fault_counters {
             if *remaining > 0 {
@@ -170,9 +174,17 @@
         if fault == AnswerFault::Unframed {
             response = unframed_response(StatusCode::OK, body);
         }
+        if fault == AnswerFault::Miscoded {
+            let coding = "gzip".parse().expect("a valid header value");
+            response.headers_mut().insert("transfer-encoding", coding);
+        }
         let echoed = match fault {
             AnswerFault::Crossed => format!("not-{request_id}"),
-            AnswerFault::None | AnswerFault::Lost | AnswerFault::Short | AnswerFault::Unframed => request_id,
+            AnswerFault::None
+            | AnswerFault::Lost
+            | AnswerFault::Short
+            | AnswerFault::Unframed
+            | AnswerFault::Miscoded => request_id,
         };
         if let Ok(value) = echoed.parse() {
             response.headers_mut().insert("x-request-id", value);
