--- a/crates/reedsail_router/tests/spoilt_heads.rs
+++ b/crates/reedsail_router/tests/spoilt_heads.rs
@@ -22,6 +22,8 @@
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 /// The same in chunks.
 const CHUNKS: &str = "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+/// Where a head is cut into two writes, within its first field.
+const HEAD_CUT: usize = 30;
 /// Requests at the same time, so that each of two servers gets some.
 const ASKED_AT_ONCE: usize = 16;
 /// How often so many requests are sent.
@@ -317,3 +319,78 @@
         check_untrusted(&whole).await;
     }
 }
+
+#[tokio::test]
+async fn a_status_that_is_no_status_is_no_answer() {
+    for status in ["000 OK", "099 OK", "20 OK", "1000 OK", "2x0 OK"] {
+        check_untrusted(&answer(status, "content-length: 4\r\n", "body")).await;
+    }
+}
+
+#[tokio::test]
+async fn a_length_that_is_no_length_is_no_answer() {
+    for value in [
+        "x",
+        "-1",
+        "",
+        "4x",
+        "99999999999999999999",
+        "4, 5",
+        "4\r\ncontent-length: 5",
+    ] {
+        let line = format!("content-length: {value}\r\n");
+        check_untrusted(&answer("200 OK", &line, "body")).await;
+    }
+}
+
+#[tokio::test]
+async fn a_head_with_a_line_that_is_no_field_is_no_answer() {
+    let lines = [
+        "no colon\r\n",
+        ": no name\r\n",
+        "x name: a\r\n",
+        "x-name : a\r\n",
+        "x\u{1}name: a\r\n",
+        "x\u{7f}name: a\r\n",
+        "x\u{e9}name: a\r\n",
+        "x-name: a\r\n folded\r\n",
+        "x-name: a\0b\r\n",
+        "x-name: a\u{1}b\r\n",
+    ];
+    for line in lines {
+        let lines = format!("{line}content-length: 4\r\n");
+        check_untrusted(&answer("200 OK", &lines, "body")).await;
+    }
+}
+
+#[tokio::test]
+async fn a_spoilt_head_in_several_writes_or_on_a_used_connection_is_no_answer() {
+    let sound = RawAnswer::keeping(answer("200 OK", "content-length: 4\r\n", "body"));
+    let heads = [
+        answer("700 OK", "content-length: 4\r\n", "body"),
+        answer("200 OK", "transfer-encoding: chunXed\r\n", CHUNKS),
+        answer("200 OK", "content-length: 2\r\n", "body"),
+        answer("200 OK", "x\u{1}name: a\r\ncontent-length: 4\r\n", "body"),
+        misnamed("", CHUNKS),
+    ];
+    for head in heads {
+        let (first, second) = head.split_at(HEAD_CUT);
+        let spoilt = RawAnswer {
+            writes: vec![first.into(), second.into()],
+            closes: false,
+        };
+        let fixture = RouterFixture::start().await;
+        let script = vec![sound.clone(), spoilt, sound.clone()];
+        let server = RawServer::start(script).await.unwrap();
+        fixture.list_only(server.address).await;
+        let replies = [
+            ask(fixture.callers(), "/once/a", &[]).await,
+            ask(fixture.callers(), "/once/a", &[]).await,
+            ask(fixture.callers(), "/once/a", &[]).await,
+        ];
+        let statuses = replies.map(|reply| reply.status);
+        let expected = [StatusCode::OK, StatusCode::BAD_GATEWAY, StatusCode::OK];
+        assert_eq!(statuses, expected, "{head:?}");
+        assert_eq!(server.requests(), 3, "{head:?}");
+    }
+}
