Count a response with a wrong frame as a wrong answer in the soak

The soak's callers took a head that cannot be trusted, bytes that are no response, and a body that its head frames wrongly for a connection that was cut, which breaks no promise: a lenient checker could not have seen the incident. They are wrong answers now.

--- a/crates/reedsail_soak/src/caller.rs
+++ b/crates/reedsail_soak/src/caller.rs
@@ -18,10 +18,12 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use reedsail_net::BodyError;
 use reedsail_net::BodyFraming;
 use reedsail_net::ByteCounter;
 use reedsail_net::HttpConnection;
 use reedsail_net::ReceivedBody;
+use reedsail_net::SendError;
 use reedsail_platform_standin::CallerHead;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
@@ -289,12 +291,15 @@
     let is_resumable = kind == CallKind::Chat;
     // A stream without an answer has a part without events.
     let empty_part = is_resumable.then(|| progress.empty_part());
-    let Ok(response) = http.send(request).await else {
-        return CallerReply {
-            outcome: Outcome::Cut { had_begun: false },
-            stream: empty_part,
-            is_reusable: false,
-        };
+    let response = match http.send(request).await {
+        Ok(response) => response,
+        Err(error) => {
+            return CallerReply {
+                outcome: outcome_of_send(&error),
+                stream: empty_part,
+                is_reusable: false,
+            };
+        }
     };
     let is_closing = response
         .headers()
@@ -307,7 +312,7 @@
     } else {
         (read_outcome(response, id, kind).await, empty_part)
     };
-    let is_open = !matches!(outcome, Outcome::Cut { .. } | Outcome::HungUp);
+    let is_open = !matches!(outcome, Outcome::Cut { .. } | Outcome::HungUp | Outcome::Wrong(_));
     CallerReply {
         outcome,
         stream,
@@ -315,6 +320,24 @@
     }
 }
 
+/// Returns the outcome of a request without a response. Bytes that are no response, or one whose head cannot be trusted, are
+/// an answer that is wrong.
+fn outcome_of_send(error: &SendError) -> Outcome {
+    match error {
+        SendError::UntrustedHead(error) => Outcome::Wrong(error.to_string()),
+        SendError::AfterWrite(error) if error.is_parse() => Outcome::Wrong(error.to_string()),
+        SendError::NotWritten(_) | SendError::AfterWrite(_) => Outcome::Cut { had_begun: false },
+    }
+}
+
+/// Returns the outcome of a response whose body was not read to its end. A body that its head frames wrongly is wrong.
+pub(crate) fn outcome_of_body(error: &BodyError) -> Outcome {
+    match error {
+        BodyError::Overlong | BodyError::UnstatedChunks => Outcome::Wrong(error.to_string()),
+        BodyError::Read(_) => Outcome::Cut { had_begun: true },
+    }
+}
+
 async fn read_outcome(response: Response<ReceivedBody>, id: &str, kind: CallKind) -> Outcome {
     let status = response.status().as_u16();
     let by_server = response.headers().contains_key(SERVED_BY);
@@ -325,8 +348,9 @@
     }
     let (head, body) = response.into_parts();
     let framing = BodyFraming::of(&head.headers, &body);
-    let Ok(body) = body.collect().await else {
-        return Outcome::Cut { had_begun: true };
+    let body = match body.collect().await {
+        Ok(body) => body,
+        Err(error) => return outcome_of_body(&error),
     };
     if status != 200 {
         return if has_retry_after && !by_server {
--- a/crates/reedsail_soak/src/stream_progress.rs
+++ b/crates/reedsail_soak/src/stream_progress.rs
@@ -7,6 +7,7 @@
 
 use crate::Outcome;
 use crate::StreamPart;
+use crate::caller::outcome_of_body;
 use crate::server::EVENTS;
 use crate::server::parse_event;
 
@@ -34,7 +35,7 @@
         let outcome = loop {
             let data = match body.frame().await {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(_)) => break Outcome::Cut { had_begun: true },
+                Some(Err(error)) => break outcome_of_body(&error),
                 None if received.is_empty() && self.last_event == EVENTS => break Outcome::Answered,
                 // Nothing told the caller that the stream was complete.
                 None if framing == BodyFraming::ConnectionEnd => break Outcome::Cut { had_begun: true },
