Begin no stream at a new version while a current list has an older one

What callers of a system like ours saw: streams that had begun at servers of a new version broke, were taken up at an instance that was out of step for a few seconds, and went on at a server of another version.

Cause: a new version gets no first events of resumable streams for 3 s, within which every current list learns of it, 'unless no other server can be tried'. With all older servers draining, out of the list, in back-off or tried, it got them at once; an instance whose list is up to 3 s old still takes the older version for the only one, asks nobody, and continues the stream there, as draining servers serve on. Evidence: the new test, two instances of which one has not heard for a second; on the code before, one begins at v2 and the other continues at v1.

A new version now waits until no server of a version that is not new was ready for 3 s, besides the 3 s of its own. Where all versions are new, as after a start, nothing changes; an instance that has just started beside one that is out of step is not covered. a_new_version_serves_at_once_if_no_other_server_is_left asked for the fault; it asks now for the first moment at which no current list has another server, and for a refusal one millisecond before.

--- a/crates/reedsail_dispatch/src/placement.rs
+++ b/crates/reedsail_dispatch/src/placement.rs
@@ -101,7 +101,9 @@
                 ..*self
             };
             let placement = established.choose_by_reach(demand);
-            return placement.or_else(|| self.choose_by_reach(demand));
+            if placement.is_some() || versions.may_continue_at_established(demand.service, self.now) {
+                return placement;
+            }
         }
         self.choose_by_reach(demand)
     }
--- a/crates/reedsail_dispatch/src/version_history.rs
+++ b/crates/reedsail_dispatch/src/version_history.rs
@@ -6,7 +6,8 @@
 //! that does vouches for it. A server whose version is unknown counts as another version.
 //!
 //! A new version of a service gets the first events of resumable streams only [`NEW_VERSION_DELAY_MS`] after it was
-//! listed here, unless no other server can be tried. By then each instance whose list is current knows it.
+//! listed here. By then each instance whose list is current knows it. It gets them before if no server of a version that
+//! is not new was ready for [`LIST_CURRENT_MS`]: no instance whose list is current continues a stream at one.
 //!
 //! A version is scarce while it runs on few of its service's servers and has lost one of them recently: the streams
 //! of the lost servers may return to those that are left.
@@ -47,6 +48,8 @@
     listed_since: Option<TimeMs>,
     /// When the version was last listed.
     listed_at: TimeMs,
+    /// Since when none of its servers is ready; `None` if one is, or until the next refresh.
+    unready_since: Option<TimeMs>,
     /// When one of its servers was last found not listening.
     lost_at: Option<TimeMs>,
 }
@@ -127,6 +130,11 @@
                     servers.listed_since.get_or_insert(now);
                     servers.listed_at = now;
                 }
+                if servers.ready > 0 {
+                    servers.unready_since = None;
+                } else {
+                    servers.unready_since.get_or_insert(now);
+                }
             }
             service.versions.retain(|_, servers| {
                 servers.listed > 0 || now.since_ms(servers.listed_at) < STREAM_LIFE_MAX_MS
@@ -177,6 +185,19 @@
         versions.versions.len() > 1 && !is_known
     }
 
+    /// Returns whether an instance with a current list may continue streams of a service at a version that is not new.
+    pub(crate) fn may_continue_at_established(&self, service: NameHash, now: TimeMs) -> bool {
+        let versions = self.services.get(&service).map(|service| &service.versions);
+        versions.is_some_and(|versions| {
+            versions.iter().any(|(version, servers)| {
+                let is_unready = servers
+                    .unready_since
+                    .is_some_and(|since| now.since_ms(since) >= LIST_CURRENT_MS);
+                !is_unready && !self.is_new(service, *version, now)
+            })
+        })
+    }
+
     /// Returns whether a service runs a version that is new.
     pub(crate) fn has_new(&self, service: NameHash, now: TimeMs) -> bool {
         let versions = self.services.get(&service).map(|service| &service.versions);
--- a/crates/reedsail_dispatch/tests/version_history.rs
+++ b/crates/reedsail_dispatch/tests/version_history.rs
@@ -245,15 +245,53 @@
 }
 
 #[test]
-fn a_new_version_serves_at_once_if_no_other_server_is_left() {
+fn a_new_version_serves_at_once_if_no_current_list_has_another_server() {
     let mut instance = Instance::start(&[engine("a", "v1")]);
     instance.pass_ms(10_000);
-    instance.dispatcher.set_servers(&[engine("b", "v2")]);
+    instance.dispatcher.set_servers(&[]);
     instance.pass_ms(0);
+    instance.pass_ms(2_500);
+    instance.dispatcher.set_servers(&[engine("b", "v2")]);
+    instance.pass_ms(499);
+    let chosen = instance.chosen_version(&prompt(1), VersionDemand::Resumable);
+    assert_eq!(chosen, None);
+    instance.pass_ms(1);
     let chosen = instance.chosen_version(&prompt(1), VersionDemand::Resumable);
     assert_eq!(chosen, Some(version("v2")));
 }
 
+#[test]
+fn versions_that_are_all_new_serve_at_once() {
+    let mut instance = Instance::start(&[engine("a", "v1"), engine("b", "v2")]);
+    let chosen = instance.chosen_version(&prompt(1), VersionDemand::Resumable);
+    assert!(chosen.is_some());
+}
+
+/// Guards against a stream that begins at a new version, since no other server may be tried, and is continued at the older
+/// one by an instance whose list is up to three seconds old.
+#[test]
+fn a_stream_that_began_at_a_new_version_at_once_is_not_continued_at_another() {
+    let mut behind = Instance::start(&[engine("a", "v1")]);
+    behind.pass_ms(STREAM_LIFE_MAX_MS);
+    let mut ahead = Instance::start(&[engine("a", "v1")]);
+    ahead.pass_ms(STREAM_LIFE_MAX_MS);
+    let draining = ServerSetup {
+        is_draining: true,
+        ..engine("a", "v1")
+    };
+    ahead.dispatcher.set_servers(&[draining, engine("b", "v2")]);
+    ahead.pass_ms(1_000);
+    behind.pass_cut_off_ms(1_000);
+    let began = ahead.chosen_version(&prompt(1), VersionDemand::Resumable);
+    let only = behind.only_version();
+    let continued =
+        only.and_then(|only| behind.chosen_version(&prompt(1), VersionDemand::OnlyUnverified(only)));
+    assert!(
+        began.is_none() || continued.is_none() || began == continued,
+        "{began:?}, {continued:?}"
+    );
+}
+
 #[test]
 fn a_stream_continues_only_at_its_version() {
     let mut instance = Instance::start(&[engine("a", "v1"), engine("b", "v2"), engine("c", "v2")]);
