--- a/crates/reedsail_router/tests/control_state.rs
+++ b/crates/reedsail_router/tests/control_state.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::StatusCode;
+use reedsail_dispatch::ServerRecord;
 use reedsail_router::Configuration;
 use reedsail_standin::RoutedAnswer;
 use reedsail_standin::RoutedStandin;
@@ -23,6 +25,9 @@
 use common::wait_for;
 use common::wait_until_ready;
 
+/// Number of odd servers in the list.
+const ODD_SERVERS: u16 = 2_000;
+
 #[tokio::test]
 async fn without_a_configuration_requests_are_refused_as_not_run() {
     let store = Store::new(None, None);
@@ -219,3 +224,36 @@
     );
     assert!(difference.text().contains("app-1") && difference.text().contains("llm-1"));
 }
+
+/// Another writer may list servers with any numbers, and thousands of them. The others go on being used.
+#[tokio::test]
+async fn odd_servers_in_the_list_do_not_keep_a_router_from_following_it() {
+    let fixture = RouterFixture::start().await;
+    let sound = record("app-1", "app", &fixture.app);
+    let odd = (0..ODD_SERVERS).map(|number| ServerRecord {
+        address: SocketAddr::from(([127, 0, 0, 1], number % 2)),
+        slots: u32::MAX,
+        cold_left_ms: u64::MAX,
+        born_ms: Some(u64::MAX),
+        software_version: Some("v".repeat(usize::from(number))),
+        ..record(&format!("odd-{number}"), "odd", &fixture.app)
+    });
+    let mut listed: Vec<ServerRecord> = odd.collect();
+    listed.push(sound);
+    listed.push(ServerRecord {
+        slots: u32::MAX,
+        cold_left_ms: u64::MAX,
+        ..record("app-odd", "app", &fixture.app)
+    });
+    fixture.store.servers.send_replace(Some(listed.clone()));
+    let admin = fixture.router.addresses().admin;
+    let lists = async |id: &str| ask(admin, "/servers", &[]).await.text().contains(id);
+    wait_for("the odd servers", async || lists("app-odd").await).await;
+    let reply = ask(fixture.callers(), "/once/a", &[]).await;
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    listed.push(record("app-later", "app", &fixture.app));
+    fixture.store.servers.send_replace(Some(listed));
+    wait_for("a later server", async || lists("app-later").await).await;
+    let reply = ask(fixture.callers(), "/once/a", &[]).await;
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+}
--- a/crates/reedsail_router/tests/software_versions.rs
+++ b/crates/reedsail_router/tests/software_versions.rs
@@ -413,3 +413,30 @@
     let opened = r#"reedsail_router_connects_total{outcome="opened"} 1"#;
     assert!(metrics.text().contains(opened), "{}", metrics.text());
 }
+
+/// All instances end at once, with two versions in service or the older one just gone, and start again.
+#[tokio::test]
+async fn no_stream_continues_at_another_version_after_all_instances_have_started_again() {
+    for older_is_gone in [false, true] {
+        let mut fleet = Fleet::start(3, &TWO_OF_EACH).await;
+        let _open = fleet.begin_streams().await;
+        fleet.complete_streams();
+        for router in fleet.routers.drain(..) {
+            router.kill();
+        }
+        if older_is_gone {
+            fleet.remove_engine("llm-1").await;
+            fleet.remove_engine("llm-2").await;
+        }
+        for _ in 0..3 {
+            fleet.add_instance().await;
+        }
+        for number in 0..STREAMS {
+            let (first, second) = (format!("first-{number}"), format!("second-{number}"));
+            let continuation = continuation(&second, &first, number);
+            fleet
+                .expect_refusal(number % 3, continuation, "stream_version_unknown")
+                .await;
+        }
+    }
+}
