--- a/crates/reedsail_net/src/received_body.rs
+++ b/crates/reedsail_net/src/received_body.rs
@@ -22,7 +22,7 @@
 
 /// Why a body is not the body of its response.
 #[derive(Debug, Error)]
-pub enum BodyError {
+pub enum ResponseBodyError {
     /// It cannot be read, or ended early.
     #[error("{0}")]
     Read(#[from] hyper::Error),
@@ -56,14 +56,14 @@
     }
 
     /// Returns what of a frame passes on; `None` if it is held back.
-    fn scan_frame(&mut self, frame: Frame<Bytes>) -> Option<Result<Frame<Bytes>, BodyError>> {
+    fn scan_frame(&mut self, frame: Frame<Bytes>) -> Option<Result<Frame<Bytes>, ResponseBodyError>> {
         let Some(scan) = &mut self.scan else {
             return Some(Ok(frame));
         };
         // A body that ends with its connection has no trailers.
         let data = frame.into_data().ok()?;
         match scan.push(data) {
-            Err(IsChunked) => Some(Err(BodyError::UnstatedChunks)),
+            Err(IsChunked) => Some(Err(reject(ResponseBodyError::UnstatedChunks))),
             Ok(ControlFlow::Continue(())) => None,
             Ok(ControlFlow::Break(data)) => {
                 self.scan = None;
@@ -73,7 +73,7 @@
     }
 
     /// Returns what is held back of a body that has ended, or why it is not the body of its response.
-    fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+    fn end(&mut self) -> Option<Result<Frame<Bytes>, ResponseBodyError>> {
         let held = self.scan.take().map(|mut scan| scan.take_held());
         match held.filter(|held| !held.is_empty()) {
             Some(held) => Some(Ok(Frame::data(held))),
@@ -85,14 +85,20 @@
     ///
     /// # Errors
     /// Returns `Overlong` if bytes follow that belong to no response.
-    pub fn check_end(&self) -> Result<(), BodyError> {
+    pub fn check_end(&self) -> Result<(), ResponseBodyError> {
         match &self.trailing {
-            Some(trailing) if trailing.are_found() => Err(BodyError::Overlong),
+            Some(trailing) if trailing.are_found() => Err(reject(ResponseBodyError::Overlong)),
             _ => Ok(()),
         }
     }
 }
 
+/// Logs why a body is rejected, since its reader may tell only that it has none.
+fn reject(error: ResponseBodyError) -> ResponseBodyError {
+    log::debug!("rejected a body: {error}");
+    error
+}
+
 /// Returns whether a body that was not read yet ends at the length that its head states. Other responses with a length are
 /// those that never have a body, such as one to HEAD.
 fn has_stated_length(body: &FrameLimitedBody, headers: &HeaderMap) -> bool {
@@ -104,12 +110,12 @@
 
 impl Body for ReceivedBody {
     type Data = Bytes;
-    type Error = BodyError;
+    type Error = ResponseBodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, ResponseBodyError>>> {
         loop {
             let read = ready!(Pin::new(&mut self.body).poll_frame(context));
             let passed = match read {
--- a/crates/reedsail_router/src/traffic/relay_stream.rs
+++ b/crates/reedsail_router/src/traffic/relay_stream.rs
@@ -168,8 +168,7 @@
             is_inside_event: self.scanner.as_ref().is_some_and(EventScanner::is_inside_event),
         };
         self.log.record_response_end(end);
-        if let Err(error) = self.body.check_end() {
-            log::debug!("a response is not whole: {error}");
+        if self.body.check_end().is_err() {
             return self.break_off();
         }
         match end.verdict() {
--- a/crates/reedsail_soak/src/caller.rs
+++ b/crates/reedsail_soak/src/caller.rs
@@ -18,11 +18,11 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use reedsail_net::BodyError;
 use reedsail_net::BodyFraming;
 use reedsail_net::ByteCounter;
 use reedsail_net::HttpConnection;
 use reedsail_net::ReceivedBody;
+use reedsail_net::ResponseBodyError;
 use reedsail_net::SendError;
 use reedsail_platform_standin::CallerHead;
 use tokio::sync::mpsc::UnboundedSender;
@@ -331,10 +331,10 @@
 }
 
 /// Returns the outcome of a response whose body was not read to its end. A body that its head frames wrongly is wrong.
-pub(crate) fn outcome_of_body(error: &BodyError) -> Outcome {
+pub(crate) fn outcome_of_body(error: &ResponseBodyError) -> Outcome {
     match error {
-        BodyError::Overlong | BodyError::UnstatedChunks => Outcome::Wrong(error.to_string()),
-        BodyError::Read(_) => Outcome::Cut { had_begun: true },
+        ResponseBodyError::Overlong | ResponseBodyError::UnstatedChunks => Outcome::Wrong(error.to_string()),
+        ResponseBodyError::Read(_) => Outcome::Cut { had_begun: true },
     }
 }
 
