Refuse callers without a key when the last workspace is taken away

Cause: the adapter read a record with an empty table of workspaces and one without the table into the same empty list, and `RouteTable::identify` took an empty list to mean that requests need no key.

Evidence: the metrics page shows the new version in force while the requests run, so the configuration arrives; the record is the only difference between `[]` and no field, and both decode to the same value.

Why this works: `CallerAccess` says what the operators said: `Everyone`, or `Workspaces`, which may be empty and then admits nobody. No list stands for both any more. The check on a request is a match on that enum: no lock, copy or allocation is added. `null` stays unreadable, so that the version before stays in force.

A copy of an earlier release without workspaces says neither, and is not put in force.

--- a/crates/reedsail_router/src/admin.rs
+++ b/crates/reedsail_router/src/admin.rs
@@ -18,6 +18,7 @@
 use xtra::Address;
 
 use crate::HeaderProtocol;
+use crate::configuration_copy::ConfigurationCopy;
 use crate::control::Control;
 use crate::control::ListServers;
 use crate::shared::Shared;
@@ -62,7 +63,7 @@
         let routes = shared.routes.load();
         match routes.version() {
             0 => empty_response(StatusCode::NOT_FOUND),
-            _ => json_response(&routes.configuration),
+            _ => json_response(&ConfigurationCopy::of(&routes.configuration)),
         }
     } else if path == SERVERS_PATH {
         let differs_from = request.uri().query().and_then(parse_digest_query);
--- a/crates/reedsail_router/src/configuration.rs
+++ b/crates/reedsail_router/src/configuration.rs
@@ -1,14 +1,16 @@
 //! The operators' configuration, independent of the platform's format.
 //!
-//! The adapter decodes it once from the platform's record. Peers fetch it as JSON, so the names and formats of the
+//! The adapter decodes it once from the platform's record. Peers fetch its parts as JSON, so the names and formats of the
 //! serialised fields must not change.
 
 use reedsail_dispatch::RetryPolicy;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::CallerAccess;
+
 /// One version of the operators' configuration; each version replaces the previous one.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     /// Increases with each version, not necessarily by one.
     pub version: u64,
@@ -16,8 +18,8 @@
     pub routes: Vec<Route>,
     /// The services behind the routes.
     pub services: Vec<ServiceDefinition>,
-    /// The workspaces. If there are none, requests need no key.
-    pub workspaces: Vec<WorkspaceDefinition>,
+    /// The callers that are admitted.
+    pub access: CallerAccess,
     /// The limits for callers.
     pub limits: CallerLimits,
 }
--- a/crates/reedsail_router/src/control/peer_fetch.rs
+++ b/crates/reedsail_router/src/control/peer_fetch.rs
@@ -32,6 +32,8 @@
 use crate::admin::CONFIGURATION_PATH;
 use crate::admin::DIGEST_QUERY;
 use crate::admin::SERVERS_PATH;
+use crate::configuration_copy::AmbiguousCopy;
+use crate::configuration_copy::ConfigurationCopy;
 
 /// Time-out of a fetch, in milliseconds. It is shorter than the interval at which the actor plans fetches, so that a
 /// fetch has ended before the next one begins.
@@ -61,6 +63,8 @@
     Body(Box<dyn std::error::Error + Send + Sync>),
     #[error("cannot parse the answer: {0}")]
     Unreadable(serde_json::Error),
+    #[error("cannot use the answer: {0}")]
+    Ambiguous(AmbiguousCopy),
     #[error("the peer did not answer within {0} ms")]
     TimedOut(u64),
 }
@@ -83,8 +87,9 @@
     peer: SocketAddrV4,
     control: &Address<Control<H>>,
 ) -> Result<(), FetchError> {
+    let copy: ConfigurationCopy<'_> = fetch_page(peer, CONFIGURATION_PATH, FETCH_TIMEOUT_MS).await?;
     let read = ConfigurationRead {
-        configuration: fetch_page(peer, CONFIGURATION_PATH, FETCH_TIMEOUT_MS).await?,
+        configuration: copy.into_configuration().map_err(FetchError::Ambiguous)?,
         origin: Origin::Peer,
     };
     // The actor ends only with the instance.
--- a/crates/reedsail_router/src/lib.rs
+++ b/crates/reedsail_router/src/lib.rs
@@ -6,7 +6,9 @@
 //! `reedsail_dispatch` makes the routing decisions.
 
 mod admin;
+mod caller_access;
 mod configuration;
+mod configuration_copy;
 mod control;
 mod header_values;
 mod log_cursor;
@@ -25,6 +27,7 @@
 mod traffic;
 mod workspace_tokens;
 
+pub use caller_access::CallerAccess;
 pub use configuration::AnswerShape;
 pub use configuration::CallerLimits;
 pub use configuration::Configuration;
--- a/crates/reedsail_router/src/route_table.rs
+++ b/crates/reedsail_router/src/route_table.rs
@@ -56,7 +56,7 @@
         }
         let mut by_key = HashMap::new();
         let mut by_hash = HashMap::new();
-        for workspace in &configuration.workspaces {
+        for workspace in configuration.access.workspaces() {
             let entry = Arc::new(WorkspaceEntry {
                 name: workspace.name.clone(),
                 hash: NameHash::of(&workspace.name),
@@ -70,7 +70,7 @@
         let regions_by_route = named_regions(configuration.routes.iter(), |route| {
             (route.name.clone(), route.allowed_regions.as_deref())
         });
-        let regions_by_workspace = named_regions(configuration.workspaces.iter(), |workspace| {
+        let regions_by_workspace = named_regions(configuration.access.workspaces().iter(), |workspace| {
             (
                 NameHash::of(&workspace.name),
                 workspace.allowed_regions.as_deref(),
@@ -125,7 +125,7 @@
         if let Some(workspace) = key.and_then(|key| self.workspace(key)) {
             return CallerIdentity::Workspace(Arc::clone(workspace));
         }
-        if route.is_anonymous || self.configuration.workspaces.is_empty() {
+        if route.is_anonymous || !self.configuration.access.requires_keys() {
             return CallerIdentity::Anonymous;
         }
         CallerIdentity::Unknown
--- a/crates/reedsail_router/tests/body_memory.rs
+++ b/crates/reedsail_router/tests/body_memory.rs
@@ -5,7 +5,6 @@
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use reedsail_net::ReceivedBody;
-use reedsail_router::WorkspaceDefinition;
 use reedsail_standin::RoutedAnswer;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -19,6 +18,8 @@
 use common::request;
 use common::upload;
 use common::wait_for;
+use common::workspace;
+use common::workspaces_mut;
 
 const MB: usize = 1_000_000;
 /// Memory for bodies, in megabytes.
@@ -27,12 +28,7 @@
 async fn fixture() -> RouterFixture {
     let fixture = RouterFixture::start_with(|settings| settings.body_memory_mb = BODY_MEMORY_MB).await;
     let mut configuration = configuration(2);
-    configuration.workspaces.push(WorkspaceDefinition {
-        name: "other".to_owned(),
-        keys: vec!["key-other".to_owned()],
-        priority: None,
-        allowed_regions: None,
-    });
+    workspaces_mut(&mut configuration).push(workspace("other", &["key-other"]));
     fixture.store.configuration.send_replace(Some(configuration));
     wait_for("the second workspace", async || {
         let reply = ask(
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -30,6 +30,7 @@
 use reedsail_net::HttpConnection;
 use reedsail_net::ReceivedBody;
 use reedsail_router::AnswerShape;
+use reedsail_router::CallerAccess;
 use reedsail_router::Configuration;
 use reedsail_router::ListenAddresses;
 use reedsail_router::OperatorSource;
@@ -279,6 +280,23 @@
     }
 }
 
+pub(crate) fn workspace(name: &str, keys: &[&str]) -> WorkspaceDefinition {
+    WorkspaceDefinition {
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        priority: None,
+        allowed_regions: None,
+    }
+}
+
+/// Returns the workspaces of a configuration, to change them.
+pub(crate) fn workspaces_mut(configuration: &mut Configuration) -> &mut Vec<WorkspaceDefinition> {
+    match &mut configuration.access {
+        CallerAccess::Workspaces(workspaces) => workspaces,
+        CallerAccess::Everyone => panic!("requests need no key"),
+    }
+}
+
 /// Returns a configuration with a route for each kind of request: `/once/`, `/again/`, `/stream/`, `/resume/` and
 /// `/open/`.
 pub(crate) fn configuration(version: u64) -> Configuration {
@@ -311,12 +329,7 @@
                 cold_requests_per_s: 0.0,
             })
             .to_vec(),
-        workspaces: vec![WorkspaceDefinition {
-            name: "labska".to_owned(),
-            keys: vec!["key-1".to_owned(), "key-2".to_owned()],
-            priority: None,
-            allowed_regions: None,
-        }],
+        access: CallerAccess::Workspaces(vec![workspace("labska", &["key-1", "key-2"])]),
         ..Configuration::default()
     }
 }
--- a/crates/reedsail_router/tests/control_state.rs
+++ b/crates/reedsail_router/tests/control_state.rs
@@ -24,6 +24,7 @@
 use common::start;
 use common::wait_for;
 use common::wait_until_ready;
+use common::workspaces_mut;
 
 /// Number of odd servers in the list.
 const ODD_SERVERS: u16 = 2_000;
@@ -52,7 +53,7 @@
     let mut caller = Caller::connect(fixture.callers()).await;
     assert_eq!(caller.ask("/once/", &[]).await.status, StatusCode::OK);
     let mut newer = configuration(5);
-    newer.workspaces[0].keys.remove(0);
+    workspaces_mut(&mut newer)[0].keys.remove(0);
     newer.routes.retain(|route| route.name != "again");
     fixture.store.configuration.send_replace(Some(newer));
     wait_for("version 5", async || fixture.router.configuration_version() == 5).await;
--- a/crates/reedsail_router/tests/requests.rs
+++ b/crates/reedsail_router/tests/requests.rs
@@ -345,7 +345,7 @@
         for entry in &mut bound.routes {
             entry.allowed_regions = route.map(to_names);
         }
-        bound.workspaces[0].allowed_regions = workspace.map(to_names);
+        common::workspaces_mut(&mut bound)[0].allowed_regions = workspace.map(to_names);
         fixture.store.configuration.send_replace(Some(bound));
     };
     let cases: [(_, _, u16, &str); 4] = [
--- a/crates/reedsail_router/tests/software_versions.rs
+++ b/crates/reedsail_router/tests/software_versions.rs
@@ -13,7 +13,6 @@
 use reedsail_dispatch::ServerRecord;
 use reedsail_net::ReceivedBody;
 use reedsail_router::RunningRouter;
-use reedsail_router::WorkspaceDefinition;
 use reedsail_standin::RoutedAnswer;
 use reedsail_standin::RoutedStandin;
 
@@ -31,6 +30,8 @@
 use common::test_headers::TestHeaders;
 use common::wait_for;
 use common::wait_until_ready;
+use common::workspace;
+use common::workspaces_mut;
 
 /// A stream that pauses after its second event.
 const PAUSED: RoutedAnswer = RoutedAnswer::Stream {
@@ -87,12 +88,7 @@
         }
         let records = running.iter().map(Engine::record).collect();
         let mut configuration = configuration(1);
-        configuration.workspaces.push(WorkspaceDefinition {
-            name: "harrachov".to_owned(),
-            keys: vec!["key-3".to_owned()],
-            priority: None,
-            allowed_regions: None,
-        });
+        workspaces_mut(&mut configuration).push(workspace("harrachov", &["key-3"]));
         let mut fleet = Self {
             store: Store::new(Some(configuration), Some(records)),
             engines: running,
--- a/crates/reedsail_soak/src/layout.rs
+++ b/crates/reedsail_soak/src/layout.rs
@@ -129,14 +129,14 @@
         latency_target_ms: LATENCY_TARGET_MS,
         attempts: ATTEMPTS_MAX,
         routes,
-        workspaces: vec![
+        workspaces: Some(vec![
             ("large".to_owned(), vec![key("large", 0)]),
             ("small".to_owned(), vec![key("small", 0)]),
             (
                 CHANGING_WORKSPACE.to_owned(),
                 vec![key(CHANGING_WORKSPACE, changing_key)],
             ),
-        ],
+        ]),
     }
 }
 
