Log whether a configuration asks for keys, and how many workspaces it has

A wave of `unknown_key` or of requests without a workspace could not be told from the lines: event 206 named the version and the number of routes alone.

--- a/crates/reedsail_router/src/control/configuration_state.rs
+++ b/crates/reedsail_router/src/control/configuration_state.rs
@@ -52,6 +52,8 @@
         }
         let version = configuration.version;
         let routes = configuration.routes.len().to_string();
+        let workspaces = configuration.access.workspaces().len().to_string();
+        let requires_keys = configuration.access.requires_keys().to_string();
         let limits = configuration.services.iter().map(|service| {
             let limit = SlowStartLimit {
                 cold_ms: service.cold_ms,
@@ -67,6 +69,8 @@
             ("before", before.to_string()),
             ("origin", origin.name().to_owned()),
             ("routes", routes),
+            ("workspaces", workspaces),
+            ("requires_keys", requires_keys),
         ];
         shared.emit(EventKind::ConfigurationInForce, &fields);
     }
