Take an earlier version while no copy of the newest can be used

What callers would have seen: with the store away in a rolling upgrade, an instance without a configuration refused with 503 although a peer of this release had one, because peers of the earlier release announced a newer version without workspaces.

Cause: after a copy that could not be used, the next peer was chosen only among those with the newest version.

Why this works: the choice goes on to all peers with a newer version than the own one, the newest first. It begins anew once a configuration has arrived, so that a later version is fetched from a peer that has it. The store is still read at once for the newest one, and replaces the earlier version.

The test failed before ("timed out waiting for the version", 30 s) and passes. Another one asks on streams and resumable streams too who is admitted. The module comment of the configuration names the copy for peers.

--- a/crates/reedsail_gossip/src/peer_table.rs
+++ b/crates/reedsail_gossip/src/peer_table.rs
@@ -3,6 +3,7 @@
 //! Owns the addresses and liveness of peers; the dispatcher owns their load. A peer becomes known by its own messages,
 //! by the messages of other instances, or as a seed in the settings.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
@@ -328,17 +329,14 @@
         })
     }
 
-    /// Returns the address of a peer with the newest configuration, if that is newer than `version`. Of several such peers,
-    /// successive values of `attempt` choose different ones.
+    /// Returns the address of a peer whose configuration is newer than `version`. Attempt 0 chooses a peer with the newest
+    /// one; successive attempts choose the others, in descending order of their versions.
     pub fn with_newer_configuration(&self, version: u64, attempt: usize) -> Option<SocketAddrV4> {
-        let newest = self.alive().map(|peer| peer.configuration_version).max()?;
-        if newest <= version {
-            return None;
-        }
-        let holders = self.alive().filter(|peer| peer.configuration_version == newest);
-        let holders: Vec<&Peer> = holders.collect();
-        let holder = holders.iter().rev().nth(attempt % holders.len())?;
-        Some(holder.address)
+        let newer = self.alive().filter(|peer| peer.configuration_version > version);
+        let mut newer: Vec<&Peer> = newer.collect();
+        newer.sort_by_key(|peer| Reverse(peer.configuration_version));
+        let index = attempt.checked_rem(newer.len())?;
+        newer.get(index).map(|peer| peer.address)
     }
 
     /// Returns a peer whose server list is newer than `revision`: the one with the newest list in the failure domain
--- a/crates/reedsail_router/src/configuration.rs
+++ b/crates/reedsail_router/src/configuration.rs
@@ -1,7 +1,7 @@
 //! The operators' configuration, independent of the platform's format.
 //!
-//! The adapter decodes it once from the platform's record. Peers fetch its parts as JSON, so the names and formats of the
-//! serialised fields must not change.
+//! The adapter decodes it once from the platform's record. Peers fetch a copy of it (`configuration_copy`) that has these
+//! types as JSON, so the names and formats of the serialised fields must not change.
 
 use reedsail_dispatch::RetryPolicy;
 use serde::Deserialize;
--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -262,6 +262,7 @@
     type Return = ();
 
     async fn handle(&mut self, read: ConfigurationRead, _: &mut Context<Self>) {
+        self.fetches.record_configuration();
         ConfigurationState::put_in_force(&self.shared, read.configuration, read.origin);
         self.notify_if_urgent(self.shared.clock.now());
     }
--- a/crates/reedsail_router/src/control/fetch_plan.rs
+++ b/crates/reedsail_router/src/control/fetch_plan.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Default)]
 pub(super) struct FetchPlan {
     next_fetch_at: TimeMs,
-    /// Number of copies of a configuration that could not be used.
+    /// Number of copies of a configuration that could not be used since one could.
     ambiguous_copies: usize,
     /// Whether the peer of the last fetch could not compute the difference to this instance's list.
     needs_whole_list: bool,
@@ -37,6 +37,11 @@
         self.ambiguous_copies = self.ambiguous_copies.wrapping_add(1);
     }
 
+    /// Records that a configuration has arrived, so that a peer with the newest one is asked next.
+    pub(super) fn record_configuration(&mut self) {
+        self.ambiguous_copies = 0;
+    }
+
     /// Records that a list, or the difference to one, has arrived.
     pub(super) fn record_listing(&mut self) {
         self.needs_whole_list = false;
--- a/crates/reedsail_router/tests/caller_access.rs
+++ b/crates/reedsail_router/tests/caller_access.rs
@@ -211,7 +211,9 @@
         let silent_store = Store::new(None, None);
         let restarted = start_beside(&fixture, &silent_store);
         wait_until_ready(&restarted).await;
-        assert_eq!(statuses(&restarted, "/once/").await, expected);
+        for path in ["/once/", "/again/", "/stream/", "/resume/"] {
+            assert_eq!(statuses(&restarted, path).await, expected, "{path}");
+        }
         assert_eq!(statuses(&restarted, "/open/").await, OPEN);
     }
 }
@@ -282,3 +284,20 @@
         assert_eq!(statuses(&alone.router, "/once/").await, CLOSED);
     }
 }
+
+/// Guards against an instance without a configuration beside a peer that has one, because others announce a newer version
+/// of which they have only copies that cannot be used.
+#[tokio::test]
+async fn an_earlier_version_is_taken_while_no_copy_of_the_newest_can_be_used() {
+    let alone = Alone::start(None).await;
+    let ambiguous = page(7, AMBIGUOUS_FIELDS).await;
+    let _earlier = alone.add_peer("hall-a-8", 7, ambiguous).await;
+    let usable = page(5, r#""workspaces":[{"name":"labska","keys":["key-1"]}]"#).await;
+    let _same = alone.add_peer("hall-a-9", 5, usable).await;
+    wait_for_version(&alone.router, 5).await;
+    assert_eq!(statuses(&alone.router, "/once/").await, KEYED);
+    let newest = without_workspaces(7, nobody());
+    alone.store.configuration.send_replace(Some(newest));
+    wait_for_version(&alone.router, 7).await;
+    assert_eq!(statuses(&alone.router, "/once/").await, CLOSED);
+}
