Tell what each program was built from

Callers saw review/4 fail after its repair had landed. Neither logs nor metrics could tell whether the program held the repair: no program told its release or its sources, and the version of the configuration on the metrics page was right in both cases.

Change: a digest of the compiled sources, from a build script that each package of a program shares.

--- a/crates/reedsail_bench/tests/style.rs
+++ b/crates/reedsail_bench/tests/style.rs
@@ -9,6 +9,7 @@
     let mut found = Vec::new();
     collect(&root.join("crates"), &mut found);
     collect(&root.join("platform"), &mut found);
+    collect(&root.join("build"), &mut found);
     assert!(found.len() > 50, "{} sources", found.len());
     found
 }
--- a/crates/reedsail_cli/src/admin_client.rs
+++ b/crates/reedsail_cli/src/admin_client.rs
@@ -60,6 +60,21 @@
     })
 }
 
+/// Fetches an instance's metrics in the text format.
+pub(crate) async fn metrics(address: SocketAddr) -> Result<String, Failure> {
+    let (status, body) = get(address, "/metrics").await?;
+    if status != StatusCode::OK {
+        return Err(Failure::Unreachable(format!(
+            "status {status} for the metrics of the instance at {address}"
+        )));
+    }
+    String::from_utf8(body.to_vec()).map_err(|error| {
+        Failure::Unreachable(format!(
+            "the metrics of the instance at {address} are not valid UTF-8: {error}"
+        ))
+    })
+}
+
 /// Fetches the content of the bundle that an instance has accepted, or `None` if it has no bundle yet.
 pub(crate) async fn bundle(address: SocketAddr) -> Result<Option<String>, Failure> {
     let (status, body) = get(address, "/bundle").await?;
--- a/crates/reedsail_cli/src/flags/fleet.rs
+++ b/crates/reedsail_cli/src/flags/fleet.rs
@@ -12,6 +12,13 @@
 xflags::xflags! {
     /// Shows the state of the fleet.
     cmd fleet {
+        /// Shows what the program of each instance was built from, and how many builds there are.
+        cmd builds {
+            /// The admin address of a router or daemon; may be given more than once.
+            repeated --instance address: SocketAddr
+            /// Prints JSON.
+            optional --json
+        }
         /// Shows each instance's stage, bundle version, slots and queues.
         cmd status {
             /// The admin address of an instance; may be given more than once.
--- a/crates/reedsail_cli/src/fleet_command.rs
+++ b/crates/reedsail_cli/src/fleet_command.rs
@@ -78,11 +78,7 @@
 /// Fetches the status of every instance. Returns the addresses of unreachable instances separately, so
 /// that one unreachable instance does not hide the others.
 async fn fetch_statuses(addresses: &[SocketAddr]) -> Result<(Vec<Status>, Vec<String>), Failure> {
-    if addresses.is_empty() {
-        return Err(Failure::Usage(
-            "give the admin address of at least one instance with --daemon".to_owned(),
-        ));
-    }
+    require_instances(addresses, "--daemon")?;
     let mut statuses = Vec::new();
     let mut unreachable = Vec::new();
     for address in addresses {
@@ -94,7 +90,18 @@
     Ok((statuses, unreachable))
 }
 
-fn require_all_reachable(unreachable: &[String]) -> Result<(), Failure> {
+/// Returns a failure if no instance is named with the flag.
+pub(crate) fn require_instances(addresses: &[SocketAddr], flag: &str) -> Result<(), Failure> {
+    if addresses.is_empty() {
+        return Err(Failure::Usage(format!(
+            "give the admin address of at least one instance with {flag}"
+        )));
+    }
+    Ok(())
+}
+
+/// Returns a failure that names the unreachable instances, if there are any.
+pub(crate) fn require_all_reachable(unreachable: &[String]) -> Result<(), Failure> {
     if unreachable.is_empty() {
         return Ok(());
     }
--- a/crates/reedsail_cli/src/main.rs
+++ b/crates/reedsail_cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `reedsail`: the operators' command-line tool for bundles, keys, the fleet's status and its timeline.
 
 mod admin_client;
+mod builds_command;
 mod bundle_command;
 mod event_fields;
 mod failure;
@@ -22,6 +23,9 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
+use reedsail_core::BuildInfo;
+use reedsail_core::build_info;
+
 use failure::Failure;
 use flags::bundle::Bundle;
 use flags::bundle::BundleCmd;
@@ -32,6 +36,9 @@
 use flags::requests::Requests;
 use flags::timeline::Timeline;
 
+/// What this program was built from.
+const BUILD: BuildInfo = build_info!();
+
 const HELP: &str = "\
 reedsail: operates a router fleet; every change is a signed bundle with the next version number
 
@@ -41,7 +48,7 @@
   reedsail requests  counts request outcomes in router logs, or prints one request's events
   reedsail keys      creates keys for authors and approvers
 
-Run `reedsail COMMAND --help` for details.
+Run `reedsail COMMAND --help` for details, and `reedsail --version` for what the tool was built from.
 Exit codes: 0 success; 1 the bundle has faults or was refused; 2 invalid usage; 3 the base
 is not the version in force; 4 the platform or an instance cannot be reached.";
 
@@ -69,6 +76,7 @@
     match command.to_str() {
         Some("bundle") => run_bundle(parse_or_exit(Bundle::from_vec(rest))).await,
         Some("fleet") => match parse_or_exit(Fleet::from_vec(rest)).subcommand {
+            FleetCmd::Builds(builds) => builds_command::fleet_builds(&builds.instance, builds.json).await,
             FleetCmd::Status(status) => fleet_command::fleet_status(&status.daemon, status.json).await,
         },
         Some("timeline") => timeline_command::run(&parse_or_exit(Timeline::from_vec(rest))).await,
@@ -80,6 +88,10 @@
             println!("{HELP}");
             Ok(())
         }
+        Some("--version") => {
+            println!("reedsail {BUILD}");
+            Ok(())
+        }
         _ => Err(Failure::Usage(format!(
             "unknown command `{}`\n\n{HELP}",
             command.display()
--- a/crates/reedsail_core/src/lib.rs
+++ b/crates/reedsail_core/src/lib.rs
@@ -1,8 +1,9 @@
-//! Types that `reedsail-router` and `reedsaild` share: keys, times, the fixed list of error kinds, and the outcome of
+//! Types that the programs share: what they were built from, keys, times, the fixed list of error kinds, and the outcome of
 //! a failed request.
 //!
 //! Pure: no I/O, no clock, no runtime. Depends on no other crate of the project.
 
+mod build_info;
 mod error_kind;
 mod fingerprint;
 mod key;
@@ -10,6 +11,7 @@
 mod outcome;
 mod store_position;
 
+pub use build_info::BuildInfo;
 pub use error_kind::ErrorKind;
 pub use error_kind::RanState;
 pub use fingerprint::Fingerprint;
--- a/crates/reedsail_daemon/src/lib.rs
+++ b/crates/reedsail_daemon/src/lib.rs
@@ -13,6 +13,9 @@
 mod traffic;
 mod view;
 
+use reedsail_core::BuildInfo;
+use reedsail_core::build_info;
+
 pub use reedsail_net::Clock;
 pub use running::DaemonAddresses;
 pub use running::DaemonOptions;
@@ -28,3 +31,6 @@
 pub use shared::ServiceStatus;
 pub use shared::Status;
 pub use stage::Stage;
+
+/// What the daemon was built from.
+pub const BUILD: BuildInfo = build_info!();
--- a/crates/reedsail_daemon/src/main.rs
+++ b/crates/reedsail_daemon/src/main.rs
@@ -3,6 +3,8 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use anyhow::Context as _;
+use reedsail_daemon::BUILD;
 use reedsail_daemon::DaemonOptions;
 use reedsail_daemon::RunningDaemon;
 use reedsail_daemon::Settings;
@@ -29,9 +31,11 @@
         /// Routes requests to backend servers, each workspace getting its fair share.
         cmd reedsaild {
             /// The settings file, in YAML.
-            required --config file: PathBuf
+            optional --config file: PathBuf
             /// Checks the settings and exits.
             optional --check
+            /// Prints what the program was built from and exits.
+            optional --version
         }
     }
 }
@@ -39,7 +43,11 @@
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let flags = flags::Reedsaild::from_env_or_exit();
-    match run(&flags.config, flags.check) {
+    if flags.version {
+        println!("reedsaild {BUILD}");
+        return ExitCode::SUCCESS;
+    }
+    match run(flags.config.as_deref(), flags.check) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(EXIT_REQUESTS_ABORTED),
         Err(error) => {
@@ -50,7 +58,8 @@
 }
 
 /// Runs the daemon until a signal arrives. Returns `false` if the stop aborted open requests.
-fn run(config: &Path, check_only: bool) -> anyhow::Result<bool> {
+fn run(config: Option<&Path>, check_only: bool) -> anyhow::Result<bool> {
+    let config = config.context("name the settings file with --config")?;
     let settings = read_file(config, Settings::read)?;
     if check_only {
         println!("{}: the settings are valid", config.display());
--- a/crates/reedsail_daemon/src/metrics.rs
+++ b/crates/reedsail_daemon/src/metrics.rs
@@ -15,6 +15,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::BUILD;
+
 /// The maximum number of workspaces in one scrape.
 pub(crate) const WORKSPACES_SHOWN_MAX: usize = 64;
 
@@ -92,6 +94,11 @@
         "1 while the platform answers.",
         &[],
     ),
+    (
+        "reedsail_build_info",
+        "What the program was built from; the value is 1.",
+        &["version", "sources"],
+    ),
 ];
 
 /// The registered metrics.
@@ -161,6 +168,9 @@
             let opts = HistogramOpts::from(opts).buckets(SECONDS_BUCKETS.to_vec());
             register(&registry, HistogramVec::new(opts, labels))
         };
+        gauge("reedsail_build_info")
+            .with_label_values(&[BUILD.version, BUILD.sources])
+            .set(1);
         Self {
             requests: counter("reedsail_requests_total"),
             answers: counter("reedsail_answers_total"),
--- a/crates/reedsail_daemon/src/running.rs
+++ b/crates/reedsail_daemon/src/running.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 use xtra::Address;
 
+use crate::BUILD;
 use crate::control::BeginStop;
 use crate::control::Control;
 use crate::control::ControlThread;
@@ -209,9 +210,12 @@
     let (claim_jobs, claim_queue) = mpsc::channel(CLAIM_JOBS_MAX);
     let shared = Arc::new(Shared::new(settings, policy, options.gate, claim_jobs));
     let domain = shared.settings.failure_domain.as_str();
-    shared
-        .events
-        .emit(EventKind::InstanceStarted, &[("failure_domain", domain)]);
+    let fields = [
+        ("failure_domain", domain),
+        ("version", BUILD.version),
+        ("sources", BUILD.sources),
+    ];
+    shared.events.emit(EventKind::InstanceStarted, &fields);
     let (stage_changed, stage_watch) = watch::channel(Stage::Starting);
     let mut workers = Workers::default();
     for index in 0..traffic_threads {
--- a/crates/reedsail_daemon/tests/process.rs
+++ b/crates/reedsail_daemon/tests/process.rs
@@ -211,6 +211,17 @@
     });
 }
 
+#[test]
+fn the_version_flag_needs_no_settings() {
+    let output = Command::new(env!("CARGO_BIN_EXE_reedsaild"))
+        .arg("--version")
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(0));
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert_eq!(text, format!("reedsaild {}\n", reedsail_daemon::BUILD));
+}
+
 #[test]
 fn invalid_settings_exit_with_2_and_name_the_fault() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/reedsail_router/src/metrics.rs
+++ b/crates/reedsail_router/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use prometheus::core::Collector;
+use reedsail_core::BuildInfo;
 use reedsail_dispatch::BodyMemory;
 
 use crate::workspace_tokens::WorkspaceTokens;
@@ -260,8 +261,9 @@
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(build: BuildInfo) -> Self {
         let registry = Registry::new();
+        register_build_info(&registry, build);
         Self {
             answers: counter_vec(
                 &registry,
@@ -360,6 +362,17 @@
     }
 }
 
+/// Registers a gauge of 1 whose labels say what the program was built from.
+fn register_build_info(registry: &Registry, build: BuildInfo) {
+    let gauges = gauge_vec(
+        registry,
+        "reedsail_router_build_info",
+        "What the program was built from; the value is 1.",
+        &["version", "sources"],
+    );
+    gauges.with_label_values(&[build.version, build.sources]).set(1);
+}
+
 /// Creates and registers a counter with labels. Names, labels and buckets are constants of this file, so this and the
 /// functions below cannot panic once the tests have created all metrics.
 fn counter_vec(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
--- a/crates/reedsail_router/src/program.rs
+++ b/crates/reedsail_router/src/program.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use anyhow::Context as _;
+use reedsail_core::BuildInfo;
 use reedsail_document::read_file;
 use reedsail_events::LineSink;
 use tokio::signal::unix::SignalKind;
@@ -25,9 +26,11 @@
 /// How long the program waits at its end until the last log lines are written, in milliseconds.
 const LOG_FLUSH_TIMEOUT_MS: u64 = 100;
 
-/// The flags of the command line.
+/// The flags of the command line, and what the program was built from.
 #[derive(Clone, Debug)]
 pub struct ProgramFlags {
+    /// What the program was built from.
+    pub build: BuildInfo,
     /// The settings file, if it is given on the command line.
     pub settings: Option<PathBuf>,
     /// The environment variable that names the settings file otherwise.
@@ -82,12 +85,13 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    let build = flags.build;
     let outcome = runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut hangup = signal(SignalKind::hangup())?;
         let source_settings = settings.clone();
-        let router = RunningRouter::start(settings, protocol, move || make_sources(&source_settings))?;
+        let router = RunningRouter::start(build, settings, protocol, move || make_sources(&source_settings))?;
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
--- a/crates/reedsail_router/src/running.rs
+++ b/crates/reedsail_router/src/running.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use reedsail_core::BuildInfo;
 use reedsail_events::EventKind;
 use reedsail_net::Clock;
 use reedsail_net::Workers;
@@ -56,11 +57,12 @@
 }
 
 impl<H: HeaderProtocol> RunningRouter<H> {
-    /// Starts a router. `make_sources` runs on the control thread.
+    /// Starts a router, which logs and shows `build`. `make_sources` runs on the control thread.
     ///
     /// # Errors
     /// Returns an error that names the address that cannot be bound, or the thread that cannot be started.
     pub fn start<C, S, Q>(
+        build: BuildInfo,
         settings: RouterSettings,
         protocol: H,
         make_sources: impl FnOnce() -> Sources<C, S, Q> + Send + 'static,
@@ -70,7 +72,7 @@
         S: ServerSource,
         Q: QuarantineStore,
     {
-        Self::start_at(Clock::default(), settings, protocol, make_sources)
+        Self::start_at(Clock::default(), build, settings, protocol, make_sources)
     }
 
     /// Starts a router that uses the given clock for all time measurements.
@@ -79,6 +81,7 @@
     /// Returns the same errors as [`RunningRouter::start`].
     pub fn start_at<C, S, Q>(
         clock: Clock,
+        build: BuildInfo,
         settings: RouterSettings,
         protocol: H,
         make_sources: impl FnOnce() -> Sources<C, S, Q> + Send + 'static,
@@ -91,11 +94,13 @@
         let listeners = Listeners::bind(&settings.listen)?;
         let addresses = listeners.addresses()?;
         let sending_socket = listeners.peer_socket.try_clone()?;
-        let shared = Arc::new(Shared::new(clock, settings, protocol, sending_socket));
+        let shared = Arc::new(Shared::new(clock, build, settings, protocol, sending_socket));
         let fields = [
             ("failure_domain", shared.settings.failure_domain.clone()),
             ("callers", addresses.callers.to_string()),
             ("peers", addresses.peers.to_string()),
+            ("version", build.version.to_owned()),
+            ("sources", build.sources.to_owned()),
         ];
         shared.emit(EventKind::InstanceStarted, &fields);
         let (seeds, seeds_receiver) = mpsc::channel(1);
--- a/crates/reedsail_router/src/shared.rs
+++ b/crates/reedsail_router/src/shared.rs
@@ -13,6 +13,7 @@
 
 use arc_swap::ArcSwap;
 use rand::Rng;
+use reedsail_core::BuildInfo;
 use reedsail_core::NameHash;
 use reedsail_core::TimeMs;
 use reedsail_dispatch::BodyMemory;
@@ -63,11 +64,17 @@
 
 impl<H> Shared<H> {
     /// Creates the state. `peer_socket` is the socket on which peers' messages arrive.
-    pub(crate) fn new(clock: Clock, settings: RouterSettings, protocol: H, peer_socket: UdpSocket) -> Self {
+    pub(crate) fn new(
+        clock: Clock,
+        build: BuildInfo,
+        settings: RouterSettings,
+        protocol: H,
+        peer_socket: UdpSocket,
+    ) -> Self {
         let own_domain = NameHash::of(&settings.failure_domain);
         let mut dispatcher = Dispatcher::new(settings.dispatch, own_domain);
         dispatcher.set_region(settings.region_of(&settings.failure_domain));
-        let metrics = Metrics::new();
+        let metrics = Metrics::new(build);
         Self {
             events: EventLog::bounded(&settings.instance, 0, settings.log_lines_per_s),
             dispatcher: Mutex::new(dispatcher),
--- a/crates/reedsail_router/tests/common/mod.rs
+++ b/crates/reedsail_router/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
+use reedsail_core::BuildInfo;
 use reedsail_core::StorePosition;
 use reedsail_dispatch::DispatchSettings;
 use reedsail_dispatch::ServerChange;
@@ -56,6 +57,12 @@
 
 use test_headers::TestHeaders;
 
+/// What the routers of the tests are said to be built from.
+pub(crate) const BUILD: BuildInfo = BuildInfo {
+    version: "1.2.3",
+    sources: "0123456789abcdef",
+};
+
 /// The header protocol that callers and stand-in servers use in these tests.
 pub(crate) const HEADERS: TestHeaders = TestHeaders;
 
@@ -237,7 +244,7 @@
         last: Arc::clone(&store.last_listed),
     };
     let quarantine = store.quarantine.clone();
-    RunningRouter::start_at(clock, settings, TestHeaders, move || Sources {
+    RunningRouter::start_at(clock, BUILD, settings, TestHeaders, move || Sources {
         operator: configuration,
         servers,
         quarantine,
--- a/crates/reedsail_router/tests/golden.rs
+++ b/crates/reedsail_router/tests/golden.rs
@@ -26,6 +26,7 @@
 use reedsail_standin::RoutedAnswer;
 use tokio::sync::mpsc;
 
+use common::BUILD;
 use common::Caller;
 use common::ChannelSource;
 use common::HEADERS;
@@ -298,7 +299,7 @@
         servers: ChannelSource(server_source),
         quarantine: MemoryQuarantine::default(),
     };
-    let router = RunningRouter::start(settings("hall-b-1"), HEADERS, make_sources).unwrap();
+    let router = RunningRouter::start(BUILD, settings("hall-b-1"), HEADERS, make_sources).unwrap();
     let send_changes_at = |offset: u64, changes: Vec<ServerChange>| {
         let position = StorePosition::new(0, offset);
         let update = ServerUpdate {
--- a/crates/reedsail_router/tests/late_answers.rs
+++ b/crates/reedsail_router/tests/late_answers.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedSender;
 
+use common::BUILD;
 use common::ChannelSource;
 use common::HEADERS;
 use common::MemoryQuarantine;
@@ -43,7 +44,7 @@
             servers: ChannelSource(server_source),
             quarantine: MemoryQuarantine::default(),
         };
-        let router = RunningRouter::start(settings, HEADERS, make_sources).unwrap();
+        let router = RunningRouter::start(BUILD, settings, HEADERS, make_sources).unwrap();
         Self {
             router,
             answers,
