Compile the project anew when the sources differ from the last build's

Cause: the deploy file's build was cargo build alone, which compares dates. Over a build folder that was carried over, sources whose dates are those of their commit are older than the last build, so the program of the release before stayed.

Why this works: deploy/build.sh records the checksums of all sources and of the program, and compiles the project's packages anew unless both are those of the record. A build that is broken off leaves packages of other sources behind; the program then differs from the record's, which compiles them anew too.

--- a/crates/reedsail_bench/tests/source_workspace/mod.rs
+++ b/crates/reedsail_bench/tests/source_workspace/mod.rs
@@ -1,5 +1,6 @@
 //! A small workspace in a temporary folder with the project's build script and deploy file.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::fs::File;
 use std::io::Write;
@@ -15,7 +16,10 @@
 const OLD: Duration = Duration::from_hours(24);
 
 /// The project's files that the workspace has.
-const COPIED: [&str; 2] = ["build/source_digest.rs", "deploy/system.toml"];
+const COPIED: [&str; 3] = ["build/source_digest.rs", "deploy/system.toml", "deploy/build.sh"];
+
+/// The program that is built.
+const PROGRAM: &str = "target/release/reedsail-router";
 
 /// What the program of the workspace prints.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,6 +50,7 @@
             "[workspace]\nresolver = \"3\"\nmembers = [\"crates/*\", \"platform\"]\n",
         );
         workspace.write_package("crates/reedsail_core", "reedsail_core", "");
+        workspace.write("crates/reedsail_core/tests/some.rs", "");
         workspace.write(
             "crates/reedsail_core/src/lib.rs",
             "pub const ANSWER: &str = \"one\";\n",
@@ -127,7 +132,7 @@
         status.success()
     }
 
-    fn run_to_success(&self, command: &str) {
+    pub(crate) fn run_to_success(&self, command: &str) {
         assert!(self.run_command(command), "`{command}` failed");
     }
 
@@ -137,11 +142,46 @@
         self
     }
 
+    /// Returns the command with which the deploy file builds the program.
+    pub(crate) fn deploy_command(&self) -> String {
+        let deploy_file = self.read("deploy/system.toml");
+        let line = deploy_file
+            .lines()
+            .find_map(|line| line.strip_prefix("build = \""));
+        line.and_then(|rest| rest.strip_suffix('"')).unwrap().to_owned()
+    }
+
+    /// Builds the program as the deploy file says.
+    pub(crate) fn deploy_build(&self) -> &Self {
+        self.run_to_success(&self.deploy_command());
+        self
+    }
+
+    pub(crate) fn has_program(&self) -> bool {
+        self.path(PROGRAM).exists()
+    }
+
+    /// Returns the date of the program that was built last.
+    pub(crate) fn date_of_program(&self) -> SystemTime {
+        let program = fs::metadata(self.path(PROGRAM)).unwrap();
+        program.modified().unwrap()
+    }
+
+    /// Returns the names in the folder of the workspace.
+    pub(crate) fn entries(&self) -> BTreeSet<String> {
+        let entries = fs::read_dir(self.folder.path()).unwrap();
+        entries
+            .map(|entry| entry.unwrap().file_name().into_string().unwrap())
+            .collect()
+    }
+
+    pub(crate) fn rename(&self, from: &str, to: &str) {
+        fs::rename(self.path(from), self.path(to)).unwrap();
+    }
+
     /// Runs the program.
     pub(crate) fn run(&self) -> Printed {
-        let output = Command::new(self.path("target/release/reedsail-router"))
-            .output()
-            .unwrap();
+        let output = Command::new(self.path(PROGRAM)).output().unwrap();
         let text = String::from_utf8(output.stdout).unwrap();
         let (answer, sources) = text.trim_end().split_once(' ').unwrap();
         Printed {
