Take all workspaces away in the soak

The check of keys now covers every workspace, and runs at servers besides answers; it is as strict as before for a replaced key. Refusals that an empty table asks for, and that the check of keys accepts, are left out of three shares of answered requests (fairness, streams taken up again, sound requests beside a segment): a test holds that others still count. The report begins with the build of the router that was soaked.

--- a/crates/reedsail_soak/src/checker.rs
+++ b/crates/reedsail_soak/src/checker.rs
@@ -11,12 +11,14 @@
 use crate::Run;
 use crate::Target;
 use crate::budget_checks::check_retry_budget;
+use crate::key_checks::check_keys;
+use crate::key_checks::was_refused_without_workspaces;
 use crate::notice_checks::check_notices;
 use crate::poison_checks::check_poison_segment;
 use crate::version_checks::check_stream_versions;
 
 /// A version must be in force after this time on an instance without faults.
-const IN_FORCE_WITHIN_MS: u64 = 6_000;
+pub(crate) const IN_FORCE_WITHIN_MS: u64 = 6_000;
 /// Violations are excused for this time after a fault was undone.
 pub(crate) const FAULT_GRACE_MS: u64 = 2_500;
 /// An instance is in touch again this long after its last disturbance, as the platform defines it.
@@ -47,8 +49,6 @@
 const FAIR_ATTEMPTS_MIN: usize = 30;
 /// Minimum answered ratio of the small workspace, as a percentage of the large workspace's ratio.
 const FAIR_PERCENT: usize = 50;
-/// The workspace whose key changes.
-const CHANGING_WORKSPACE: &str = "changing";
 
 /// A violation of a guarantee; reports call a guarantee a promise.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -245,53 +245,6 @@
     }
 }
 
-/// Checks that an instance with a version in force accepts no key that the version revoked, and
-/// refuses no key that this version and all later ones contain.
-fn check_keys(history: &History, found: &mut Vec<Violation>) {
-    for attempt in history
-        .attempts
-        .iter()
-        .filter(|attempt| attempt.workspace == CHANGING_WORKSPACE)
-    {
-        let before = history
-            .probes
-            .iter()
-            .rev()
-            .find(|probe| probe.daemon == attempt.daemon && probe.ended_ms <= attempt.began_ms);
-        let Some(before) = before else { continue };
-        let is_restart =
-            |target| target == Target::Daemon(attempt.daemon) || target == Target::Stop(attempt.daemon);
-        if history.is_disturbed(before.began_ms, attempt.ended_ms, is_restart) {
-            continue;
-        }
-        let Some(probed_write) = history
-            .writes
-            .iter()
-            .find(|write| write.version == before.version)
-        else {
-            continue;
-        };
-        if attempt.key < probed_write.key && attempt.outcome == Outcome::Answered {
-            let what = format!(
-                "{}: key {} was revoked in version {}",
-                describe_attempt(attempt),
-                attempt.key,
-                probed_write.version
-            );
-            found.push(Violation::new("no key after it was taken away", what));
-        }
-        let is_valid = history
-            .writes
-            .iter()
-            .filter(|write| write.version >= before.version && write.at_ms <= attempt.ended_ms)
-            .all(|write| write.key == attempt.key);
-        let is_refused = matches!(attempt.outcome, Outcome::Failed { status: 401, .. });
-        if is_valid && is_refused {
-            found.push(Violation::new("no valid key refused", describe_attempt(attempt)));
-        }
-    }
-}
-
 fn check_departures(history: &History, found: &mut Vec<Violation>) {
     let attempts = history.attempts.iter();
     let instances: HashMap<&str, usize> = attempts
@@ -359,7 +312,8 @@
         let own = history
             .attempts
             .iter()
-            .filter(|attempt| attempt.workspace == workspace && attempt.outcome != Outcome::HungUp);
+            .filter(|attempt| attempt.workspace == workspace && attempt.outcome != Outcome::HungUp)
+            .filter(|attempt| !was_refused_without_workspaces(history, attempt));
         let own: Vec<&Attempt> = own.collect();
         let answered = own
             .iter()
@@ -406,7 +360,7 @@
     }
 }
 
-fn describe_attempt(attempt: &Attempt) -> String {
+pub(crate) fn describe_attempt(attempt: &Attempt) -> String {
     format!(
         "{} ({:?}, workspace {}, instance {}, {} to {} ms: {:?})",
         attempt.id,
--- a/crates/reedsail_soak/src/draw.rs
+++ b/crates/reedsail_soak/src/draw.rs
@@ -30,6 +30,13 @@
 /// Time from then until the server leaves, in milliseconds.
 const HELD_BEFORE_LEAVING_MS: u64 = 60;
 
+/// Distinguishes the random numbers of emptied tables of workspaces from those of all other faults.
+const EMPTIED_SEED: u64 = 0x5eed_0000_0000_0000;
+/// Maximum number of times that a schedule empties the table of workspaces.
+const EMPTIED_MAX: u32 = 3;
+/// How long the table stays empty, in milliseconds.
+const EMPTIED_MS: std::ops::RangeInclusive<u64> = 50..=2_500;
+
 /// The rates of requests with a segment that ends servers, in requests in ten seconds.
 const POISON_RATES_PER_10_S: [u64; 4] = [5, 20, 60, 200];
 /// Largest number of events before an engine ends.
@@ -66,10 +73,31 @@
         let series = draw_series(&mut random, &schedule, last_ms);
         schedule.faults.extend(series);
     }
+    schedule.faults.extend(draw_emptied_workspaces(seed, last_ms));
     schedule.faults.sort_by_key(|fault| fault.at_ms);
     schedule
 }
 
+/// Draws times without workspaces, in half of the schedules. They have random numbers of their own, so that the other faults
+/// of a seed stay the same.
+fn draw_emptied_workspaces(seed: u64, last_ms: u64) -> Vec<Fault> {
+    let mut random = StdRng::seed_from_u64(seed ^ EMPTIED_SEED);
+    if random.random_bool(0.5) {
+        return Vec::new();
+    }
+    let count = random.random_range(1..=EMPTIED_MAX);
+    let faults = (0..count).map(|_| {
+        let at_ms = random.random_range(FAULT_FREE_START_MS..last_ms);
+        let for_ms = random.random_range(EMPTIED_MS).min(last_ms - at_ms);
+        Fault {
+            at_ms,
+            for_ms,
+            kind: FaultKind::EmptyWorkspaces,
+        }
+    });
+    faults.collect()
+}
+
 /// Draws consecutive faults of one kind, all on the same target or each on the next target.
 fn draw_series(random: &mut StdRng, schedule: &Schedule, last_ms: u64) -> Vec<Fault> {
     let count = random.random_range(1..=FAULTS_PER_SERIES_MAX);
--- a/crates/reedsail_soak/src/fleet.rs
+++ b/crates/reedsail_soak/src/fleet.rs
@@ -184,7 +184,7 @@
         lines: UnboundedSender<ServerLine>,
     ) -> anyhow::Result<Arc<Self>> {
         let store = Store::start(programs).await?;
-        let configuration = layout::configuration(1, 1);
+        let configuration = layout::configuration(&layout::first_version());
         store
             .send_command(&StoreCommand::Configure(configuration))
             .await?;
--- a/crates/reedsail_soak/src/history.rs
+++ b/crates/reedsail_soak/src/history.rs
@@ -217,6 +217,9 @@
     pub at_ms: u64,
     /// The number of the only key of workspace `changing` in this version.
     pub key: u64,
+    /// Whether the table of workspaces is empty, so that no key is valid.
+    #[serde(default)]
+    pub without_workspaces: bool,
 }
 
 /// The configuration version that a probe found in force on an instance.
--- a/crates/reedsail_soak/src/layout.rs
+++ b/crates/reedsail_soak/src/layout.rs
@@ -9,6 +9,7 @@
 use reedsail_platform_standin::RouteSpec;
 
 use crate::CallKind;
+use crate::VersionWrite;
 
 /// Number of failure domains of the instances and servers.
 const DOMAIN_COUNT: usize = 3;
@@ -113,8 +114,19 @@
     format!("key-{workspace}-{number}")
 }
 
-/// Returns a version of the configuration, with the given key number for workspace `changing`.
-pub(crate) fn configuration(version: u64, changing_key: u64) -> ConfigurationSpec {
+/// Returns the version with which a soak begins.
+pub(crate) fn first_version() -> VersionWrite {
+    VersionWrite {
+        version: 1,
+        at_ms: 0,
+        key: 1,
+        without_workspaces: false,
+    }
+}
+
+/// Returns the configuration of a written version.
+pub(crate) fn configuration(write: &VersionWrite) -> ConfigurationSpec {
+    let version = write.version;
     let mut routes: Vec<RouteSpec> = CallKind::ALL.into_iter().map(route).collect();
     routes.push(RouteSpec {
         host: PROBE_HOST.to_owned(),
@@ -129,15 +141,18 @@
         latency_target_ms: LATENCY_TARGET_MS,
         attempts: ATTEMPTS_MAX,
         routes,
-        workspaces: Some(vec![
-            ("large".to_owned(), vec![key("large", 0)]),
-            ("small".to_owned(), vec![key("small", 0)]),
-            (
-                CHANGING_WORKSPACE.to_owned(),
-                vec![key(CHANGING_WORKSPACE, changing_key)],
-            ),
-        ]),
+        workspaces: Some(workspaces(write)),
+    }
+}
+
+/// Returns the workspaces of a version with their keys.
+fn workspaces(write: &VersionWrite) -> Vec<(String, Vec<String>)> {
+    if write.without_workspaces {
+        return Vec::new();
     }
+    let numbers = [("large", 0), ("small", 0), (CHANGING_WORKSPACE, write.key)];
+    let entry = |(workspace, number)| (str::to_owned(workspace), vec![key(workspace, number)]);
+    numbers.into_iter().map(entry).collect()
 }
 
 fn route(kind: CallKind) -> RouteSpec {
--- a/crates/reedsail_soak/src/lib.rs
+++ b/crates/reedsail_soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod history;
 mod instance;
+mod key_checks;
 mod layout;
 mod notice_checks;
 mod player;
--- a/crates/reedsail_soak/src/player/mod.rs
+++ b/crates/reedsail_soak/src/player/mod.rs
@@ -30,6 +30,7 @@
 use crate::VersionWrite;
 use crate::caller::CallerShared;
 use crate::fleet::Fleet;
+use crate::layout;
 use crate::poison::send_poison_request;
 
 /// What the player records.
@@ -43,6 +44,13 @@
     pub(crate) counts: HashMap<&'static str, u64>,
 }
 
+/// What a new version does to the key of the workspace whose key changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum KeyChange {
+    Keep,
+    Replace,
+}
+
 /// A place that has at most one active fault: a later fault replaces an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Place {
@@ -64,6 +72,8 @@
     pub(crate) fleet: Arc<Fleet>,
     callers: Arc<CallerShared>,
     newest_version: Arc<AtomicU64>,
+    /// Number of active faults that keep the table of workspaces empty.
+    emptying_faults: AtomicU64,
     poison_requests: AtomicU64,
     record: Mutex<PlayerRecord>,
     active_faults: Mutex<ActiveFaults>,
@@ -73,18 +83,14 @@
 
 impl Player {
     pub(crate) fn new(fleet: Arc<Fleet>, callers: Arc<CallerShared>, newest_version: Arc<AtomicU64>) -> Self {
-        let first = VersionWrite {
-            version: 1,
-            at_ms: 0,
-            key: 1,
-        };
         Self {
             fleet,
             callers,
             newest_version,
+            emptying_faults: AtomicU64::new(0),
             poison_requests: AtomicU64::new(0),
             record: Mutex::new(PlayerRecord {
-                writes: vec![first],
+                writes: vec![layout::first_version()],
                 ..PlayerRecord::default()
             }),
             active_faults: Mutex::default(),
@@ -156,8 +162,9 @@
             }
             FaultKind::StoreForgets => self.fleet.store.send_command(&StoreCommand::Forget).await?,
             FaultKind::StoreGoesBack(records) => self.roll_back_store(records, fault.for_ms).await?,
-            FaultKind::Configure => self.configure(false).await?,
-            FaultKind::ReplaceKey => self.configure(true).await?,
+            FaultKind::Configure => self.configure(KeyChange::Keep).await?,
+            FaultKind::ReplaceKey => self.configure(KeyChange::Replace).await?,
+            FaultKind::EmptyWorkspaces => self.empty_workspaces(fault.for_ms).await?,
         }
         Ok(())
     }
--- a/crates/reedsail_soak/src/player/store.rs
+++ b/crates/reedsail_soak/src/player/store.rs
@@ -7,6 +7,7 @@
 use reedsail_platform_standin::StoreFaults;
 use tokio::time::sleep;
 
+use super::KeyChange;
 use super::Place;
 use super::Player;
 use crate::Target;
@@ -43,18 +44,21 @@
         Ok(())
     }
 
-    /// Writes the next version; `with_new_key` gives the changing workspace another key.
-    pub(super) async fn configure(&self, with_new_key: bool) -> anyhow::Result<()> {
+    /// Writes the next version of the configuration.
+    pub(super) async fn configure(&self, key_change: KeyChange) -> anyhow::Result<()> {
         let _guard = self.configure_lock.lock().await;
         let version = self.newest_version.load(Ordering::Relaxed) + 1;
-        let key = self.callers.newest_key.load(Ordering::Relaxed) + u64::from(with_new_key);
-        let configuration = layout::configuration(version, key);
-        // Recorded first: an instance may have the version in force before the call returns.
-        self.record().writes.push(VersionWrite {
+        let replaced = u64::from(key_change == KeyChange::Replace);
+        let key = self.callers.newest_key.load(Ordering::Relaxed) + replaced;
+        let write = VersionWrite {
             version,
             at_ms: self.now_ms(),
             key,
-        });
+            without_workspaces: self.emptying_faults.load(Ordering::Relaxed) > 0,
+        };
+        let configuration = layout::configuration(&write);
+        // Recorded first: an instance may have the version in force before the call returns.
+        self.record().writes.push(write);
         self.newest_version.store(version, Ordering::Relaxed);
         self.fleet
             .store
@@ -63,4 +67,13 @@
         self.callers.newest_key.store(key, Ordering::Relaxed);
         Ok(())
     }
+
+    /// Takes all workspaces away, and later writes them again unless another fault still keeps them away.
+    pub(super) async fn empty_workspaces(&self, for_ms: u64) -> anyhow::Result<()> {
+        self.emptying_faults.fetch_add(1, Ordering::Relaxed);
+        self.configure(KeyChange::Keep).await?;
+        sleep(Duration::from_millis(for_ms)).await;
+        self.emptying_faults.fetch_sub(1, Ordering::Relaxed);
+        self.configure(KeyChange::Keep).await
+    }
 }
--- a/crates/reedsail_soak/src/poison_checks.rs
+++ b/crates/reedsail_soak/src/poison_checks.rs
@@ -9,6 +9,7 @@
 use crate::Outcome;
 use crate::Target;
 use crate::Violation;
+use crate::key_checks::was_refused_without_workspaces;
 use crate::poison::POISON_WORKSPACE;
 use crate::poison::instance_of;
 
@@ -87,6 +88,7 @@
             && attempt.kind == CallKind::Letter
             && is_in_touch(history, attempt.daemon, attempt.began_ms)
             && may_know_engines(history, attempt.began_ms)
+            && !was_refused_without_workspaces(history, attempt)
             && is_selected(attempt)
     });
     let mut share = (0, 0);
--- a/crates/reedsail_soak/src/report.rs
+++ b/crates/reedsail_soak/src/report.rs
@@ -16,6 +16,8 @@
 /// The result of a soak.
 #[derive(Clone, Debug, Serialize)]
 pub struct SoakReport {
+    /// What the router says that it was built from.
+    pub router_build: String,
     /// The seed of the schedule.
     pub seed: u64,
     /// How long callers sent requests, in milliseconds.
@@ -45,8 +47,8 @@
     /// Returns the report for the terminal.
     pub fn render(&self) -> String {
         let mut text = format!(
-            "seed {}, {} ms: {} processes, {} MB at most, {} requests reached servers\n",
-            self.seed, self.for_ms, self.processes, self.peak_memory_mb, self.runs
+            "{}\nseed {}, {} ms: {} processes, {} MB at most, {} requests reached servers\n",
+            self.router_build, self.seed, self.for_ms, self.processes, self.peak_memory_mb, self.runs
         );
         let joined = |counts: &BTreeMap<String, u64>| {
             let parts: Vec<String> = counts
--- a/crates/reedsail_soak/src/schedule.rs
+++ b/crates/reedsail_soak/src/schedule.rs
@@ -164,6 +164,8 @@
     Configure,
     /// A key is revoked and replaced by a new one.
     ReplaceKey,
+    /// Versions whose table of workspaces is empty are written until the fault's end, so that no key is valid.
+    EmptyWorkspaces,
 }
 
 impl FaultKind {
@@ -202,6 +204,7 @@
             Self::StoreGoesBack(_) => "store back from a copy",
             Self::Configure => "configuration changed",
             Self::ReplaceKey => "key taken away",
+            Self::EmptyWorkspaces => "all workspaces taken away",
         }
     }
 }
--- a/crates/reedsail_soak/src/soak.rs
+++ b/crates/reedsail_soak/src/soak.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use tokio::process::Command;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::JoinSet;
@@ -105,6 +106,7 @@
     let mut violations = check(&history);
     violations.retain(|violation| !is_untimed || !violation.is_timed());
     let report = SoakReport {
+        router_build: build_of(&programs.router).await?,
         seed: schedule.seed,
         for_ms: schedule.for_ms,
         processes,
@@ -127,6 +129,19 @@
     Ok(report)
 }
 
+/// Returns what a router prints as its build.
+async fn build_of(router: &Path) -> anyhow::Result<String> {
+    let output = Command::new(router)
+        .arg("--version")
+        .output()
+        .await
+        .with_context(|| format!("cannot start {}", router.display()))?;
+    if !output.status.success() {
+        return Ok("the router does not tell what it was built from".to_owned());
+    }
+    Ok(String::from_utf8_lossy(&output.stdout).trim_end().to_owned())
+}
+
 /// What was observed while a schedule ran.
 struct Observations {
     attempts: UnboundedReceiver<Attempt>,
--- a/crates/reedsail_soak/src/version_checks.rs
+++ b/crates/reedsail_soak/src/version_checks.rs
@@ -11,6 +11,7 @@
 use crate::Target;
 use crate::Violation;
 use crate::checker::FAULT_GRACE_MS;
+use crate::key_checks::was_refused_without_workspaces;
 
 /// An instance is in touch if nothing disturbed it or the store for this time.
 const IN_TOUCH_MS: u64 = 6_000;
@@ -55,7 +56,10 @@
     let (mut continued, mut begun) = (Share::default(), Share::default());
     let mut refused = Vec::new();
     for attempt in &history.attempts {
-        if attempt.kind != CallKind::Chat || !is_in_touch(history, attempt) {
+        if attempt.kind != CallKind::Chat
+            || !is_in_touch(history, attempt)
+            || was_refused_without_workspaces(history, attempt)
+        {
             continue;
         }
         let part = attempt.stream.as_ref();
--- a/crates/reedsail_soak/tests/checker/main.rs
+++ b/crates/reedsail_soak/tests/checker/main.rs
@@ -1,6 +1,7 @@
 //! The checker finds a violation of each guarantee, and none in a clean history.
 
 mod departures;
+mod keys;
 mod poison;
 
 use reedsail_soak::Arrival;
@@ -56,7 +57,12 @@
 }
 
 fn write(version: u64, at_ms: u64, key: u64) -> VersionWrite {
-    VersionWrite { version, at_ms, key }
+    VersionWrite {
+        version,
+        at_ms,
+        key,
+        without_workspaces: false,
+    }
 }
 
 fn fault(target: Target, from_ms: u64, until_ms: u64) -> FaultSpan {
--- a/crates/reedsail_soak/tests/schedule.rs
+++ b/crates/reedsail_soak/tests/schedule.rs
@@ -52,7 +52,8 @@
         | FaultKind::KillAllDaemons
         | FaultKind::StopAllDaemons
         | FaultKind::ServiceFails { .. }
-        | FaultKind::ReplaceKey => (0, 0),
+        | FaultKind::ReplaceKey
+        | FaultKind::EmptyWorkspaces => (0, 0),
     }
 }
 
@@ -64,7 +65,7 @@
         .collect();
     names.sort_unstable();
     names.dedup();
-    assert_eq!(names.len(), 32, "{names:?}");
+    assert_eq!(names.len(), 33, "{names:?}");
 }
 
 #[test]
