Look in the store once for a version that only unusable copies have

Cause: the wish to read the version from the store was kept until the version was in force, not until the store had been asked.

Why this works: the store answers with its newest version, so one read that ends after the copy arrived tells whether it has it. Later the ordinary turns of readers find it, as a test holds. Failed reads are repeated as before.

--- a/crates/reedsail_router/src/control/actor.rs
+++ b/crates/reedsail_router/src/control/actor.rs
@@ -272,7 +272,8 @@
     type Return = ();
 
     async fn handle(&mut self, copy: AmbiguousCopy, _: &mut Context<Self>) {
-        self.configuration.record_ambiguous_copy(copy);
+        self.configuration
+            .record_ambiguous_copy(copy, self.shared.clock.now());
         self.fetches.record_ambiguous_copy();
     }
 }
@@ -351,7 +352,7 @@
 
     async fn handle(&mut self, read: StoreReadEnded, _: &mut Context<Self>) {
         match (read.topic, &read.fault) {
-            (StoreTopic::Configuration, None) => self.configuration.record_confirmed(read.known_at),
+            (StoreTopic::Configuration, None) => self.configuration.record_store_read(read.known_at),
             (StoreTopic::Servers, Some(_)) => self.servers.record_store_failure(),
             (StoreTopic::Configuration, Some(_)) | (StoreTopic::Servers, None) => {}
         }
--- a/crates/reedsail_router/src/control/configuration_state.rs
+++ b/crates/reedsail_router/src/control/configuration_state.rs
@@ -41,6 +41,8 @@
     confirmed_at: Option<TimeMs>,
     /// The newest version of which a peer had only an ambiguous copy, or zero if there is none.
     ambiguous_version: u64,
+    /// When that copy arrived, until the store has been read since.
+    ambiguous_since: Option<TimeMs>,
 }
 
 impl ConfigurationState {
@@ -76,22 +78,30 @@
     }
 
     /// Records that a peer's copy cannot be put in force.
-    pub(crate) fn record_ambiguous_copy(&mut self, copy: AmbiguousCopy) {
+    pub(crate) fn record_ambiguous_copy(&mut self, copy: AmbiguousCopy, now: TimeMs) {
         if copy.version > self.ambiguous_version {
             self.ambiguous_version = copy.version;
+            self.ambiguous_since = Some(now);
             log::warn!(
                 "reading the configuration from the store, because a peer's copy cannot be used: {copy}"
             );
         }
     }
 
-    /// Returns whether the newest version that peers have must be read from the store.
+    /// Returns whether the newest version that peers have must be read from the store at once.
     pub(crate) fn needs_store(&self, own_version: u64) -> bool {
-        self.ambiguous_version > own_version
+        self.ambiguous_since.is_some() && self.ambiguous_version > own_version
+    }
+
+    /// Records that the newest configuration of the store at `known_at` was read. If it is older than that of an ambiguous
+    /// copy, the store has lost the version, so that reading it again does not help.
+    pub(crate) fn record_store_read(&mut self, known_at: TimeMs) {
+        self.record_confirmed(known_at);
+        self.ambiguous_since = self.ambiguous_since.filter(|since| *since > known_at);
     }
 
     /// Records that the configuration in force was the newest at `confirmed_at`.
-    pub(crate) fn record_confirmed(&mut self, confirmed_at: TimeMs) {
+    fn record_confirmed(&mut self, confirmed_at: TimeMs) {
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
     }
 
--- a/crates/reedsail_router/tests/caller_access.rs
+++ b/crates/reedsail_router/tests/caller_access.rs
@@ -59,6 +59,13 @@
 /// Processor share of a stand-in peer, which makes it the elected reader of the store.
 const PEER_PROCESSOR_MILLI: u32 = 64_000;
 
+/// The metric of successful reads of the configuration.
+const STORE_READS: &str = r#"reedsail_router_store_reads_total{outcome="read",what="configuration"}"#;
+/// Longer than the store holds a call for a new configuration.
+const READ_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Fetches from a peer that take longer than several reads of the store.
+const FURTHER_FETCHES: usize = 10;
+
 fn nobody() -> CallerAccess {
     CallerAccess::Workspaces(Vec::new())
 }
@@ -301,3 +308,66 @@
     wait_for_version(&alone.router, 7).await;
     assert_eq!(statuses(&alone.router, "/once/").await, CLOSED);
 }
+
+/// Returns how often the configuration was read from the store.
+async fn store_reads(router: &RunningRouter<TestHeaders>) -> u64 {
+    let page = ask(router.addresses().admin, "/metrics", &[]).await;
+    let text = page.text();
+    let count = text.lines().find_map(|line| line.strip_prefix(STORE_READS));
+    count.map_or(0, |count| count.trim().parse().unwrap())
+}
+
+/// Guards against an instance that reads the store for ever, for a version that it lost when it came back from an older copy.
+#[tokio::test]
+async fn a_version_that_the_store_has_lost_is_looked_for_there_once() {
+    let alone = Alone::start(Some(configuration(1))).await;
+    wait_for_version(&alone.router, 1).await;
+    // This peer knows nothing newer and is the reader, so the instance has no other reason to read.
+    let _current = alone.add_peer("hall-a-9", 1, "").await;
+    wait_for("another reader", async || {
+        let reads = store_reads(&alone.router).await;
+        sleep(READ_INTERVAL).await;
+        store_reads(&alone.router).await == reads
+    })
+    .await;
+    let reads_before = store_reads(&alone.router).await;
+    let earlier = alone
+        .add_peer("hall-a-8", 7, page(7, AMBIGUOUS_FIELDS).await)
+        .await;
+    wait_for("a read for the version", async || {
+        store_reads(&alone.router).await > reads_before
+    })
+    .await;
+    let reads = store_reads(&alone.router).await;
+    let fetches = earlier.fetches();
+    wait_for("further announcements", async || {
+        earlier.fetches() >= fetches + FURTHER_FETCHES
+    })
+    .await;
+    let further = store_reads(&alone.router).await - reads;
+    // One read may have begun before the first one ended.
+    assert!(further <= 1, "{further} further reads");
+    assert_eq!(alone.router.configuration_version(), 1);
+    let next = without_workspaces(8, nobody());
+    let usable = page(8, r#""workspaces":[],"requires_keys":true"#).await;
+    alone.store.configuration.send_replace(Some(next));
+    let _newer = alone.add_peer("hall-a-7", 8, usable).await;
+    wait_for_version(&alone.router, 8).await;
+    assert_eq!(statuses(&alone.router, "/once/").await, CLOSED);
+}
+
+/// Guards against an instance that no longer looks for a version which the store did not have at first.
+#[tokio::test]
+async fn a_version_that_comes_back_to_the_store_is_put_in_force() {
+    let alone = Alone::start(Some(configuration(5))).await;
+    wait_for_version(&alone.router, 5).await;
+    let earlier = alone
+        .add_peer("hall-a-8", 7, page(7, AMBIGUOUS_FIELDS).await)
+        .await;
+    wait_for("some fetches", async || earlier.fetches() >= FURTHER_FETCHES).await;
+    assert_eq!(alone.router.configuration_version(), 5);
+    let again = without_workspaces(7, CallerAccess::Everyone);
+    alone.store.configuration.send_replace(Some(again));
+    wait_for_version(&alone.router, 7).await;
+    assert_eq!(statuses(&alone.router, "/once/").await, OPEN);
+}
