Show the order of an upgrade that needs no store after its first instance

An upgraded instance whose peers are all of an earlier release, with no workspaces configured and the store away, refuses with 503 while the others serve everybody (told in docs/OPERATIONS.md). It cannot know more: their copies don't say whether keys are needed.

--- a/crates/reedsail_router/tests/caller_access.rs
+++ b/crates/reedsail_router/tests/caller_access.rs
@@ -371,3 +371,32 @@
     wait_for_version(&alone.router, 7).await;
     assert_eq!(statuses(&alone.router, "/once/").await, OPEN);
 }
+
+/// Guards against an upgrade in which instances refuse everybody without the store: once one instance of this release has the
+/// configuration, the others need only it.
+#[tokio::test]
+async fn an_upgrade_goes_on_without_the_store_after_its_first_instance() {
+    let ambiguous = page(2, AMBIGUOUS_FIELDS).await;
+    for (access, expected) in [(CallerAccess::Everyone, OPEN), (nobody(), CLOSED)] {
+        let first = Alone::start(Some(without_workspaces(2, access))).await;
+        wait_for_version(&first.router, 2).await;
+        let silent_store = Store::new(None, None);
+        let mut upgraded = first.router;
+        for name in ["hall-a-2", "hall-a-3"] {
+            let mut settings = settings(name);
+            settings.seeds = vec![upgraded.addresses().peers];
+            let next = start(&silent_store, settings);
+            let next_peers = next.addresses().peers;
+            let mut earlier = Vec::new();
+            for number in 0..EARLIER_PEERS {
+                let name = format!("hall-a-1{number}");
+                earlier.push(PeerStandin::start(&name, 2, ambiguous.clone(), next_peers).await);
+            }
+            wait_until_ready(&next).await;
+            assert_eq!(statuses(&next, "/once/").await, expected, "{name}");
+            // The instance before may go at once.
+            upgraded.kill();
+            upgraded = next;
+        }
+    }
+}
