--- a/crates/reedsail_router/tests/caller_access.rs
+++ b/crates/reedsail_router/tests/caller_access.rs
@@ -16,12 +16,15 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use reedsail_core::NameHash;
+use reedsail_net::Clock;
+use reedsail_net::SimulatedSuspension;
 use reedsail_router::CallerAccess;
 use reedsail_router::Configuration;
 use reedsail_router::RunningRouter;
 use reedsail_standin::Body;
 use reedsail_standin::Handler;
 use reedsail_standin::HttpServer;
+use reedsail_standin::RoutedAnswer;
 use reedsail_standin::RoutedStandin;
 use reedsail_standin::StandinError;
 use reedsail_wire::LoadMessage;
@@ -29,6 +32,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use common::Caller;
 use common::RouterFixture;
 use common::Store;
 use common::ask;
@@ -59,6 +63,10 @@
 /// Processor share of a stand-in peer, which makes it the elected reader of the store.
 const PEER_PROCESSOR_MILLI: u32 = 64_000;
 
+/// The paths of the routes that need a key.
+const ALL_PATHS: [&str; 4] = ["/once/", "/again/", "/stream/", "/resume/"];
+/// How long a machine is suspended.
+const SUSPENSION_MS: u64 = 120_000;
 /// The metric of successful reads of the configuration.
 const STORE_READS: &str = r#"reedsail_router_store_reads_total{outcome="read",what="configuration"}"#;
 /// Longer than the store holds a call for a new configuration.
@@ -218,7 +226,7 @@
         let silent_store = Store::new(None, None);
         let restarted = start_beside(&fixture, &silent_store);
         wait_until_ready(&restarted).await;
-        for path in ["/once/", "/again/", "/stream/", "/resume/"] {
+        for path in ALL_PATHS {
             assert_eq!(statuses(&restarted, path).await, expected, "{path}");
         }
         assert_eq!(statuses(&restarted, "/open/").await, OPEN);
@@ -400,3 +408,93 @@
         }
     }
 }
+
+/// Guards against a kept connection, or a stream that is taken up again, which a taken workspace's key still opens.
+#[tokio::test]
+async fn kept_connections_and_resumed_streams_need_a_key_of_the_version_in_force() {
+    let fixture = RouterFixture::start().await;
+    let mut kept = Caller::connect(fixture.callers()).await;
+    for path in ALL_PATHS {
+        assert_eq!(kept.ask(path, &[]).await.status, StatusCode::OK, "{path}");
+    }
+    fixture.put_in_force(without_workspaces(2, nobody())).await;
+    let runs_before = fixture.app.runs().len() + fixture.llm.runs().len();
+    let continuation = [("reedsail-resumes", "id-1"), ("last-event-id", "2")];
+    let mut new = Caller::connect(fixture.callers()).await;
+    for caller in [&mut kept, &mut new] {
+        for path in ALL_PATHS {
+            let reply = caller.ask(path, &[]).await;
+            assert_eq!(reply.status, StatusCode::UNAUTHORIZED, "{path}");
+        }
+        let reply = caller.ask("/resume/", &continuation).await;
+        assert_eq!(reply.status, StatusCode::UNAUTHORIZED, "a continuation");
+    }
+    assert_eq!(fixture.app.runs().len() + fixture.llm.runs().len(), runs_before);
+}
+
+/// Guards against an instance that stays at the workspaces of before its machine was suspended.
+#[tokio::test]
+async fn workspaces_that_were_taken_away_during_a_suspension_are_gone_after_it() {
+    let suspension: &SimulatedSuspension = Box::leak(Box::default());
+    let clock = Clock::with_simulated_suspension(suspension);
+    let fixture = RouterFixture::start_at(clock, |_| {}).await;
+    assert_eq!(statuses(&fixture.router, "/once/").await, KEYED);
+    suspension.suspend(SUSPENSION_MS);
+    fixture.put_in_force(without_workspaces(2, nobody())).await;
+    assert_eq!(statuses(&fixture.router, "/once/").await, CLOSED);
+    suspension.suspend(SUSPENSION_MS);
+    fixture.put_in_force(configuration(3)).await;
+    assert_eq!(statuses(&fixture.router, "/once/").await, KEYED);
+}
+
+/// Guards against an earlier version that decides who may call while versions follow each other at once.
+#[tokio::test]
+async fn the_last_of_several_versions_at_once_decides() {
+    let fixture = RouterFixture::start().await;
+    for round in 0..ROUNDS as u64 {
+        let first = 2 + 6 * round;
+        let open = without_workspaces(first, CallerAccess::Everyone);
+        let closed = without_workspaces(first + 1, nobody());
+        let keyed = configuration(first + 2);
+        for next in [open.clone(), closed.clone(), keyed] {
+            fixture.store.configuration.send_replace(Some(next));
+        }
+        wait_for_version(&fixture.router, first + 2).await;
+        assert_eq!(statuses(&fixture.router, "/once/").await, KEYED);
+        for (version, next) in [(first + 3, open), (first + 4, closed)] {
+            let next = Configuration { version, ..next };
+            fixture.store.configuration.send_replace(Some(next));
+        }
+        wait_for_version(&fixture.router, first + 4).await;
+        assert_eq!(statuses(&fixture.router, "/once/").await, CLOSED);
+    }
+}
+
+/// Guards against a retry without a workspace, once the workspace of its request has been taken away.
+#[tokio::test]
+async fn a_retry_keeps_the_workspace_with_which_its_request_was_admitted() {
+    let fixture = RouterFixture::start().await;
+    let second = fixture.add_server("app-2", "app").await;
+    for server in [&fixture.app, &second] {
+        server.answer_with(&[RoutedAnswer::Silent]);
+    }
+    let callers = fixture.callers();
+    let asking = tokio::spawn(async move { ask(callers, "/again/", &[]).await });
+    wait_for("the first attempt", async || {
+        fixture.app.runs().len() + second.runs().len() == 1
+    })
+    .await;
+    fixture.put_in_force(without_workspaces(2, nobody())).await;
+    let (first, other) = if second.runs().is_empty() {
+        (&fixture.app, &second)
+    } else {
+        (&second, &fixture.app)
+    };
+    other.answer_with(&[RoutedAnswer::Whole {
+        status: 200,
+        bytes: 10,
+    }]);
+    first.crash();
+    assert_eq!(asking.await.unwrap().status, StatusCode::OK);
+    assert_eq!(other.runs()[0].header("reedsail-workspace"), "labska");
+}
