Compare every file of the packages in the deploy build

Leaving out folders named tests would also leave out one below src, whose other content could then run as the program of before. Nothing of the kind is there today.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,9 +7,9 @@
 program=target/release/reedsail-router
 record=target/release/reedsail-router.sources
 
-# Prints a checksum of every file that decides what is compiled.
+# Prints a checksum of every file that may decide what is compiled.
 checksum_sources() {
-    checksums=$(find Cargo.toml Cargo.lock build crates platform -name tests -prune -o -type f -exec sha256sum {} +)
+    checksums=$(find Cargo.toml Cargo.lock build crates platform -type f -exec sha256sum {} +)
     printf '%s\n' "$checksums" | LC_ALL=C sort
 }
 
