--- a/crates/reedsail_bench/tests/sessions.rs
+++ b/crates/reedsail_bench/tests/sessions.rs
@@ -30,6 +30,7 @@
             .map(|(key, value)| match key.as_str() {
                 "request" => "request=ID".to_owned(),
                 "digest" => "digest=DIGEST".to_owned(),
+                "sources" => "sources=SOURCES".to_owned(),
                 _ => format!("{key}={value}"),
             })
             .collect();
